--- /dev/null
+++ b/cmd/guavastack/main.go
@@ -0,0 +1,4 @@
+// Command guavastack routes language-model traffic with service levels and priorities.
+package main
+
+func main() {}
--- /dev/null
+++ b/tools/generate.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Generates the code that is committed: messages from proto/, wire graphs from cmd/guavastack.
+set -euo pipefail
+cd "$(dirname "$0")"
+go run ./genproto ../proto
+bin=$(mktemp -d)
+trap 'rm -rf "$bin"' EXIT
+go build -o "$bin/wire" github.com/google/wire/cmd/wire
+cd ..
+if grep -rlq --include='*.go' wireinject cmd internal; then
+  "$bin/wire" gen ./cmd/guavastack/...
+fi
