--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -64,6 +64,9 @@
 	ID         string
 	Reason     Reason
 	RetryAfter time.Duration // with Return and Refuse
+
+	// Started is set where the request has run before, so that it must not be reported as not run.
+	Started bool
 }
 
 // Load is what a scheduler tells of itself.
