Choose a backend server by filter, score and pick

Cause: entries need candidates, an ageing load estimate and a choice that does not herd. Ruled out: scoring every candidate for each request, for its cost at 256 candidates. Conclusion: the API can be coded against.

--- /dev/null
+++ b/internal/core/route/router.go
@@ -0,0 +1,160 @@
+package route
+
+import (
+	"slices"
+	"time"
+)
+
+// Policy selects how a Router picks among the candidates.
+type Policy uint8
+
+const (
+	// PolicyTwoChoices takes the better of two random candidates and the one that holds the prompt's prefix.
+	PolicyTwoChoices Policy = iota
+	// PolicyRoundRobin takes the candidates in turn; a baseline of the measurements.
+	PolicyRoundRobin
+	// PolicyLeastOutstanding takes the candidate with the fewest own requests; a baseline of the measurements.
+	PolicyLeastOutstanding
+)
+
+const (
+	// maxDraws bounds the random draws of a pick before all candidates are looked at.
+	maxDraws = 8
+	// affinityLoadFactor bounds the load of a server that is chosen for its cache, as a multiple of the mean.
+	affinityLoadFactor = 1.25
+	// utilisationCost is the part of the score of a server whose slots are all taken.
+	utilisationCost = 50 * time.Millisecond
+	// failureCost is the part of the score of a server that fails always.
+	failureCost = 2 * time.Second
+	// noRoomCost is the part of the score of a server that would refuse by its last report.
+	noRoomCost = 10 * time.Second
+	// placementHalfLife is how fast a remembered prefix counts less.
+	placementHalfLife = 5 * time.Minute
+)
+
+// RouterConfig is the fixed part of a Router.
+type RouterConfig struct {
+	Policy Policy
+}
+
+// Router chooses backend servers from a Table.
+type Router struct {
+	table *Table
+	cfg   RouterConfig
+}
+
+// NewRouter returns a router over the table.
+func NewRouter(table *Table, cfg RouterConfig) *Router { return &Router{table: table, cfg: cfg} }
+
+// Choose returns the backend server for the request. rnd is a random number.
+func (r *Router) Choose(now time.Time, req Request, rnd uint64) (Backend, error) {
+	g := r.table.groups[groupKey{req.Kind, req.Model}]
+	if g == nil || len(g.servers) == 0 {
+		return Backend{}, ErrUnknownModel
+	}
+	var s *server
+	switch r.cfg.Policy {
+	case PolicyRoundRobin:
+		s = g.nextInTurn(now, &req)
+	case PolicyLeastOutstanding:
+		s = g.leastOutstanding(now, &req, rnd)
+	default:
+		s = r.twoChoices(now, g, &req, rnd)
+	}
+	if s != nil {
+		return s.Backend, nil
+	}
+	if !slices.ContainsFunc(g.servers, func(s *server) bool { return s.serves(&req) }) {
+		return Backend{}, ErrUnknownModel
+	}
+	return Backend{}, ErrNoCandidate
+}
+
+// serves reports whether the server has what the request asks for.
+func (s *server) serves(req *Request) bool {
+	if req.Version != "" && req.Version != s.Version {
+		return false
+	}
+	if req.Role != "" && req.Role != s.Role {
+		return false
+	}
+	return req.Adapter == "" || slices.Contains(s.Adapters, req.Adapter)
+}
+
+// isCandidate is the filter stage.
+func (s *server) isCandidate(now time.Time, req *Request) bool {
+	return s.Lifecycle == LifecycleReady && s.serves(req) && s.takesWork(now) && !slices.Contains(req.Exclude, s.ID)
+}
+
+func (g *group) nextInTurn(now time.Time, req *Request) *server {
+	for range g.servers {
+		g.roundRobin = (g.roundRobin + 1) % len(g.servers)
+		if s := g.servers[g.roundRobin]; s.isCandidate(now, req) {
+			return s
+		}
+	}
+	return nil
+}
+
+func (g *group) leastOutstanding(now time.Time, req *Request, rnd uint64) *server {
+	var least *server
+	offset := int(rnd % uint64(len(g.servers)))
+	for i := range g.servers {
+		s := g.servers[(i+offset)%len(g.servers)]
+		if s.isCandidate(now, req) && (least == nil || s.inFlight < least.inFlight) {
+			least = s
+		}
+	}
+	return least
+}
+
+// twoChoices is the pick stage.
+func (r *Router) twoChoices(now time.Time, g *group, req *Request, rnd uint64) *server {
+	home, cached := r.holder(now, g, req)
+	best, bestScore := home, time.Duration(0)
+	if home != nil {
+		bestScore = r.score(now, home, req, cached)
+	}
+	drawn := 0
+	for i := 0; i < maxDraws && drawn < 2; i++ {
+		rnd = nextRandom(rnd)
+		s := g.servers[(rnd>>32)%uint64(len(g.servers))]
+		if s == best || !s.isCandidate(now, req) {
+			continue
+		}
+		drawn++
+		if score := r.score(now, s, req, 0); best == nil || score < bestScore {
+			best, bestScore = s, score
+		}
+	}
+	if best == nil || bestScore >= noRoomCost {
+		return r.bestOfAll(now, g, req, rnd)
+	}
+	return best
+}
+
+// bestOfAll looks at every candidate, from a random one on.
+func (r *Router) bestOfAll(now time.Time, g *group, req *Request, rnd uint64) *server {
+	var best *server
+	var bestScore time.Duration
+	offset := int((rnd >> 32) % uint64(len(g.servers)))
+	for i := range g.servers {
+		s := g.servers[(i+offset)%len(g.servers)]
+		if !s.isCandidate(now, req) {
+			continue
+		}
+		if score := r.score(now, s, req, 0); best == nil || score < bestScore {
+			best, bestScore = s, score
+		}
+	}
+	return best
+}
+
+// nextRandom is one step of the splitmix64 generator.
+func nextRandom(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	z := x
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
--- a/internal/core/sched/queue.go
+++ b/internal/core/sched/queue.go
@@ -80,18 +80,16 @@
 
 // lane holds the waiting requests of one class in one tier.
 type lane struct {
-	class     string
-	tier      int
-	floor     float64
-	credit    float64 // starts that the floor share owes
-	waiting   int
-	resident  int // waiting requests that began before; they cannot be displaced
-	queues    map[string]*queue
-	byServed  priorityQueue[servedQueue]
-	byFinish  priorityQueue[finishQueue] // queues with displaceable items
-	meanCost  average                    // output tokens of an answer
-	starts    uint64
-	fromFloor uint64
+	class    string
+	tier     int
+	floor    float64
+	credit   float64 // starts that the floor share owes
+	waiting  int
+	resident int // waiting requests that began before; they cannot be displaced
+	queues   map[string]*queue
+	byServed priorityQueue[servedQueue]
+	byFinish priorityQueue[finishQueue] // queues with displaceable items
+	meanCost average                    // output tokens of an answer
 }
 
 // tier holds the lanes of one tier.
