--- a/internal/core/sched/scheduler.go
+++ b/internal/core/sched/scheduler.go
@@ -342,7 +342,7 @@
 	it.onFloorSlot = onFloorSlot
 	it.started = now
 	if !it.startedOnce {
-		s.charge(it, uncached(&it.Request))
+		s.charge(it, float64(max(0, it.PromptTokens-it.CachedTokens)))
 	}
 	it.startedOnce = true
 	it.inActive = len(s.active)
