--- /dev/null
+++ b/internal/core/billing/module.go
@@ -0,0 +1,348 @@
+package billing
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/core/state"
+)
+
+// ModuleName is the name of the state module of billing.
+const ModuleName = "billing"
+
+// Bounds on what is kept, in windows.
+const (
+	// KeptWindows is how long counters of a closed window are kept, and late usage of it is taken.
+	KeptWindows = 120
+	// keptReports is how many reported windows are kept for reconciliation.
+	keptReports = 1000
+)
+
+// Outcome codes of commands.
+const (
+	CodeOK       = "ok"
+	CodeStale    = "stale"    // the command was made from an older state
+	CodeMismatch = "mismatch" // the window is not the one that is due
+)
+
+// Status is how far the report of a closed window has come.
+type Status string
+
+const (
+	// Closed windows have committed figures that the platform has not confirmed.
+	Closed Status = "closed"
+	// Reported windows are confirmed by the platform.
+	Reported Status = "reported"
+	// Disputed windows have other figures at the platform; an operator must look at them.
+	Disputed Status = "disputed"
+)
+
+// Command is the body of a state command of this module; exactly one field is set.
+type Command struct {
+	Advance *Advance `json:"advance,omitempty"`
+	Record  *Record  `json:"record,omitempty"`
+	Close   *Close   `json:"close,omitempty"`
+	Confirm *Confirm `json:"confirm,omitempty"`
+}
+
+// Advance opens the window after Window, which stays to be closed once late counters are in.
+type Advance struct {
+	Window uint64 `json:"window"`
+}
+
+// Record commits cumulative counters.
+type Record struct {
+	Counters []Counter `json:"counters"`
+}
+
+// Close commits the report of a window. The proposer builds it, so that members of different versions store the
+// same bytes; Base proves that it was built from the state that it is applied to.
+type Close struct {
+	Window uint64 `json:"window"`
+	Base   uint64 `json:"base"`
+	Report []byte `json:"report"`
+}
+
+// Confirm records what the platform answered to the report of a window.
+type Confirm struct {
+	Window uint64 `json:"window"`
+	Status Status `json:"status"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// Result is the outcome of a command.
+type Result struct {
+	Code string `json:"code"`
+	Open uint64 `json:"open"`
+}
+
+// Window is a closed window.
+type Window struct {
+	Window      uint64 `json:"window"`
+	Status      Status `json:"status"`
+	Reason      string `json:"reason,omitempty"`
+	ClosedMS    int64  `json:"closed_ms"`
+	ConfirmedMS int64  `json:"confirmed_ms,omitempty"`
+	Report      []byte `json:"report"` // the committed bytes
+}
+
+// count is a counter with the part of it that reports contain already.
+type count struct {
+	Counter
+	Billed Figures `json:"billed"`
+}
+
+// snapshot is the whole state of the module.
+type snapshot struct {
+	Revision uint64   `json:"revision"` // commands applied
+	Open     uint64   `json:"open"`
+	Closed   uint64   `json:"closed"`    // newest closed window
+	Opened   []int64  `json:"opened_ms"` // of the windows after Closed, up to Open
+	Counts   []count  `json:"counts"`
+	Windows  []Window `json:"windows"`
+}
+
+// Module is the state module of billing. It is not safe for concurrent use.
+type Module struct {
+	s     snapshot // without Counts
+	index map[slot]*count
+}
+
+// NewModule returns a module whose first open window is 1.
+func NewModule() *Module {
+	return &Module{s: snapshot{Open: 1, Opened: []int64{0}}, index: make(map[slot]*count)}
+}
+
+// Name implements state.Module.
+func (m *Module) Name() string { return ModuleName }
+
+// Apply implements state.Module.
+func (m *Module) Apply(_ uint64, cmd state.Command) (json.RawMessage, error) {
+	var c Command
+	if err := json.Unmarshal(cmd.Body, &c); err != nil {
+		return nil, errors.NewNotValid(err, "billing command")
+	}
+	code, err := m.apply(cmd.AtMS, c)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(Result{Code: code, Open: m.s.Open})
+}
+
+func (m *Module) apply(atMS int64, c Command) (string, error) {
+	switch {
+	case c.Advance != nil:
+		return m.advance(atMS, *c.Advance), nil
+	case c.Record != nil:
+		return m.record(*c.Record), nil
+	case c.Close != nil:
+		return m.close(*c.Close)
+	case c.Confirm != nil:
+		return m.confirm(atMS, *c.Confirm), nil
+	default:
+		return "", errors.NotValidf("billing command without a body")
+	}
+}
+
+func (m *Module) advance(atMS int64, c Advance) string {
+	if c.Window != m.s.Open {
+		return CodeMismatch
+	}
+	m.s.Revision++
+	m.s.Open++
+	m.s.Opened = append(m.s.Opened, atMS)
+	return CodeOK
+}
+
+func (m *Module) record(c Record) string {
+	m.s.Revision++
+	for _, counter := range c.Counters {
+		m.store(counter)
+	}
+	return CodeOK
+}
+
+func (m *Module) store(c Counter) {
+	if !m.Accepts(c.Window) {
+		return
+	}
+	known, ok := m.index[c.slot()]
+	if !ok {
+		known = &count{Counter: c}
+		m.index[c.slot()] = known
+	}
+	known.Figures = known.Figures.merge(c.Figures)
+}
+
+// Accepts reports whether usage of the window can still be billed.
+func (m *Module) Accepts(window uint64) bool {
+	return window > 0 && window <= m.s.Open && window+KeptWindows > m.s.Closed
+}
+
+func (m *Module) close(c Close) (string, error) {
+	if c.Window != m.s.Closed+1 || c.Window >= m.s.Open {
+		return CodeMismatch, nil
+	}
+	if c.Base != m.s.Revision {
+		return CodeStale, nil
+	}
+	report, err := ParseReport(c.Report)
+	if err != nil {
+		return "", err
+	}
+	m.s.Revision++
+	for _, known := range m.index {
+		if known.Window <= c.Window {
+			known.Billed = known.Figures
+		}
+	}
+	m.s.Closed = c.Window
+	m.s.Opened = m.s.Opened[1:]
+	m.s.Windows = append(m.s.Windows, Window{
+		Window: c.Window, Status: Closed, ClosedMS: report.ClosedMS, Report: c.Report,
+	})
+	m.prune()
+	return CodeOK, nil
+}
+
+func (m *Module) confirm(atMS int64, c Confirm) string {
+	i := slices.IndexFunc(m.s.Windows, func(w Window) bool { return w.Window == c.Window })
+	if i < 0 {
+		return CodeMismatch
+	}
+	m.s.Revision++
+	w := &m.s.Windows[i]
+	if w.Status == Reported {
+		return CodeOK
+	}
+	w.Status = c.Status
+	w.Reason = c.Reason
+	w.ConfirmedMS = atMS
+	return CodeOK
+}
+
+// prune forgets counters of windows that take no late usage any more, and the oldest confirmed reports.
+func (m *Module) prune() {
+	for k := range m.index {
+		if !m.Accepts(k.window) {
+			delete(m.index, k)
+		}
+	}
+	surplus := len(m.s.Windows) - keptReports
+	m.s.Windows = slices.DeleteFunc(m.s.Windows, func(w Window) bool {
+		if surplus <= 0 || w.Status != Reported {
+			return false
+		}
+		surplus--
+		return true
+	})
+}
+
+// Open returns the number of the open window.
+func (m *Module) Open() uint64 { return m.s.Open }
+
+// OpenedMS returns when the open window was opened, by the wall clock of the proposer; 0 for the first one.
+func (m *Module) OpenedMS() int64 { return m.s.Opened[len(m.s.Opened)-1] }
+
+// Due returns the window that is to be closed next, and false while only the open one is left.
+func (m *Module) Due() (uint64, bool) {
+	return m.s.Closed + 1, m.s.Closed+1 < m.s.Open
+}
+
+// PrepareClose builds the command that closes the window that is due.
+func (m *Module) PrepareClose(nowMS int64) (Close, error) {
+	window, ok := m.Due()
+	if !ok {
+		return Close{}, errors.NotFoundf("window to close")
+	}
+	report, err := json.Marshal(buildReport(window, m.s.Opened[0], nowMS, m.unbilled(window)))
+	if err != nil {
+		return Close{}, errors.Trace(err)
+	}
+	return Close{Window: window, Base: m.s.Revision, Report: report}, nil
+}
+
+// unbilled sums the usage up to a window that no report contains.
+func (m *Module) unbilled(window uint64) map[lineKey]Figures {
+	sums := make(map[lineKey]Figures)
+	for _, known := range m.index {
+		rest := known.sub(known.Billed)
+		if known.Window > window || rest == (Figures{}) {
+			continue
+		}
+		k := lineKey{window: known.Window, key: known.Key}
+		sums[k] = sums[k].Add(rest)
+	}
+	return sums
+}
+
+// NextReport returns the oldest window whose report the platform has not confirmed.
+// Reports go out in order, so a disputed window does not hold up those after it.
+func (m *Module) NextReport() (Window, bool) {
+	i := slices.IndexFunc(m.s.Windows, func(w Window) bool { return w.Status == Closed })
+	if i < 0 {
+		return Window{}, false
+	}
+	return m.s.Windows[i], true
+}
+
+// Windows returns the closed windows, oldest first.
+func (m *Module) Windows() []Window { return slices.Clone(m.s.Windows) }
+
+// Committed returns the committed counters of one entry incarnation and window that equal or exceed c.
+func (m *Module) committed(c Counter) bool {
+	known, ok := m.index[c.slot()]
+	return ok && known.merge(c.Figures) == known.Figures
+}
+
+// Counted sums the committed counters of a window; late usage is included.
+func (m *Module) Counted(window uint64) []Line {
+	sums := make(map[lineKey]Figures)
+	for _, known := range m.index {
+		if known.Window == window {
+			k := lineKey{window: window, key: known.Key}
+			sums[k] = sums[k].Add(known.Figures)
+		}
+	}
+	return buildReport(window, 0, 0, sums).Lines
+}
+
+// Snapshot implements state.Module.
+func (m *Module) Snapshot() (json.RawMessage, error) {
+	s := m.s
+	s.Counts = make([]count, 0, len(m.index))
+	for _, known := range m.index {
+		s.Counts = append(s.Counts, *known)
+	}
+	slices.SortFunc(s.Counts, func(a, b count) int { return compareSlots(a.slot(), b.slot()) })
+	return json.Marshal(s)
+}
+
+// Restore implements state.Module.
+func (m *Module) Restore(data json.RawMessage) error {
+	var s snapshot
+	if err := json.Unmarshal(data, &s); err != nil {
+		return errors.NewNotValid(err, "billing snapshot")
+	}
+	if s.Open != s.Closed+uint64(len(s.Opened)) {
+		return errors.NotValidf("billing snapshot: open %d, closed %d, %d opened", s.Open, s.Closed, len(s.Opened))
+	}
+	m.index = make(map[slot]*count, len(s.Counts))
+	for i := range s.Counts {
+		m.index[s.Counts[i].slot()] = &s.Counts[i]
+	}
+	s.Counts = nil
+	m.s = s
+	return nil
+}
+
+// Encode returns the state command that carries c, for a proposal.
+func Encode(c Command, actor string, atMS int64) ([]byte, error) {
+	body, err := json.Marshal(c)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return json.Marshal(state.Command{Module: ModuleName, AtMS: atMS, Body: body, Actor: actor})
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,255 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Headers of the contract. The body of a usage report carries figures only, so the sender travels here.
+const (
+	HeaderHolder  = "X-Guavastack-Holder"
+	HeaderFencing = "X-Guavastack-Fencing"
+)
+
+// Codes in the error bodies of the contract.
+const (
+	CodeQuota            = "quota"
+	CodeNoSupply         = "no_supply"
+	CodeStaleFencing     = "stale_fencing"
+	CodeDifferentFigures = "different_figures"
+	CodeRateLimit        = "rate_limit"
+	CodeInvalid          = "invalid"
+	CodeNotFound         = "not_found"
+)
+
+// ErrorBody is the body of every refusal.
+type ErrorBody struct {
+	Code         string `json:"code"`
+	Message      string `json:"message"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+}
+
+const (
+	maxAnswer      = 64 << 20 // bytes
+	defaultTimeout = time.Second
+	defaultBackoff = time.Second // after a rate limit that names no time
+)
+
+// Config configures a Client.
+type Config struct {
+	URL       string            // of the platform, such as http://10.0.0.5:7070
+	Token     string            // sent as a bearer token; may be empty
+	Transport http.RoundTripper // nil: NewTransport
+}
+
+// Client implements Platform over HTTP.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+var _ Platform = (*Client)(nil)
+
+// NewClient returns a client of the platform at cfg.URL.
+func NewClient(cfg Config) (*Client, error) {
+	u, err := url.Parse(cfg.URL)
+	if err != nil || u.Host == "" {
+		return nil, errors.NotValidf("platform url %q", cfg.URL)
+	}
+	transport := cfg.Transport
+	if transport == nil {
+		transport = NewTransport()
+	}
+	client := &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return &Client{base: u.Scheme + "://" + u.Host, token: cfg.Token, http: client}, nil
+}
+
+// NewTransport returns a transport that never sends a request twice: every call has a connection of its own, so there
+// is no reused connection whose loss net/http would answer by sending again, and none that went silent unnoticed.
+// Each connection refuses to write once the deadline of its call has passed.
+func NewTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:       dial,
+		DisableKeepAlives: true,
+		ForceAttemptHTTP2: false,
+		Protocols:         http1Only(),
+	}
+}
+
+func http1Only() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	return p
+}
+
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return conn, nil
+	}
+	if err := conn.SetDeadline(deadline); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // what a closed call has not sent yet is dropped
+	}
+	return &deadlineConn{Conn: conn, deadline: deadline}, nil
+}
+
+// deadlineConn looks at the clock right before each write. A process that was paused after its last check of the
+// lease thus sends nothing when it wakes, even if no timer has fired yet.
+type deadlineConn struct {
+	net.Conn
+	deadline time.Time
+}
+
+// Write implements net.Conn.
+func (c *deadlineConn) Write(p []byte) (int, error) {
+	if !time.Now().Before(c.deadline) {
+		return 0, context.DeadlineExceeded
+	}
+	return c.Conn.Write(p)
+}
+
+// Order implements Platform.
+func (c *Client) Order(ctx context.Context, order Order) (Outcome, error) {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return Outcome{}, errors.Trace(err)
+	}
+	var out Outcome
+	err = c.call(ctx, http.MethodPut, "/v1/orders/"+url.PathEscape(order.ID), &order.Sender, body, &out)
+	return out, err
+}
+
+// Inventory implements Platform.
+func (c *Client) Inventory(ctx context.Context) (Inventory, error) {
+	var inv Inventory
+	err := c.call(ctx, http.MethodGet, "/v1/inventory", nil, nil, &inv)
+	return inv, err
+}
+
+// ReportUsage implements Platform.
+func (c *Client) ReportUsage(ctx context.Context, r UsageReport) error {
+	return c.call(ctx, http.MethodPut, usagePath(r.Window), &r.Sender, r.Body, nil)
+}
+
+// ReportedUsage implements Platform.
+func (c *Client) ReportedUsage(ctx context.Context, window uint64) ([]byte, error) {
+	return c.send(ctx, http.MethodGet, usagePath(window), nil, nil)
+}
+
+// WeightStore implements Platform.
+func (c *Client) WeightStore(ctx context.Context) (WeightStore, error) {
+	var w WeightStore
+	err := c.call(ctx, http.MethodGet, "/v1/weights", nil, nil, &w)
+	return w, err
+}
+
+func usagePath(window uint64) string {
+	return "/v1/usage/" + strconv.FormatUint(window, 10)
+}
+
+// call sends one request and decodes its answer into out, where out is not nil.
+func (c *Client) call(ctx context.Context, method, path string, from *Sender, body []byte, out any) error {
+	data, err := c.send(ctx, method, path, from, body)
+	if err != nil {
+		return err
+	}
+	if out == nil {
+		return nil
+	}
+	return errors.Annotatef(json.Unmarshal(data, out), "answer of %s %s", method, path)
+}
+
+func (c *Client) send(ctx context.Context, method, path string, from *Sender, body []byte) ([]byte, error) {
+	ctx, cancel := withDeadline(ctx)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	req.GetBody = nil // nothing may send the body a second time
+	if from != nil {
+		req.Header.Set("Content-Type", "application/json")
+		req.Header.Set(HeaderHolder, from.Holder)
+		req.Header.Set(HeaderFencing, strconv.FormatUint(from.Fencing, 10))
+	}
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, errors.Annotatef(err, "%s %s", method, path)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, errors.Annotatef(err, "answer of %s %s", method, path)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, refusal(resp.StatusCode, data)
+	}
+	return data, nil
+}
+
+// withDeadline bounds calls whose caller set no deadline.
+func withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, defaultTimeout)
+}
+
+// refusal turns an error body into the error that it stands for. An answer that is not part of the contract, such as
+// one of a gateway in between, leaves the outcome unknown.
+func refusal(status int, data []byte) error {
+	var body ErrorBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		return errors.Errorf("platform answered status %d", status)
+	}
+	switch body.Code {
+	case CodeQuota:
+		return errors.Annotate(ErrQuota, body.Message)
+	case CodeNoSupply:
+		return errors.Annotate(ErrNoSupply, body.Message)
+	case CodeStaleFencing:
+		return errors.Annotate(ErrStaleFencing, body.Message)
+	case CodeDifferentFigures:
+		return errors.Annotate(ErrDifferentFigures, body.Message)
+	case CodeInvalid:
+		return errors.Annotate(ErrInvalid, body.Message)
+	case CodeNotFound:
+		return errors.NewNotFound(nil, body.Message)
+	case CodeRateLimit:
+		return errors.Trace(&RateLimitError{RetryAfter: retryAfter(body.RetryAfterMS)})
+	default:
+		return errors.Errorf("platform answered status %d: %s", status, body.Message)
+	}
+}
+
+func retryAfter(ms int64) time.Duration {
+	if ms <= 0 {
+		return defaultBackoff
+	}
+	return time.Duration(ms) * time.Millisecond
+}
--- /dev/null
+++ b/internal/standin/platform/handler.go
@@ -0,0 +1,117 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/guavastack/guavastack/internal/platform"
+)
+
+const maxBody = 64 << 20 // bytes
+
+// retryAfterMS is what a refusal for the rate asks for, in milliseconds.
+const retryAfterMS = 1000
+
+// Handler returns the HTTP interface of the stand-in: the contract of docs/INTERFACES.md, and GET /record.
+func (s *Standin) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/orders/{id}", s.serveOrder)
+	mux.HandleFunc("GET /v1/inventory", s.serveInventory)
+	mux.HandleFunc("PUT /v1/usage/{window}", s.serveReport)
+	mux.HandleFunc("GET /v1/usage/{window}", s.serveUsage)
+	mux.HandleFunc("GET /v1/weights", s.serveWeights)
+	mux.HandleFunc("GET /record", s.serveRecord)
+	return mux
+}
+
+func (s *Standin) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o platform.Order
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&o); err != nil || o.ID != r.PathValue("id") {
+		writeError(w, platform.CodeInvalid)
+		return
+	}
+	out, code := s.order(o)
+	if code != codeOK {
+		writeError(w, code)
+		return
+	}
+	writeJSON(w, http.StatusOK, out)
+}
+
+func (s *Standin) serveInventory(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.inventory())
+}
+
+func (s *Standin) serveReport(w http.ResponseWriter, r *http.Request) {
+	window, err := strconv.ParseUint(r.PathValue("window"), 10, 64)
+	if err != nil {
+		writeError(w, platform.CodeInvalid)
+		return
+	}
+	fencing, err := strconv.ParseUint(r.Header.Get(platform.HeaderFencing), 10, 64)
+	if err != nil {
+		writeError(w, platform.CodeInvalid)
+		return
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		writeError(w, platform.CodeInvalid)
+		return
+	}
+	from := platform.Sender{Holder: r.Header.Get(platform.HeaderHolder), Fencing: fencing}
+	if code := s.report(from, window, body); code != codeOK {
+		writeError(w, code)
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+func (s *Standin) serveUsage(w http.ResponseWriter, r *http.Request) {
+	window, err := strconv.ParseUint(r.PathValue("window"), 10, 64)
+	if err != nil {
+		writeError(w, platform.CodeInvalid)
+		return
+	}
+	body, ok := s.usageOf(window)
+	if !ok {
+		writeError(w, platform.CodeNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
+func (s *Standin) serveWeights(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.cfg.WeightStore)
+}
+
+func (s *Standin) serveRecord(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Record())
+}
+
+// statuses holds the status of each refusal code.
+var statuses = map[string]int{
+	platform.CodeQuota:            http.StatusForbidden,
+	platform.CodeNoSupply:         http.StatusServiceUnavailable,
+	platform.CodeStaleFencing:     http.StatusConflict,
+	platform.CodeDifferentFigures: http.StatusConflict,
+	platform.CodeRateLimit:        http.StatusTooManyRequests,
+	platform.CodeInvalid:          http.StatusBadRequest,
+	platform.CodeNotFound:         http.StatusNotFound,
+}
+
+func writeError(w http.ResponseWriter, code string) {
+	body := platform.ErrorBody{Code: code, Message: code}
+	if code == platform.CodeRateLimit {
+		body.RetryAfterMS = retryAfterMS
+	}
+	writeJSON(w, statuses[code], body)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
