--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,69 @@
+package telemetry
+
+import (
+	"bytes"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+)
+
+func TestSeriesAreBounded(t *testing.T) {
+	r := NewRegistry(10)
+	for i := range 100 {
+		r.Counter("requests", Label{"organisation", fmt.Sprint(i)}).Inc(1)
+	}
+	samples := r.Samples()
+	if len(samples) != 11 {
+		t.Fatalf("%d series, want 10 and one for the others", len(samples))
+	}
+	var total int64
+	for _, s := range samples {
+		total += *s.Value
+	}
+	if total != 100 {
+		t.Errorf("counted %d of 100", total)
+	}
+}
+
+func TestTextFormParses(t *testing.T) {
+	r := NewRegistry(DefaultMaxSeries)
+	r.Counter("retries").Inc(3)
+	r.Observe("first_token_us", 1500*time.Microsecond, Label{"organisation", `a"b`}, Label{"class", "chat"})
+	r.Observe("first_token_us", 2500*time.Microsecond, Label{"organisation", "c"}, Label{"class", "chat"})
+	var buf bytes.Buffer
+	if err := r.WriteText(&buf); err != nil {
+		t.Fatal(err)
+	}
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(&buf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := len(families["guavastack_first_token_us"].GetMetric()); got != 2 {
+		t.Errorf("%d series of first_token_us, want 2", got)
+	}
+	if got := families["guavastack_retries"].GetMetric()[0].GetCounter().GetValue(); got != 3 {
+		t.Errorf("retries = %v, want 3", got)
+	}
+}
+
+func TestReadyz(t *testing.T) {
+	for _, ready := range []bool{true, false} {
+		rec := httptest.NewRecorder()
+		Readyz(func() (bool, string) { return ready, "no settings yet" })(rec, httptest.NewRequest("GET", "/readyz", nil))
+		if (rec.Code == 200) != ready {
+			t.Errorf("ready %v gave status %d", ready, rec.Code)
+		}
+	}
+}
+
+func TestUnknownLogLevel(t *testing.T) {
+	if _, err := NewLogger(&bytes.Buffer{}, "loud"); err == nil || !strings.Contains(err.Error(), "loud") {
+		t.Errorf("error %v does not name the level", err)
+	}
+}
