--- /dev/null
+++ b/internal/backend/service.go
@@ -0,0 +1,75 @@
+package backend
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/core/verdict"
+)
+
+// Service is a plain service. Every call has a connection of its own, so that the transport never sends one twice.
+type Service struct {
+	cfg    Config
+	client client
+}
+
+// NewService returns a client of the service at cfg.URL.
+func NewService(cfg Config) *Service {
+	cfg = cfg.withDefaults()
+	return &Service{cfg: cfg, client: newClient(cfg.URL, newTransport(cfg, false))}
+}
+
+// Do carries out r.
+func (s *Service) Do(ctx context.Context, r *Request, sink Sink) (Usage, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stall := time.AfterFunc(s.cfg.StallTimeout, func() { cancel(errStalled) })
+	defer stall.Stop()
+
+	resp, err := s.client.send(ctx, r.Method, r.Path, r.Headers, r.Body)
+	if err != nil {
+		return Usage{}, because(ctx, err)
+	}
+	defer resp.Body.Close()
+	if !hasEnd(resp) {
+		return Usage{}, errNoLength()
+	}
+	if err := sink.Head(resp.StatusCode, answerHeaders(resp.Header)); err != nil {
+		return Usage{}, errors.Wrap(err, ErrSink)
+	}
+	err = copyBody(resp.Body, sink, func() { stall.Reset(s.cfg.StallTimeout) })
+	return Usage{}, because(ctx, err)
+}
+
+var errStalled = errors.New("backend server sent nothing for the stall timeout")
+
+// because names the reason for which ctx was cancelled as the cause of err.
+func because(ctx context.Context, err error) error {
+	var e *verdict.Error
+	if cause := context.Cause(ctx); err != nil && cause != nil && errors.As(err, &e) {
+		e.Cause = cause
+	}
+	return err
+}
+
+// Cancel does nothing: a call of a service cannot be taken back.
+func (s *Service) Cancel(context.Context, string) error { return nil }
+
+// Running returns nothing: a service cannot tell.
+func (s *Service) Running(context.Context, string) ([]Running, error) { return nil, nil }
+
+// Load returns nothing: a service does not report its load by itself.
+func (s *Service) Load(context.Context) (Load, error) { return Load{}, nil }
+
+// Order is not supported.
+func (s *Service) Order(context.Context, Order) error {
+	return errors.NotSupportedf("orders to a plain service")
+}
+
+// Resumable returns false.
+func (s *Service) Resumable() bool { return false }
+
+// Close drops idle connections.
+func (s *Service) Close() { s.client.http.CloseIdleConnections() }
--- /dev/null
+++ b/internal/link/conn.go
@@ -0,0 +1,354 @@
+package link
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/guavastack/guavastack/internal/core/verdict"
+	"github.com/guavastack/guavastack/proto/linkpb"
+)
+
+// ErrSilent says that a link brought nothing for the silence timeout.
+var ErrSilent = errors.New("link is silent")
+
+// conn is one open link.
+type conn struct {
+	drpc     *drpcconn.Conn
+	stream   linkpb.DRPCAgentLink_ConnectClient
+	welcome  *linkpb.Welcome
+	epoch    uint64
+	lastRecv atomic.Int64 // unix nanoseconds
+	silent   atomic.Bool
+}
+
+// open dials the agent and exchanges Hello and Welcome within the silence timeout.
+func (p *peer) open() (*conn, error) {
+	cfg := p.pool.cfg
+	ctx, cancel := context.WithTimeout(p.pool.ctx, cfg.SilenceTimeout)
+	defer cancel()
+	raw, err := cfg.Dial(ctx, "tcp", p.addr)
+	if err != nil {
+		return nil, errors.Annotatef(err, "dial agent %s", p.addr)
+	}
+	stop := context.AfterFunc(ctx, func() { raw.Close() })
+	defer stop()
+	secured, err := secure(ctx, raw, cfg.TLS)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{
+		drpc:  drpcconn.NewWithOptions(secured, drpcconn.Options{Manager: managerOptions()}),
+		epoch: p.pool.epoch.Add(1),
+	}
+	if err := c.hello(p.pool); err != nil {
+		c.drpc.Close()
+		return nil, errors.Annotatef(err, "greet agent %s", p.addr)
+	}
+	c.lastRecv.Store(time.Now().UnixNano())
+	return c, nil
+}
+
+func (c *conn) hello(pool *Pool) error {
+	stream, err := linkpb.NewDRPCAgentLinkClient(c.drpc).Connect(pool.ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	c.stream = stream
+	hello := &linkpb.Hello{EntryId: pool.cfg.EntryID, Incarnation: pool.cfg.Incarnation, Epoch: c.epoch}
+	if err := stream.Send(&linkpb.EntryFrame{Hello: hello}); err != nil {
+		return errors.Trace(err)
+	}
+	if err := flush(stream); err != nil {
+		return errors.Trace(err)
+	}
+	frame, err := stream.Recv()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if frame.Welcome == nil {
+		return errors.NotValidf("first frame of the agent")
+	}
+	c.welcome = frame.Welcome
+	return nil
+}
+
+// serve carries frames over c until it fails or is idle.
+func (p *peer) serve(c *conn) error {
+	p.settle(c.welcome)
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() { p.write(c, done) })
+	wg.Go(func() { p.watch(c, done) })
+	err := p.read(c)
+	close(done)
+	c.drpc.Close()
+	wg.Wait()
+	if c.silent.Load() {
+		return ErrSilent
+	}
+	return err
+}
+
+// read delivers frames until the link ends.
+func (p *peer) read(c *conn) error {
+	for {
+		frame, err := c.stream.Recv()
+		if err != nil {
+			return errors.Trace(err)
+		}
+		c.lastRecv.Store(time.Now().UnixNano())
+		p.deliver(frame)
+	}
+}
+
+// deliver gives a frame to the call or fence that it belongs to; frames of unknown requests are dropped.
+func (p *peer) deliver(f *linkpb.AgentFrame) {
+	if f.Fenced != nil {
+		p.fenced(f.Fenced)
+	}
+	c := p.find(requestID(f))
+	if f.Load != nil {
+		p.load(c, f.Load)
+	}
+	if c == nil {
+		return
+	}
+	var r reaction
+	switch {
+	case f.Event != nil:
+		r = c.event(f.Event)
+	case f.Started != nil:
+		r = c.started(f.Started)
+	case f.End != nil:
+		r = c.end(f.End)
+	case f.Refused != nil:
+		r = c.refused(f.Refused)
+	}
+	p.react(c, r)
+}
+
+func (p *peer) react(c *Call, r reaction) {
+	switch r {
+	case progress:
+		if c.resumes > 0 {
+			c.resumes = 0
+		}
+	case resume:
+		p.resume(c)
+	case finished:
+		p.forget(c)
+		p.mu.Lock()
+		p.push(item{kind: itemAck, id: c.id})
+		p.mu.Unlock()
+	}
+}
+
+// resume asks again for what is missing of an answer.
+func (p *peer) resume(c *Call) {
+	p.mu.Lock()
+	c.resumes++
+	tooMany := c.resumes > maxResumes
+	if !tooMany {
+		p.push(item{kind: itemResume, call: c})
+	}
+	p.mu.Unlock()
+	if tooMany {
+		p.forget(c)
+		c.lost(verdict.New(verdict.Ran, "answer_incomplete", "parts of the answer to request %s are missing", c.id))
+	}
+}
+
+func (p *peer) fenced(m *linkpb.Fenced) {
+	p.mu.Lock()
+	f := p.fences[m.RequestId]
+	delete(p.fences, m.RequestId)
+	p.mu.Unlock()
+	if f != nil {
+		f.answer <- VerdictOf(m.Verdict)
+	}
+}
+
+func (p *peer) load(c *Call, l *linkpb.Load) {
+	if c != nil {
+		c.handler.Load(p.addr, l)
+		return
+	}
+	if p.pool.cfg.OnLoad != nil {
+		p.pool.cfg.OnLoad(p.addr, l)
+	}
+}
+
+func (p *peer) find(id string) *Call {
+	if id == "" {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls[id]
+}
+
+// requestID returns the id of the request that f belongs to.
+func requestID(f *linkpb.AgentFrame) string {
+	switch {
+	case f.Event != nil:
+		return f.Event.RequestId
+	case f.Started != nil:
+		return f.Started.RequestId
+	case f.End != nil:
+		return f.End.RequestId
+	case f.Refused != nil:
+		return f.Refused.RequestId
+	}
+	return ""
+}
+
+// write sends what waits in the queue, and flushes when nothing more does.
+func (p *peer) write(c *conn, done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-p.wake:
+		}
+		for {
+			frame, ok := p.next(c)
+			if !ok {
+				break
+			}
+			if frame == nil {
+				continue
+			}
+			if err := c.stream.Send(frame); err != nil {
+				c.drpc.Close()
+				return
+			}
+		}
+		if err := flush(c.stream); err != nil {
+			c.drpc.Close()
+			return
+		}
+	}
+}
+
+// next takes one item off the queue and returns its frame, nil where there is nothing to send for it any more.
+func (p *peer) next(c *conn) (*linkpb.EntryFrame, bool) {
+	p.mu.Lock()
+	if len(p.queue) == 0 {
+		p.mu.Unlock()
+		return nil, false
+	}
+	it := p.queue[0]
+	p.queue = p.queue[1:]
+	if it.kind == itemSubmit {
+		p.waitingBytes -= len(it.call.submit.Body)
+		if it.call.cancelled {
+			p.mu.Unlock()
+			p.dropUnsent(it.call)
+			return nil, true
+		}
+	}
+	defer p.mu.Unlock()
+	return p.frame(c, it), true
+}
+
+// frame builds the frame of it. The caller holds p.mu.
+func (p *peer) frame(c *conn, it item) *linkpb.EntryFrame {
+	if it.call != nil && !it.call.inFlight {
+		return nil
+	}
+	switch it.kind {
+	case itemSubmit:
+		return it.call.submitFrame(c)
+	case itemResume:
+		it.call.grant = 0
+		return it.call.resumeFrame()
+	case itemCancel:
+		return &linkpb.EntryFrame{Cancel: &linkpb.Cancel{RequestId: it.call.id, Reason: it.call.cancelWhy}}
+	case itemCredit:
+		bytes := it.call.grant
+		it.call.grant = 0
+		if bytes == 0 || !it.call.sent {
+			return nil
+		}
+		return &linkpb.EntryFrame{Credit: &linkpb.Credit{RequestId: it.call.id, Bytes: bytes}}
+	case itemFence:
+		return &linkpb.EntryFrame{Fence: it.fence.message}
+	case itemAck:
+		return &linkpb.EntryFrame{Ack: &linkpb.Ack{RequestId: it.id}}
+	default:
+		return &linkpb.EntryFrame{Ping: &linkpb.Ping{Nonce: it.nonce}}
+	}
+}
+
+// submitFrame marks the call as sent. From here on only the agent can prove that it did not run.
+func (c *Call) submitFrame(conn *conn) *linkpb.EntryFrame {
+	s := c.submit
+	s.Epoch = conn.epoch
+	if s.DeadlineMs > 0 {
+		s.DeadlineMs = max(s.DeadlineMs-time.Since(c.queuedAt).Milliseconds(), 1)
+	}
+	if s.AgentIncarnation == "" {
+		s.AgentIncarnation = conn.welcome.Incarnation
+	}
+	s.Credit = c.openCredit()
+	c.grant = 0
+	c.sent = true
+	c.sentTo = conn.welcome.Incarnation
+	return &linkpb.EntryFrame{Submit: s}
+}
+
+// dropUnsent ends a call that was cancelled before it was sent.
+func (p *peer) dropUnsent(c *Call) {
+	p.forget(c)
+	c.lost(verdict.New(verdict.NotRun, "cancelled", "request %s was cancelled before it was sent", c.id))
+}
+
+// watch sends heartbeats while anything is in flight, and closes the link when it is silent or idle.
+func (p *peer) watch(c *conn, done <-chan struct{}) {
+	cfg := p.pool.cfg
+	ticker := time.NewTicker(cfg.HeartbeatInterval)
+	defer ticker.Stop()
+	idleSince := time.Now()
+	for nonce := uint64(1); ; nonce++ {
+		select {
+		case <-done:
+			return
+		case <-p.pool.ctx.Done():
+			c.drpc.Close()
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		if since, busy := p.beat(nonce); busy {
+			idleSince = now
+			last := time.Unix(0, c.lastRecv.Load())
+			if since.After(last) {
+				last = since
+			}
+			if now.Sub(last) >= cfg.SilenceTimeout {
+				c.silent.Store(true)
+				c.drpc.Close()
+				return
+			}
+		} else if now.Sub(idleSince) >= cfg.IdleTimeout {
+			c.drpc.Close()
+			return
+		}
+	}
+}
+
+// beat queues a ping while anything is in flight, and returns since when that is so.
+func (p *peer) beat(nonce uint64) (time.Time, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.busy() {
+		return time.Time{}, false
+	}
+	p.push(item{kind: itemPing, nonce: nonce})
+	return p.busySince, true
+}
--- /dev/null
+++ b/internal/link/server.go
@@ -0,0 +1,308 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/guavastack/guavastack/proto/linkpb"
+)
+
+const (
+	// maxSessionFrames bounds the frames that wait for a link which does not take them.
+	maxSessionFrames = 1 << 16
+	// eventChunkBytes is the most that one frame takes from one answer before the next answer has its turn.
+	eventChunkBytes = 32 << 10
+	// greetTimeout bounds the wait for the first frame of a new link.
+	greetTimeout = 5 * time.Second
+)
+
+// Acceptor is the agent as its links see it. The methods may be called concurrently for different sessions.
+type Acceptor interface {
+	// Open admits a link before any of its frames and returns its welcome, nil to refuse it.
+	Open(s *Session, hello *linkpb.Hello) *linkpb.Welcome
+	// Frame takes one frame, which it owns.
+	Frame(s *Session, f *linkpb.EntryFrame)
+	// Closed is called once after the last frame of a session that was opened.
+	Closed(s *Session)
+
+	Order(ctx context.Context, o *linkpb.EngineOrder) (*linkpb.EngineOrderResult, error)
+	SetLifecycle(ctx context.Context, r *linkpb.LifecycleRequest) (*linkpb.LifecycleReply, error)
+}
+
+// ServerConfig holds the settings of a Server.
+type ServerConfig struct {
+	TLS          *tls.Config
+	AllowedPeers []netip.Prefix // where to accept links from without TLS; empty: loopback only
+	Logger       *slog.Logger
+}
+
+// Server accepts the links of entries.
+type Server struct {
+	cfg      ServerConfig
+	acceptor Acceptor
+	drpc     *drpcserver.Server
+}
+
+// NewServer returns a Server that hands its links to a.
+func NewServer(cfg ServerConfig, a Acceptor) (*Server, error) {
+	if cfg.Logger == nil {
+		cfg.Logger = slog.New(slog.NewJSONHandler(io.Discard, nil))
+	}
+	s := &Server{cfg: cfg, acceptor: a}
+	mux := drpcmux.New()
+	if err := linkpb.DRPCRegisterAgentLink(mux, s); err != nil {
+		return nil, errors.Annotate(err, "register the link service")
+	}
+	s.drpc = drpcserver.NewWithOptions(mux, drpcserver.Options{
+		Manager: managerOptions(),
+		Log:     func(err error) { cfg.Logger.Debug("link ended", "error", err) },
+	})
+	return s, nil
+}
+
+// Serve accepts links on lis until ctx ends; then it closes all of them.
+func (s *Server) Serve(ctx context.Context, lis net.Listener) error {
+	lis = &allowListener{Listener: lis, cfg: s.cfg}
+	if s.cfg.TLS != nil {
+		lis = tls.NewListener(lis, s.cfg.TLS)
+	}
+	return errors.Trace(s.drpc.Serve(ctx, lis))
+}
+
+// allowListener closes connections of peers that are not allowed.
+type allowListener struct {
+	net.Listener
+	cfg ServerConfig
+}
+
+// Accept returns the next connection of an allowed peer.
+func (l *allowListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil || l.allowed(conn.RemoteAddr()) {
+			return conn, err
+		}
+		l.cfg.Logger.Warn("link refused: address is not in the list of peers", "peer", conn.RemoteAddr().String())
+		conn.Close()
+	}
+}
+
+// allowed reports whether addr may open a link; with TLS the certificate decides.
+func (l *allowListener) allowed(addr net.Addr) bool {
+	if l.cfg.TLS != nil {
+		return true
+	}
+	ap, err := netip.ParseAddrPort(addr.String())
+	if err != nil {
+		return addr.Network() != "tcp" // in-memory connections of tests
+	}
+	ip := ap.Addr().Unmap()
+	for _, p := range l.cfg.AllowedPeers {
+		if p.Contains(ip) {
+			return true
+		}
+	}
+	return len(l.cfg.AllowedPeers) == 0 && ip.IsLoopback()
+}
+
+// Connect serves one link.
+func (s *Server) Connect(stream linkpb.DRPCAgentLink_ConnectStream) error {
+	session := &Session{stream: stream, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	greeting := time.AfterFunc(greetTimeout, session.Close)
+	first, err := stream.Recv()
+	greeting.Stop()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if first.Hello == nil {
+		return errors.NotValidf("first frame of the entry")
+	}
+	session.touch()
+	session.hello = first.Hello
+	welcome := s.acceptor.Open(session, first.Hello)
+	if welcome == nil {
+		return errors.New("link has an older epoch")
+	}
+	defer s.acceptor.Closed(session)
+	session.Send(&linkpb.AgentFrame{Welcome: welcome})
+
+	var wg sync.WaitGroup
+	wg.Go(session.write)
+	err = s.read(session)
+	session.Close()
+	wg.Wait()
+	return err
+}
+
+func (s *Server) read(session *Session) error {
+	for {
+		f, err := session.stream.Recv()
+		if err != nil {
+			return errors.Trace(err)
+		}
+		session.touch()
+		if f.Ping != nil {
+			session.Send(&linkpb.AgentFrame{Pong: &linkpb.Pong{Nonce: f.Ping.Nonce}})
+			continue
+		}
+		s.acceptor.Frame(session, f)
+	}
+}
+
+// Order passes an engine order on.
+func (s *Server) Order(ctx context.Context, o *linkpb.EngineOrder) (*linkpb.EngineOrderResult, error) {
+	return s.acceptor.Order(ctx, o)
+}
+
+// SetLifecycle passes a lifecycle request on.
+func (s *Server) SetLifecycle(ctx context.Context, r *linkpb.LifecycleRequest) (*linkpb.LifecycleReply, error) {
+	return s.acceptor.SetLifecycle(ctx, r)
+}
+
+// Source is an answer that a session sends. Next returns its next frame, of no more than about maxBytes of data,
+// or nil when it has none now. The writer calls it from one goroutine.
+type Source interface {
+	Next(maxBytes int) *linkpb.AgentFrame
+}
+
+// Session is the agent's end of one link.
+type Session struct {
+	stream   linkpb.DRPCAgentLink_ConnectStream
+	hello    *linkpb.Hello
+	lastRecv atomic.Int64 // unix nanoseconds
+
+	mu     sync.Mutex
+	frames []*linkpb.AgentFrame
+	ready  []Source
+	queued map[Source]bool
+	closed bool
+
+	wake chan struct{}
+	done chan struct{}
+}
+
+// Hello returns what the entry said of itself.
+func (s *Session) Hello() *linkpb.Hello { return s.hello }
+
+// LastReceived returns when the last frame came.
+func (s *Session) LastReceived() time.Time { return time.Unix(0, s.lastRecv.Load()) }
+
+func (s *Session) touch() { s.lastRecv.Store(time.Now().UnixNano()) }
+
+// Send queues a frame. A link that does not take its frames is closed.
+func (s *Session) Send(f *linkpb.AgentFrame) {
+	s.mu.Lock()
+	overflow := len(s.frames) >= maxSessionFrames
+	if !overflow {
+		s.frames = append(s.frames, f)
+	}
+	s.mu.Unlock()
+	if overflow {
+		s.Close()
+		return
+	}
+	s.signal()
+}
+
+// Wake lets the writer ask src for frames.
+func (s *Session) Wake(src Source) {
+	s.mu.Lock()
+	if s.queued == nil {
+		s.queued = make(map[Source]bool)
+	}
+	if s.queued[src] {
+		s.mu.Unlock()
+		return
+	}
+	s.queued[src] = true
+	s.ready = append(s.ready, src)
+	s.mu.Unlock()
+	s.signal()
+}
+
+func (s *Session) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Close ends the link; the entry may open another.
+func (s *Session) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	s.closed = true
+	close(s.done)
+	if t, ok := transport(s.stream); ok {
+		t.Close()
+	}
+}
+
+// write sends frames first, then a chunk of each answer in turn, and flushes when nothing more waits.
+func (s *Session) write() {
+	for {
+		select {
+		case <-s.done:
+			return
+		case <-s.wake:
+		}
+		if err := s.drain(); err != nil {
+			s.Close()
+			return
+		}
+	}
+}
+
+func (s *Session) drain() error {
+	for {
+		frames, sources := s.take()
+		if len(frames)+len(sources) == 0 {
+			return flush(s.stream)
+		}
+		for _, f := range frames {
+			if err := s.stream.Send(f); err != nil {
+				return err
+			}
+		}
+		for _, src := range sources {
+			if err := s.sendFrom(src); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (s *Session) sendFrom(src Source) error {
+	f := src.Next(eventChunkBytes)
+	if f == nil {
+		return nil
+	}
+	if err := s.stream.Send(f); err != nil {
+		return err
+	}
+	s.Wake(src)
+	return nil
+}
+
+func (s *Session) take() ([]*linkpb.AgentFrame, []Source) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	frames, sources := s.frames, s.ready
+	s.frames, s.ready = nil, nil
+	clear(s.queued)
+	return frames, sources
+}
