Serve callers at the entry: keys, classes, limits, routing, relay and metering

First cut of the request path on the entry's side. The end of a stream is held back until the agent's explicit end is verified, so that a short answer never looks whole. Keys are found by form and hash wherever they stand in what would be forwarded.

--- /dev/null
+++ b/internal/entry/dispatch.go
@@ -0,0 +1,408 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/core/retry"
+	"github.com/guavastack/guavastack/internal/core/route"
+	"github.com/guavastack/guavastack/internal/core/verdict"
+	"github.com/guavastack/guavastack/internal/link"
+	"github.com/guavastack/guavastack/internal/telemetry"
+	"github.com/guavastack/guavastack/proto/linkpb"
+)
+
+// outcomeTimeout is how long a cancelled attempt may take to tell whether it ran.
+const outcomeTimeout = 2 * time.Second
+
+// attempt is one dispatch of an exchange to one backend server.
+type attempt struct {
+	s       *Server
+	x       *exchange
+	id      requestID
+	number  int
+	server  route.Backend
+	relay   *relay
+	call    *link.Call
+	writer  *answerWriter
+	began   time.Time
+	first   time.Time // arrival of the first event
+	last    time.Time // arrival of the newest event
+	started bool
+	keep    *keptAnswer // nil: the answer need not be kept
+}
+
+// result is how an attempt ended.
+type result struct {
+	verdict  verdict.Verdict
+	complete bool // the whole answer arrived
+	usage    *linkpb.Usage
+	err      *refusal // nil with complete
+	code     linkpb.RefuseCode
+}
+
+// dispatch runs x until it has an answer or a refusal.
+func (s *Server) dispatch(ctx context.Context, x *exchange, w *answerWriter) result {
+	var exclude []string
+	var last result
+	failures := 0
+	for placement := 1; ; placement++ {
+		server, err := s.fleet.choose(x, exclude)
+		if err != nil {
+			return unplaced(x, err, last)
+		}
+		a := s.newAttempt(x, server, placement, w)
+		last = a.run(ctx)
+		if last.complete || ctx.Err() != nil {
+			return last
+		}
+		if !isCapacity(last.code) {
+			failures++
+		}
+		if !s.tryAgain(ctx, x, w, last, placement, failures) {
+			return last
+		}
+		exclude = append(exclude, server.ID)
+	}
+}
+
+// newAttempt returns an attempt of x at the given backend server, whose id names it.
+func (s *Server) newAttempt(x *exchange, server route.Backend, number int, w *answerWriter) *attempt {
+	x.id = x.id.at(server.ID, server.Incarnation)
+	return &attempt{s: s, x: x, id: x.id, number: number, server: server, writer: w}
+}
+
+// tryAgain decides whether x goes on to another backend server, and waits as long as it must before.
+func (s *Server) tryAgain(ctx context.Context, x *exchange, w *answerWriter, last result, placements, failures int) bool {
+	deadline, _ := ctx.Deadline()
+	s.budgetMu.Lock()
+	d := retry.DefaultConfig.Next(time.Now(), retry.Attempt{
+		Refused:     isCapacity(last.code),
+		Verdict:     last.verdict,
+		Repeatable:  x.repeatable,
+		Delivered:   w.started,
+		Placements:  placements,
+		Failures:    failures,
+		MaxAttempts: x.class.Attempts,
+		Deadline:    deadline,
+	}, s.budget, rand.Float64())
+	s.budgetMu.Unlock()
+	if !d.Again {
+		return false
+	}
+	if isCapacity(last.code) {
+		s.count("placed_on", x)
+		return true
+	}
+	s.count("retries", x)
+	select {
+	case <-time.After(d.After):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// isCapacity reports whether an agent refused for want of room or because it leaves.
+func isCapacity(c linkpb.RefuseCode) bool {
+	switch c {
+	case linkpb.RefuseCode_REFUSE_CODE_QUEUE_FULL,
+		linkpb.RefuseCode_REFUSE_CODE_DISPLACED,
+		linkpb.RefuseCode_REFUSE_CODE_HOPELESS,
+		linkpb.RefuseCode_REFUSE_CODE_LEAVING:
+		return true
+	default:
+		return false
+	}
+}
+
+// unplaced is the result when no backend server is left to ask.
+func unplaced(x *exchange, err error, last result) result {
+	if last.err != nil {
+		return last
+	}
+	if errors.Is(err, route.ErrUnknownModel) {
+		what := "model"
+		if x.kind == route.KindService {
+			what = "service"
+		}
+		ref := refuse(http.StatusNotFound, what+"_not_found", "no backend server offers the %s %q", what, x.model)
+		return result{verdict: verdict.NotRun, err: ref}
+	}
+	return result{verdict: verdict.NotRun, err: refuse(http.StatusServiceUnavailable, "no_backend_server",
+		"no backend server for %q is ready", x.model)}
+}
+
+// run submits the attempt and relays what comes back.
+func (a *attempt) run(ctx context.Context) result {
+	s := a.s
+	if ref := s.claimFor(ctx, a); ref != nil {
+		return result{verdict: ref.Verdict, err: ref}
+	}
+	a.began = time.Now()
+	a.relay = newRelay(s.fleet.load)
+	s.fleet.began(a.server.ID, a.x)
+	call, err := s.links.Submit(ctx, a.server.Address, a.submit(ctx), a.relay)
+	if err != nil {
+		r := result{verdict: verdict.Of(err), err: backendError(verdict.Of(err), err)}
+		a.settle(r)
+		return r
+	}
+	a.call = call
+	r := a.follow(ctx)
+	a.settle(r)
+	return r
+}
+
+// submit builds the message to the agent.
+func (a *attempt) submit(ctx context.Context) *linkpb.Submit {
+	x := a.x
+	remaining := x.class.Deadline
+	if deadline, ok := ctx.Deadline(); ok {
+		remaining = time.Until(deadline)
+	}
+	return &linkpb.Submit{
+		RequestId:            a.id.String(),
+		Attempt:              uint32(a.number),
+		Organisation:         x.organisation,
+		Class:                x.class.Name,
+		Tier:                 uint32(x.class.Tier),
+		Weight:               x.class.Weight,
+		FloorShare:           x.class.FloorShare,
+		DeadlineMs:           max(remaining.Milliseconds(), 1),
+		FirstTokenTargetMs:   x.class.FirstTokenTarget.Milliseconds(),
+		BetweenTokenTargetMs: x.class.BetweenTokenTarget.Milliseconds(),
+		Repeatable:           x.repeatable,
+		Preemptible:          x.class.Preemptible,
+		KeepAnswer:           x.detached(),
+		Stream:               x.stream,
+		Model:                x.model,
+		Method:               x.method,
+		Path:                 x.pathAndQuery,
+		Headers:              x.headers,
+		Body:                 x.body,
+		PromptTokens:         uint32(x.promptTokens),
+		Prefix:               x.prefix,
+		Credit:               answerCredit,
+		AgentIncarnation:     a.server.Incarnation,
+	}
+}
+
+// follow relays the answer until the attempt is over.
+func (a *attempt) follow(ctx context.Context) result {
+	for {
+		select {
+		case <-a.relay.wake:
+		case <-ctx.Done():
+			return a.cancel(context.Cause(ctx))
+		}
+		arrived := a.relay.take()
+		if r, over := a.deliver(arrived); over {
+			return r
+		}
+		if a.writer.gone && !a.x.detached() {
+			return a.cancel(errCallerGone)
+		}
+	}
+}
+
+// deliver passes on what has arrived.
+func (a *attempt) deliver(in arrival) (result, bool) {
+	if in.started && !a.started {
+		a.started = true
+		a.s.active.started(a.x)
+		a.s.observe("queue_wait_us", in.queueWait, a.x)
+	}
+	if in.events > 0 {
+		a.event(in)
+	}
+	switch {
+	case in.end != nil:
+		return a.ended(in.end), true
+	case in.refused != nil:
+		return a.refused(in.refused), true
+	case in.lost != nil:
+		return result{verdict: in.lost.Verdict, err: backendError(in.lost.Verdict, in.lost)}, true
+	default:
+		return result{}, false
+	}
+}
+
+// event passes on a piece of the answer and counts it.
+func (a *attempt) event(in arrival) {
+	s, x := a.s, a.x
+	now := time.Now()
+	if in.head != nil {
+		a.writer.head(a.id, in.head)
+		a.keep.head(in.head)
+	}
+	if a.first.IsZero() && len(in.data) > 0 {
+		a.first = now
+		s.observe("first_token_us", now.Sub(x.received), x)
+	} else if in.tokens > 0 && !a.last.IsZero() {
+		s.observe("between_tokens_us", now.Sub(a.last)/time.Duration(in.tokens), x)
+	}
+	a.last = now
+	a.keep.write(in.data)
+	a.writer.write(in.data)
+	if in.tokens > 0 && !a.writer.gone {
+		s.usage.add(x, delivered{outputTokens: uint64(in.tokens)})
+		s.limits.charge(x.lease, in.tokens)
+		s.demand.tokens(x.organisation, in.tokens)
+	}
+	if len(in.data) > 0 {
+		a.call.Grant(uint32(len(in.data)))
+	}
+}
+
+// ended judges the explicit end of an answer.
+func (a *attempt) ended(end *linkpb.End) result {
+	if !end.Stopped {
+		return result{verdict: verdict.Ran, complete: true, usage: end.Usage}
+	}
+	v := link.VerdictOf(end.Verdict)
+	ref := backendError(v, errors.New(end.Error))
+	ref.Code = "answer_cut"
+	return result{verdict: v, err: ref, usage: end.Usage}
+}
+
+// refused judges the agent's refusal.
+func (a *attempt) refused(m *linkpb.Refused) result {
+	v := link.VerdictOf(m.Verdict)
+	ref := &refusal{
+		Error:      verdict.New(v, refuseCodes[m.Code], "the backend server's agent refused the request: %s", m.Message),
+		status:     refuseStatus(m.Code),
+		retryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond,
+	}
+	if ref.Code == "" {
+		ref.Code = "refused"
+	}
+	return result{verdict: v, err: ref, code: m.Code}
+}
+
+// refuseCodes are the callers' codes of an agent's refusals.
+var refuseCodes = map[linkpb.RefuseCode]string{
+	linkpb.RefuseCode_REFUSE_CODE_QUEUE_FULL:      "queue_full",
+	linkpb.RefuseCode_REFUSE_CODE_DISPLACED:       "displaced",
+	linkpb.RefuseCode_REFUSE_CODE_HOPELESS:        "deadline_unreachable",
+	linkpb.RefuseCode_REFUSE_CODE_LEAVING:         "backend_leaving",
+	linkpb.RefuseCode_REFUSE_CODE_BACKEND_DOWN:    "backend_down",
+	linkpb.RefuseCode_REFUSE_CODE_STALE_EPOCH:     "link_replaced",
+	linkpb.RefuseCode_REFUSE_CODE_CANCELLED:       "cancelled",
+	linkpb.RefuseCode_REFUSE_CODE_UNKNOWN_REQUEST: "unknown_request",
+	linkpb.RefuseCode_REFUSE_CODE_PREEMPTED:       "preempted",
+	linkpb.RefuseCode_REFUSE_CODE_INVALID:         "invalid_request",
+	linkpb.RefuseCode_REFUSE_CODE_UNKNOWN_MODEL:   "model_not_found",
+}
+
+func refuseStatus(c linkpb.RefuseCode) int {
+	switch c {
+	case linkpb.RefuseCode_REFUSE_CODE_INVALID:
+		return http.StatusBadRequest
+	case linkpb.RefuseCode_REFUSE_CODE_UNKNOWN_MODEL:
+		return http.StatusNotFound
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// backendError is the refusal for an attempt that failed without a refusal of its agent.
+func backendError(v verdict.Verdict, cause error) *refusal {
+	status := http.StatusBadGateway
+	if v == verdict.NotRun {
+		status = http.StatusServiceUnavailable
+	}
+	e := verdict.New(v, "backend_failed", "the backend server did not answer")
+	e.Cause = cause
+	return &refusal{Error: e, status: status}
+}
+
+// cancel stops the attempt and waits a bounded time to learn whether it ran.
+func (a *attempt) cancel(cause error) result {
+	a.call.Cancel(cancelReason(cause))
+	timer := time.NewTimer(outcomeTimeout)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			return cancelled(verdict.MayHaveRun, cause)
+		case <-a.relay.wake:
+		}
+		in := a.relay.take()
+		if in.started {
+			a.started = true
+		}
+		if in.final() {
+			r, _ := a.deliver(arrival{end: in.end, refused: in.refused, lost: in.lost})
+			if r.complete {
+				// The rest of the answer was dropped here, so it is not complete for the caller.
+				r.verdict = verdict.Ran
+			}
+			return cancelled(r.verdict, cause)
+		}
+	}
+}
+
+func cancelReason(cause error) linkpb.CancelReason {
+	switch {
+	case errors.Is(cause, errKeyWithdrawn), errors.Is(cause, errNotFresh):
+		return linkpb.CancelReason_CANCEL_REASON_KEY_WITHDRAWN
+	case errors.Is(cause, errDeadline), errors.Is(cause, context.DeadlineExceeded):
+		return linkpb.CancelReason_CANCEL_REASON_DEADLINE
+	case errors.Is(cause, errDisplaced):
+		return linkpb.CancelReason_CANCEL_REASON_SUPERSEDED
+	default:
+		return linkpb.CancelReason_CANCEL_REASON_CALLER_GONE
+	}
+}
+
+// cancelled is the result of a request that the entry ended for the given cause.
+func cancelled(v verdict.Verdict, cause error) result {
+	status, code := http.StatusServiceUnavailable, "cancelled"
+	switch {
+	case errors.Is(cause, errKeyWithdrawn):
+		status, code = http.StatusUnauthorized, "key_withdrawn"
+	case errors.Is(cause, errNotFresh):
+		code = "settings_not_fresh"
+	case errors.Is(cause, errDisplaced):
+		code = "displaced"
+	case errors.Is(cause, errDeadline), errors.Is(cause, context.DeadlineExceeded):
+		status, code = http.StatusGatewayTimeout, "deadline_exceeded"
+	case isGone(cause):
+		code = "caller_gone"
+	}
+	e := verdict.New(v, code, "the request was ended")
+	e.Cause = cause
+	return result{verdict: v, err: &refusal{Error: e, status: status}}
+}
+
+// settle records how the attempt ended.
+func (a *attempt) settle(r result) {
+	s := a.s
+	o := route.Outcome{Result: route.OK}
+	switch {
+	case r.complete:
+		s.succeeded()
+	case r.verdict == verdict.NotRun && r.code != linkpb.RefuseCode_REFUSE_CODE_UNSPECIFIED:
+		o.Result = route.Refused
+	case r.err != nil && r.err.Code == "caller_gone":
+	default:
+		o.Result = route.Failed
+	}
+	if !a.first.IsZero() {
+		o.FirstToken = a.first.Sub(a.began)
+	}
+	s.fleet.ended(a.server.ID, o)
+	s.claimOutcome(a, r)
+	if !r.complete {
+		s.cfg.Logger.Info("attempt failed",
+			telemetry.KeyRequestID, a.id.String(),
+			telemetry.KeyBackendServer, a.server.ID,
+			telemetry.KeyVerdict, r.verdict.String(),
+			"code", r.err.Code, telemetry.KeyError, r.err.Error.Error())
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,118 @@
+// Package entry serves callers: it checks their keys, resolves organisation and class, applies limits, chooses a
+// backend server, relays the answer and meters what was delivered.
+//
+// An entry keeps no state that must survive it. What it knows of settings, keys and backend servers comes from its
+// Directory; requests go to agents over its link.Pool.
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/limit"
+	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/core/state"
+	"github.com/guavastack/guavastack/internal/core/verdict"
+	"github.com/guavastack/guavastack/internal/link"
+	"github.com/guavastack/guavastack/internal/telemetry"
+	"github.com/guavastack/guavastack/proto/controlpb"
+	"github.com/guavastack/guavastack/proto/linkpb"
+)
+
+// Directory is the entry's view of the control group. watch.Client implements it.
+type Directory interface {
+	// Tree returns the newest settings and keys that are known here.
+	Tree() *settings.Tree
+	// Ready reports whether a first snapshot has arrived.
+	Ready() bool
+	// Fresh reports whether the view was confirmed as newest within the freshness limit.
+	Fresh(now time.Time) bool
+	// Backends returns the registered backend servers.
+	Backends() []*controlpb.BackendServer
+	// OnChange registers a function that runs after each change of the tree or the registry.
+	OnChange(func())
+	// OpenWindow returns the number of the open billing window.
+	OpenWindow() uint64
+	// Share returns the part of the organisation's limits that this entry may grant.
+	Share(organisation string) limit.Share
+	// Propose commits a command and returns its outcome.
+	Propose(ctx context.Context, cmd state.Command) (json.RawMessage, error)
+	// ReportUsage sends cumulative usage counters.
+	ReportUsage(ctx context.Context, r *controlpb.UsageReport) (*controlpb.UsageAck, error)
+	// SetDemand registers the source of the demand that goes with freshness questions.
+	SetDemand(func() []*controlpb.Demand)
+}
+
+// Links carries requests to agents. link.Pool implements it.
+type Links interface {
+	Submit(ctx context.Context, addr string, s *linkpb.Submit, h link.Handler) (*link.Call, error)
+	Resume(ctx context.Context, addr string, r *linkpb.Resume, h link.Handler) (*link.Call, error)
+	Fence(ctx context.Context, addr, requestID, incarnation string) (verdict.Verdict, error)
+}
+
+// Defaults of Config.
+const (
+	DefaultMaxBodyBytes   = 8 << 20
+	DefaultMaxHeaderBytes = 64 << 10
+	DefaultMaxConnections = 20_000
+	DefaultMaxInFlight    = 4_096
+	DefaultHeaderTimeout  = 5 * time.Second
+	DefaultBodyTimeout    = 30 * time.Second
+	DefaultIdleTimeout    = 90 * time.Second
+	DefaultWriteTimeout   = 30 * time.Second
+	DefaultDrainDelay     = 2 * time.Second
+	DefaultUsageInterval  = time.Second
+)
+
+// Config is what an entry is started with. Zero values take the defaults above.
+type Config struct {
+	ID          string // of the process
+	Incarnation string // of this start of the process
+	Zone        string // availability zone
+
+	MaxBodyBytes   int64
+	MaxHeaderBytes int
+	MaxConnections int           // open connections of callers
+	MaxInFlight    int           // requests in progress
+	HeaderTimeout  time.Duration // for the header of a request
+	BodyTimeout    time.Duration // for the body of a request
+	IdleTimeout    time.Duration // of a kept-alive connection
+	WriteTimeout   time.Duration // for one write to a caller
+	DrainDelay     time.Duration // between "not ready" and the end of accepting, for the balancer
+	UsageInterval  time.Duration // between usage reports
+
+	TLS     *tls.Config // nil: plain HTTP
+	Logger  *slog.Logger
+	Metrics *telemetry.Registry
+}
+
+// withDefaults returns c with its zero values replaced.
+func (c Config) withDefaults() Config {
+	setDefault(&c.MaxBodyBytes, DefaultMaxBodyBytes)
+	setDefault(&c.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	setDefault(&c.MaxConnections, DefaultMaxConnections)
+	setDefault(&c.MaxInFlight, DefaultMaxInFlight)
+	setDefault(&c.HeaderTimeout, DefaultHeaderTimeout)
+	setDefault(&c.BodyTimeout, DefaultBodyTimeout)
+	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&c.DrainDelay, DefaultDrainDelay)
+	setDefault(&c.UsageInterval, DefaultUsageInterval)
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.DiscardHandler)
+	}
+	if c.Metrics == nil {
+		c.Metrics = telemetry.NewRegistry(telemetry.DefaultMaxSeries)
+	}
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/entry/exchange.go
@@ -0,0 +1,216 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/core/limit"
+	"github.com/guavastack/guavastack/internal/core/route"
+	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/proto/linkpb"
+)
+
+// exchange is one caller's request after it was understood, and what is known of its answer.
+type exchange struct {
+	id       requestID
+	received time.Time
+
+	organisation string
+	keyHash      [32]byte
+	open         bool // the route needs no key
+	class        settings.Class
+	repeatable   bool
+
+	kind         string // of the backend servers that can serve it
+	model        string // or the name of the service
+	stream       bool
+	method       string
+	pathAndQuery string
+	headers      []*linkpb.Header
+	body         []byte
+	promptTokens int
+	prefix       []uint64
+
+	idempotencyKey string
+
+	lease *limit.Lease // of the limits; nil where none apply
+}
+
+// detached reports whether the request goes on when its caller goes away.
+func (x *exchange) detached() bool { return x.class.KeepAnswer || x.idempotencyKey != "" }
+
+// caller is who sent a request.
+type caller struct {
+	organisation string
+	keyHash      [32]byte
+	presented    string // the credential as it came; never leaves the entry
+}
+
+// presentedKey returns the credential of a request, empty where there is none.
+func presentedKey(h http.Header) string {
+	if v, ok := strings.CutPrefix(h.Get("Authorization"), "Bearer "); ok {
+		return strings.TrimSpace(v)
+	}
+	return strings.TrimSpace(h.Get("X-Api-Key"))
+}
+
+// identify finds the organisation of a request by its key.
+func (s *Server) identify(tree *settings.Tree, r *http.Request) (caller, *refusal) {
+	presented := presentedKey(r.Header)
+	if presented == "" {
+		return caller{}, refuse(http.StatusUnauthorized, "missing_key",
+			"no key: send one in the header \"Authorization: Bearer KEY\"")
+	}
+	hash := sha256.Sum256([]byte(presented))
+	key, ok := tree.KeyByHash(hash)
+	if !ok || !key.Usable(time.Now()) {
+		return caller{}, refuse(http.StatusUnauthorized, "invalid_key", "the key is unknown, withdrawn or expired")
+	}
+	return caller{organisation: key.Organisation, keyHash: hash, presented: presented}, nil
+}
+
+// admit checks that the entry may serve keyed requests at all.
+func (s *Server) admit(open bool) *refusal {
+	if !s.dir.Ready() {
+		return refuse(http.StatusServiceUnavailable, "not_ready", "the entry has no settings yet")
+	}
+	if !open && !s.dir.Fresh(time.Now()) {
+		return refuse(http.StatusServiceUnavailable, "settings_not_fresh",
+			"the entry could not confirm its keys with the control group lately")
+	}
+	return nil
+}
+
+// readBody reads the whole body of a request within the bounds on its size and time.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *refusal) {
+	if e := r.Header.Get("Content-Encoding"); e != "" && e != "identity" {
+		return nil, refuse(http.StatusUnsupportedMediaType, "unsupported_encoding",
+			"Content-Encoding %q is not taken; send the body as it is", e)
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.cfg.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, refuse(http.StatusRequestEntityTooLarge, "body_too_large",
+			"the body is larger than %d bytes", s.cfg.MaxBodyBytes)
+	case err != nil:
+		return nil, refuse(http.StatusBadRequest, "body_incomplete", "the body did not arrive whole")
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+// resolveClass finds the effective settings of the class that the request names.
+func resolveClass(tree *settings.Tree, organisation, name string) (settings.Class, *refusal) {
+	if name == "" {
+		classes := tree.Classes(organisation)
+		if len(classes) == 0 {
+			return settings.Class{}, refuse(http.StatusForbidden, "no_class", "the organisation has no class")
+		}
+		name = classes[0]
+	}
+	class, err := tree.Class(organisation, name)
+	if err != nil {
+		return settings.Class{}, refuse(http.StatusBadRequest, "unknown_class", "the organisation has no class %q", name)
+	}
+	return class, nil
+}
+
+// understandEngine turns a request of the OpenAI API into an exchange.
+func (s *Server) understandEngine(w http.ResponseWriter, r *http.Request) (*exchange, *refusal) {
+	if ref := s.admit(false); ref != nil {
+		return nil, ref
+	}
+	tree := s.dir.Tree()
+	who, ref := s.identify(tree, r)
+	if ref != nil {
+		return nil, ref
+	}
+	class, ref := resolveClass(tree, who.organisation, r.Header.Get(headerClass))
+	if ref != nil {
+		return nil, ref
+	}
+	body, ref := s.readBody(w, r)
+	if ref != nil {
+		return nil, ref
+	}
+	c, ref := parseCompletion(body)
+	if ref != nil {
+		return nil, ref
+	}
+	prompt := c.prompt()
+	x := &exchange{
+		organisation: who.organisation,
+		keyHash:      who.keyHash,
+		class:        class,
+		repeatable:   class.Repeatable,
+		kind:         route.KindEngine,
+		model:        c.Model,
+		stream:       c.Stream,
+		promptTokens: promptTokens(len(prompt)),
+		prefix:       prefixHashes(who.organisation, c.Model, prompt),
+	}
+	return x, s.complete(x, tree, who, r, body)
+}
+
+// understandService turns a request of a plain service into an exchange.
+func (s *Server) understandService(w http.ResponseWriter, r *http.Request) (*exchange, *refusal) {
+	tree := s.dir.Tree()
+	rt, ok := tree.Route(r.URL.Path)
+	if ref := s.admit(ok && rt.Open); ref != nil {
+		return nil, ref
+	}
+	if !ok {
+		return nil, refuse(http.StatusNotFound, "unknown_route", "no route for the path %q", r.URL.Path)
+	}
+	var who caller
+	if rt.Open {
+		who.presented = presentedKey(r.Header)
+	} else {
+		var ref *refusal
+		if who, ref = s.identify(tree, r); ref != nil {
+			return nil, ref
+		}
+	}
+	name := r.Header.Get(headerClass)
+	if name == "" || rt.Open {
+		name = rt.Class
+	}
+	class, ref := resolveClass(tree, who.organisation, name)
+	if ref != nil {
+		return nil, ref
+	}
+	body, ref := s.readBody(w, r)
+	if ref != nil {
+		return nil, ref
+	}
+	x := &exchange{
+		organisation: who.organisation,
+		keyHash:      who.keyHash,
+		open:         rt.Open,
+		class:        class,
+		repeatable:   rt.Repeatable,
+		kind:         route.KindService,
+		model:        rt.Service,
+		promptTokens: promptTokens(len(body)),
+	}
+	if !rt.Repeatable && !rt.Open {
+		x.idempotencyKey = r.Header.Get(headerIdempotent)
+	}
+	return x, s.complete(x, tree, who, r, body)
+}
+
+// complete fills in what both kinds of requests share and refuses one that would carry a key further.
+func (s *Server) complete(x *exchange, tree *settings.Tree, who caller, r *http.Request, body []byte) *refusal {
+	x.method = r.Method
+	x.pathAndQuery = r.URL.RequestURI()
+	x.headers = forwarded(r.Header)
+	x.body = body
+	return keyFinder{tree: tree, presented: who.presented}.check(x.pathAndQuery, x.headers, body)
+}
--- /dev/null
+++ b/internal/entry/headers.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"net/http"
+
+	"github.com/guavastack/guavastack/proto/linkpb"
+)
+
+// forwardedHeaders go from callers to backend servers; all others, credentials among them, stay here.
+var forwardedHeaders = []string{
+	"Accept",
+	"Accept-Language",
+	"Content-Language",
+	"Content-Type",
+	"Traceparent",
+	"Tracestate",
+}
+
+// returnedHeaders go from backend servers to callers.
+var returnedHeaders = map[string]bool{
+	"Cache-Control":    true,
+	"Content-Language": true,
+	"Content-Type":     true,
+	"Etag":             true,
+	"Last-Modified":    true,
+	"Location":         true,
+	"Retry-After":      true,
+}
+
+// forwarded returns the headers of a request that its backend server gets.
+func forwarded(h http.Header) []*linkpb.Header {
+	var out []*linkpb.Header
+	for _, name := range forwardedHeaders {
+		for _, value := range h.Values(name) {
+			out = append(out, &linkpb.Header{Name: name, Value: value})
+		}
+	}
+	return out
+}
+
+// copyReturned adds the headers of an answer that its caller gets to h.
+func copyReturned(h http.Header, headers []*linkpb.Header) {
+	for _, f := range headers {
+		name := http.CanonicalHeaderKey(f.Name)
+		if returnedHeaders[name] {
+			h.Add(name, f.Value)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/serve.go
@@ -0,0 +1,186 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"log"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/verdict"
+	"github.com/guavastack/guavastack/internal/telemetry"
+)
+
+// serveEngine answers the completions and embeddings of the OpenAI API.
+func (s *Server) serveEngine(w http.ResponseWriter, r *http.Request) {
+	x, ref := s.understandEngine(w, r)
+	s.serve(w, r, x, ref)
+}
+
+// serveService answers a call of a plain service.
+func (s *Server) serveService(w http.ResponseWriter, r *http.Request) {
+	x, ref := s.understandService(w, r)
+	s.serve(w, r, x, ref)
+}
+
+// modelList is the answer of GET /v1/models.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelInfo `json:"data"`
+}
+
+type modelInfo struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// serveModels lists the models that can be asked for.
+func (s *Server) serveModels(w http.ResponseWriter, r *http.Request) {
+	id := newRequestID()
+	if ref := s.admit(false); ref != nil {
+		s.refuse(w, id, nil, ref)
+		return
+	}
+	if _, ref := s.identify(s.dir.Tree(), r); ref != nil {
+		s.refuse(w, id, nil, ref)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelInfo{}}
+	for _, m := range s.fleet.models() {
+		list.Data = append(list.Data, modelInfo{ID: m, Object: "model", OwnedBy: "guavastack"})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(headerRequestID, id.String())
+	w.Header().Set(headerVerdict, verdict.Ran.String())
+	_ = json.NewEncoder(w).Encode(list)
+}
+
+// serve runs an exchange that was understood, or refuses it.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, x *exchange, ref *refusal) {
+	id := newRequestID()
+	if ref != nil {
+		s.refuse(w, id, x, ref)
+		return
+	}
+	x.id = id
+	x.received = time.Now()
+	s.demand.arrived(x.organisation)
+	defer s.demand.left(x.organisation)
+	lease, ref := s.limits.acquire(x, s.dir.Tree().Caps(x.organisation), s.dir.Share(x.organisation))
+	if ref != nil {
+		s.refuse(w, id, x, ref)
+		return
+	}
+	x.lease = lease
+	defer s.limits.release(lease)
+
+	ctx, cancel := exchangeContext(r.Context(), x)
+	defer cancel(nil)
+	if !s.active.add(x, cancel) {
+		s.refuse(w, id, x, refuse(http.StatusServiceUnavailable, "entry_full",
+			"the entry serves as many requests of this tier and above as it can"))
+		return
+	}
+	defer s.active.remove(x)
+	s.run(ctx, x, newAnswerWriter(w, s.cfg.WriteTimeout))
+}
+
+// exchangeContext ends at the deadline of the class and, unless the exchange goes on by itself, when the caller
+// goes away.
+func exchangeContext(caller context.Context, x *exchange) (context.Context, context.CancelCauseFunc) {
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(caller))
+	stopCaller := func() bool { return true }
+	if !x.detached() {
+		stopCaller = context.AfterFunc(caller, func() { cancel(errCallerGone) })
+	}
+	if x.class.Deadline <= 0 {
+		return ctx, func(cause error) { stopCaller(); cancel(cause) }
+	}
+	limited, stop := context.WithDeadlineCause(ctx, x.received.Add(x.class.Deadline), errDeadline)
+	return limited, func(cause error) {
+		stopCaller()
+		cancel(cause)
+		stop()
+	}
+}
+
+// run dispatches x, completes its answer and records it. A broken answer ends by panic with http.ErrAbortHandler.
+func (s *Server) run(ctx context.Context, x *exchange, w *answerWriter) {
+	r := s.dispatch(ctx, x, w)
+	s.record(x, w, r)
+	if r.complete {
+		w.finish()
+		return
+	}
+	if w.started && w.gone {
+		return
+	}
+	w.fail(x.id, r.err)
+}
+
+// record meters and logs the outcome of x.
+func (s *Server) record(x *exchange, w *answerWriter, r result) {
+	if r.complete || w.bytes > 0 {
+		d := delivered{requests: 1}
+		if r.usage != nil {
+			d.promptTokens = r.usage.PromptTokens
+			d.cachedTokens = r.usage.CachedTokens
+		}
+		s.usage.add(x, d)
+	}
+	code := "ok"
+	if r.err != nil {
+		code = r.err.Code
+	}
+	s.observe("total_us", time.Since(x.received), x)
+	s.countOutcome(x, r.verdict, code)
+	s.cfg.Logger.Info("request",
+		telemetry.KeyRequestID, x.id.String(),
+		telemetry.KeyOrganisation, x.organisation,
+		telemetry.KeyClass, x.class.Name,
+		telemetry.KeyVerdict, r.verdict.String(),
+		"code", code,
+		"duration_ms", time.Since(x.received).Milliseconds(),
+		"answer_bytes", w.bytes)
+}
+
+// refuse answers a request that never left the entry. x may be nil.
+func (s *Server) refuse(w http.ResponseWriter, id requestID, x *exchange, ref *refusal) {
+	w.Header().Set(headerRequestID, id.String())
+	ref.write(w)
+	s.countOutcome(x, ref.Verdict, ref.Code)
+	if !s.cfg.Logger.Enabled(context.Background(), slog.LevelInfo) {
+		return
+	}
+	args := []any{telemetry.KeyRequestID, id.String(), telemetry.KeyVerdict, ref.Verdict.String(), "code", ref.Code}
+	if x != nil {
+		args = append(args, telemetry.KeyOrganisation, x.organisation, telemetry.KeyClass, x.class.Name)
+	}
+	s.cfg.Logger.Info("refused", args...)
+}
+
+// observe adds a duration to the histogram of the organisation and class of x.
+func (s *Server) observe(name string, d time.Duration, x *exchange) {
+	s.cfg.Metrics.Observe(name, d, labels(x)...)
+}
+
+// count adds one to a counter of the organisation and class of x.
+func (s *Server) count(name string, x *exchange) { s.cfg.Metrics.Counter(name, labels(x)...).Inc(1) }
+
+func (s *Server) countOutcome(x *exchange, v verdict.Verdict, code string) {
+	l := append(labels(x), telemetry.Label{Name: "verdict", Value: v.String()}, telemetry.Label{Name: "code", Value: code})
+	s.cfg.Metrics.Counter("requests", l...).Inc(1)
+}
+
+func labels(x *exchange) []telemetry.Label {
+	if x == nil {
+		return nil
+	}
+	return []telemetry.Label{{Name: "organisation", Value: x.organisation}, {Name: "class", Value: x.class.Name}}
+}
+
+// errorLog passes the messages of net/http on at debug level; they are about callers' connections.
+func errorLog(l *slog.Logger) *log.Logger { return slog.NewLogLogger(l.Handler(), slog.LevelDebug) }
