--- a/internal/core/billing/figures.go
+++ b/internal/core/billing/figures.go
@@ -38,8 +38,8 @@
 	}
 }
 
-// sub returns the difference; g is never above f in any amount.
-func (f Figures) sub(g Figures) Figures {
+// Sub returns the difference; g is never above f in any amount.
+func (f Figures) Sub(g Figures) Figures {
 	return Figures{
 		Requests:     f.Requests - g.Requests,
 		PromptTokens: f.PromptTokens - g.PromptTokens,
--- a/internal/core/billing/module.go
+++ b/internal/core/billing/module.go
@@ -268,7 +268,7 @@
 func (m *Module) unbilled(window uint64) map[lineKey]Figures {
 	sums := make(map[lineKey]Figures)
 	for _, known := range m.index {
-		rest := known.sub(known.Billed)
+		rest := known.Sub(known.Billed)
 		if known.Window > window || rest == (Figures{}) {
 			continue
 		}
--- a/internal/core/fleet/settings.go
+++ b/internal/core/fleet/settings.go
@@ -21,8 +21,8 @@
 
 // Settings are the operators' settings of the fleet. Durations are in seconds.
 type Settings struct {
-	Paused     bool               `json:"paused,omitempty"`  // no new orders; open ones are settled
-	DryRun     bool               `json:"dry_run,omitempty"` // plans are shown, nothing is ordered
+	Paused     bool               `json:"paused,omitempty"`  // nothing is sent; outcomes are still learned from the inventory
+	DryRun     bool               `json:"dry_run,omitempty"` // plans are made and shown, nothing is sent
 	Pools      []Pool             `json:"pools,omitempty"`
 	Broadcasts []Broadcast        `json:"broadcasts,omitempty"`
 	Ceilings   map[string]float64 `json:"ceilings,omitempty"` // price per hour that each organisation pays at most
--- /dev/null
+++ b/internal/operate/agents.go
@@ -0,0 +1,62 @@
+package operate
+
+import (
+	"context"
+	"net"
+
+	"github.com/juju/errors"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/guavastack/guavastack/proto/controlpb"
+	"github.com/guavastack/guavastack/proto/linkpb"
+)
+
+// AgentClient implements Agents over drpc. Every call has a connection of its own, so that none hangs on a connection
+// that went silent; orders are few.
+type AgentClient struct{}
+
+var _ Agents = AgentClient{}
+
+// SetLifecycle implements Agents.
+func (AgentClient) SetLifecycle(
+	ctx context.Context, server *controlpb.BackendServer, req *linkpb.LifecycleRequest,
+) (*linkpb.LifecycleReply, error) {
+	var reply *linkpb.LifecycleReply
+	err := withAgent(ctx, server, func(client linkpb.DRPCAgentLinkClient) error {
+		var err error
+		reply, err = client.SetLifecycle(ctx, req)
+		return err
+	})
+	return reply, err
+}
+
+// Order implements Agents.
+func (AgentClient) Order(
+	ctx context.Context, server *controlpb.BackendServer, order *linkpb.EngineOrder,
+) (*linkpb.EngineOrderResult, error) {
+	var result *linkpb.EngineOrderResult
+	err := withAgent(ctx, server, func(client linkpb.DRPCAgentLinkClient) error {
+		var err error
+		result, err = client.Order(ctx, order)
+		return err
+	})
+	return result, err
+}
+
+// withAgent calls the agent of a server on a new connection that ends with ctx.
+func withAgent(ctx context.Context, server *controlpb.BackendServer, f func(linkpb.DRPCAgentLinkClient) error) error {
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp", server.Address)
+	if err != nil {
+		return errors.Annotatef(err, "agent of %s", server.Id)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := raw.SetDeadline(deadline); err != nil {
+			_ = raw.Close()
+			return errors.Trace(err)
+		}
+	}
+	conn := drpcconn.New(raw)
+	defer func() { _ = conn.Close() }()
+	return errors.Annotatef(f(linkpb.NewDRPCAgentLinkClient(conn)), "agent of %s", server.Id)
+}
--- /dev/null
+++ b/internal/operate/billing.go
@@ -0,0 +1,240 @@
+package operate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/core/billing"
+	"github.com/guavastack/guavastack/internal/platform"
+	"github.com/guavastack/guavastack/proto/controlpb"
+)
+
+const (
+	// maxRecord bounds the counters of one commit.
+	maxRecord = 2000
+	// reportRetry is the time between two attempts to report a window.
+	reportRetry = 2 * time.Second
+)
+
+// Usage takes the usage reports of entries while this member leads.
+type Usage struct {
+	group  Group
+	module *billing.Module
+
+	mu        sync.Mutex
+	collector *billing.Collector
+	entries   map[string]entryTotals // by entry and incarnation
+}
+
+// entryTotals are the output tokens of one entry incarnation by model and organisation.
+type entryTotals map[modelOrganisation]uint64
+
+type modelOrganisation struct {
+	model, organisation string
+}
+
+func newUsage(cfg Config) *Usage {
+	return &Usage{group: cfg.Group, module: cfg.Billing, collector: billing.NewCollector(cfg.Billing)}
+}
+
+// Report takes the cumulative counters of one entry incarnation. Reporting them again is harmless; an entry reports
+// every counter again until the acknowledgement settles its window.
+func (u *Usage) Report(report *controlpb.UsageReport) billing.Ack {
+	counters := make([]billing.Counter, 0, len(report.Counters))
+	for _, c := range report.Counters {
+		counters = append(counters, billing.Counter{
+			Window: c.Window,
+			Key:    billing.Key{Organisation: c.Organisation, Class: c.Class, Model: c.Model},
+			Figures: billing.Figures{
+				Requests: c.Requests, PromptTokens: c.PromptTokens,
+				CachedTokens: c.CachedTokens, OutputTokens: c.OutputTokens,
+			},
+		})
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var ack billing.Ack
+	u.group.View(func() {
+		ack = u.collector.Report(report.EntryId, report.Incarnation, counters)
+	})
+	u.noteRecent(report.EntryId+"/"+report.Incarnation, counters, ack.OpenWindow)
+	return ack
+}
+
+// noteRecent keeps the usage of the newest two windows for the shares of the organisations.
+func (u *Usage) noteRecent(entry string, counters []billing.Counter, open uint64) {
+	if u.entries == nil {
+		u.entries = make(map[string]entryTotals)
+	}
+	totals := make(entryTotals)
+	for _, c := range counters {
+		if c.Window+1 >= open {
+			totals[modelOrganisation{c.Model, c.Organisation}] += c.OutputTokens
+		}
+	}
+	u.entries[entry] = totals
+}
+
+// shares returns each organisation's part of the recent usage of a model.
+func (u *Usage) shares(model string) map[string]float64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	sums := make(map[string]float64)
+	total := 0.0
+	for _, totals := range u.entries {
+		for k, tokens := range totals {
+			if k.model == model && tokens > 0 {
+				sums[k.organisation] += float64(tokens)
+				total += float64(tokens)
+			}
+		}
+	}
+	for organisation := range sums {
+		sums[organisation] /= total
+	}
+	return sums
+}
+
+// pending returns counters that are to be committed.
+func (u *Usage) pending() []billing.Counter {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var counters []billing.Counter
+	u.group.View(func() { counters = u.collector.Pending(maxRecord) })
+	return counters
+}
+
+func (u *Usage) reset() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.collector.Reset()
+	u.entries = nil
+}
+
+// OpenWindow returns the number of the open window as far as this member has applied the log.
+func (u *Usage) OpenWindow() uint64 {
+	var open uint64
+	u.group.View(func() { open = u.module.Open() })
+	return open
+}
+
+// billingState is what one spell in charge remembers of billing.
+type billingState struct {
+	opened     time.Time // when this spell saw the open window first
+	window     uint64    // the open window
+	recorded   time.Time
+	reportedAt time.Time // of the last attempt
+	failed     uint64    // window whose last attempt has no known outcome
+}
+
+// billingRound does whatever is due: commit counters, open the next window, close the one before, report one window.
+func (c *charge) billingRound(ctx context.Context) error {
+	c.noteWindow()
+	now := time.Now()
+	b := &c.billing
+	if now.Sub(b.recorded) >= c.op.cfg.Record {
+		if err := c.record(ctx); err != nil {
+			return err
+		}
+	}
+	if now.Sub(b.opened) >= c.op.cfg.Window {
+		return c.advance(ctx)
+	}
+	if window, due := c.dueWindow(); due && now.Sub(b.opened) >= c.op.cfg.Grace {
+		return c.closeWindow(ctx, window)
+	}
+	return c.report(ctx)
+}
+
+// noteWindow notices a window that is new to this spell.
+func (c *charge) noteWindow() {
+	open := c.op.usage.OpenWindow()
+	if open != c.billing.window {
+		c.billing.window = open
+		c.billing.opened = time.Now()
+	}
+}
+
+func (c *charge) dueWindow() (window uint64, due bool) {
+	c.op.cfg.Group.View(func() { window, due = c.op.cfg.Billing.Due() })
+	return window, due
+}
+
+// record commits the counters that are not committed yet.
+func (c *charge) record(ctx context.Context) error {
+	c.billing.recorded = time.Now()
+	for {
+		counters := c.op.usage.pending()
+		if len(counters) == 0 {
+			return nil
+		}
+		if _, err := c.proposeBilling(ctx, billing.Command{Record: &billing.Record{Counters: counters}}); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *charge) advance(ctx context.Context) error {
+	window := c.billing.window
+	_, err := c.proposeBilling(ctx, billing.Command{Advance: &billing.Advance{Window: window}})
+	return err
+}
+
+// closeWindow commits the figures of a window, with every counter that has come in.
+func (c *charge) closeWindow(ctx context.Context, window uint64) error {
+	if err := c.record(ctx); err != nil {
+		return err
+	}
+	var closing billing.Close
+	var err error
+	c.op.cfg.Group.View(func() { closing, err = c.op.cfg.Billing.PrepareClose(time.Now().UnixMilli()) })
+	if err != nil || closing.Window != window {
+		return err
+	}
+	result, err := c.proposeBilling(ctx, billing.Command{Close: &closing})
+	if err != nil {
+		return err
+	}
+	c.op.cfg.Logger.Info("billing window closed", "window", window, "code", result.Code)
+	return nil
+}
+
+// report sends the committed bytes of the oldest window that the platform has not confirmed.
+func (c *charge) report(ctx context.Context) error {
+	var window billing.Window
+	var ok bool
+	c.op.cfg.Group.View(func() { window, ok = c.op.cfg.Billing.NextReport() })
+	if !ok || time.Since(c.billing.reportedAt) < reportRetry && c.billing.failed == window.Window {
+		return nil
+	}
+	err := c.call(ctx, func(ctx context.Context) error {
+		return c.op.cfg.Platform.ReportUsage(ctx, platform.UsageReport{
+			Sender: c.sender(), Window: window.Window, Body: window.Report,
+		})
+	})
+	c.billing.reportedAt = time.Now()
+	switch {
+	case err == nil:
+		return c.confirm(ctx, window.Window, billing.Reported, "")
+	case errors.Is(err, platform.ErrStaleFencing):
+		return errOvertaken
+	case errors.Is(err, platform.ErrDifferentFigures), errors.Is(err, platform.ErrInvalid):
+		return c.confirm(ctx, window.Window, billing.Disputed, err.Error())
+	default:
+		c.billing.failed = window.Window
+		return err // the same bytes go out again
+	}
+}
+
+func (c *charge) confirm(ctx context.Context, window uint64, status billing.Status, reason string) error {
+	_, err := c.proposeBilling(ctx, billing.Command{Confirm: &billing.Confirm{
+		Window: window, Status: status, Reason: reason,
+	}})
+	if err == nil {
+		c.op.cfg.Logger.Info("usage reported", "window", window, "status", status, "reason", reason)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/operate/fleet.go
@@ -0,0 +1,194 @@
+package operate
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/duty"
+	"github.com/guavastack/guavastack/internal/core/fleet"
+	"github.com/guavastack/guavastack/internal/platform"
+	"github.com/guavastack/guavastack/proto/controlpb"
+)
+
+// unregisteredStarts is how many start times a server may take before its agent registers; after that it counts as broken.
+const unregisteredStarts = 3
+
+// plan observes the fleet, plans it and keeps the plans for the status.
+func (c *charge) plan(settings fleet.Settings, open []duty.Order) ([]fleet.Plan, []fleet.Observation) {
+	observed := c.observe(settings, open)
+	plans := c.planner.Plan(time.Now(), settings, observed)
+	c.op.mu.Lock()
+	defer c.op.mu.Unlock()
+	c.op.status.plans = plans
+	c.op.status.inventory = c.inventory
+	return plans, observed
+}
+
+// observe returns what is known of each pool.
+func (c *charge) observe(settings fleet.Settings, open []duty.Order) []fleet.Observation {
+	registry := c.op.cfg.Registry()
+	observed := make([]fleet.Observation, 0, len(settings.Pools))
+	for _, pool := range settings.Pools {
+		o := fleet.Observation{
+			Model: pool.Model, Attainment: c.op.cfg.Attainment(pool.Model),
+			DemandByOrganisation: c.demand(pool.Model, registry),
+			SlotsPerServer:       meanSlots(pool.Model, registry),
+		}
+		for _, zone := range pool.Zones {
+			o.Zones = append(o.Zones, c.observeZone(pool, zone, open))
+		}
+		observed = append(observed, o)
+	}
+	return observed
+}
+
+func (c *charge) observeZone(pool fleet.Pool, zone string, open []duty.Order) fleet.ZoneState {
+	state := fleet.ZoneState{Zone: zone, NoSupply: time.Now().Before(c.blocked[poolZone{pool.Model, zone}])}
+	for _, z := range c.inventory.Zones {
+		if z.Name == zone {
+			state.PricePerHour = z.PricePerHour
+		}
+	}
+	for _, server := range c.inventory.Servers {
+		if server.Model == pool.Model && server.Zone == zone && !isStopping(open, server.ID) && !c.isBroken(pool, server.ID) {
+			state.Servers++
+		}
+	}
+	for _, order := range slices.Concat(open, c.unsure) {
+		if order.Kind == duty.StartServer && order.Model == pool.Model && order.Zone == zone {
+			state.Servers++
+		}
+	}
+	return state
+}
+
+func isStopping(open []duty.Order, server string) bool {
+	return slices.ContainsFunc(open, func(o duty.Order) bool { return o.Kind == duty.StopServer && o.Server == server })
+}
+
+// isBroken reports whether the agent of a server has been absent for too long.
+func (c *charge) isBroken(pool fleet.Pool, server string) bool {
+	start := time.Duration(cmp.Or(pool.StartTimeS, fleet.DefaultStartTimeS)) * time.Second
+	return time.Since(c.lastSeen[server]) > unregisteredStarts*start
+}
+
+// demand shares the requests that run and wait for a model among the organisations, by their recent usage of it.
+func (c *charge) demand(model string, registry []*controlpb.BackendServer) map[string]float64 {
+	requests := 0.0
+	for _, server := range registry {
+		if server.Model == model {
+			requests += float64(server.Running + server.Waiting)
+		}
+	}
+	shares := c.op.usage.shares(model)
+	if len(shares) == 0 {
+		return map[string]float64{"": requests}
+	}
+	for organisation := range shares {
+		shares[organisation] *= requests
+	}
+	return shares
+}
+
+func meanSlots(model string, registry []*controlpb.BackendServer) float64 {
+	sum, n := 0.0, 0.0
+	for _, server := range registry {
+		if server.Model == model && server.Slots > 0 {
+			sum += float64(server.Slots)
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / n
+}
+
+// intendNew commits the orders by which the fleet comes nearer to its plans.
+func (c *charge) intendNew(ctx context.Context, settings fleet.Settings, plans []fleet.Plan, observed []fleet.Observation) error {
+	for i, plan := range plans {
+		o := observed[slices.IndexFunc(observed, func(o fleet.Observation) bool { return o.Model == plan.Model })]
+		pool := settings.Pools[slices.IndexFunc(settings.Pools, func(p fleet.Pool) bool { return p.Model == plan.Model })]
+		started, err := c.intendStarts(ctx, plans[i], o)
+		if err != nil {
+			return err
+		}
+		if err := c.intendStops(ctx, pool, plan, o, started); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *charge) intendStarts(ctx context.Context, plan fleet.Plan, o fleet.Observation) (started int, err error) {
+	for _, zone := range o.Zones {
+		if zone.NoSupply {
+			continue
+		}
+		for n := zone.Servers; n < plan.Wanted[zone.Zone]; n++ {
+			order := duty.Order{Kind: duty.StartServer, Model: plan.Model, Zone: zone.Zone}
+			if err := c.intend(ctx, order); err != nil {
+				return started, err
+			}
+			started++
+		}
+	}
+	return started, nil
+}
+
+// intendStops gives back broken servers, and those beyond the plan once no start of the pool is under way: their
+// replacements serve by then.
+func (c *charge) intendStops(ctx context.Context, pool fleet.Pool, plan fleet.Plan, o fleet.Observation, started int) error {
+	_, open := c.view()
+	starting := started > 0 || slices.ContainsFunc(open, func(d duty.Order) bool {
+		return d.Kind == duty.StartServer && d.Model == plan.Model
+	})
+	for _, zone := range o.Zones {
+		surplus := zone.Servers - plan.Wanted[zone.Zone]
+		if starting || c.isSomeBooting(pool) {
+			surplus = 0
+		}
+		for _, server := range c.stopCandidates(pool, zone.Zone, open) {
+			broken := c.isBroken(pool, server.ID)
+			if !broken && surplus <= 0 {
+				continue
+			}
+			if !broken {
+				surplus--
+			}
+			order := duty.Order{Kind: duty.StopServer, Model: plan.Model, Zone: zone.Zone, Server: server.ID}
+			if err := c.intend(ctx, order); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// isSomeBooting reports whether a server of the pool has no registered agent yet and is not broken.
+func (c *charge) isSomeBooting(pool fleet.Pool) bool {
+	return slices.ContainsFunc(c.inventory.Servers, func(s platform.Server) bool {
+		return s.Model == pool.Model && c.registered(s.ID) == nil && !c.isBroken(pool, s.ID)
+	})
+}
+
+// stopCandidates returns the servers of a zone that have no stop order, the one with the least to drain first.
+func (c *charge) stopCandidates(pool fleet.Pool, zone string, open []duty.Order) []platform.Server {
+	servers := slices.DeleteFunc(slices.Clone(c.inventory.Servers), func(s platform.Server) bool {
+		return s.Model != pool.Model || s.Zone != zone || isStopping(open, s.ID)
+	})
+	slices.SortStableFunc(servers, func(a, b platform.Server) int {
+		return cmp.Or(cmp.Compare(c.toDrain(a.ID), c.toDrain(b.ID)), cmp.Compare(a.ID, b.ID))
+	})
+	return servers
+}
+
+func (c *charge) toDrain(id string) uint32 {
+	server := c.registered(id)
+	if server == nil {
+		return 0
+	}
+	return server.Running + server.Waiting
+}
--- /dev/null
+++ b/internal/operate/orders.go
@@ -0,0 +1,337 @@
+package operate
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/guavastack/guavastack/internal/core/duty"
+	"github.com/guavastack/guavastack/internal/core/fleet"
+	"github.com/guavastack/guavastack/internal/platform"
+	"github.com/guavastack/guavastack/proto/controlpb"
+	"github.com/guavastack/guavastack/proto/linkpb"
+)
+
+// parallelOrders bounds the orders on their way at once.
+const parallelOrders = 8
+
+// orderRound settles what the inventory shows, carries on with open orders, and then makes new ones.
+func (c *charge) orderRound(ctx context.Context) error {
+	inventory, err := c.askInventory(ctx)
+	if err != nil {
+		return err
+	}
+	c.inventory = inventory
+	c.noteRegistry()
+	settings, open := c.view()
+	if open, err = c.settleKnown(ctx, open); err != nil {
+		return err
+	}
+	plans, observed := c.plan(settings, open)
+	if settings.Paused || settings.DryRun {
+		return nil
+	}
+	if err := c.carryOn(ctx, open); err != nil {
+		return err
+	}
+	if len(c.inherited) > 0 {
+		return nil // nothing new before every inherited order is settled
+	}
+	if err := c.intendAgain(ctx); err != nil {
+		return err
+	}
+	return c.intendNew(ctx, settings, plans, observed)
+}
+
+// view returns the settings and the open orders of the replicated state.
+func (c *charge) view() (settings fleet.Settings, open []duty.Order) {
+	c.op.cfg.Group.View(func() {
+		settings, _ = c.op.cfg.Duty.Settings()
+		open = c.op.cfg.Duty.Open()
+	})
+	return settings, open
+}
+
+// noteRegistry remembers which servers have an agent. A server first seen counts as seen by its agent just then.
+func (c *charge) noteRegistry() {
+	now := time.Now()
+	for _, server := range c.op.cfg.Registry() {
+		c.lastSeen[server.Id] = now
+	}
+	for _, server := range c.inventory.Servers {
+		if _, ok := c.lastSeen[server.ID]; !ok {
+			c.lastSeen[server.ID] = now
+		}
+	}
+}
+
+// settleKnown settles the open orders whose outcome the inventory shows, and returns the others.
+func (c *charge) settleKnown(ctx context.Context, open []duty.Order) ([]duty.Order, error) {
+	var rest []duty.Order
+	for _, order := range open {
+		server, known := c.shown(order)
+		if !known {
+			rest = append(rest, order)
+			continue
+		}
+		if err := c.settle(ctx, order, duty.Done, server, ""); err != nil {
+			return nil, err
+		}
+	}
+	return rest, nil
+}
+
+// shown returns the outcome of an order where the inventory shows it.
+func (c *charge) shown(order duty.Order) (server string, known bool) {
+	switch order.Kind {
+	case duty.StartServer:
+		for _, s := range c.inventory.Servers {
+			if s.OrderID == order.ID {
+				return s.ID, true
+			}
+		}
+		for _, out := range c.inventory.Orders {
+			if out.ID == order.ID {
+				return out.Server, true
+			}
+		}
+	case duty.StopServer:
+		gone := !slices.ContainsFunc(c.inventory.Servers, func(s platform.Server) bool { return s.ID == order.Server })
+		return order.Server, gone
+	}
+	return "", false
+}
+
+func (c *charge) settle(ctx context.Context, order duty.Order, status duty.Status, server, reason string) error {
+	_, err := c.proposeDuty(ctx, duty.Command{Settle: &duty.Settle{
+		Fencing: c.fencing, ID: order.ID, Status: status, Server: server, Reason: reason,
+	}})
+	if err != nil {
+		return err
+	}
+	c.op.cfg.Logger.Info("order settled", "id", order.ID, "kind", order.Kind, "status", status, "server", server, "reason", reason)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.inherited, order.ID)
+	delete(c.sent, order.ID)
+	return nil
+}
+
+// carryOn sends the open orders that are due, several at once.
+func (c *charge) carryOn(ctx context.Context, open []duty.Order) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(parallelOrders)
+	for _, order := range open {
+		if !c.isDue(order) {
+			continue
+		}
+		g.Go(func() error { return c.step(ctx, order) })
+	}
+	return g.Wait()
+}
+
+// isDue reports whether an order may be sent: it never was in this spell, or so long ago that the inventory of this
+// round, asked after that call had ended, would show its effect.
+func (c *charge) isDue(order duty.Order) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at, ok := c.sent[order.ID]
+	timing := c.op.cfg.Timing
+	return !ok || time.Since(at) >= 2*timing.LongestCall+timing.Drift
+}
+
+func (c *charge) step(ctx context.Context, order duty.Order) error {
+	switch {
+	case order.Kind == duty.StartServer:
+		return c.send(ctx, order)
+	case order.Kind == duty.StopServer:
+		return c.stopStep(ctx, order)
+	default:
+		return c.engineStep(ctx, order)
+	}
+}
+
+// send carries a server order to the platform once and settles it where the answer proves its outcome.
+func (c *charge) send(ctx context.Context, order duty.Order) error {
+	var out platform.Outcome
+	err := c.call(ctx, func(ctx context.Context) error {
+		var err error
+		out, err = c.op.cfg.Platform.Order(ctx, c.platformOrder(order))
+		return err
+	})
+	c.noteSent(order.ID, err)
+	switch {
+	case err == nil:
+		return c.settle(ctx, order, duty.Done, out.Server, "")
+	case errors.Is(err, platform.ErrStaleFencing):
+		return errOvertaken
+	case errors.Is(err, platform.ErrQuota), errors.Is(err, platform.ErrNoSupply):
+		c.block(order)
+		return c.settle(ctx, order, duty.Refused, "", err.Error())
+	case errors.Is(err, platform.ErrInvalid):
+		return c.settle(ctx, order, duty.Refused, "", err.Error())
+	case errors.Is(err, errNotInCharge):
+		return err
+	default:
+		c.op.fail("order "+order.ID, err) // the outcome is unknown; the inventory will show it
+		return nil
+	}
+}
+
+func (c *charge) platformOrder(order duty.Order) platform.Order {
+	kind := platform.KindStart
+	if order.Kind == duty.StopServer {
+		kind = platform.KindStop
+	}
+	return platform.Order{
+		Sender: c.sender(), ID: order.ID, Kind: kind, Model: order.Model, Zone: order.Zone, Server: order.Server,
+	}
+}
+
+// noteSent remembers when an order was sent, and keeps to the time that a rate limit asks for.
+func (c *charge) noteSent(id string, err error) {
+	at := time.Now()
+	var limited *platform.RateLimitError
+	if errors.As(err, &limited) {
+		at = at.Add(limited.RetryAfter)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent[id] = at
+}
+
+func (c *charge) block(order duty.Order) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.blocked[poolZone{order.Model, order.Zone}] = time.Now().Add(c.op.cfg.NoSupplyHold)
+}
+
+// stopStep drains the server, and stops it once its agent says that nothing runs or waits.
+func (c *charge) stopStep(ctx context.Context, order duty.Order) error {
+	server := c.registered(order.Server)
+	if server == nil {
+		if time.Since(c.lastSeen[order.Server]) < c.op.cfg.AbsentAfter {
+			return nil
+		}
+		return c.send(ctx, order)
+	}
+	var reply *linkpb.LifecycleReply
+	err := c.call(ctx, func(ctx context.Context) error {
+		var err error
+		reply, err = c.op.cfg.Agents.SetLifecycle(ctx, server, &linkpb.LifecycleRequest{
+			Fencing: c.fencing, Lifecycle: linkpb.Lifecycle_LIFECYCLE_LEAVING,
+		})
+		return err
+	})
+	switch {
+	case errors.Is(err, errNotInCharge):
+		return err
+	case err != nil:
+		c.op.fail("drain "+order.Server, err)
+		return nil
+	case !reply.Accepted && reply.Fencing > c.fencing:
+		return errOvertaken
+	case !isDrained(reply):
+		return nil
+	}
+	return c.send(ctx, order)
+}
+
+func isDrained(reply *linkpb.LifecycleReply) bool {
+	leaving := reply.Lifecycle == linkpb.Lifecycle_LIFECYCLE_LEAVING || reply.Lifecycle == linkpb.Lifecycle_LIFECYCLE_GONE
+	return reply.Accepted && leaving && reply.Running == 0 && reply.Waiting == 0
+}
+
+func (c *charge) registered(id string) *controlpb.BackendServer {
+	for _, server := range c.op.cfg.Registry() {
+		if server.Id == id {
+			return server
+		}
+	}
+	return nil
+}
+
+// engineStep gives an engine order to the agent.
+func (c *charge) engineStep(ctx context.Context, order duty.Order) error {
+	server := c.registered(order.Server)
+	if server == nil {
+		return nil
+	}
+	var result *linkpb.EngineOrderResult
+	err := c.call(ctx, func(ctx context.Context) error {
+		var err error
+		result, err = c.op.cfg.Agents.Order(ctx, server, c.engineOrder(ctx, order))
+		return err
+	})
+	c.noteSent(order.ID, err)
+	switch {
+	case errors.Is(err, errNotInCharge):
+		return err
+	case err != nil:
+		c.op.fail("engine order "+order.ID, err)
+		return nil
+	case result.Stale:
+		return errOvertaken
+	case result.Accepted:
+		return c.settle(ctx, order, duty.Done, order.Server, "")
+	default:
+		return c.settle(ctx, order, duty.Refused, order.Server, result.Error)
+	}
+}
+
+func (c *charge) engineOrder(ctx context.Context, order duty.Order) *linkpb.EngineOrder {
+	deadline, _ := ctx.Deadline()
+	return &linkpb.EngineOrder{
+		OrderId: order.ID, Fencing: c.fencing, Kind: engineKind(order.Kind), Model: order.Model,
+		Version: order.Version, Adapter: order.Adapter, Role: order.Role,
+		TimeoutMs: time.Until(deadline).Milliseconds(),
+	}
+}
+
+func engineKind(k duty.Kind) linkpb.EngineOrderKind {
+	switch k {
+	case duty.LoadModel:
+		return linkpb.EngineOrderKind_ENGINE_ORDER_KIND_LOAD_MODEL
+	case duty.UnloadModel:
+		return linkpb.EngineOrderKind_ENGINE_ORDER_KIND_UNLOAD_MODEL
+	case duty.LoadAdapter:
+		return linkpb.EngineOrderKind_ENGINE_ORDER_KIND_LOAD_ADAPTER
+	case duty.SetRole:
+		return linkpb.EngineOrderKind_ENGINE_ORDER_KIND_SET_ROLE
+	default:
+		return linkpb.EngineOrderKind_ENGINE_ORDER_KIND_UNSPECIFIED
+	}
+}
+
+// intend commits an order. Where the outcome of the proposal is unknown, the same intent is proposed again before any
+// other, so that one need never becomes two orders.
+func (c *charge) intend(ctx context.Context, order duty.Order) error {
+	if order.ID == "" {
+		order.ID = uuid.NewString()
+	}
+	result, err := c.proposeDuty(ctx, duty.Command{Intend: &duty.Intend{Fencing: c.fencing, Order: order}})
+	if err != nil {
+		c.unsure = append(c.unsure, order)
+		return err
+	}
+	c.op.cfg.Logger.Info("order intended", "id", order.ID, "kind", order.Kind, "model", order.Model, "zone", order.Zone,
+		"server", order.Server, "code", result.Code)
+	return nil
+}
+
+// intendAgain proposes the intents of unknown outcome again, under their ids.
+func (c *charge) intendAgain(ctx context.Context) error {
+	again := c.unsure
+	c.unsure = nil
+	for i, order := range again {
+		if err := c.intend(ctx, order); err != nil {
+			c.unsure = append(c.unsure, again[i+1:]...)
+			return err
+		}
+	}
+	return nil
+}
