--- /dev/null
+++ b/internal/peernet/peernet.go
@@ -0,0 +1,121 @@
+// Package peernet makes the connections between our own processes.
+//
+// With certificates both ends prove themselves by mutual TLS. Without, a listener refuses peers whose address is not
+// listed; loopback addresses are always listed.
+package peernet
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/certs"
+)
+
+// Config says how peers prove themselves.
+type Config struct {
+	Certificate, Key, Authority string         // PEM files for mutual TLS; all empty: none
+	Allowed                     []netip.Prefix // without TLS
+}
+
+// Network makes connections.
+type Network struct {
+	allowed []netip.Prefix
+	server  *tls.Config // nil: no TLS
+	client  *tls.Config
+}
+
+// New reads the certificates.
+func New(cfg Config) (*Network, error) {
+	n := &Network{allowed: cfg.Allowed}
+	if cfg.Certificate == "" {
+		return n, nil
+	}
+	cert, err := certs.NewReloader(cfg.Certificate, cfg.Key)
+	if err != nil {
+		return nil, errors.Annotate(err, "link_tls")
+	}
+	authority, err := certs.Authority(cfg.Authority)
+	if err != nil {
+		return nil, errors.Annotate(err, "link_tls.authority")
+	}
+	n.server, n.client = cert.Mutual(authority)
+	return n, nil
+}
+
+// Dial connects to addr, an IP number with a port.
+func (n *Network) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil || n.client == nil {
+		return conn, err
+	}
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		_ = conn.Close()
+		return nil, errors.Trace(err)
+	}
+	cfg := n.client.Clone()
+	cfg.ServerName = host
+	secured := tls.Client(conn, cfg)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, errors.Annotatef(err, "TLS with %s", addr)
+	}
+	return secured, nil
+}
+
+// DialNetwork is Dial with the signature of net.Dialer.
+func (n *Network) DialNetwork(ctx context.Context, _, addr string) (net.Conn, error) { return n.Dial(ctx, addr) }
+
+// Listen listens on addr for peers.
+func (n *Network) Listen(addr string) (net.Listener, error) {
+	lis, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if n.server != nil {
+		return tls.NewListener(lis, n.server), nil
+	}
+	return &listener{Listener: lis, allowed: n.allowed}, nil
+}
+
+// listener closes connections of peers that are not allowed.
+type listener struct {
+	net.Listener
+	allowed []netip.Prefix
+}
+
+// Accept returns the next connection of an allowed peer.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.isAllowed(conn.RemoteAddr()) {
+			return conn, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+func (l *listener) isAllowed(addr net.Addr) bool {
+	ap, err := netip.ParseAddrPort(addr.String())
+	if err != nil {
+		return false
+	}
+	ip := ap.Addr().Unmap()
+	if ip.IsLoopback() {
+		return true
+	}
+	for _, p := range l.allowed {
+		if p.Contains(ip) {
+			return true
+		}
+	}
+	return false
+}
