--- a/internal/peernet/peernet.go
+++ b/internal/peernet/peernet.go
@@ -69,7 +69,9 @@
 }
 
 // DialNetwork is Dial with the signature of net.Dialer.
-func (n *Network) DialNetwork(ctx context.Context, _, addr string) (net.Conn, error) { return n.Dial(ctx, addr) }
+func (n *Network) DialNetwork(ctx context.Context, _, addr string) (net.Conn, error) {
+	return n.Dial(ctx, addr)
+}
 
 // Listen listens on addr for peers.
 func (n *Network) Listen(addr string) (net.Listener, error) {
