--- /dev/null
+++ b/internal/control/confirm.go
@@ -0,0 +1,78 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/settings"
+)
+
+// confirmer answers freshness questions. All questions that wait share one quorum round.
+type confirmer struct {
+	group Group
+	hub   *hub
+
+	mu      sync.Mutex
+	waiting []func(settings.Version)
+	wake    chan struct{}
+}
+
+func newConfirmer(group Group, h *hub) *confirmer {
+	return &confirmer{group: group, hub: h, wake: make(chan struct{}, 1)}
+}
+
+// ask calls answer once a quorum round that began after the call has confirmed the newest version, and never where
+// none can.
+func (c *confirmer) ask(answer func(settings.Version)) {
+	c.mu.Lock()
+	c.waiting = append(c.waiting, answer)
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (c *confirmer) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+			c.round(ctx)
+			pause(ctx, confirmSpacing)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// round answers the questions that were asked before it. A failed round drops them: watchers ask again.
+func (c *confirmer) round(ctx context.Context) {
+	c.mu.Lock()
+	questions := c.waiting
+	c.waiting = nil
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	index, err := c.group.ReadIndex(ctx)
+	if err != nil {
+		return
+	}
+	if err := c.group.WaitApplied(ctx, index); err != nil {
+		return
+	}
+	c.hub.refresh()
+	tree, _ := c.hub.newest()
+	for _, answer := range questions {
+		answer(tree.Version())
+	}
+}
--- /dev/null
+++ b/internal/control/controltest/cluster.go
@@ -0,0 +1,194 @@
+// Package controltest is a control group within one process, for tests of what stands on the replicated log.
+package controltest
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/guavastack/guavastack/internal/control"
+	"github.com/guavastack/guavastack/internal/core/claim"
+	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/core/state"
+	"github.com/juju/errors"
+)
+
+// Cluster is a group of members that share one log.
+type Cluster struct {
+	Members []*Member
+
+	mu     sync.Mutex
+	log    [][]byte
+	leader *Member // nil: none
+}
+
+// Member is one member; it implements control.Group.
+type Member struct {
+	Settings *settings.Module
+	Claims   *claim.Module
+
+	cluster  *Cluster
+	self     control.Member
+	machine  *state.Machine
+	applied  int
+	held     bool // applies nothing
+	isolated bool // reaches no quorum
+	lose     bool // commits, but loses the answer
+	events   map[chan struct{}]bool
+}
+
+// New returns a group of n members, the first of which leads.
+func New(n int) *Cluster {
+	c := &Cluster{}
+	for i := range n {
+		m := &Member{
+			Settings: settings.NewModule(), Claims: claim.NewModule(claim.DefaultBounds()), cluster: c,
+			self:   control.Member{ID: fmt.Sprintf("control-%d", i+1), Address: fmt.Sprintf("control-%d", i+1)},
+			events: make(map[chan struct{}]bool),
+		}
+		m.machine, _ = state.New(m.Settings, m.Claims)
+		c.Members = append(c.Members, m)
+	}
+	c.leader = c.Members[0]
+	return c
+}
+
+// Lead makes member i the leader; -1: there is none.
+func (c *Cluster) Lead(i int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = nil
+	if i >= 0 {
+		c.leader = c.Members[i]
+	}
+}
+
+// Hold lets member i apply nothing until it is released.
+func (c *Cluster) Hold(i int, held bool) { c.set(func() { c.Members[i].held = held }) }
+
+// Isolate cuts member i off from the others: it can lead nothing and confirm nothing.
+func (c *Cluster) Isolate(i int, isolated bool) {
+	c.set(func() { c.Members[i].isolated, c.Members[i].held = isolated, isolated })
+}
+
+// LoseAnswers lets member i commit commands without an answer.
+func (c *Cluster) LoseAnswers(i int, lose bool) { c.set(func() { c.Members[i].lose = lose }) }
+
+func (c *Cluster) set(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f()
+	c.catchUp()
+}
+
+// catchUp applies the log at every member that isn't held.
+func (c *Cluster) catchUp() {
+	for _, m := range c.Members {
+		changed := false
+		for !m.held && m.applied < len(c.log) {
+			m.applied++
+			changed = true
+			_, _ = m.machine.Apply(uint64(m.applied), c.log[m.applied-1])
+		}
+		if changed {
+			m.wake()
+		}
+	}
+}
+
+func (m *Member) wake() {
+	for ch := range m.events {
+		select {
+		case ch <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Propose implements control.Group.
+func (m *Member) Propose(ctx context.Context, data []byte) (control.Outcome, error) {
+	c := m.cluster
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader == nil {
+		return control.Outcome{}, &control.NotLeaderError{}
+	}
+	if c.leader != m {
+		return control.Outcome{}, &control.NotLeaderError{Leader: c.leader.self}
+	}
+	c.log = append(c.log, data)
+	m.applied++
+	result, err := m.machine.Apply(uint64(m.applied), data)
+	m.wake()
+	c.catchUp()
+	if m.lose {
+		return control.Outcome{}, &control.UnknownOutcomeError{Cause: errors.Timeoutf("answer")}
+	}
+	return control.Outcome{Index: uint64(m.applied), Result: result}, err
+}
+
+// ReadIndex implements control.Group.
+func (m *Member) ReadIndex(ctx context.Context) (uint64, error) {
+	c := m.cluster
+	c.mu.Lock()
+	unable := m.isolated || c.leader == nil
+	index := uint64(len(c.log))
+	c.mu.Unlock()
+	if unable {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	return index, nil
+}
+
+// WaitApplied implements control.Group.
+func (m *Member) WaitApplied(ctx context.Context, index uint64) error {
+	events, cancel := m.Applied()
+	defer cancel()
+	for {
+		m.cluster.mu.Lock()
+		done := uint64(m.applied) >= index
+		m.cluster.mu.Unlock()
+		if done {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-events:
+		}
+	}
+}
+
+// View implements control.Group.
+func (m *Member) View(f func()) {
+	m.cluster.mu.Lock()
+	defer m.cluster.mu.Unlock()
+	f()
+}
+
+// Leader implements control.Group.
+func (m *Member) Leader() (control.Member, bool) {
+	m.cluster.mu.Lock()
+	defer m.cluster.mu.Unlock()
+	if m.cluster.leader == nil {
+		return control.Member{}, false
+	}
+	return m.cluster.leader.self, true
+}
+
+// Self implements control.Group.
+func (m *Member) Self() control.Member { return m.self }
+
+// Applied implements control.Group.
+func (m *Member) Applied() (<-chan struct{}, func()) {
+	m.cluster.mu.Lock()
+	defer m.cluster.mu.Unlock()
+	ch := make(chan struct{}, 1)
+	m.events[ch] = true
+	return ch, func() {
+		m.cluster.mu.Lock()
+		defer m.cluster.mu.Unlock()
+		delete(m.events, ch)
+	}
+}
--- /dev/null
+++ b/internal/control/exchange.go
@@ -0,0 +1,163 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/member"
+	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/proto/controlpb"
+)
+
+// Register keeps a backend server in the registry while its agent sends reports, and answers each of them.
+func (s *Service) Register(stream controlpb.DRPCControl_RegisterStream) error {
+	reports := make(chan *controlpb.AgentReport)
+	failed := make(chan error, 1)
+	go func() { failed <- receiveReports(stream, reports) }()
+	silence := time.NewTimer(clientSilence)
+	defer silence.Stop()
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case <-silence.C:
+			return context.DeadlineExceeded
+		case report := <-reports:
+			silence.Reset(clientSilence)
+			if err := stream.Send(s.takeReport(report)); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func receiveReports(stream controlpb.DRPCControl_RegisterStream, reports chan<- *controlpb.AgentReport) error {
+	for {
+		report, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		select {
+		case reports <- report:
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		}
+	}
+}
+
+func (s *Service) takeReport(report *controlpb.AgentReport) *controlpb.AgentDirective {
+	b := report.Backend
+	if b == nil || b.Id == "" {
+		return &controlpb.AgentDirective{}
+	}
+	s.soft.putBackend(b, time.Now(), true)
+	if s.cfg.Report != nil {
+		s.cfg.Report(b)
+	}
+	return &controlpb.AgentDirective{Lifecycle: b.Lifecycle, Fencing: s.cfg.Fencing(b.Id)}
+}
+
+// Exchange takes another member's digest.
+func (s *Service) Exchange(_ context.Context, d *controlpb.Digest) (*controlpb.DigestAck, error) {
+	now := time.Now()
+	for _, b := range d.Backends {
+		s.soft.putBackend(b, now, false)
+	}
+	ack := &controlpb.DigestAck{Incarnation: s.cfg.Incarnation}
+	for _, r := range d.Renewals {
+		if !s.soft.renew(r, now.Add(-time.Duration(r.AgeMs)*time.Millisecond)) {
+			ack.Incarnation = "" // this member lacks a report: the sender starts over
+		}
+	}
+	for _, p := range d.Processes {
+		s.soft.putProcess(member.Process{
+			ID: p.Id, Incarnation: p.Incarnation, Role: p.Role, Zone: p.Zone,
+			Version: settings.Version{Epoch: p.Epoch, Version: p.Version},
+			Heard:   now.Add(-time.Duration(p.AgeMs) * time.Millisecond), Demand: demandOf(p.Demand),
+		})
+	}
+	return ack, nil
+}
+
+// exchangeWith sends digests to one other member: at once after a change, and at intervals.
+func (s *Service) exchangeWith(ctx context.Context, peer string) {
+	var sent uint64 // registry version that the peer has
+	var incarnation string
+	tick := time.NewTicker(exchangeInterval)
+	defer tick.Stop()
+	for {
+		changed := s.soft.changedChannel()
+		digest, version := s.digest(sent, time.Now())
+		ack, err := s.sendDigest(ctx, peer, digest)
+		switch {
+		case err != nil || ack.Incarnation != incarnation:
+			sent = 0
+		default:
+			sent = version
+		}
+		if err == nil {
+			incarnation = ack.Incarnation
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-changed:
+		}
+	}
+}
+
+func (s *Service) sendDigest(ctx context.Context, peer string, d *controlpb.Digest) (*controlpb.DigestAck, error) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	var ack *controlpb.DigestAck
+	err := s.pool.Do(ctx, peer, func(rpc controlpb.DRPCControlClient) error {
+		var err error
+		ack, err = rpc.Exchange(ctx, d)
+		return err
+	})
+	return ack, err
+}
+
+// digest returns what this member knows at first hand, whole reports only of what changed after a registry version.
+func (s *Service) digest(since uint64, now time.Time) (*controlpb.Digest, uint64) {
+	d := &controlpb.Digest{Member: s.cfg.Group.Self().ID, Incarnation: s.cfg.Incarnation}
+	version := s.soft.firstHand(since, func(e member.Entry[*controlpb.BackendServer]) {
+		if e.Changed > since {
+			d.Backends = append(d.Backends, backendOf(e))
+			return
+		}
+		d.Renewals = append(d.Renewals, &controlpb.Renewal{
+			Id: e.Report.ID, Incarnation: e.Report.Incarnation, Sequence: e.Report.Sequence, AgeMs: now.Sub(e.Heard).Milliseconds(),
+		})
+	})
+	for _, p := range s.soft.allProcesses() {
+		if p.First {
+			d.Processes = append(d.Processes, processMessage(p, now))
+		}
+	}
+	return d, version
+}
+
+// firstHand calls f for each live backend server whose agent reports to this member.
+func (s *softState) firstHand(since uint64, f func(member.Entry[*controlpb.BackendServer])) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.registry.Since(0) {
+		if e.First && (e.Report.Lifecycle != member.Gone || e.Changed > since) {
+			f(e)
+		}
+	}
+	return s.registry.Version()
+}
+
+func processMessage(p member.Process, now time.Time) *controlpb.Process {
+	m := &controlpb.Process{
+		Id: p.ID, Incarnation: p.Incarnation, Role: p.Role, Zone: p.Zone,
+		Epoch: p.Version.Epoch, Version: p.Version.Version, AgeMs: now.Sub(p.Heard).Milliseconds(),
+	}
+	for _, d := range p.Demand {
+		m.Demand = append(m.Demand, &controlpb.Demand{Organisation: d.Organisation, Requests: d.Requests, Tokens: d.Tokens, Running: d.Running})
+	}
+	return m
+}
--- /dev/null
+++ b/internal/control/service.go
@@ -0,0 +1,251 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/core/state"
+	"github.com/guavastack/guavastack/internal/rpcpool"
+	"github.com/guavastack/guavastack/proto/controlpb"
+	"github.com/juju/errors"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+)
+
+// Times of the service.
+const (
+	DefaultFreshnessLimit  = 5 * time.Second
+	DefaultRegistryTTL     = 4 * time.Second
+	defaultProposeTime     = 2 * time.Second
+	maxProposeTime         = 30 * time.Second
+	heartbeatInterval      = time.Second             // between updates to a watcher that has nothing to learn
+	clientSilence          = 10 * time.Second        // a watcher or agent that says nothing for longer is cut off
+	confirmTimeout         = 2 * time.Second         // of one quorum round
+	confirmSpacing         = 20 * time.Millisecond   // between quorum rounds, so that questions gather
+	exchangeInterval       = 500 * time.Millisecond  // between digests to another member
+	exchangeTimeout        = 1500 * time.Millisecond // of one digest
+	housekeepingInterval   = 500 * time.Millisecond
+	processMemory          = 2           // freshness limits for which a silent process counts as behind
+	loadUpdateInterval     = time.Second // least time between updates of load alone
+	inForcePollInterval    = 50 * time.Millisecond
+	maxCommandBytes        = 8 << 20
+	maxDemandOrganisations = 10_000 // per watcher
+)
+
+// UsageSink takes the cumulative counters of entries; it acts on the member that leads.
+type UsageSink interface {
+	ReportUsage(ctx context.Context, report *controlpb.UsageReport) (*controlpb.UsageAck, error)
+}
+
+// Config is what a Service works with.
+type Config struct {
+	Group    Group
+	Settings *settings.Module // the module inside the Group's state machine; read under Group.View only
+	Peers    []string         // addresses of the other control members' services
+
+	Usage      UsageSink                              // nil: reports are refused
+	OpenWindow func() uint64                          // nil: 0
+	Fencing    func(backend string) uint64            // nil: 0
+	Shares     ShareFunc                              // nil: equal shares
+	Dial       rpcpool.DialFunc                       // nil: TCP without TLS
+	AddressOf  func(Member) string                    // of a member's service; nil: Member.Address
+	Report     func(backend *controlpb.BackendServer) // nil: none; called for each report at this member
+
+	Incarnation    string
+	FreshnessLimit time.Duration
+	RegistryTTL    time.Duration
+	Logger         *slog.Logger
+}
+
+func (c Config) withDefaults() Config {
+	if c.FreshnessLimit <= 0 {
+		c.FreshnessLimit = DefaultFreshnessLimit
+	}
+	if c.RegistryTTL <= 0 {
+		c.RegistryTTL = DefaultRegistryTTL
+	}
+	if c.OpenWindow == nil {
+		c.OpenWindow = func() uint64 { return 0 }
+	}
+	if c.Fencing == nil {
+		c.Fencing = func(string) uint64 { return 0 }
+	}
+	if c.Shares == nil {
+		c.Shares = EqualShares
+	}
+	if c.AddressOf == nil {
+		c.AddressOf = func(m Member) string { return m.Address }
+	}
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.DiscardHandler)
+	}
+	return c
+}
+
+// Service is one control member's service. It implements controlpb.DRPCControlServer.
+type Service struct {
+	cfg       Config
+	pool      *rpcpool.Pool
+	hub       *hub
+	confirmer *confirmer
+	soft      *softState
+}
+
+// New returns a service that answers once Run is called.
+func New(cfg Config) *Service {
+	cfg = cfg.withDefaults()
+	h := newHub(cfg.Group, cfg.Settings)
+	return &Service{
+		cfg:       cfg,
+		pool:      rpcpool.New(cfg.Dial),
+		hub:       h,
+		confirmer: newConfirmer(cfg.Group, h),
+		soft:      newSoftState(cfg, time.Now()),
+	}
+}
+
+// Run keeps the service going until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	defer s.pool.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	loops := []func(context.Context){s.hub.run, s.confirmer.run, s.housekeep}
+	for _, peer := range s.cfg.Peers {
+		loops = append(loops, func(ctx context.Context) { s.exchangeWith(ctx, peer) })
+	}
+	done := make(chan struct{})
+	for _, loop := range loops {
+		go func() {
+			loop(ctx)
+			done <- struct{}{}
+		}()
+	}
+	for range loops {
+		<-done
+	}
+	return ctx.Err()
+}
+
+// RegisterWith registers the service's calls with a mux, for a listener that serves others as well.
+func (s *Service) RegisterWith(mux *drpcmux.Mux) error {
+	return controlpb.DRPCRegisterControl(mux, s)
+}
+
+// Serve answers calls on lis until ctx ends.
+func (s *Service) Serve(ctx context.Context, lis net.Listener) error {
+	mux := drpcmux.New()
+	if err := s.RegisterWith(mux); err != nil {
+		return errors.Trace(err)
+	}
+	return drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: rpcpool.Options()}).Serve(ctx, lis)
+}
+
+// housekeep lets soft state grow old.
+func (s *Service) housekeep(ctx context.Context) {
+	tick := time.NewTicker(housekeepingInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			s.soft.expire(now)
+		}
+	}
+}
+
+// Propose commits one command, at the leader if another member leads.
+func (s *Service) Propose(ctx context.Context, req *controlpb.ProposeRequest) (*controlpb.ProposeReply, error) {
+	timeout := time.Duration(req.TimeoutMs) * time.Millisecond
+	if timeout <= 0 {
+		timeout = defaultProposeTime
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(timeout, maxProposeTime))
+	defer cancel()
+	data, err := stamp(req.Command)
+	if err != nil {
+		return &controlpb.ProposeReply{Error: err.Error()}, nil
+	}
+	outcome, err := s.cfg.Group.Propose(ctx, data)
+	var notLeader *NotLeaderError
+	if errors.As(err, &notLeader) && !req.Forwarded && notLeader.Leader.ID != "" {
+		return s.forward(ctx, notLeader.Leader, data)
+	}
+	return proposeReply(outcome, err), nil
+}
+
+// stamp adds the wall clock of this member to a command that has none, so that no entry's clock enters the log.
+func stamp(data []byte) ([]byte, error) {
+	if len(data) > maxCommandBytes {
+		return nil, errors.NotValidf("command of %d bytes, above %d,", len(data), maxCommandBytes)
+	}
+	var cmd state.Command
+	if err := json.Unmarshal(data, &cmd); err != nil {
+		return nil, errors.NewNotValid(err, "command")
+	}
+	if cmd.AtMS != 0 {
+		return data, nil
+	}
+	cmd.AtMS = time.Now().UnixMilli()
+	return json.Marshal(cmd)
+}
+
+func proposeReply(outcome Outcome, err error) *controlpb.ProposeReply {
+	if err == nil {
+		return &controlpb.ProposeReply{Index: outcome.Index, Result: outcome.Result}
+	}
+	var notLeader *NotLeaderError
+	return &controlpb.ProposeReply{Error: err.Error(), MayHaveCommitted: !errors.As(err, &notLeader)}
+}
+
+func (s *Service) forward(ctx context.Context, leader Member, data []byte) (*controlpb.ProposeReply, error) {
+	req := &controlpb.ProposeRequest{Command: data, TimeoutMs: untilDeadline(ctx).Milliseconds(), Forwarded: true}
+	var reply *controlpb.ProposeReply
+	err := s.pool.Do(ctx, s.cfg.AddressOf(leader), func(rpc controlpb.DRPCControlClient) error {
+		var err error
+		reply, err = rpc.Propose(ctx, req)
+		return err
+	})
+	if err != nil {
+		sent := !errors.Is(err, rpcpool.ErrNotSent)
+		return &controlpb.ProposeReply{Error: err.Error(), MayHaveCommitted: sent}, nil
+	}
+	return reply, nil
+}
+
+func untilDeadline(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return defaultProposeTime
+	}
+	return max(time.Until(deadline), time.Millisecond)
+}
+
+// ReportUsage takes cumulative counters, at the leader if another member leads.
+func (s *Service) ReportUsage(ctx context.Context, report *controlpb.UsageReport) (*controlpb.UsageAck, error) {
+	if s.cfg.Usage == nil {
+		return nil, errors.NotSupportedf("usage reports")
+	}
+	leader, ok := s.cfg.Group.Leader()
+	if !ok {
+		return nil, &NotLeaderError{}
+	}
+	if leader.ID == s.cfg.Group.Self().ID {
+		return s.cfg.Usage.ReportUsage(ctx, report)
+	}
+	if report.Forwarded {
+		return nil, &NotLeaderError{Leader: leader}
+	}
+	report.Forwarded = true
+	var ack *controlpb.UsageAck
+	err := s.pool.Do(ctx, s.cfg.AddressOf(leader), func(rpc controlpb.DRPCControlClient) error {
+		var err error
+		ack, err = rpc.ReportUsage(ctx, report)
+		return err
+	})
+	return ack, err
+}
--- /dev/null
+++ b/internal/control/soft.go
@@ -0,0 +1,200 @@
+package control
+
+import (
+	"maps"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/member"
+	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/proto/controlpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// ShareFunc divides limits: it returns the part of each organisation's limits that process may grant. The empty
+// organisation stands for all that aren't named.
+type ShareFunc func(processes []member.Process, process string) map[string]float64
+
+// EqualShares gives each entry the same part.
+func EqualShares(processes []member.Process, _ string) map[string]float64 {
+	entries := 0
+	for _, p := range processes {
+		if p.Role == "" || p.Role == "entry" {
+			entries++
+		}
+	}
+	return map[string]float64{"": 1 / float64(max(entries, 1))}
+}
+
+// softState is the registry and the watching processes: what a member knows but doesn't keep.
+type softState struct {
+	cfg Config
+
+	mu        sync.Mutex
+	registry  *member.Registry[*controlpb.BackendServer]
+	processes *member.Processes
+	changed   chan struct{}
+	lastLoad  map[string]time.Time // when watchers last learned a backend server's load
+}
+
+func newSoftState(cfg Config, now time.Time) *softState {
+	return &softState{
+		cfg:       cfg,
+		registry:  member.NewRegistry[*controlpb.BackendServer](cfg.RegistryTTL, now),
+		processes: member.NewProcesses(processMemory * cfg.FreshnessLimit),
+		changed:   make(chan struct{}),
+		lastLoad:  make(map[string]time.Time),
+	}
+}
+
+func (s *softState) changedChannel() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// update runs f and wakes the watchers if it changed the registry.
+func (s *softState) update(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.registry.Version()
+	f()
+	if s.registry.Version() != before {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
+func (s *softState) expire(now time.Time) {
+	s.update(func() {
+		s.registry.Expire(now)
+		s.processes.Expire(now)
+		for id := range s.lastLoad {
+			if _, ok := s.registry.Get(id); !ok {
+				delete(s.lastLoad, id)
+			}
+		}
+	})
+}
+
+// putBackend takes a report of an agent, at first hand or from another member.
+func (s *softState) putBackend(b *controlpb.BackendServer, heard time.Time, first bool) {
+	s.update(func() {
+		material := true
+		if old, ok := s.registry.Get(b.Id); ok {
+			material = isMaterial(old.Report.Detail, b) || s.loadIsDue(old.Report.Detail, b, heard)
+		}
+		report := member.Report[*controlpb.BackendServer]{
+			ID: b.Id, Incarnation: b.Incarnation, StartedMS: b.StartedMs, Sequence: b.Sequence,
+			Lifecycle: member.Lifecycle(b.Lifecycle), Detail: b,
+		}
+		if s.registry.Put(report, heard, first, material) && material {
+			s.lastLoad[b.Id] = heard
+		}
+	})
+}
+
+// isMaterial reports whether anything but load changed.
+func isMaterial(old, b *controlpb.BackendServer) bool {
+	return !proto.Equal(withoutLoad(old), withoutLoad(b))
+}
+
+func withoutLoad(b *controlpb.BackendServer) *controlpb.BackendServer {
+	c := proto.Clone(b).(*controlpb.BackendServer)
+	c.Running, c.Waiting, c.FirstTokenUs, c.TokenIntervalUs, c.Sequence = 0, 0, 0, 0, 0
+	return c
+}
+
+// loadIsDue reports whether a change of load alone is to be passed on: answers bring load sooner anyway.
+func (s *softState) loadIsDue(old, b *controlpb.BackendServer, now time.Time) bool {
+	same := old.Running == b.Running && old.Waiting == b.Waiting
+	return !same && now.Sub(s.lastLoad[b.Id]) >= loadUpdateInterval
+}
+
+// renew takes another member's word that an agent was heard. It returns false where the report itself is needed.
+func (s *softState) renew(r *controlpb.Renewal, heard time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.Renew(r.Id, r.Incarnation, r.Sequence, heard)
+}
+
+func (s *softState) isComplete(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.Complete(now)
+}
+
+// backendsSince returns the backend servers that changed after a registry version, and the version now.
+func (s *softState) backendsSince(version uint64) ([]*controlpb.BackendServer, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.registry.Version()
+	if version == now {
+		return nil, now
+	}
+	var out []*controlpb.BackendServer
+	for _, e := range s.registry.Since(version) {
+		out = append(out, backendOf(e))
+	}
+	return out, now
+}
+
+// backendOf returns the message of an entry with its lifecycle as the registry sees it.
+func backendOf(e member.Entry[*controlpb.BackendServer]) *controlpb.BackendServer {
+	b := e.Report.Detail
+	if b.Lifecycle == string(e.Report.Lifecycle) && b.Sequence == e.Report.Sequence {
+		return b
+	}
+	c := proto.Clone(b).(*controlpb.BackendServer)
+	c.Lifecycle, c.Sequence = string(e.Report.Lifecycle), e.Report.Sequence
+	return c
+}
+
+func (s *softState) putProcess(p member.Process) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.processes.Put(p)
+}
+
+func (s *softState) allProcesses() []member.Process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.processes.All()
+}
+
+func (s *softState) behind(v settings.Version) []member.Process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.processes.Behind(v)
+}
+
+func (s *softState) shares(process string) map[string]float64 {
+	return s.cfg.Shares(s.allProcesses(), process)
+}
+
+func sameShares(a, b map[string]float64) bool { return b != nil && maps.Equal(a, b) }
+
+func sortedNames(m map[string]float64) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func processOf(req *controlpb.WatchRequest, now time.Time) member.Process {
+	return member.Process{
+		ID: req.ProcessId, Incarnation: req.Incarnation, Role: req.Role, Zone: req.Zone, Heard: now, First: true,
+		Version: settings.Version{Epoch: req.HaveEpoch, Version: req.HaveVersion}, Demand: demandOf(req.Demand),
+	}
+}
+
+func demandOf(in []*controlpb.Demand) []member.Demand {
+	out := make([]member.Demand, len(in))
+	for i, d := range in {
+		out[i] = member.Demand{Organisation: d.Organisation, Requests: d.Requests, Tokens: d.Tokens, Running: d.Running}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/control/watch.go
@@ -0,0 +1,211 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/proto/controlpb"
+	"github.com/juju/errors"
+)
+
+// watcher is one open watch.
+type watcher struct {
+	service *Service
+	stream  controlpb.DRPCControl_WatchStream
+	process string // id, after the first request
+
+	mu        sync.Mutex
+	have      settings.Version // in force at the watcher, with all that was sent
+	known     bool             // the first request came
+	confirmed uint64           // newest question that a quorum confirmed
+	confirmAt settings.Version // newest version then
+	heard     time.Time
+	wake      chan struct{}
+
+	registry  uint64 // registry version that was sent
+	complete  bool   // the whole registry was sent
+	lastShare map[string]float64
+}
+
+// Watch serves one watcher until it goes away or says nothing for too long.
+func (s *Service) Watch(stream controlpb.DRPCControl_WatchStream) error {
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	w := &watcher{service: s, stream: stream, heard: time.Now(), wake: make(chan struct{}, 1)}
+	failed := make(chan error, 2)
+	go func() { failed <- w.receive() }()
+	go func() { failed <- w.send(ctx) }()
+	silence := time.NewTicker(clientSilence / 4)
+	defer silence.Stop()
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case now := <-silence.C:
+			if w.silentSince(now) >= clientSilence {
+				return errors.Timeoutf("silence of watcher %q", w.process)
+			}
+		}
+	}
+}
+
+func (w *watcher) silentSince(now time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return now.Sub(w.heard)
+}
+
+func (w *watcher) receive() error {
+	for {
+		req, err := w.stream.Recv()
+		if err != nil {
+			return err
+		}
+		if len(req.Demand) > maxDemandOrganisations {
+			return errors.NotValidf("demand of %d organisations", len(req.Demand))
+		}
+		w.take(req)
+	}
+}
+
+func (w *watcher) take(req *controlpb.WatchRequest) {
+	now := time.Now()
+	w.service.soft.putProcess(processOf(req, now))
+	w.mu.Lock()
+	w.heard = now
+	if !w.known {
+		w.known = true
+		w.process = req.ProcessId
+		w.have = settings.Version{Epoch: req.HaveEpoch, Version: req.HaveVersion}
+	}
+	w.mu.Unlock()
+	w.poke()
+	if req.Query == 0 {
+		return
+	}
+	query := req.Query
+	w.service.confirmer.ask(func(newest settings.Version) { w.confirm(query, newest) })
+}
+
+func (w *watcher) confirm(query uint64, newest settings.Version) {
+	w.mu.Lock()
+	if query > w.confirmed {
+		w.confirmed, w.confirmAt = query, newest
+	}
+	w.mu.Unlock()
+	w.poke()
+}
+
+func (w *watcher) poke() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// send brings the watcher up to date whenever there is something new, and a heartbeat otherwise.
+func (w *watcher) send(ctx context.Context) error {
+	heartbeat := time.NewTimer(heartbeatInterval)
+	defer heartbeat.Stop()
+	for {
+		_, changed := w.service.hub.newest()
+		registryChanged := w.service.soft.changedChannel()
+		update, err := w.next()
+		if err != nil {
+			return err
+		}
+		if update != nil {
+			if err := w.stream.Send(update); err != nil {
+				return err
+			}
+			heartbeat.Reset(heartbeatInterval)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-w.wake:
+		case <-changed:
+		case <-registryChanged:
+		case <-heartbeat.C:
+			if err := w.stream.Send(w.heartbeat()); err != nil {
+				return err
+			}
+			heartbeat.Reset(heartbeatInterval)
+		}
+	}
+}
+
+func (w *watcher) heartbeat() *controlpb.WatchUpdate {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return &controlpb.WatchUpdate{Epoch: w.have.Epoch, Version: w.have.Version, Member: w.service.cfg.Group.Self().ID}
+}
+
+// next returns the update that the watcher needs now, nil for none.
+func (w *watcher) next() (*controlpb.WatchUpdate, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.known {
+		return nil, nil
+	}
+	newest, changes, snapshot, err := w.service.hub.since(w.have)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if w.have.Less(newest) {
+		w.have = newest
+	}
+	u := &controlpb.WatchUpdate{Epoch: w.have.Epoch, Version: w.have.Version, Changes: changes, Snapshot: snapshot}
+	needed := len(changes) > 0 || snapshot != nil
+	// A question is confirmed only once the watcher has at least the version that was the newest then.
+	if w.confirmed != 0 && w.have == newest && !w.have.Less(w.confirmAt) {
+		u.ConfirmedQuery, w.confirmed = w.confirmed, 0
+		needed = true
+	}
+	if w.addRegistry(u, time.Now()) {
+		needed = true
+	}
+	if !needed {
+		return nil, nil
+	}
+	u.Member = w.service.cfg.Group.Self().ID
+	u.OpenWindow = w.service.cfg.OpenWindow()
+	w.addShares(u, time.Now())
+	return u, nil
+}
+
+// addRegistry adds what changed in the registry. The first complete list replaces what the watcher knows; until this
+// member's registry is complete, it only adds to it.
+func (w *watcher) addRegistry(u *controlpb.WatchUpdate, now time.Time) bool {
+	since := w.registry
+	complete := w.service.soft.isComplete(now)
+	if complete && !w.complete {
+		since = 0
+	}
+	backends, version := w.service.soft.backendsSince(since)
+	u.RegistryVersion = version
+	if complete && !w.complete {
+		w.complete, u.BackendsComplete = true, true
+	}
+	u.Backends = backends
+	changed := version != w.registry || u.BackendsComplete
+	w.registry = version
+	return changed
+}
+
+// addShares adds the watcher's shares of limits when it was just confirmed, if they changed.
+func (w *watcher) addShares(u *controlpb.WatchUpdate, now time.Time) {
+	if u.ConfirmedQuery == 0 || !w.service.soft.isComplete(now) {
+		return
+	}
+	shares := w.service.soft.shares(w.process)
+	if sameShares(shares, w.lastShare) {
+		return
+	}
+	w.lastShare = shares
+	for _, organisation := range sortedNames(shares) {
+		u.Shares = append(u.Shares, &controlpb.LimitShare{Organisation: organisation, Share: shares[organisation]})
+	}
+}
--- /dev/null
+++ b/internal/core/member/processes.go
@@ -0,0 +1,82 @@
+package member
+
+import (
+	"sort"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/settings"
+)
+
+// Process is a process that watches the control group.
+type Process struct {
+	ID          string           `json:"id"`
+	Incarnation string           `json:"incarnation"`
+	Role        string           `json:"role"`
+	Zone        string           `json:"zone"`
+	Version     settings.Version `json:"version"` // in force there
+	Heard       time.Time        `json:"heard"`
+	First       bool             `json:"-"` // it watches this member, rather than another one
+	Demand      []Demand         `json:"-"`
+}
+
+// Demand is what one organisation asked of one process lately.
+type Demand struct {
+	Organisation string
+	Requests     uint64
+	Tokens       uint64
+	Running      uint32
+}
+
+// Processes holds the processes that watch any member of the control group.
+type Processes struct {
+	ttl  time.Duration
+	byID map[string]Process
+}
+
+// NewProcesses returns an empty set. A process that is silent for ttl is forgotten; ttl must be above the freshness
+// limit, so that a forgotten process serves no keyed route.
+func NewProcesses(ttl time.Duration) *Processes {
+	return &Processes{ttl: ttl, byID: make(map[string]Process)}
+}
+
+// Put takes news of a process. Older news than what is known is dropped, except for a version: it never falls.
+func (p *Processes) Put(news Process) {
+	old, ok := p.byID[news.ID]
+	if ok && old.Heard.After(news.Heard) {
+		return
+	}
+	if ok && old.Incarnation == news.Incarnation && news.Version.Less(old.Version) {
+		news.Version = old.Version
+	}
+	p.byID[news.ID] = news
+}
+
+// Expire forgets silent processes.
+func (p *Processes) Expire(now time.Time) {
+	for id, proc := range p.byID {
+		if now.Sub(proc.Heard) >= p.ttl {
+			delete(p.byID, id)
+		}
+	}
+}
+
+// All returns the processes sorted by id.
+func (p *Processes) All() []Process {
+	out := make([]Process, 0, len(p.byID))
+	for _, proc := range p.byID {
+		out = append(out, proc)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// Behind returns the processes in which v isn't in force yet, sorted by id.
+func (p *Processes) Behind(v settings.Version) []Process {
+	var out []Process
+	for _, proc := range p.All() {
+		if proc.Version.Less(v) {
+			out = append(out, proc)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/rpcpool/pool.go
@@ -0,0 +1,150 @@
+// Package rpcpool keeps drpc connections to the control members. A drpc connection carries one call at a time, so a
+// pool holds several per address.
+package rpcpool
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/guavastack/guavastack/proto/controlpb"
+	"github.com/juju/errors"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcwire"
+)
+
+const (
+	// MaxMessage is the largest message that a connection takes, in bytes: a snapshot of the settings.
+	MaxMessage = 64 << 20
+	// maxIdle is how many unused connections to an address are kept.
+	maxIdle = 8
+	// idleTime is how long an unused connection is trusted: a longer one may have gone silent unnoticed.
+	idleTime = 5 * time.Second
+	// dialTime bounds the time to connect.
+	dialTime = time.Second
+)
+
+// DialFunc connects to a control member.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// DialTCP is the DialFunc without TLS.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Options are the drpc options of both ends of a connection.
+func Options() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessage}}
+}
+
+// Connect opens one connection.
+func Connect(ctx context.Context, dial DialFunc, address string) (*drpcconn.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTime)
+	defer cancel()
+	conn, err := dial(ctx, address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "connect to %s", address)
+	}
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: Options()}), nil
+}
+
+// Pool is a set of connections. It is safe for concurrent use.
+type Pool struct {
+	dial DialFunc
+
+	mu     sync.Mutex
+	idle   map[string][]idleConn
+	closed bool
+}
+
+type idleConn struct {
+	conn  *drpcconn.Conn
+	since time.Time
+}
+
+// New returns an empty pool.
+func New(dial DialFunc) *Pool {
+	if dial == nil {
+		dial = DialTCP
+	}
+	return &Pool{dial: dial, idle: make(map[string][]idleConn)}
+}
+
+// ErrNotSent says that a call didn't reach the other end.
+const ErrNotSent = errors.ConstError("call not sent")
+
+// Do makes one call to address. A connection is used again only after a call without an error.
+func (p *Pool) Do(ctx context.Context, address string, call func(controlpb.DRPCControlClient) error) error {
+	conn, err := p.take(ctx, address)
+	if err != nil {
+		return errors.WithType(err, ErrNotSent)
+	}
+	if err := call(controlpb.NewDRPCControlClient(conn)); err != nil {
+		_ = conn.Close()
+		return err
+	}
+	p.put(address, conn)
+	return nil
+}
+
+func (p *Pool) take(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	for {
+		conn, ok := p.pop(address)
+		if !ok {
+			return Connect(ctx, p.dial, address)
+		}
+		if time.Since(conn.since) < idleTime && !isClosed(conn.conn) {
+			return conn.conn, nil
+		}
+		_ = conn.conn.Close()
+	}
+}
+
+func isClosed(c *drpcconn.Conn) bool {
+	select {
+	case <-c.Closed():
+		return true
+	default:
+		return false
+	}
+}
+
+func (p *Pool) pop(address string) (idleConn, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return idleConn{}, false
+	}
+	conn := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return conn, true
+}
+
+func (p *Pool) put(address string, conn *drpcconn.Conn) {
+	p.mu.Lock()
+	full := p.closed || len(p.idle[address]) >= maxIdle
+	if !full {
+		p.idle[address] = append(p.idle[address], idleConn{conn: conn, since: time.Now()})
+	}
+	p.mu.Unlock()
+	if full {
+		_ = conn.Close()
+	}
+}
+
+// Close closes the unused connections; those in use close after their call.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle, p.closed = make(map[string][]idleConn), true
+	p.mu.Unlock()
+	for _, list := range idle {
+		for _, c := range list {
+			_ = c.conn.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/watch/client.go
@@ -0,0 +1,215 @@
+// Package watch is what entries and agents know of the control group: settings, keys, the registry of backend
+// servers, shares of limits, and how fresh all that is.
+package watch
+
+import (
+	"context"
+	"hash/fnv"
+	"log/slog"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/member"
+	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/rpcpool"
+	"github.com/guavastack/guavastack/proto/controlpb"
+	"github.com/juju/errors"
+)
+
+// Defaults of Config.
+const (
+	DefaultFreshnessLimit = 5 * time.Second
+	DefaultQueryInterval  = time.Second
+	DefaultSilenceLimit   = 1500 * time.Millisecond
+	DefaultAttemptTimeout = 1500 * time.Millisecond
+)
+
+const (
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = time.Second
+)
+
+// Config says who watches and whom.
+type Config struct {
+	ProcessID   string
+	Incarnation string
+	Role        string // such as entry
+	Zone        string
+	Control     []string // addresses of the control members
+
+	FreshnessLimit time.Duration // how long a confirmed view may be used
+	QueryInterval  time.Duration // between freshness questions
+	SilenceLimit   time.Duration // a member that is silent for longer is left
+	AttemptTimeout time.Duration // of one call to one member
+
+	Dial   rpcpool.DialFunc // nil: TCP without TLS
+	Logger *slog.Logger     // nil: none
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.FreshnessLimit, DefaultFreshnessLimit)
+	setDefault(&c.QueryInterval, DefaultQueryInterval)
+	setDefault(&c.SilenceLimit, DefaultSilenceLimit)
+	setDefault(&c.AttemptTimeout, DefaultAttemptTimeout)
+	if c.Dial == nil {
+		c.Dial = rpcpool.DialTCP
+	}
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.DiscardHandler)
+	}
+	return c
+}
+
+func setDefault(d *time.Duration, v time.Duration) {
+	if *d <= 0 {
+		*d = v
+	}
+}
+
+// firstMember spreads processes over the control members.
+func (c Config) firstMember() int {
+	if len(c.Control) == 0 {
+		return 0
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(c.ProcessID))
+	return int(h.Sum32() % uint32(len(c.Control)))
+}
+
+// Client watches one control member at a time. All methods but Run may be called at any time from anywhere.
+type Client struct {
+	cfg  Config
+	pool *rpcpool.Pool
+
+	tree       atomic.Pointer[settings.Tree]
+	freshUntil atomic.Pointer[time.Time]
+	openWindow atomic.Uint64
+	shares     atomic.Pointer[map[string]float64]
+	backends   atomic.Pointer[[]*controlpb.BackendServer]
+	demand     atomic.Pointer[func() []*controlpb.Demand]
+	leader     atomic.Int64 // index in cfg.Control that answered the last proposal
+
+	mu       sync.Mutex
+	changed  chan struct{}
+	onChange []func()
+}
+
+// New returns a client that knows nothing until Run.
+func New(cfg Config) *Client {
+	cfg = cfg.withDefaults()
+	c := &Client{cfg: cfg, pool: rpcpool.New(cfg.Dial), changed: make(chan struct{})}
+	c.tree.Store(settings.NewTree())
+	c.freshUntil.Store(&time.Time{})
+	c.shares.Store(&map[string]float64{})
+	c.backends.Store(&[]*controlpb.BackendServer{})
+	c.leader.Store(int64(cfg.firstMember()))
+	return c
+}
+
+// Tree returns the newest settings that are known here. The tree never changes.
+func (c *Client) Tree() *settings.Tree { return c.tree.Load() }
+
+// Ready reports whether the settings were confirmed at least once.
+func (c *Client) Ready() bool { return !c.freshUntil.Load().IsZero() }
+
+// Fresh reports whether the settings may be acted on at now: a quorum confirmed them within the freshness limit,
+// counted from when the question was sent.
+func (c *Client) Fresh(now time.Time) bool { return now.Before(*c.freshUntil.Load()) }
+
+// Backends returns the registered backend servers, sorted by id. Nobody may change them.
+func (c *Client) Backends() []*controlpb.BackendServer { return *c.backends.Load() }
+
+// OpenWindow returns the number of the open billing window, 0 while it isn't known.
+func (c *Client) OpenWindow() uint64 { return c.openWindow.Load() }
+
+// Share returns the part of an organisation's limits that this process may grant, 0 to 1.
+func (c *Client) Share(organisation string) float64 {
+	shares := *c.shares.Load()
+	if s, ok := shares[organisation]; ok {
+		return s
+	}
+	if s, ok := shares[""]; ok {
+		return s
+	}
+	return 1
+}
+
+// SetDemand gives the function that reads the demand of the last interval.
+func (c *Client) SetDemand(f func() []*controlpb.Demand) { c.demand.Store(&f) }
+
+// Changed returns a channel that is closed at the next change of settings, keys or registry.
+func (c *Client) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+// OnChange calls f after each change of settings, keys or registry, one call at a time. f must not block.
+func (c *Client) OnChange(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onChange = append(c.onChange, f)
+}
+
+func (c *Client) notify() {
+	c.mu.Lock()
+	close(c.changed)
+	c.changed = make(chan struct{})
+	callbacks := c.onChange[:len(c.onChange):len(c.onChange)]
+	c.mu.Unlock()
+	for _, f := range callbacks {
+		f()
+	}
+}
+
+// Run watches until ctx ends. It moves to the next control member when one goes away, falls silent or can't confirm.
+func (c *Client) Run(ctx context.Context) error {
+	defer c.pool.Close()
+	if len(c.cfg.Control) == 0 {
+		return errors.NotValidf("empty list of control members")
+	}
+	// The view outlives sessions: questions are numbered across them, so that no answer counts for another question.
+	view := member.NewView(c.cfg.FreshnessLimit)
+	backoff := minBackoff
+	for i := c.cfg.firstMember(); ; i++ {
+		address := c.cfg.Control[i%len(c.cfg.Control)]
+		s := &session{client: c, view: view, address: address}
+		err := s.run(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		c.cfg.Logger.Info("leaving control member", "address", address, "error", err)
+		if s.confirmed {
+			backoff = minBackoff
+		}
+		if !pause(ctx, backoff) {
+			return ctx.Err()
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// pause waits for d with jitter; it returns false when ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d/2 + rand.N(d))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// storeBackends keeps the known backend servers in order.
+func (c *Client) storeBackends(byID map[string]*controlpb.BackendServer) {
+	list := make([]*controlpb.BackendServer, 0, len(byID))
+	for _, b := range byID {
+		list = append(list, b)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Id < list[j].Id })
+	c.backends.Store(&list)
+}
--- /dev/null
+++ b/internal/watch/propose.go
@@ -0,0 +1,128 @@
+package watch
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/state"
+	"github.com/guavastack/guavastack/internal/rpcpool"
+	"github.com/guavastack/guavastack/proto/controlpb"
+	"github.com/juju/errors"
+)
+
+// Errors of Propose.
+const (
+	// ErrUnknownOutcome says that the command may have been committed or may yet be.
+	ErrUnknownOutcome = errors.ConstError("the outcome of the command is unknown")
+	// ErrUnavailable says that the command wasn't committed and never will be.
+	ErrUnavailable = errors.ConstError("no control member took the command")
+)
+
+// Propose commits one command and returns its outcome. It goes from one control member to the next until ctx ends.
+// Where one of them may have committed the command, it is sent again only if its module makes that harmless.
+func (c *Client) Propose(ctx context.Context, cmd state.Command) (json.RawMessage, error) {
+	data, err := json.Marshal(cmd)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	first := int(c.leader.Load())
+	var mayHave bool
+	var last error
+	backoff := minBackoff
+	for i := 0; ctx.Err() == nil && len(c.cfg.Control) > 0; i++ {
+		at := (first + i) % len(c.cfg.Control)
+		result, unknown, err := c.proposeTo(ctx, c.cfg.Control[at], data)
+		if err == nil {
+			c.leader.Store(int64(at))
+			return result, nil
+		}
+		last = err
+		mayHave = mayHave || unknown
+		if unknown && !isIdempotent(cmd) {
+			break
+		}
+		if (i+1)%len(c.cfg.Control) == 0 {
+			pause(ctx, backoff)
+			backoff = min(2*backoff, maxBackoff)
+		}
+	}
+	if last == nil {
+		last = context.Cause(ctx)
+	}
+	if mayHave {
+		return nil, errors.WithType(errors.Annotate(last, "propose"), ErrUnknownOutcome)
+	}
+	return nil, errors.WithType(errors.Annotate(last, "propose"), ErrUnavailable)
+}
+
+// isIdempotent reports whether sending a command again gives its first outcome: claims by their request id, settings
+// by their change id.
+func isIdempotent(cmd state.Command) bool {
+	switch cmd.Module {
+	case "claim":
+		return true
+	case "settings":
+		var body struct {
+			ChangeID string `json:"change_id"`
+		}
+		return json.Unmarshal(cmd.Body, &body) == nil && body.ChangeID != ""
+	}
+	return false
+}
+
+// proposeTo sends a command to one member. unknown is true with an error that leaves the outcome open.
+func (c *Client) proposeTo(ctx context.Context, address string, data []byte) (result json.RawMessage, unknown bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.AttemptTimeout)
+	defer cancel()
+	req := &controlpb.ProposeRequest{Command: data, TimeoutMs: remaining(ctx).Milliseconds()}
+	var reply *controlpb.ProposeReply
+	err = c.pool.Do(ctx, address, func(rpc controlpb.DRPCControlClient) error {
+		var err error
+		reply, err = rpc.Propose(ctx, req)
+		return err
+	})
+	if err != nil {
+		return nil, !errors.Is(err, rpcpool.ErrNotSent), err
+	}
+	if reply.Error != "" {
+		return nil, reply.MayHaveCommitted, errors.New(reply.Error)
+	}
+	return reply.Result, false, nil
+}
+
+// remaining returns the time until the deadline of ctx, less what the answer's way back takes.
+func remaining(ctx context.Context) time.Duration {
+	const wayBack = 100 * time.Millisecond
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return DefaultAttemptTimeout
+	}
+	return max(time.Until(deadline)-wayBack, wayBack)
+}
+
+// ReportUsage sends cumulative counters. Sending them again is harmless, so each member is tried.
+func (c *Client) ReportUsage(ctx context.Context, report *controlpb.UsageReport) (*controlpb.UsageAck, error) {
+	first := int(c.leader.Load())
+	var last error
+	for i := range c.cfg.Control {
+		ack, err := c.reportTo(ctx, c.cfg.Control[(first+i)%len(c.cfg.Control)], report)
+		if err == nil {
+			return ack, nil
+		}
+		last = err
+	}
+	return nil, errors.Annotate(last, "report usage")
+}
+
+func (c *Client) reportTo(ctx context.Context, address string, report *controlpb.UsageReport) (*controlpb.UsageAck, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.AttemptTimeout)
+	defer cancel()
+	var ack *controlpb.UsageAck
+	err := c.pool.Do(ctx, address, func(rpc controlpb.DRPCControlClient) error {
+		var err error
+		ack, err = rpc.ReportUsage(ctx, report)
+		return err
+	})
+	return ack, err
+}
--- /dev/null
+++ b/internal/watch/session.go
@@ -0,0 +1,255 @@
+package watch
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/member"
+	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/rpcpool"
+	"github.com/guavastack/guavastack/proto/controlpb"
+	"github.com/juju/errors"
+)
+
+// session is one watch at one control member.
+type session struct {
+	client    *Client
+	view      *member.View
+	address   string
+	confirmed bool
+
+	lastHeard     time.Time
+	lastConfirmed time.Time
+}
+
+// run watches until the member goes away, falls silent or confirms nothing for half of the freshness limit. The
+// connection is closed under the stream, so that one that no longer carries anything can't hold the client.
+func (s *session) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	conn, err := rpcpool.Connect(ctx, s.client.cfg.Dial, s.address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	defer func() { _ = conn.Transport().Close() }()
+
+	questions := make(chan *controlpb.WatchRequest, 1)
+	updates := make(chan *controlpb.WatchUpdate)
+	failed := make(chan error, 2)
+	go func() { failed <- s.exchange(ctx, controlpb.NewDRPCControlClient(conn), questions, updates) }()
+	return s.loop(ctx, questions, updates, failed)
+}
+
+// exchange opens the stream, sends questions and passes updates on. It may hang on a dead connection.
+func (s *session) exchange(ctx context.Context, rpc controlpb.DRPCControlClient, questions <-chan *controlpb.WatchRequest, updates chan<- *controlpb.WatchUpdate) error {
+	stream, err := rpc.Watch(ctx)
+	if err != nil {
+		return errors.Annotate(err, "open watch")
+	}
+	sent := make(chan error, 1)
+	go func() { sent <- sendQuestions(ctx, stream, questions) }()
+	for {
+		update, err := stream.Recv()
+		if err != nil {
+			return errors.Annotate(err, "watch")
+		}
+		select {
+		case updates <- update:
+		case err := <-sent:
+			return errors.Annotate(err, "send question")
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func sendQuestions(ctx context.Context, stream controlpb.DRPCControl_WatchClient, questions <-chan *controlpb.WatchRequest) error {
+	for {
+		select {
+		case q := <-questions:
+			if err := stream.Send(q); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (s *session) loop(ctx context.Context, questions chan *controlpb.WatchRequest, updates <-chan *controlpb.WatchUpdate, failed <-chan error) error {
+	cfg := s.client.cfg
+	s.lastHeard, s.lastConfirmed = time.Now(), time.Now()
+	ask := time.NewTicker(cfg.QueryInterval)
+	defer ask.Stop()
+	watchdog := time.NewTicker(cfg.SilenceLimit / 5)
+	defer watchdog.Stop()
+	questions <- s.question()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-failed:
+			return err
+		case <-ask.C:
+			select {
+			case questions <- s.question():
+			default: // the connection takes nothing; the watchdog decides
+			}
+		case <-watchdog.C:
+			if err := s.check(time.Now()); err != nil {
+				return err
+			}
+		case u := <-updates:
+			s.lastHeard = time.Now()
+			if err := s.take(u); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (s *session) check(now time.Time) error {
+	if now.Sub(s.lastHeard) >= s.client.cfg.SilenceLimit {
+		return errors.Timeoutf("silence of the control member")
+	}
+	if now.Sub(s.lastConfirmed) >= s.client.cfg.FreshnessLimit/2 {
+		return errors.Timeoutf("confirmation by the control member")
+	}
+	return nil
+}
+
+func (s *session) question() *controlpb.WatchRequest {
+	cfg := s.client.cfg
+	have := s.client.Tree().Version()
+	q := &controlpb.WatchRequest{
+		ProcessId: cfg.ProcessID, Incarnation: cfg.Incarnation, Role: cfg.Role, Zone: cfg.Zone,
+		HaveEpoch: have.Epoch, HaveVersion: have.Version,
+		Query: s.view.Ask(time.Now()),
+	}
+	if f := s.client.demand.Load(); f != nil {
+		q.Demand = (*f)()
+	}
+	return q
+}
+
+// take brings one update into force: settings first, then the confirmation that is about them.
+func (s *session) take(u *controlpb.WatchUpdate) error {
+	changed, err := s.takeSettings(u)
+	if err != nil {
+		return err
+	}
+	if s.takeBackends(u) {
+		changed = true
+	}
+	s.takeShares(u)
+	if u.OpenWindow > s.client.openWindow.Load() {
+		s.client.openWindow.Store(u.OpenWindow)
+	}
+	if changed {
+		s.client.notify()
+	}
+	s.takeConfirmation(u)
+	return nil
+}
+
+// takeSettings applies a snapshot or changes. A version never falls: older ones are passed over.
+func (s *session) takeSettings(u *controlpb.WatchUpdate) (bool, error) {
+	tree := s.client.Tree()
+	if len(u.Snapshot) > 0 {
+		next, err := settings.ParseTree(u.Snapshot)
+		if err != nil {
+			return false, errors.Annotate(err, "snapshot")
+		}
+		if tree.Version().Less(next.Version()) {
+			tree = next
+		}
+	}
+	for _, change := range u.Changes {
+		next, err := applyChange(tree, change)
+		if err != nil {
+			return false, err
+		}
+		tree = next
+	}
+	if tree == s.client.Tree() {
+		return false, nil
+	}
+	s.client.tree.Store(tree)
+	return true, nil
+}
+
+// applyChange returns the tree after change, the same tree for a change that it has.
+func applyChange(tree *settings.Tree, change *controlpb.Change) (*settings.Tree, error) {
+	delta, err := settings.ParseDelta(change.Command)
+	if err != nil {
+		return nil, err
+	}
+	have := tree.Version()
+	if !have.Less(delta.Version) {
+		return tree, nil
+	}
+	if have.Epoch != delta.Version.Epoch || have.Version+1 != delta.Version.Version {
+		return nil, errors.NotValidf("gap between versions %s and %s", have, delta.Version)
+	}
+	next, problems := tree.Apply(delta)
+	return next, problems.Err()
+}
+
+// takeConfirmation counts a confirmation only for the very version that is in force here.
+func (s *session) takeConfirmation(u *controlpb.WatchUpdate) {
+	version := settings.Version{Epoch: u.Epoch, Version: u.Version}
+	if u.ConfirmedQuery == 0 || s.client.Tree().Version() != version {
+		return
+	}
+	until := s.view.Confirm(u.ConfirmedQuery)
+	s.client.freshUntil.Store(&until)
+	s.lastConfirmed = time.Now()
+	s.confirmed = true
+}
+
+// takeBackends merges the registry. A backend server that a young member doesn't know yet stays.
+func (s *session) takeBackends(u *controlpb.WatchUpdate) bool {
+	if len(u.Backends) == 0 && !u.BackendsComplete {
+		return false
+	}
+	before := make(map[string]*controlpb.BackendServer)
+	for _, b := range s.client.Backends() {
+		before[b.Id] = b
+	}
+	known := make(map[string]*controlpb.BackendServer)
+	if !u.BackendsComplete {
+		known = maps.Clone(before)
+	}
+	for _, b := range u.Backends {
+		if old, ok := before[b.Id]; ok && isOlder(b, old) {
+			b = old
+		}
+		known[b.Id] = b
+		if b.Lifecycle == string(member.Gone) {
+			delete(known, b.Id)
+		}
+	}
+	s.client.storeBackends(known)
+	return true
+}
+
+// isOlder reports whether b was reported before o: a member that lags can't take back what a watcher has learned.
+func isOlder(b, o *controlpb.BackendServer) bool {
+	if b.StartedMs != o.StartedMs {
+		return b.StartedMs < o.StartedMs
+	}
+	return b.Sequence < o.Sequence
+}
+
+func (s *session) takeShares(u *controlpb.WatchUpdate) {
+	if len(u.Shares) == 0 {
+		return
+	}
+	shares := make(map[string]float64, len(u.Shares))
+	for _, share := range u.Shares {
+		shares[share.Organisation] = share.Share
+	}
+	s.client.shares.Store(&shares)
+}
