watch: shares of limits as intervals by recent demand

Shares come from limit.Shares over the entries that any member hears; a young member sends none, so that a restart of the control group gives nothing away twice. A share ages from the send time of the confirmed question.

--- a/internal/control/controltest/cluster.go
+++ b/internal/control/controltest/cluster.go
@@ -122,7 +122,7 @@
 	m.wake()
 	c.catchUp()
 	if m.lose {
-		return control.Outcome{}, &control.UnknownOutcomeError{Cause: errors.Timeoutf("answer")}
+		return control.Outcome{}, errors.Timeoutf("answer")
 	}
 	return control.Outcome{Index: uint64(m.applied), Result: result}, err
 }
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"encoding/json"
+
+	"github.com/guavastack/guavastack/internal/core/verdict"
 )
 
 // Outcome is what became of a command that was applied.
@@ -21,7 +23,8 @@
 
 // Group is the replicated log as this package needs it.
 type Group interface {
-	// Propose commits a command; on a member that doesn't lead it fails with a NotLeaderError.
+	// Propose commits a command; on a member that doesn't lead it fails with a NotLeaderError. After an error with
+	// the verdict NotRun the command never will be committed; after any other it may be.
 	Propose(ctx context.Context, data []byte) (Outcome, error)
 	// ReadIndex returns an index that no earlier answered command is above, confirmed by a quorum after the call began.
 	ReadIndex(ctx context.Context) (uint64, error)
@@ -50,13 +53,7 @@
 	return "the leader is " + e.Leader.ID
 }
 
-// UnknownOutcomeError says that a command may have been committed or may yet be.
-type UnknownOutcomeError struct{ Cause error }
-
-// Error returns the cause.
-func (e *UnknownOutcomeError) Error() string {
-	return "the outcome of the command is unknown: " + e.Cause.Error()
+// Unwrap returns the verdict that nothing was committed.
+func (e *NotLeaderError) Unwrap() error {
+	return &verdict.Error{Verdict: verdict.NotRun, Code: "not_leader", Message: e.Error()}
 }
-
-// Unwrap returns the cause.
-func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/core/state"
+	"github.com/guavastack/guavastack/internal/core/verdict"
 	"github.com/guavastack/guavastack/internal/rpcpool"
 	"github.com/guavastack/guavastack/proto/controlpb"
 	"github.com/juju/errors"
@@ -50,7 +51,6 @@
 	Usage      UsageSink                              // nil: reports are refused
 	OpenWindow func() uint64                          // nil: 0
 	Fencing    func(backend string) uint64            // nil: 0
-	Shares     ShareFunc                              // nil: equal shares
 	Dial       rpcpool.DialFunc                       // nil: TCP without TLS
 	AddressOf  func(Member) string                    // of a member's service; nil: Member.Address
 	Report     func(backend *controlpb.BackendServer) // nil: none; called for each report at this member
@@ -74,9 +74,6 @@
 	if c.Fencing == nil {
 		c.Fencing = func(string) uint64 { return 0 }
 	}
-	if c.Shares == nil {
-		c.Shares = EqualShares
-	}
 	if c.AddressOf == nil {
 		c.AddressOf = func(m Member) string { return m.Address }
 	}
@@ -198,8 +195,7 @@
 	if err == nil {
 		return &controlpb.ProposeReply{Index: outcome.Index, Result: outcome.Result}
 	}
-	var notLeader *NotLeaderError
-	return &controlpb.ProposeReply{Error: err.Error(), MayHaveCommitted: !errors.As(err, &notLeader)}
+	return &controlpb.ProposeReply{Error: err.Error(), MayHaveCommitted: verdict.Of(err) != verdict.NotRun}
 }
 
 func (s *Service) forward(ctx context.Context, leader Member, data []byte) (*controlpb.ProposeReply, error) {
--- /dev/null
+++ b/internal/control/shares.go
@@ -0,0 +1,54 @@
+package control
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/guavastack/guavastack/internal/core/limit"
+	"github.com/guavastack/guavastack/internal/core/member"
+	"github.com/guavastack/guavastack/proto/controlpb"
+)
+
+// roleEntry is the role whose processes share limits.
+const roleEntry = "entry"
+
+// sharesOf returns the shares of one entry in each organisation's limits, by the recent demand at all entries. The
+// empty organisation stands for those without demand.
+func sharesOf(processes []member.Process, id string) map[string]limit.Share {
+	idle := make(map[string]float64)
+	demand := make(map[string]map[string]float64) // by organisation and entry
+	for _, p := range processes {
+		if p.Role != roleEntry {
+			continue
+		}
+		idle[p.ID] = 0
+		for _, d := range p.Demand {
+			if demand[d.Organisation] == nil {
+				demand[d.Organisation] = make(map[string]float64)
+			}
+			demand[d.Organisation][p.ID] = float64(d.Requests) + float64(d.Running)
+		}
+	}
+	if _, ok := idle[id]; !ok {
+		return nil
+	}
+	shares := map[string]limit.Share{"": limit.Shares(idle)[id]}
+	for organisation, byEntry := range demand {
+		all := maps.Clone(idle)
+		maps.Copy(all, byEntry)
+		shares[organisation] = limit.Shares(all)[id]
+	}
+	return shares
+}
+
+// shareMessages returns the sent form of shares, in order of their names.
+func shareMessages(shares map[string]limit.Share) []*controlpb.LimitShare {
+	var out []*controlpb.LimitShare
+	for _, organisation := range slices.Sorted(maps.Keys(shares)) {
+		s := shares[organisation]
+		out = append(out, &controlpb.LimitShare{
+			Organisation: organisation, From: s.From, To: s.To, FloorFrom: s.FloorFrom, FloorTo: s.FloorTo,
+		})
+	}
+	return out
+}
--- a/internal/control/soft.go
+++ b/internal/control/soft.go
@@ -1,32 +1,16 @@
 package control
 
 import (
-	"maps"
-	"sort"
 	"sync"
 	"time"
 
+	"github.com/guavastack/guavastack/internal/core/limit"
 	"github.com/guavastack/guavastack/internal/core/member"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/proto/controlpb"
 	"google.golang.org/protobuf/proto"
 )
 
-// ShareFunc divides limits: it returns the part of each organisation's limits that process may grant. The empty
-// organisation stands for all that aren't named.
-type ShareFunc func(processes []member.Process, process string) map[string]float64
-
-// EqualShares gives each entry the same part.
-func EqualShares(processes []member.Process, _ string) map[string]float64 {
-	entries := 0
-	for _, p := range processes {
-		if p.Role == "" || p.Role == "entry" {
-			entries++
-		}
-	}
-	return map[string]float64{"": 1 / float64(max(entries, 1))}
-}
-
 // softState is the registry and the watching processes: what a member knows but doesn't keep.
 type softState struct {
 	cfg Config
@@ -42,7 +26,7 @@
 	return &softState{
 		cfg:       cfg,
 		registry:  member.NewRegistry[*controlpb.BackendServer](cfg.RegistryTTL, now),
-		processes: member.NewProcesses(processMemory * cfg.FreshnessLimit),
+		processes: member.NewProcesses(processMemory*cfg.FreshnessLimit, limit.ShareLifetime),
 		changed:   make(chan struct{}),
 		lastLoad:  make(map[string]time.Time),
 	}
@@ -163,25 +147,10 @@
 	return s.processes.All()
 }
 
-func (s *softState) behind(v settings.Version) []member.Process {
+func (s *softState) behind(v settings.Version, now time.Time) []member.Process {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.processes.Behind(v)
-}
-
-func (s *softState) shares(process string) map[string]float64 {
-	return s.cfg.Shares(s.allProcesses(), process)
-}
-
-func sameShares(a, b map[string]float64) bool { return b != nil && maps.Equal(a, b) }
-
-func sortedNames(m map[string]float64) []string {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
+	return s.processes.Behind(v, now)
 }
 
 func processOf(req *controlpb.WatchRequest, now time.Time) member.Process {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -14,7 +14,7 @@
 
 // Behind returns the processes in which v isn't in force yet. A process that fell silent counts until it can't serve
 // keyed routes any more.
-func (s *Service) Behind(v settings.Version) []member.Process { return s.soft.behind(v) }
+func (s *Service) Behind(v settings.Version) []member.Process { return s.soft.behind(v, time.Now()) }
 
 // Backends returns the registered backend servers, those that are gone included for a while.
 func (s *Service) Backends() []*controlpb.BackendServer {
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
+	"github.com/guavastack/guavastack/internal/core/limit"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/proto/controlpb"
 	"github.com/juju/errors"
@@ -26,7 +28,7 @@
 
 	registry  uint64 // registry version that was sent
 	complete  bool   // the whole registry was sent
-	lastShare map[string]float64
+	lastShare map[string]limit.Share
 }
 
 // Watch serves one watcher until it goes away or says nothing for too long.
@@ -200,12 +202,11 @@
 	if u.ConfirmedQuery == 0 || !w.service.soft.isComplete(now) {
 		return
 	}
-	shares := w.service.soft.shares(w.process)
-	if sameShares(shares, w.lastShare) {
+	shares := sharesOf(w.service.soft.allProcesses(), w.process)
+	u.SharesCurrent = shares != nil
+	if maps.Equal(shares, w.lastShare) {
 		return
 	}
 	w.lastShare = shares
-	for _, organisation := range sortedNames(shares) {
-		u.Shares = append(u.Shares, &controlpb.LimitShare{Organisation: organisation, Share: shares[organisation]})
-	}
+	u.Shares = shareMessages(shares)
 }
--- a/internal/core/member/processes.go
+++ b/internal/core/member/processes.go
@@ -29,14 +29,15 @@
 
 // Processes holds the processes that watch any member of the control group.
 type Processes struct {
-	ttl  time.Duration
-	byID map[string]Process
+	stale  time.Duration
+	memory time.Duration
+	byID   map[string]Process
 }
 
-// NewProcesses returns an empty set. A process that is silent for ttl is forgotten; ttl must be above the freshness
-// limit, so that a forgotten process serves no keyed route.
-func NewProcesses(ttl time.Duration) *Processes {
-	return &Processes{ttl: ttl, byID: make(map[string]Process)}
+// NewProcesses returns an empty set. A process that is silent for stale no longer counts as behind; stale must be above
+// the freshness limit, so that such a process serves no keyed route. After memory it is forgotten.
+func NewProcesses(stale, memory time.Duration) *Processes {
+	return &Processes{stale: stale, memory: max(stale, memory), byID: make(map[string]Process)}
 }
 
 // Put takes news of a process. Older news than what is known is dropped, except for a version: it never falls.
@@ -54,7 +55,7 @@
 // Expire forgets silent processes.
 func (p *Processes) Expire(now time.Time) {
 	for id, proc := range p.byID {
-		if now.Sub(proc.Heard) >= p.ttl {
+		if now.Sub(proc.Heard) >= p.memory {
 			delete(p.byID, id)
 		}
 	}
@@ -71,10 +72,10 @@
 }
 
 // Behind returns the processes in which v isn't in force yet, sorted by id.
-func (p *Processes) Behind(v settings.Version) []Process {
+func (p *Processes) Behind(v settings.Version, now time.Time) []Process {
 	var out []Process
 	for _, proc := range p.All() {
-		if proc.Version.Less(v) {
+		if proc.Version.Less(v) && now.Sub(proc.Heard) < p.stale {
 			out = append(out, proc)
 		}
 	}
--- a/internal/watch/client.go
+++ b/internal/watch/client.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/guavastack/guavastack/internal/core/limit"
 	"github.com/guavastack/guavastack/internal/core/member"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/rpcpool"
@@ -87,7 +88,7 @@
 	tree       atomic.Pointer[settings.Tree]
 	freshUntil atomic.Pointer[time.Time]
 	openWindow atomic.Uint64
-	shares     atomic.Pointer[map[string]float64]
+	shares     atomic.Pointer[heldShares]
 	backends   atomic.Pointer[[]*controlpb.BackendServer]
 	demand     atomic.Pointer[func() []*controlpb.Demand]
 	leader     atomic.Int64 // index in cfg.Control that answered the last proposal
@@ -103,7 +104,7 @@
 	c := &Client{cfg: cfg, pool: rpcpool.New(cfg.Dial), changed: make(chan struct{})}
 	c.tree.Store(settings.NewTree())
 	c.freshUntil.Store(&time.Time{})
-	c.shares.Store(&map[string]float64{})
+	c.shares.Store(&heldShares{})
 	c.backends.Store(&[]*controlpb.BackendServer{})
 	c.leader.Store(int64(cfg.firstMember()))
 	return c
@@ -125,16 +126,27 @@
 // OpenWindow returns the number of the open billing window, 0 while it isn't known.
 func (c *Client) OpenWindow() uint64 { return c.openWindow.Load() }
 
-// Share returns the part of an organisation's limits that this process may grant, 0 to 1.
-func (c *Client) Share(organisation string) float64 {
-	shares := *c.shares.Load()
-	if s, ok := shares[organisation]; ok {
-		return s
+// heldShares are this process's shares of limits, as of a time.
+type heldShares struct {
+	byOrganisation map[string]limit.Share
+	at             time.Time
+}
+
+// Share returns the part of an organisation's limits that this process may grant. Before any share is known it is the
+// whole; a share that wasn't confirmed for limit.ShareLifetime shrinks to its floor.
+func (c *Client) Share(organisation string) limit.Share {
+	held := c.shares.Load()
+	share, ok := held.byOrganisation[organisation]
+	if !ok {
+		share, ok = held.byOrganisation[""]
+	}
+	if !ok {
+		return limit.Whole
 	}
-	if s, ok := shares[""]; ok {
-		return s
+	if time.Since(held.at) > limit.ShareLifetime {
+		share.From, share.To = share.FloorFrom, share.FloorTo
 	}
-	return 1
+	return share
 }
 
 // SetDemand gives the function that reads the demand of the last interval.
--- a/internal/watch/session.go
+++ b/internal/watch/session.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"github.com/guavastack/guavastack/internal/core/limit"
 	"github.com/guavastack/guavastack/internal/core/member"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/rpcpool"
@@ -143,14 +144,15 @@
 	if s.takeBackends(u) {
 		changed = true
 	}
-	s.takeShares(u)
 	if u.OpenWindow > s.client.openWindow.Load() {
 		s.client.openWindow.Store(u.OpenWindow)
 	}
 	if changed {
 		s.client.notify()
 	}
-	s.takeConfirmation(u)
+	if s.takeConfirmation(u) {
+		s.takeShares(u)
+	}
 	return nil
 }
 
@@ -198,15 +200,16 @@
 }
 
 // takeConfirmation counts a confirmation only for the very version that is in force here.
-func (s *session) takeConfirmation(u *controlpb.WatchUpdate) {
+func (s *session) takeConfirmation(u *controlpb.WatchUpdate) bool {
 	version := settings.Version{Epoch: u.Epoch, Version: u.Version}
 	if u.ConfirmedQuery == 0 || s.client.Tree().Version() != version {
-		return
+		return false
 	}
 	until := s.view.Confirm(u.ConfirmedQuery)
 	s.client.freshUntil.Store(&until)
 	s.lastConfirmed = time.Now()
 	s.confirmed = true
+	return true
 }
 
 // takeBackends merges the registry. A backend server that a young member doesn't know yet stays.
@@ -243,13 +246,19 @@
 	return b.Sequence < o.Sequence
 }
 
+// takeShares notes the shares as of when the confirmed question was sent.
 func (s *session) takeShares(u *controlpb.WatchUpdate) {
-	if len(u.Shares) == 0 {
+	if !u.SharesCurrent {
 		return
 	}
-	shares := make(map[string]float64, len(u.Shares))
-	for _, share := range u.Shares {
-		shares[share.Organisation] = share.Share
+	held := heldShares{byOrganisation: s.client.shares.Load().byOrganisation, at: s.client.freshUntil.Load().Add(-s.client.cfg.FreshnessLimit)}
+	if len(u.Shares) > 0 {
+		held.byOrganisation = make(map[string]limit.Share, len(u.Shares))
+		for _, share := range u.Shares {
+			held.byOrganisation[share.Organisation] = limit.Share{
+				From: share.From, To: share.To, FloorFrom: share.FloorFrom, FloorTo: share.FloorTo,
+			}
+		}
 	}
-	s.client.shares.Store(&shares)
+	s.client.shares.Store(&held)
 }
