Carry a streamed answer from a stand-in engine through agent and link

Cause: the entry needs a link client to code against. Change: link.Pool and link.Server over one drpc stream, the agent's loop on internal/core/sched, clients of engines and services, stand-ins. The test sends one request over real TCP and checks events, usage and end.

--- /dev/null
+++ b/internal/agent/config.go
@@ -0,0 +1,137 @@
+// Package agent is the role beside a backend server: the only gate to it.
+//
+// An Agent queues and orders requests by internal/core/sched, runs them at its backend server, keeps their answers
+// for a bounded time so that a lost link can be resumed, and has the last word on whether a request has run.
+// One goroutine owns the scheduler and the table of requests; calls to the backend server run in goroutines that
+// report to it.
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/guavastack/guavastack/internal/backend"
+)
+
+// BackendKind says what a backend server is.
+type BackendKind string
+
+const (
+	// KindEngine is a model engine.
+	KindEngine BackendKind = "engine"
+	// KindService is a plain service.
+	KindService BackendKind = "service"
+)
+
+// BackendConfig describes the backend server.
+type BackendConfig struct {
+	Kind          BackendKind
+	URL           string
+	Model         string // or the service's name
+	Version       string
+	Adapters      []string
+	Role          string
+	Slots         int  // batch size at the start
+	MaxSlots      int  // upper bound of the learned batch size; 0: Slots
+	Resumable     bool // an engine that resumes streams
+	ChecksFencing bool // refuses orders with an old fencing number by itself
+	SilentAfter   time.Duration
+	StallTimeout  time.Duration
+}
+
+// Config holds the settings of an Agent. Zero values take their defaults.
+type Config struct {
+	ID            string
+	Incarnation   string // differs for every start; empty: a new one
+	Zone          string
+	Listen        string       // IP and port for the links of entries
+	Advertise     string       // address that entries dial; empty: the listener's
+	Listener      net.Listener // in place of Listen
+	Backend       BackendConfig
+	QueueLimit    int
+	BufferBytes   int           // of one answer
+	KeepBytes     int           // of all finished answers
+	KeepFor       time.Duration // that a finished answer can be fetched again
+	OrphanTimeout time.Duration // a request without its entry is cancelled after it
+	LinkSilence   time.Duration // a link that brought nothing for so long while it has requests is closed
+	TLS           *tls.Config
+	AllowedPeers  []netip.Prefix
+	Dial          func(ctx context.Context, network, addr string) (net.Conn, error) // to the backend server
+	Logger        *slog.Logger
+	Metrics       metrics.Registry
+}
+
+const (
+	defaultSlots         = 8
+	defaultQueueLimit    = 256
+	defaultBufferBytes   = 1 << 20
+	defaultKeepBytes     = 8 << 20
+	defaultKeepFor       = 60 * time.Second
+	defaultOrphanTimeout = 10 * time.Second
+	defaultLinkSilence   = 4 * time.Second
+)
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Incarnation, uuid.NewString())
+	setDefault(&c.Backend.Slots, defaultSlots)
+	setDefault(&c.QueueLimit, defaultQueueLimit)
+	setDefault(&c.BufferBytes, defaultBufferBytes)
+	setDefault(&c.KeepBytes, defaultKeepBytes)
+	setDefault(&c.KeepFor, defaultKeepFor)
+	setDefault(&c.OrphanTimeout, defaultOrphanTimeout)
+	setDefault(&c.LinkSilence, defaultLinkSilence)
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.NewJSONHandler(io.Discard, nil))
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
+	}
+	return c
+}
+
+// setDefault gives *v a value where it has none.
+func setDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
+// validate names the first setting that is wrong.
+func (c Config) validate() error {
+	switch {
+	case c.ID == "":
+		return errors.NotValidf("id: empty agent id")
+	case c.Listen == "" && c.Listener == nil:
+		return errors.NotValidf("listen: empty address")
+	case c.Backend.URL == "":
+		return errors.NotValidf("backend.url: empty URL")
+	case c.Backend.Kind != KindEngine && c.Backend.Kind != KindService:
+		return errors.NotValidf("backend.kind: %q, expected engine or service", c.Backend.Kind)
+	}
+	return nil
+}
+
+// newBackend returns the client of the backend server.
+func (c Config) newBackend() backend.Backend {
+	cfg := backend.Config{
+		URL:          c.Backend.URL,
+		Resumable:    c.Backend.Resumable,
+		SilentAfter:  c.Backend.SilentAfter,
+		StallTimeout: c.Backend.StallTimeout,
+		Dial:         c.Dial,
+	}
+	if c.Backend.Kind == KindService {
+		return backend.NewService(cfg)
+	}
+	return backend.NewEngine(cfg)
+}
--- /dev/null
+++ b/internal/agent/harness_test.go
@@ -0,0 +1,160 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/guavastack/guavastack/internal/core/verdict"
+	"github.com/guavastack/guavastack/internal/link"
+	"github.com/guavastack/guavastack/proto/linkpb"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// outcome is how a request ended.
+type outcome struct {
+	end     *linkpb.End
+	refused *linkpb.Refused
+	lost    error
+	verdict verdict.Verdict
+	body    string
+	status  uint32
+}
+
+// recorder is a link.Handler that grants what it takes and keeps the answer.
+type recorder struct {
+	mu      sync.Mutex
+	call    *link.Call
+	body    []byte
+	status  uint32
+	events  int
+	onEvent func(n int)
+	hold    bool // grants nothing
+	started chan struct{}
+	ready   chan struct{} // closed once call is set
+	done    chan outcome
+}
+
+func newRecorder() *recorder {
+	return &recorder{started: make(chan struct{}, 8), ready: make(chan struct{}), done: make(chan outcome, 1)}
+}
+
+func (r *recorder) Started(*linkpb.Started)   { r.started <- struct{}{} }
+func (r *recorder) Load(string, *linkpb.Load) {}
+
+func (r *recorder) Event(e *linkpb.Event) {
+	<-r.ready
+	r.mu.Lock()
+	r.body = append(r.body, e.Data...)
+	if e.Head != nil {
+		r.status = e.Head.Status
+	}
+	r.events++
+	n, f := r.events, r.onEvent
+	r.mu.Unlock()
+	if !r.hold {
+		r.call.Grant(uint32(len(e.Data)))
+	}
+	if f != nil {
+		f(n)
+	}
+}
+
+func (r *recorder) finish(o outcome) {
+	r.mu.Lock()
+	o.body, o.status = string(r.body), r.status
+	r.mu.Unlock()
+	r.done <- o
+}
+
+func (r *recorder) End(e *linkpb.End) { r.finish(outcome{end: e, verdict: link.VerdictOf(e.Verdict)}) }
+
+func (r *recorder) Refused(f *linkpb.Refused) {
+	r.finish(outcome{refused: f, verdict: link.VerdictOf(f.Verdict)})
+}
+func (r *recorder) Lost(v verdict.Verdict, err error) { r.finish(outcome{lost: err, verdict: v}) }
+
+// startAgent serves cfg until the test ends, and returns once the backend server is reached.
+func startAgent(t testing.TB, cfg Config) *Agent {
+	t.Helper()
+	if cfg.ID == "" {
+		cfg.ID = "agent-1"
+	}
+	if cfg.Listener == nil {
+		cfg.Listen = "127.0.0.1:0"
+	}
+	a, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- a.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-stopped; err != nil {
+			t.Errorf("Run: %v", err)
+		}
+	})
+	waitUp(t, a)
+	return a
+}
+
+// waitUp asks the loop until the backend server is reached.
+func waitUp(t testing.TB, a *Agent) {
+	t.Helper()
+	for up := false; !up; {
+		if err := a.ask(context.Background(), func(time.Time) { up = a.up }); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// serveHTTP serves h on loopback and returns its URL.
+func serveHTTP(t testing.TB, h http.Handler) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+func newPool(t testing.TB, id string, dial func(context.Context, string, string) (net.Conn, error)) *link.Pool {
+	p := link.NewPool(link.Config{EntryID: id, Incarnation: id + "-1", Dial: dial})
+	t.Cleanup(p.Close)
+	return p
+}
+
+// chat is a streamed chat request of n tokens.
+func chat(id string, n string) *linkpb.Submit {
+	return &linkpb.Submit{
+		RequestId:    id,
+		Attempt:      1,
+		Organisation: "camurca",
+		Class:        "chat",
+		Tier:         1,
+		Repeatable:   true,
+		Stream:       true,
+		Model:        "standin",
+		Method:       "POST",
+		Path:         "/v1/chat/completions",
+		Headers:      []*linkpb.Header{{Name: "Content-Type", Value: "application/json"}},
+		Body:         []byte(`{"model":"standin","stream":true,"max_tokens":` + n + `,"messages":[{"role":"user","content":"` + "count" + `"}]}`),
+		Credit:       1 << 16,
+	}
+}
+
+func submit(t testing.TB, p *link.Pool, addr string, s *linkpb.Submit, r *recorder) {
+	t.Helper()
+	call, err := p.Submit(context.Background(), addr, s, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.call = call
+	close(r.ready)
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -79,7 +79,7 @@
 	Cancel(ctx context.Context, id string) error
 	// Running lists the work of an owner, by the beginning of its name; nil where the backend server cannot tell.
 	Running(ctx context.Context, owner string) ([]Running, error)
-	// Load returns the load that the backend server reports.
+	// Load returns the load that the backend server reports; it fails when the backend server is out of reach.
 	Load(ctx context.Context) (Load, error)
 	// Order gives an order.
 	Order(ctx context.Context, o Order) error
@@ -172,6 +172,11 @@
 	return list
 }
 
+const (
+	codeCut         = "answer_cut"
+	codeUnreachable = "backend_unreachable"
+)
+
 // failure returns err with its verdict: NotRun where nothing was sent.
 func failure(sent bool, code string, err error) *verdict.Error {
 	v := verdict.MayHaveRun
--- a/internal/backend/call.go
+++ b/internal/backend/call.go
@@ -44,7 +44,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, failure(sent.Load(), "backend_unreachable", err)
+		return nil, failure(sent.Load(), codeUnreachable, err)
 	}
 	return resp, nil
 }
@@ -72,7 +72,7 @@
 			return nil
 		}
 		if err != nil {
-			return failure(true, "answer_cut", err)
+			return failure(true, codeCut, err)
 		}
 	}
 }
@@ -85,3 +85,12 @@
 func errNoLength() error {
 	return verdict.New(verdict.MayHaveRun, "answer_without_length", "answer of the backend server has neither length nor chunks")
 }
+
+// forwarded are the headers of a caller that a backend server may see.
+var forwarded = map[string]bool{
+	"Accept": true, "Accept-Language": true, "Content-Type": true, "Content-Language": true, "Idempotency-Key": true,
+	"If-Match": true, "If-None-Match": true, "Traceparent": true, "Tracestate": true, "User-Agent": true,
+}
+
+// MayForward reports whether the header of that name may go to a backend server. Keys and cookies never do.
+func MayForward(name string) bool { return forwarded[http.CanonicalHeaderKey(name)] }
--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -24,6 +25,8 @@
 	maxStreamResumes = 3
 	// maxControlBytes bounds the answers to small calls.
 	maxControlBytes = 1 << 20
+	// eventPrefix begins the data line of an event.
+	eventPrefix = "data: "
 	// doneMark is the data of the last event of a stream.
 	doneMark = "[DONE]"
 )
@@ -77,7 +80,13 @@
 // brokenError says that a connection to the engine broke while the engine may go on.
 type brokenError struct{ cause error }
 
-func (b *brokenError) Error() string { return b.cause.Error() }
+// Error returns the text of the cause.
+func (b *brokenError) Error() string {
+	if b.cause == nil {
+		return "connection to the engine broke"
+	}
+	return b.cause.Error()
+}
 
 // stream is one answer in the making.
 type stream struct {
@@ -88,6 +97,7 @@
 	pieces  int
 	headed  bool
 	done    bool
+	resumed bool // the request left on an earlier connection
 	failed  bool // the engine has answered with an error
 }
 
@@ -102,6 +112,7 @@
 }
 
 func (s *stream) resume(ctx context.Context) error {
+	s.resumed = true
 	query := url.Values{"id": {s.request.ID}, "from": {strconv.Itoa(s.pieces)}}
 	return s.read(ctx, s.engine.control, http.MethodGet, "/resume?"+query.Encode(), nil, nil)
 }
@@ -148,14 +159,21 @@
 // broken marks errors after which the engine may still be at work on the request.
 func (s *stream) broken(ctx context.Context, err error) error {
 	var e *verdict.Error
-	if err == nil || !errors.As(err, &e) || e.Verdict != verdict.MayHaveRun {
+	if !errors.As(err, &e) || (e.Code != codeCut && e.Code != codeUnreachable) {
 		return err
 	}
-	if cause := context.Cause(ctx); cause != nil {
-		e.Cause = cause
+	cause := e.Cause
+	if why := context.Cause(ctx); why != nil {
+		cause = why
+	}
+	v := e.Verdict
+	if s.resumed {
+		v = verdict.MayHaveRun
 	}
-	e.Cause = &brokenError{e}
-	return &verdict.Error{Verdict: e.Verdict, Code: e.Code, Message: e.Message, Cause: &brokenError{e.Cause}}
+	if v == verdict.MayHaveRun {
+		cause = &brokenError{cause}
+	}
+	return &verdict.Error{Verdict: v, Code: e.Code, Message: e.Message, Cause: cause}
 }
 
 // events passes on the events of a stream up to its last one.
@@ -166,33 +184,32 @@
 	var buf []byte
 	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: s.engine.cfg.MaxEventBytes}) {
 		if err != nil {
-			return failure(true, "answer_cut", err)
+			return failure(true, codeCut, err)
 		}
 		alive()
 		if event.Data == doneMark {
 			s.done = true
 			return s.put([]byte("data: [DONE]\n\n"), 0)
 		}
-		tokens, err := s.inspect(event.Data)
+		buf = append(buf[:0], eventPrefix...)
+		buf = append(buf, event.Data...)
+		tokens, err := s.inspect(buf[len(eventPrefix):])
 		if err != nil {
 			return err
 		}
-		buf = append(buf[:0], "data: "...)
-		buf = append(buf, event.Data...)
 		buf = append(buf, "\n\n"...)
 		if err := s.put(buf, tokens); err != nil {
 			return err
 		}
 		s.pieces++
 	}
-	return verdict.New(verdict.MayHaveRun, "answer_cut", "stream of the engine ended without its last event")
+	return verdict.New(verdict.MayHaveRun, codeCut, "stream of the engine ended without its last event")
 }
 
 func (s *stream) put(data []byte, tokens int) error {
 	if err := s.sink.Data(data, tokens); err != nil {
 		return errors.Wrap(err, ErrSink)
 	}
-	s.usage.Output = max(s.usage.Output, 0)
 	return nil
 }
 
@@ -211,8 +228,7 @@
 }
 
 func isEventStream(resp *http.Response) bool {
-	t := resp.Header.Get("Content-Type")
-	return len(t) >= 17 && t[:17] == "text/event-stream"
+	return strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 }
 
 // Cancel ends the work on a request.
--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/url"
 	"time"
 
 	"github.com/juju/errors"
@@ -60,8 +61,20 @@
 // Running returns nothing: a service cannot tell.
 func (s *Service) Running(context.Context, string) ([]Running, error) { return nil, nil }
 
-// Load returns nothing: a service does not report its load by itself.
-func (s *Service) Load(context.Context) (Load, error) { return Load{}, nil }
+// Load makes sure that the service takes connections; it does not report its load by itself.
+func (s *Service) Load(ctx context.Context) (Load, error) {
+	u, err := url.Parse(s.cfg.URL)
+	if err != nil {
+		return Load{}, errors.Annotate(err, "URL of the service")
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.DialTimeout)
+	defer cancel()
+	conn, err := s.cfg.Dial(ctx, "tcp", u.Host)
+	if err != nil {
+		return Load{}, errors.Annotate(err, "reach the service")
+	}
+	return Load{}, errors.Trace(conn.Close())
+}
 
 // Order is not supported.
 func (s *Service) Order(context.Context, Order) error {
--- a/internal/backend/usage.go
+++ b/internal/backend/usage.go
@@ -1,9 +1,9 @@
 package backend
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
-	"strings"
 
 	"github.com/guavastack/guavastack/internal/core/verdict"
 )
@@ -30,16 +30,16 @@
 }
 
 // inspect checks one event of a stream, takes its usage and returns the output tokens in it.
-func (s *stream) inspect(data string) (int, error) {
-	if !strings.HasPrefix(data, "{") || !json.Valid([]byte(data)) {
+func (s *stream) inspect(data []byte) (int, error) {
+	if !bytes.HasPrefix(data, []byte("{")) || !json.Valid(data) {
 		return 0, verdict.New(verdict.MayHaveRun, "answer_garbled", "engine sent an event that is not a JSON object")
 	}
-	if strings.Contains(data, `"usage":{`) {
+	if bytes.Contains(data, []byte(`"usage"`)) && !bytes.Contains(data, []byte(`"usage":null`)) {
 		var chunk struct {
 			Usage   *engineUsage      `json:"usage"`
 			Choices []json.RawMessage `json:"choices"`
 		}
-		if err := json.Unmarshal([]byte(data), &chunk); err == nil && chunk.Usage != nil {
+		if err := json.Unmarshal(data, &chunk); err == nil && chunk.Usage != nil {
 			s.usage = chunk.Usage.usage()
 			return min(len(chunk.Choices), 1), nil
 		}
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -41,6 +41,7 @@
 	partial    bool // the answer does not begin at its first event
 	digest     xxhash.Digest
 	digesting  bool
+	headed     bool // the head was delivered
 }
 
 // RequestID returns the id of the request.
@@ -106,6 +107,10 @@
 		c.digesting = true
 	}
 	_, _ = c.digest.Write(m.Data)
+	if c.headed {
+		m.Head = nil
+	}
+	c.headed = c.headed || m.Head != nil
 	c.handler.Event(m)
 	return progress
 }
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -35,6 +35,8 @@
 	Frame(s *Session, f *linkpb.EntryFrame)
 	// Closed is called once after the last frame of a session that was opened.
 	Closed(s *Session)
+	// Load returns the load that goes with each answer to a ping.
+	Load() *linkpb.Load
 
 	Order(ctx context.Context, o *linkpb.EngineOrder) (*linkpb.EngineOrderResult, error)
 	SetLifecycle(ctx context.Context, r *linkpb.LifecycleRequest) (*linkpb.LifecycleReply, error)
@@ -153,7 +155,7 @@
 		}
 		session.touch()
 		if f.Ping != nil {
-			session.Send(&linkpb.AgentFrame{Pong: &linkpb.Pong{Nonce: f.Ping.Nonce}})
+			session.Send(&linkpb.AgentFrame{Pong: &linkpb.Pong{Nonce: f.Ping.Nonce}, Load: s.acceptor.Load()})
 			continue
 		}
 		s.acceptor.Frame(session, f)
