Claim idempotent requests before dispatch and answer retries from the claim

A claim names the request id with its agent. A retry of a settled request replays the kept answer, one of a running request follows its answer from the agent, and one whose entry died takes the key over only once the agent has proven that the request never started.

--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/guavastack/guavastack/internal/core/route"
-	"github.com/guavastack/guavastack/internal/core/verdict"
-	"github.com/guavastack/guavastack/proto/linkpb"
 )
 
 // serveAnswer sends the answer of an earlier request again, from the agent that keeps it. Only the organisation that
@@ -25,24 +23,13 @@
 	}
 	defer s.active.remove(x)
 
-	a := &attempt{s: s, x: x, id: x.id, server: server, writer: newAnswerWriter(w, s.cfg.WriteTimeout)}
-	a.relay = newRelay(s.fleet.load)
-	call, err := s.links.Resume(ctx, server.Address, &linkpb.Resume{
-		RequestId:    x.id.String(),
-		Organisation: x.organisation,
-		Credit:       answerCredit,
-	}, a.relay)
-	if err != nil {
-		s.refuse(w, x.id, x, backendError(verdict.Of(err), err))
-		return
-	}
-	a.call = call
-	result := a.follow(ctx)
+	answer := newAnswerWriter(w, s.cfg.WriteTimeout)
+	result := s.fetch(ctx, x, x.id, server, answer)
 	if result.complete {
-		a.writer.finish()
+		answer.finish()
 		return
 	}
-	a.writer.fail(x.id, result.err)
+	answer.fail(x.id, result.err)
 }
 
 // understandAnswer finds whose answer is asked for and which agent keeps it.
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -2,15 +2,275 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"time"
 
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/core/claim"
+	"github.com/guavastack/guavastack/internal/core/route"
+	"github.com/guavastack/guavastack/internal/core/state"
+	"github.com/guavastack/guavastack/internal/core/verdict"
+	"github.com/guavastack/guavastack/internal/telemetry"
 	"github.com/guavastack/guavastack/proto/linkpb"
 )
 
-// keptAnswer collects a small answer for its claim.
-type keptAnswer struct{}
+const (
+	// claimTimeout bounds one command about a claim.
+	claimTimeout = 3 * time.Second
+	// maxKeptAnswer is the largest answer, in bytes, that goes into the replicated log.
+	maxKeptAnswer = 4 << 10
+	// maxIdempotencyKey is the longest key of a caller, in bytes.
+	maxIdempotencyKey = 255
+)
+
+// claimKey names the claim of x.
+func claimKey(x *exchange) claim.Key {
+	return claim.Key{Organisation: x.organisation, Route: x.model, Key: x.idempotencyKey}
+}
+
+// bodyDigest tells requests under one idempotency key apart.
+func bodyDigest(x *exchange) string {
+	h := sha256.New()
+	_, _ = h.Write([]byte(x.method + " " + x.pathAndQuery + "\n"))
+	_, _ = h.Write(x.body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// command builds a command about the claim that the attempt needs or holds.
+func (a *attempt) command(op claim.Op) claim.Command {
+	return claim.Command{
+		Op:        op,
+		Key:       claimKey(a.x),
+		Digest:    bodyDigest(a.x),
+		RequestID: a.id.String(),
+		Agent:     claim.Agent{ID: a.server.ID, Incarnation: a.server.Incarnation},
+	}
+}
+
+// proposeClaim commits a command and returns its outcome.
+func (s *Server) proposeClaim(ctx context.Context, c claim.Command) (claim.Outcome, error) {
+	body, err := json.Marshal(c)
+	if err != nil {
+		return claim.Outcome{}, errors.Trace(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	data, err := s.dir.Propose(ctx, state.Command{Module: claim.ModuleName, AtMS: time.Now().UnixMilli(), Body: body, Actor: s.cfg.ID})
+	if err != nil {
+		return claim.Outcome{}, err
+	}
+	var out claim.Outcome
+	if err := json.Unmarshal(data, &out); err != nil {
+		return claim.Outcome{}, errors.Annotate(err, "outcome of a claim")
+	}
+	return out, nil
+}
+
+// claim takes the idempotency key of the exchange for the attempt. Where that is not possible, it returns how the
+// exchange ends: with the answer of the request that holds the key, or with a refusal.
+func (a *attempt) claim(ctx context.Context) (r result, mayDispatch bool) {
+	x := a.x
+	if x.idempotencyKey == "" {
+		return result{}, true
+	}
+	c := a.command(claim.Claim)
+	if x.claimedAs != "" {
+		// An earlier attempt of the same exchange holds the key and is proven not to have run.
+		c.Op, c.Previous = claim.Takeover, x.claimedAs
+	}
+	out, err := a.s.proposeClaim(ctx, c)
+	if err != nil {
+		return claimFailed(err), false
+	}
+	return a.claimed(ctx, out, true)
+}
+
+// claimFailed is the result when the control group did not answer: the request was not dispatched.
+func claimFailed(err error) result {
+	ref := refuse(http.StatusServiceUnavailable, "claim_failed", "the idempotency key could not be claimed")
+	ref.Cause = err
+	return result{verdict: verdict.NotRun, err: ref}
+}
+
+// claimed acts on the outcome of a claim.
+func (a *attempt) claimed(ctx context.Context, out claim.Outcome, mayFence bool) (result, bool) {
+	conflict := func(v verdict.Verdict, status int, code, message string) (result, bool) {
+		return result{verdict: v, err: &refusal{Error: verdict.New(v, code, "%s", message), status: status}}, false
+	}
+	switch out.State {
+	case claim.StateClaimed:
+		a.x.claimedAs = a.id.String()
+		return result{}, true
+	case claim.StateDone:
+		return a.replay(ctx, out), false
+	case claim.StateInProgress:
+		return a.join(ctx, out, mayFence)
+	case claim.StateOtherBody:
+		return conflict(verdict.NotRun, http.StatusUnprocessableEntity, "idempotency_key_reused",
+			"the idempotency key was used with another request")
+	case claim.StateFull:
+		return conflict(verdict.NotRun, http.StatusServiceUnavailable, "too_many_claims",
+			"the organisation holds too many idempotency keys")
+	default:
+		return conflict(verdict.MayHaveRun, http.StatusConflict, "outcome_unknown",
+			"an earlier request with this idempotency key may have run; its outcome is not known")
+	}
+}
+
+// replay answers with the kept answer of the request that ran under the key.
+func (a *attempt) replay(ctx context.Context, out claim.Outcome) result {
+	kept := out.Answer
+	if kept == nil || kept.Omitted {
+		if r, found := a.attach(ctx, out); found {
+			return r
+		}
+		ref := &refusal{
+			Error: verdict.New(verdict.Ran, "answer_not_kept",
+				"the request with this idempotency key has run; its answer is not kept any more"),
+			status: http.StatusConflict,
+		}
+		return result{verdict: verdict.Ran, err: ref}
+	}
+	if id, err := parseRequestID(out.RequestID); err == nil {
+		a.x.id = id
+	}
+	head := &linkpb.Head{Status: uint32(kept.Status)}
+	for name, value := range kept.Headers {
+		head.Headers = append(head.Headers, &linkpb.Header{Name: name, Value: value})
+	}
+	a.writer.head(a.x.id, head)
+	a.writer.write(kept.Body)
+	return result{verdict: verdict.Ran, complete: true, replayed: true}
+}
+
+// join deals with a key that another request holds and that is not settled: it follows that request's answer, or,
+// where its agent proves that it never ran, takes the key over.
+func (a *attempt) join(ctx context.Context, out claim.Outcome, mayFence bool) (result, bool) {
+	if r, found := a.attach(ctx, out); found {
+		return r, false
+	}
+	inProgress := result{verdict: verdict.MayHaveRun, err: &refusal{
+		Error: verdict.New(verdict.MayHaveRun, "request_in_progress",
+			"an earlier request with this idempotency key is in progress or its outcome is not known"),
+		status: http.StatusConflict,
+	}}
+	if !mayFence {
+		return inProgress, false
+	}
+	holder, ok := a.s.fleet.find(out.Agent.ID)
+	if !ok {
+		return inProgress, false
+	}
+	v, err := a.s.links.Fence(ctx, holder.Address, out.RequestID, out.Agent.Incarnation)
+	if err != nil || v != verdict.NotRun {
+		return inProgress, false
+	}
+	c := a.command(claim.Takeover)
+	c.Previous = out.RequestID
+	taken, err := a.s.proposeClaim(ctx, c)
+	if err != nil {
+		return claimFailed(err), false
+	}
+	return a.claimed(ctx, taken, false)
+}
+
+// attach relays the answer of the request that holds the key, if its agent still knows it.
+func (a *attempt) attach(ctx context.Context, out claim.Outcome) (result, bool) {
+	id, err := parseRequestID(out.RequestID)
+	if err != nil {
+		return result{}, false
+	}
+	server, ok := a.s.fleet.find(out.Agent.ID)
+	if !ok || server.Incarnation != out.Agent.Incarnation {
+		return result{}, false
+	}
+	r := a.s.fetch(ctx, a.x, id, server, a.writer)
+	if r.code == linkpb.RefuseCode_REFUSE_CODE_UNKNOWN_REQUEST {
+		return result{}, false
+	}
+	a.x.id = id
+	r.replayed = true
+	return r, true
+}
+
+// fetch relays the answer of an earlier request from the agent that keeps it.
+func (s *Server) fetch(ctx context.Context, x *exchange, id requestID, server route.Backend, w *answerWriter) result {
+	a := &attempt{s: s, x: x, id: id, server: server, writer: w, replayed: true}
+	a.relay = newRelay(s.fleet.load)
+	call, err := s.links.Resume(ctx, server.Address, &linkpb.Resume{
+		RequestId:    id.String(),
+		Organisation: x.organisation,
+		Credit:       answerCredit,
+	}, a.relay)
+	if err != nil {
+		return result{verdict: verdict.Of(err), err: backendError(verdict.Of(err), err)}
+	}
+	a.call = call
+	return a.follow(ctx)
+}
+
+// settleClaim records in the replicated log how the exchange ended, in the background: until it is recorded the key
+// stays claimed, which is safe.
+func (s *Server) settleClaim(x *exchange, r result, kept *keptAnswer) {
+	if x.claimedAs == "" || r.replayed {
+		return
+	}
+	c := claim.Command{Key: claimKey(x), Digest: bodyDigest(x), RequestID: x.claimedAs}
+	switch {
+	case r.complete:
+		c.Op, c.Answer = claim.Done, kept.answer()
+	case r.verdict == verdict.NotRun:
+		c.Op = claim.Release
+	default:
+		c.Op = claim.Unknown
+	}
+	s.background.Go(func() {
+		if _, err := s.proposeClaim(context.Background(), c); err != nil {
+			s.cfg.Logger.Warn("claim not settled; a retry will ask the agent",
+				telemetry.KeyRequestID, x.id.String(), telemetry.KeyError, err.Error())
+		}
+	})
+}
+
+// keptAnswer collects an answer for its claim as long as it is small.
+type keptAnswer struct {
+	status   int
+	headers  map[string]string
+	body     []byte
+	tooLarge bool
+}
+
+func (k *keptAnswer) setHead(h *linkpb.Head) {
+	if k == nil {
+		return
+	}
+	k.status = int(h.Status)
+	k.headers = make(map[string]string)
+	for _, f := range h.Headers {
+		if name := http.CanonicalHeaderKey(f.Name); returnedHeaders[name] {
+			k.headers[name] = f.Value
+		}
+	}
+}
 
-func (k *keptAnswer) head(*linkpb.Head) {}
-func (k *keptAnswer) write([]byte)      {}
+func (k *keptAnswer) write(data []byte) {
+	if k == nil || k.tooLarge {
+		return
+	}
+	if len(k.body)+len(data) > maxKeptAnswer {
+		k.tooLarge, k.body = true, nil
+		return
+	}
+	k.body = append(k.body, data...)
+}
 
-func (s *Server) claimFor(context.Context, *attempt) *refusal { return nil }
-func (s *Server) claimOutcome(*attempt, result)               {}
+func (k *keptAnswer) answer() *claim.Answer {
+	if k.tooLarge {
+		return &claim.Answer{Status: k.status, Omitted: true}
+	}
+	return &claim.Answer{Status: k.status, Headers: k.headers, Body: k.body}
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -33,16 +33,20 @@
 	first   time.Time // arrival of the first event
 	last    time.Time // arrival of the newest event
 	started bool
-	keep    *keptAnswer // nil: the answer need not be kept
+
+	replayed bool        // the answer is fetched again: nothing is billed
+	keep     *keptAnswer // nil: the answer need not be kept
 }
 
 // result is how an attempt ended.
 type result struct {
 	verdict  verdict.Verdict
 	complete bool // the whole answer arrived
+	replayed bool // the answer of an earlier request
 	usage    *linkpb.Usage
 	err      *refusal // nil with complete
 	code     linkpb.RefuseCode
+	kept     *keptAnswer // what the last attempt answered, for its claim
 }
 
 // dispatch runs x until it has an answer or a refusal.
@@ -57,6 +61,7 @@
 		}
 		a := s.newAttempt(x, server, placement, w)
 		last = a.run(ctx)
+		last.kept = a.keep
 		if last.complete || ctx.Err() != nil {
 			return last
 		}
@@ -73,7 +78,11 @@
 // newAttempt returns an attempt of x at the given backend server, whose id names it.
 func (s *Server) newAttempt(x *exchange, server route.Backend, number int, w *answerWriter) *attempt {
 	x.id = x.id.at(server.ID, server.Incarnation)
-	return &attempt{s: s, x: x, id: x.id, number: number, server: server, writer: w}
+	a := &attempt{s: s, x: x, id: x.id, number: number, server: server, writer: w}
+	if x.idempotencyKey != "" {
+		a.keep = &keptAnswer{}
+	}
+	return a
 }
 
 // tryAgain decides whether x goes on to another backend server, and waits as long as it must before.
@@ -140,8 +149,8 @@
 // run submits the attempt and relays what comes back.
 func (a *attempt) run(ctx context.Context) result {
 	s := a.s
-	if ref := s.claimFor(ctx, a); ref != nil {
-		return result{verdict: ref.Verdict, err: ref}
+	if r, mayDispatch := a.claim(ctx); !mayDispatch {
+		return r
 	}
 	a.began = time.Now()
 	a.relay = newRelay(s.fleet.load)
@@ -238,9 +247,11 @@
 	now := time.Now()
 	if in.head != nil {
 		a.writer.head(a.id, in.head)
-		a.keep.head(in.head)
+		a.keep.setHead(in.head)
 	}
-	if a.first.IsZero() && len(in.data) > 0 {
+	if a.replayed {
+		// Its durations belong to the request that ran.
+	} else if a.first.IsZero() && len(in.data) > 0 {
 		a.first = now
 		s.observe("first_token_us", now.Sub(x.received), x)
 	} else if in.tokens > 0 && !a.last.IsZero() {
@@ -249,7 +260,7 @@
 	a.last = now
 	a.keep.write(in.data)
 	a.writer.write(in.data)
-	if in.tokens > 0 && !a.writer.gone {
+	if in.tokens > 0 && !a.writer.gone && !a.replayed {
 		s.usage.add(x, delivered{outputTokens: uint64(in.tokens)})
 		s.limits.charge(x.lease, in.tokens)
 		s.demand.tokens(x.organisation, in.tokens)
@@ -397,7 +408,6 @@
 		o.FirstToken = a.first.Sub(a.began)
 	}
 	s.fleet.ended(a.server.ID, o)
-	s.claimOutcome(a, r)
 	if !r.complete {
 		s.cfg.Logger.Info("attempt failed",
 			telemetry.KeyRequestID, a.id.String(),
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -37,6 +37,7 @@
 	prefix       []uint64
 
 	idempotencyKey string
+	claimedAs      string // request id under which the idempotency key is claimed; empty: it is not
 
 	lease *limit.Lease // of the limits; nil where none apply
 }
@@ -203,6 +204,10 @@
 	if !rt.Repeatable && !rt.Open {
 		x.idempotencyKey = r.Header.Get(headerIdempotent)
 	}
+	if len(x.idempotencyKey) > maxIdempotencyKey {
+		return nil, refuse(http.StatusBadRequest, "idempotency_key_too_long",
+			"the idempotency key is longer than %d bytes", maxIdempotencyKey)
+	}
 	return x, s.complete(x, tree, who, r, body)
 }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -110,6 +110,7 @@
 // run dispatches x, completes its answer and records it. A broken answer ends by panic with http.ErrAbortHandler.
 func (s *Server) run(ctx context.Context, x *exchange, w *answerWriter) {
 	r := s.dispatch(ctx, x, w)
+	s.settleClaim(x, r, r.kept)
 	s.record(x, w, r)
 	if r.complete {
 		w.finish()
@@ -123,7 +124,7 @@
 
 // record meters and logs the outcome of x.
 func (s *Server) record(x *exchange, w *answerWriter, r result) {
-	if r.complete || w.bytes > 0 {
+	if (r.complete || w.bytes > 0) && !r.replayed {
 		d := delivered{requests: 1}
 		if r.usage != nil {
 			d.promptTokens = r.usage.PromptTokens
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -31,7 +31,8 @@
 	budgetMu sync.Mutex
 	budget   *retry.Budget
 
-	draining atomic.Bool
+	draining   atomic.Bool
+	background sync.WaitGroup // work that outlives its request
 }
 
 // New returns an entry that serves once Serve is called.
@@ -129,6 +130,7 @@
 	s.cfg.Logger.Info("entry is shutting down", "in_flight", s.active.count())
 	time.Sleep(s.cfg.DrainDelay)
 	err := srv.Shutdown(ctx)
+	s.background.Wait()
 	return errors.Annotate(err, "shutdown of the callers' listener")
 }
 
