--- /dev/null
+++ b/internal/core/raft/lease.go
@@ -0,0 +1,108 @@
+package raft
+
+import "time"
+
+// Lease is the time during which no other member can become leader.
+type Lease struct {
+	Term    uint64
+	Expires time.Time // on the own clock
+}
+
+// Lease returns the leader's lease, false when this member does not lead or hands over. It counts from the time at
+// which the last quorum-confirmed heartbeat was sent.
+func (n *Node) Lease() (Lease, bool) {
+	if n.role != Leader || n.transfer != nil {
+		return Lease{}, false
+	}
+	expires, ok := n.leaseExpiry()
+	return Lease{Term: n.term, Expires: expires}, ok
+}
+
+func (n *Node) leaseExpiry() (time.Time, bool) {
+	sent, ok := n.confirmedAt()
+	return sent.Add(n.cfg.LeaseDuration - n.cfg.MaxClockDrift), ok
+}
+
+// extendLease makes the leader itself refuse votes while its lease lasts, also after it stepped down.
+func (n *Node) extendLease() {
+	if n.transfer != nil {
+		return
+	}
+	if expires, ok := n.leaseExpiry(); ok {
+		n.holdVotes(expires)
+	}
+}
+
+// transfer is a hand-over of the leadership. The lease is given up for the rest of the term.
+type transfer struct {
+	target    uint64
+	notBefore time.Time // end of the lease given up
+	deadline  time.Time
+	isClosed  bool // proposals wait for the next leader
+	isSent    bool
+}
+
+// Transfer hands the leadership to target, or to the most advanced voter when target is 0.
+func (n *Node) Transfer(now time.Time, target uint64) error {
+	switch {
+	case n.role != Leader:
+		return ErrNotLeader
+	case n.transfer != nil:
+		return ErrHandingOver
+	}
+	if target == 0 {
+		target = n.mostAdvancedVoter()
+	}
+	if target == n.cfg.ID || !n.isPeerVoter(target) {
+		return ErrNotCaughtUp
+	}
+	expires := now
+	if at, ok := n.leaseExpiry(); ok && at.After(now) {
+		expires = at
+	}
+	n.transfer = &transfer{target: target, notBefore: expires, deadline: expires.Add(n.cfg.ElectionTimeout)}
+	return nil
+}
+
+func (n *Node) isPeerVoter(id uint64) bool {
+	m, ok := n.conf().Member(id)
+	return ok && !m.Learner
+}
+
+func (n *Node) mostAdvancedVoter() uint64 {
+	var best, match uint64
+	for _, id := range n.peerIDs() {
+		pr := n.peers[id]
+		if n.isPeerVoter(id) && (best == 0 || pr.match > match) {
+			best, match = id, pr.match
+		}
+	}
+	return best
+}
+
+// isHandingOver reports whether proposals must wait for the next leader.
+func (n *Node) isHandingOver() bool { return n.transfer != nil && n.transfer.isClosed }
+
+// advanceTransfer asks the target to campaign once the old lease is over and the target holds the whole log.
+func (n *Node) advanceTransfer(now time.Time) {
+	t := n.transfer
+	if t == nil || t.isSent || now.Before(t.notBefore) {
+		return
+	}
+	t.isClosed = true
+	if pr := n.peers[t.target]; pr != nil && pr.match == n.log.last() {
+		n.send(Message{Kind: TimeoutNow, To: t.target})
+		t.isSent = true
+	}
+}
+
+// isTransferOverdue reports whether the leader must step down: it may not take its lease up again in this term.
+func (n *Node) isTransferOverdue(now time.Time) bool {
+	return n.transfer != nil && now.After(n.transfer.deadline)
+}
+
+func (n *Node) handleTimeoutNow(now time.Time) {
+	if n.role == Follower && n.isVoter() {
+		n.campaign(now, true)
+	}
+}
--- /dev/null
+++ b/internal/core/raft/replication.go
@@ -0,0 +1,289 @@
+package raft
+
+import (
+	"sort"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// progress is what the leader knows of another member.
+type progress struct {
+	match, next  uint64
+	isProbing    bool      // agreement is not known yet: one message at a time
+	isAwaiting   bool      // while probing or installing: the answer has not come
+	isInstalling bool      // a snapshot is on its way
+	sentAt       time.Time // last Append or InstallSnapshot
+	ackedRound   uint64    // latest heartbeat round that the member confirmed
+	incarnation  uint64    // disk that answered last
+	commitSent   uint64
+}
+
+// updatePeers follows the configuration.
+func (n *Node) updatePeers() {
+	conf := n.conf()
+	for id := range n.peers {
+		if _, ok := conf.Member(id); !ok {
+			delete(n.peers, id)
+		}
+	}
+	for _, m := range conf.Members {
+		if _, ok := n.peers[m.ID]; !ok && m.ID != n.cfg.ID {
+			n.peers[m.ID] = &progress{next: n.log.last() + 1, isProbing: true}
+		}
+	}
+}
+
+// peerIDs returns the other members in a fixed order.
+func (n *Node) peerIDs() []uint64 {
+	ids := make([]uint64, 0, len(n.peers))
+	for id := range n.peers {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+// Propose appends a command at the leader and returns its place.
+func (n *Node) Propose(data []byte) (Entry, error) {
+	switch {
+	case n.role != Leader:
+		return Entry{}, ErrNotLeader
+	case n.isHandingOver():
+		return Entry{}, ErrHandingOver
+	}
+	return n.appendOwn(EntryCommand, data), nil
+}
+
+func (n *Node) appendOwn(kind EntryKind, data []byte) Entry {
+	e := Entry{Term: n.term, Index: n.log.last() + 1, Kind: kind, Data: data}
+	if err := n.log.append(e); err != nil {
+		panic(err) // the index is right and the leader encoded the data itself
+	}
+	return e
+}
+
+func (n *Node) tickLeader(now time.Time) {
+	if now.Before(n.nextHeartbeat) {
+		return
+	}
+	if n.hasLostQuorum(now) || n.isTransferOverdue(now) {
+		n.becomeFollower(now, n.term, 0)
+		return
+	}
+	n.broadcastHeartbeat(now)
+	n.advanceTransfer(now)
+}
+
+// hasLostQuorum reports whether no quorum confirmed a heartbeat of the last election timeout.
+func (n *Node) hasLostQuorum(now time.Time) bool {
+	since := n.leaderSince
+	if sent, ok := n.confirmedAt(); ok {
+		since = sent
+	}
+	return now.Sub(since) > n.cfg.ElectionTimeout
+}
+
+// confirmedRound returns the latest round that a quorum confirmed.
+func (n *Node) confirmedRound() uint64 {
+	var acked []uint64
+	for _, id := range n.conf().Voters() {
+		if id == n.cfg.ID {
+			acked = append(acked, n.rounds.last)
+			continue
+		}
+		acked = append(acked, n.peers[id].ackedRound)
+	}
+	return quorumValue(acked)
+}
+
+// confirmedAt returns when the latest quorum-confirmed round was sent.
+func (n *Node) confirmedAt() (time.Time, bool) { return n.rounds.sentAt(n.confirmedRound()) }
+
+func (n *Node) broadcastHeartbeat(now time.Time) {
+	n.rounds.start(now)
+	n.nextHeartbeat = now.Add(n.cfg.HeartbeatInterval)
+	for _, id := range n.peerIDs() {
+		pr := n.peers[id]
+		commit := min(pr.match, n.commit)
+		if member, _ := n.conf().Member(id); member.Incarnation == 0 {
+			commit = 0 // the disk may have been replaced; Append checks its log
+		}
+		n.send(Message{Kind: Heartbeat, To: id, Context: n.rounds.last, Commit: commit})
+	}
+	n.attachReads()
+	n.extendLease()
+	n.answerReads()
+}
+
+func (n *Node) handleHeartbeat(m Message) {
+	n.commit = max(n.commit, min(m.Commit, n.log.last()))
+	n.replySynced(m, Message{Kind: HeartbeatReply, Context: m.Context})
+}
+
+func (n *Node) handleHeartbeatReply(now time.Time, m Message) {
+	pr := n.answering(m)
+	if pr == nil {
+		return
+	}
+	pr.ackedRound = max(pr.ackedRound, m.Context)
+	n.extendLease()
+	n.answerReads()
+	n.detectLoss(pr, m.Context)
+	n.sendAppend(now, m.From, pr)
+}
+
+// detectLoss goes back to what is acknowledged when a later heartbeat was answered and an earlier Append was not.
+func (n *Node) detectLoss(pr *progress, round uint64) {
+	sent, ok := n.rounds.sentAt(round)
+	if !ok || !pr.sentAt.Before(sent) || pr.isInstalling && !n.isInstallOverdue(pr, sent) {
+		return
+	}
+	if pr.isAwaiting || pr.match+1 < pr.next {
+		pr.next, pr.isProbing, pr.isAwaiting, pr.isInstalling = pr.match+1, true, false, false
+	}
+}
+
+func (n *Node) isInstallOverdue(pr *progress, now time.Time) bool {
+	return now.Sub(pr.sentAt) > snapshotRetryMul*n.cfg.ElectionTimeout
+}
+
+// answering returns the progress of the sender of an answer, nil when its disk is not the one in the configuration.
+func (n *Node) answering(m Message) *progress {
+	pr := n.peers[m.From]
+	member, _ := n.conf().Member(m.From)
+	if n.role != Leader || pr == nil || member.Incarnation != 0 && member.Incarnation != m.FromIncarnation {
+		return nil
+	}
+	if pr.incarnation != m.FromIncarnation {
+		*pr = progress{next: n.log.last() + 1, isProbing: true, incarnation: m.FromIncarnation}
+	}
+	return pr
+}
+
+func (n *Node) broadcastAppend(now time.Time) {
+	for _, id := range n.peerIDs() {
+		n.sendAppend(now, id, n.peers[id])
+	}
+}
+
+// sendAppend sends what the member lacks as far as the window allows.
+func (n *Node) sendAppend(now time.Time, id uint64, pr *progress) {
+	for !pr.isAwaiting {
+		prevTerm, ok := n.log.term(pr.next - 1)
+		if !ok {
+			n.sendSnapshot(now, id, pr)
+			return
+		}
+		limit := min(n.log.last(), pr.match+maxInflight)
+		entries := n.log.slice(pr.next, limit, maxAppendBytes)
+		commitNews := min(n.commit, pr.next-1+uint64(len(entries))) > pr.commitSent
+		if len(entries) == 0 && !pr.isProbing && !commitNews {
+			return
+		}
+		n.send(Message{
+			Kind: Append, To: id, Index: pr.next - 1, LogTerm: prevTerm,
+			Entries: entries, Commit: n.commit,
+		})
+		pr.sentAt = now
+		pr.commitSent = max(pr.commitSent, min(n.commit, pr.next-1+uint64(len(entries))))
+		if pr.isProbing {
+			pr.isAwaiting = true
+			return
+		}
+		pr.next += uint64(len(entries))
+	}
+}
+
+func (n *Node) handleAppend(m Message) error {
+	if m.Index < n.commit {
+		n.replySynced(m, Message{Kind: AppendReply, Index: n.commit})
+		return nil
+	}
+	if !n.log.matches(m.Index, m.LogTerm) {
+		hint := n.log.agreeing(m.Index, m.LogTerm)
+		n.replySynced(m, Message{Kind: AppendReply, Index: m.Index, Reject: true, Hint: hint})
+		return nil
+	}
+	if err := n.takeEntries(m.Entries); err != nil {
+		return err
+	}
+	last := m.Index + uint64(len(m.Entries))
+	n.commit = max(n.commit, min(m.Commit, last))
+	n.replySynced(m, Message{Kind: AppendReply, Index: last})
+	return nil
+}
+
+// takeEntries appends what the log lacks and replaces what conflicts.
+func (n *Node) takeEntries(entries []Entry) error {
+	for _, e := range entries {
+		if n.log.matches(e.Index, e.Term) {
+			continue
+		}
+		if e.Index <= n.commit {
+			return errors.Errorf("entry %d of term %d conflicts with a committed entry", e.Index, e.Term)
+		}
+		n.log.truncate(e.Index)
+		n.handed = min(n.handed, e.Index-1)
+		n.stable = min(n.stable, e.Index-1)
+		if err := n.log.append(e); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+func (n *Node) handleAppendReply(now time.Time, m Message) {
+	pr := n.answering(m)
+	switch {
+	case pr == nil:
+		return
+	case m.Reject && pr.isInstalling:
+		return // the answer to an older message
+	case m.Reject && pr.isProbing && m.Index == pr.next-1:
+		pr.next = max(pr.match+1, min(m.Index, m.Hint+1))
+		pr.isAwaiting = false
+	case m.Reject && !pr.isProbing && m.Index > pr.match:
+		pr.next, pr.isProbing, pr.isAwaiting = max(pr.match+1, min(m.Index, m.Hint+1)), true, false
+	case !m.Reject:
+		n.acknowledge(pr, m.Index)
+		n.advanceTransfer(now)
+	}
+	n.sendAppend(now, m.From, pr)
+}
+
+func (n *Node) acknowledge(pr *progress, index uint64) {
+	if index < pr.match || index > n.log.last() {
+		return
+	}
+	pr.match = index
+	pr.next = max(pr.next, index+1)
+	if pr.isInstalling && index < n.log.baseIndex {
+		return // the answer to an older message
+	}
+	pr.isProbing, pr.isAwaiting, pr.isInstalling = false, false, false
+	n.advanceCommit()
+}
+
+// advanceCommit commits what a quorum synced, counting only entries of the current term.
+func (n *Node) advanceCommit() {
+	var synced []uint64
+	for _, id := range n.conf().Voters() {
+		if id == n.cfg.ID {
+			synced = append(synced, n.stable)
+			continue
+		}
+		synced = append(synced, n.peers[id].match)
+	}
+	index := quorumValue(synced)
+	term, ok := n.log.term(index)
+	if ok && term == n.term && index > n.commit {
+		n.commit = index
+	}
+}
+
+// hasCommittedInTerm reports whether the leader's commit index is known to be current.
+func (n *Node) hasCommittedInTerm() bool {
+	term, ok := n.log.term(n.commit)
+	return ok && term == n.term
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,352 @@
+// Package replica runs one member of a replicated log: it feeds internal/core/raft with messages, time and proposals,
+// syncs the write-ahead log, sends messages to the other members and applies committed commands to a state machine.
+package replica
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/gofrs/flock"
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/core/raft"
+	"github.com/guavastack/guavastack/internal/wal"
+	"github.com/guavastack/guavastack/proto/peerpb"
+)
+
+const lockFile = "LOCK"
+
+// Outcome is the result of a committed command.
+type Outcome struct {
+	Index  uint64
+	Result json.RawMessage
+}
+
+// Applied is a command that was applied.
+type Applied struct {
+	Index  uint64
+	Data   []byte
+	Result json.RawMessage
+}
+
+// Lease is the time during which no other member can become leader.
+type Lease = raft.Lease
+
+// Status describes a replica at one moment.
+type Status struct {
+	raft.Status
+	Epoch       uint64 // life of the group; positions compare as (epoch, index)
+	Incarnation uint64 // names the data folder
+	LeaderSince time.Time
+}
+
+// Members returns the ids of the voters.
+func (s Status) Members() []uint64 { return s.Configuration.Voters() }
+
+// Learners returns the ids of the members without a vote.
+func (s Status) Learners() []uint64 {
+	var ids []uint64
+	for _, m := range s.Configuration.Members {
+		if m.Learner {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
+// Replica is one member of the group. Its methods may be called from any goroutine.
+type Replica struct {
+	cfg  Config
+	lock *flock.Flock
+
+	// Owned by the goroutine of Run.
+	node      *raft.Node
+	log       *wal.Log
+	hardState raft.HardState
+	waiters   map[uint64]waiter
+	reader    readBatcher
+	links     map[uint64]*link
+	diskLow   bool
+	diskCheck time.Time
+	compacted uint64 // index of the latest snapshot
+
+	inbox     chan raft.Message
+	proposals chan *proposal
+	reads     chan readCall
+	calls     chan func(now time.Time)
+	done      chan struct{} // closed when Run has ended
+	stop      chan struct{} // closed by Close
+	stopOnce  sync.Once
+	started   bool
+	startMu   sync.Mutex
+
+	state   sync.RWMutex // guards sm and applied
+	sm      StateMachine
+	applied uint64
+	moved   chan struct{} // closed when applied moves
+
+	subsMu sync.Mutex
+	subs   map[*subscriber]struct{}
+
+	viewMu   sync.RWMutex
+	status   Status
+	lease    Lease
+	hasLease bool
+	changed  chan struct{} // closed when role, term or leader change
+
+	streams streamTable
+}
+
+// Open locks and reads the data folder. The replica does nothing before Run.
+func Open(cfg Config, sm StateMachine) (*Replica, error) {
+	cfg = cfg.withDefaults()
+	if err := cfg.validate(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := cfg.FS.MkdirAll(cfg.DataDir); err != nil {
+		return nil, errors.Annotate(err, "data folder")
+	}
+	lock, err := lockFolder(cfg)
+	if err != nil {
+		return nil, err
+	}
+	r, err := open(cfg, sm)
+	if err != nil {
+		unlock(lock)
+		return nil, err
+	}
+	r.lock = lock
+	return r, nil
+}
+
+// lockFolder keeps other processes off the data folder. A file system of a test has no lock.
+func lockFolder(cfg Config) (*flock.Flock, error) {
+	if _, ok := cfg.FS.(wal.OS); !ok {
+		return nil, nil
+	}
+	lock := flock.New(filepath.Join(cfg.DataDir, lockFile))
+	ok, err := lock.TryLock()
+	if err != nil {
+		return nil, errors.Annotate(err, "locking the data folder")
+	}
+	if !ok {
+		return nil, errors.Annotatef(ErrLocked, "%q", cfg.DataDir)
+	}
+	return lock, nil
+}
+
+func unlock(lock *flock.Flock) {
+	if lock != nil {
+		_ = lock.Unlock()
+	}
+}
+
+func open(cfg Config, sm StateMachine) (*Replica, error) {
+	want := wal.Identity{Group: cfg.GroupID, ID: cfg.ID, Incarnation: randomID()}
+	id, created, err := wal.LoadIdentity(cfg.FS, cfg.DataDir, want)
+	if err != nil {
+		return nil, err
+	}
+	log, state, err := wal.Open(cfg.FS, cfg.DataDir)
+	if err != nil {
+		return nil, err
+	}
+	state.Restarted = !created
+	now := time.Now()
+	node, err := raft.New(raftConfig(cfg, id, now), state, now)
+	if err != nil {
+		_ = log.Close()
+		return nil, errors.Trace(err)
+	}
+	r := newReplica(cfg, sm, node, log)
+	r.hardState = state.HardState
+	r.status.Incarnation = id.Incarnation
+	if err := r.restore(state.Snapshot); err != nil {
+		_ = log.Close()
+		return nil, err
+	}
+	r.publish()
+	return r, nil
+}
+
+func raftConfig(cfg Config, id wal.Identity, now time.Time) raft.Config {
+	rc := raft.Config{
+		Group: cfg.GroupID, ID: cfg.ID, Incarnation: id.Incarnation,
+		HeartbeatInterval: cfg.HeartbeatInterval, ElectionTimeout: cfg.ElectionTimeout,
+		LeaseDuration: cfg.LeaseDuration, MaxClockDrift: cfg.MaxClockDrift,
+		Epoch: uint64(now.Unix()), Rand: randomID,
+	}
+	if !cfg.Join {
+		for _, m := range cfg.Members {
+			rc.Founders = append(rc.Founders, raft.Member{ID: m.ID, Address: m.Address})
+		}
+	}
+	return rc
+}
+
+func newReplica(cfg Config, sm StateMachine, node *raft.Node, log *wal.Log) *Replica {
+	r := &Replica{
+		cfg: cfg, node: node, log: log, sm: sm,
+		waiters:   make(map[uint64]waiter),
+		links:     make(map[uint64]*link),
+		inbox:     make(chan raft.Message, inboxSize),
+		proposals: make(chan *proposal, proposalQueueSize),
+		reads:     make(chan readCall, proposalQueueSize),
+		calls:     make(chan func(time.Time)),
+		done:      make(chan struct{}),
+		stop:      make(chan struct{}),
+		moved:     make(chan struct{}),
+		changed:   make(chan struct{}),
+		subs:      make(map[*subscriber]struct{}),
+	}
+	r.reader.nextID = randomID()
+	return r
+}
+
+// restore brings the state machine to a snapshot.
+func (r *Replica) restore(snap *raft.Snapshot) error {
+	if snap == nil {
+		return nil
+	}
+	r.state.Lock()
+	defer r.state.Unlock()
+	if err := r.sm.Restore(snap.Data); err != nil {
+		return errors.Annotatef(err, "restoring the snapshot at entry %d", snap.Index)
+	}
+	r.compacted = snap.Index
+	r.setApplied(snap.Index)
+	r.dropSubscribers()
+	return nil
+}
+
+// randomID returns a random number other than 0.
+func randomID() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return max(binary.LittleEndian.Uint64(b[:]), 1)
+}
+
+// PeerServer returns the service that the other members call.
+func (r *Replica) PeerServer() peerpb.DRPCPeerServer { return peerServer{r} }
+
+// Close ends Run and releases the data folder.
+func (r *Replica) Close() error {
+	r.stopOnce.Do(func() { close(r.stop) })
+	r.startMu.Lock()
+	started := r.started
+	r.started = true
+	r.startMu.Unlock()
+	if started {
+		<-r.done
+		return nil
+	}
+	r.release()
+	return nil
+}
+
+// release gives up the data folder.
+func (r *Replica) release() {
+	close(r.done)
+	_ = r.log.Close()
+	unlock(r.lock)
+}
+
+// Leader returns the member that leads as far as this member knows.
+func (r *Replica) Leader() (Member, bool) {
+	r.viewMu.RLock()
+	defer r.viewMu.RUnlock()
+	if r.status.Leader == 0 {
+		return Member{}, false
+	}
+	return r.member(r.status.Leader), true
+}
+
+// member returns a member with its address; the own settings win over the configuration.
+func (r *Replica) member(id uint64) Member {
+	for _, m := range r.cfg.Members {
+		if m.ID == id && m.Address != "" {
+			return m
+		}
+	}
+	m, _ := r.status.Configuration.Member(id)
+	return Member{ID: id, Address: m.Address}
+}
+
+// Status returns the state of this replica.
+func (r *Replica) Status() Status {
+	r.viewMu.RLock()
+	defer r.viewMu.RUnlock()
+	return r.status
+}
+
+// Changed returns a channel that is closed when the role, the term or the leader changes.
+func (r *Replica) Changed() <-chan struct{} {
+	r.viewMu.RLock()
+	defer r.viewMu.RUnlock()
+	return r.changed
+}
+
+// Lease returns the leader's quorum lease, false when this member does not lead or hands over. It may have expired:
+// compare Expires with the clock right before each use.
+func (r *Replica) Lease() (Lease, bool) {
+	r.viewMu.RLock()
+	defer r.viewMu.RUnlock()
+	return r.lease, r.hasLease
+}
+
+// publish makes the state of the node visible.
+func (r *Replica) publish() {
+	st := r.node.Status()
+	lease, hasLease := r.node.Lease()
+	r.viewMu.Lock()
+	defer r.viewMu.Unlock()
+	old := r.status.Status
+	r.status.Status = st
+	r.status.Epoch = st.Configuration.Epoch
+	r.lease, r.hasLease = lease, hasLease
+	if old.Role == st.Role && old.Term == st.Term && old.Leader == st.Leader {
+		return
+	}
+	r.status.LeaderSince = time.Now()
+	close(r.changed)
+	r.changed = make(chan struct{})
+	r.cfg.Logger.Info("control group", "group", r.cfg.GroupID, "member", st.ID, "role", st.Role.String(), "term", st.Term, "leader", st.Leader)
+}
+
+// View runs fn while nothing is applied.
+func (r *Replica) View(fn func()) {
+	r.state.RLock()
+	defer r.state.RUnlock()
+	fn()
+}
+
+// WaitApplied returns once the entry at index is applied here.
+func (r *Replica) WaitApplied(ctx context.Context, index uint64) error {
+	for {
+		r.state.RLock()
+		applied, moved := r.applied, r.moved
+		r.state.RUnlock()
+		if applied >= index {
+			return nil
+		}
+		select {
+		case <-moved:
+		case <-ctx.Done():
+			return errors.Annotatef(ctx.Err(), "entry %d is not applied, the last is %d", index, applied)
+		case <-r.done:
+			return ErrClosed
+		}
+	}
+}
+
+// setApplied is called with state locked.
+func (r *Replica) setApplied(index uint64) {
+	r.applied = index
+	close(r.moved)
+	r.moved = make(chan struct{})
+}
--- /dev/null
+++ b/internal/replica/run.go
@@ -0,0 +1,218 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/core/raft"
+	"github.com/guavastack/guavastack/internal/wal"
+)
+
+// Run works until ctx ends, Close is called or the disk fails. An error is fatal: the process must end, for what is
+// on the disk is not known.
+func (r *Replica) Run(ctx context.Context) error {
+	r.startMu.Lock()
+	if r.started {
+		r.startMu.Unlock()
+		return ErrClosed
+	}
+	r.started = true
+	r.startMu.Unlock()
+
+	ctx, cancel := context.WithCancel(ctx)
+	var links sync.WaitGroup
+	defer r.release()
+	defer links.Wait()
+	defer cancel()
+	defer r.finish()
+	return r.loop(ctx, &links)
+}
+
+// finish leaves nobody waiting and nobody believing in a lease.
+func (r *Replica) finish() {
+	r.abandonWaiters(^uint64(0))
+	r.dropSubscribers()
+	r.streams.closeAll()
+	r.viewMu.Lock()
+	r.lease, r.hasLease = Lease{}, false
+	r.status.Role, r.status.Leader = raft.Follower, 0
+	r.viewMu.Unlock()
+}
+
+func (r *Replica) loop(ctx context.Context, links *sync.WaitGroup) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		if err := r.process(ctx, links); err != nil {
+			return err
+		}
+		timer.Reset(time.Until(r.deadline()))
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.stop:
+			return nil
+		case m := <-r.inbox:
+			if err := r.step(m); err != nil {
+				return err
+			}
+		case p := <-r.proposals:
+			r.propose(p)
+		case c := <-r.reads:
+			r.reader.waiting = append(r.reader.waiting, c)
+		case fn := <-r.calls:
+			fn(time.Now())
+		case <-timer.C:
+		}
+		if err := r.drain(); err != nil {
+			return err
+		}
+		if now := time.Now(); !now.Before(r.node.Deadline()) {
+			r.node.Tick(now)
+		}
+	}
+}
+
+// deadline returns when the loop must run again.
+func (r *Replica) deadline() time.Time {
+	at := r.node.Deadline()
+	if !r.reader.isIdle() && r.reader.retryAt.Before(at) {
+		at = r.reader.retryAt
+	}
+	return at
+}
+
+func (r *Replica) step(m raft.Message) error {
+	err := r.node.Step(time.Now(), m)
+	return errors.Annotatef(err, "message of member %d", m.From)
+}
+
+// drain takes what waits already, so that one sync serves it all.
+func (r *Replica) drain() error {
+	for range maxBatch {
+		select {
+		case m := <-r.inbox:
+			if err := r.step(m); err != nil {
+				return err
+			}
+		case p := <-r.proposals:
+			r.propose(p)
+		case c := <-r.reads:
+			r.reader.waiting = append(r.reader.waiting, c)
+		default:
+			return nil
+		}
+	}
+	return nil
+}
+
+// process does what the node asks for until it asks for nothing more.
+func (r *Replica) process(ctx context.Context, links *sync.WaitGroup) error {
+	for {
+		now := time.Now()
+		r.reader.start(now, r.node, r.cfg.ElectionTimeout)
+		out := r.node.Output(now)
+		if isEmpty(out) {
+			break
+		}
+		if err := r.carryOut(ctx, links, out); err != nil {
+			return err
+		}
+	}
+	r.publish()
+	r.checkDisk(time.Now())
+	return r.maybeCompact()
+}
+
+func isEmpty(out raft.Output) bool {
+	return len(out.Send)+len(out.SendSynced)+len(out.Entries)+len(out.Apply)+len(out.Reads) == 0 &&
+		out.HardState == nil && out.Snapshot == nil
+}
+
+// carryOut sends, syncs, sends what depends on the sync, and applies.
+func (r *Replica) carryOut(ctx context.Context, links *sync.WaitGroup, out raft.Output) error {
+	r.sendAll(ctx, links, out.Send)
+	if err := r.persist(out); err != nil {
+		r.cfg.Logger.Error("control group: the disk failed, the process must end", "error", err)
+		return err
+	}
+	r.node.Synced()
+	r.sendAll(ctx, links, out.SendSynced)
+	r.apply(out.Apply)
+	for _, read := range out.Reads {
+		r.reader.finish(read)
+	}
+	return nil
+}
+
+// persist makes the state, snapshot and entries of out durable.
+func (r *Replica) persist(out raft.Output) error {
+	if out.HardState != nil {
+		r.hardState = *out.HardState
+	}
+	if out.Snapshot == nil {
+		return r.log.Append(out.HardState, out.Entries)
+	}
+	if err := r.log.SaveSnapshot(*out.Snapshot, r.hardState, out.Entries); err != nil {
+		return err
+	}
+	r.abandonWaiters(out.Snapshot.Index)
+	return r.restore(out.Snapshot)
+}
+
+// maybeCompact takes a snapshot when the log has grown enough.
+func (r *Replica) maybeCompact() error {
+	grown := r.applied - r.compacted
+	if grown < r.cfg.CompactEntries && (r.log.Size() < r.cfg.CompactBytes || grown == 0) {
+		return nil
+	}
+	snap, tail, err := r.snapshot()
+	if err != nil {
+		return err
+	}
+	err = r.log.SaveSnapshot(snap, r.hardState, tail)
+	r.compacted = snap.Index // also after an error: the next try comes after as many entries
+	switch {
+	case errors.Is(err, wal.ErrSync):
+		return err
+	case err != nil:
+		r.cfg.Logger.Warn("control group: no snapshot", "error", err)
+		return nil
+	}
+	if snap.Index > retainedEntries {
+		r.node.Compact(snap.Index - retainedEntries)
+	}
+	return nil
+}
+
+// snapshot describes the applied state and returns the entries after it.
+func (r *Replica) snapshot() (raft.Snapshot, []raft.Entry, error) {
+	snap, tail, err := r.node.SnapshotAt(r.applied)
+	if err != nil {
+		return snap, nil, errors.Trace(err)
+	}
+	r.state.RLock()
+	defer r.state.RUnlock()
+	snap.Data, err = r.sm.Snapshot()
+	return snap, tail, errors.Annotate(err, "snapshot of the state machine")
+}
+
+// checkDisk refuses proposals in time, so that snapshots and the messages of other leaders still find room.
+func (r *Replica) checkDisk(now time.Time) {
+	if now.Before(r.diskCheck) {
+		return
+	}
+	r.diskCheck = now.Add(diskCheckInterval)
+	free, err := r.cfg.FS.Free(r.cfg.DataDir)
+	if err != nil {
+		return
+	}
+	low := free < r.cfg.MinFreeBytes
+	if low != r.diskLow {
+		r.cfg.Logger.Warn("control group: disk space", "free_bytes", free, "refuses_changes", low)
+	}
+	r.diskLow = low
+}
--- /dev/null
+++ b/internal/replica/testing_test.go
@@ -0,0 +1,261 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/guavastack/guavastack/internal/wal"
+	"github.com/guavastack/guavastack/proto/peerpb"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// list is a state machine that remembers every command.
+type list struct{ commands []string }
+
+func (l *list) Apply(_ uint64, data []byte) (json.RawMessage, error) {
+	l.commands = append(l.commands, string(data))
+	return json.RawMessage(strconv.Itoa(len(l.commands))), nil
+}
+
+func (l *list) Snapshot() ([]byte, error) { return json.Marshal(l.commands) }
+
+func (l *list) Restore(data []byte) error {
+	l.commands = nil
+	return json.Unmarshal(data, &l.commands)
+}
+
+// network connects processes by pipes whose directions can fall silent.
+type network struct {
+	mu      sync.Mutex
+	servers map[string]peerpb.DRPCPeerServer
+	silent  map[string]bool // addresses to which nothing arrives any more on connections that exist
+	down    map[string]bool // addresses that cannot be reached
+	pipes   map[string][]*silencer
+	wg      sync.WaitGroup
+}
+
+func newNetwork() *network {
+	return &network{
+		servers: make(map[string]peerpb.DRPCPeerServer),
+		silent:  make(map[string]bool),
+		down:    make(map[string]bool),
+		pipes:   make(map[string][]*silencer),
+	}
+}
+
+// silencer is a connection that can swallow what is written to it.
+type silencer struct {
+	net.Conn
+	mu     sync.Mutex
+	silent bool
+}
+
+func (s *silencer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	silent := s.silent
+	s.mu.Unlock()
+	if silent {
+		return len(p), nil
+	}
+	return s.Conn.Write(p)
+}
+
+func (s *silencer) setSilent() {
+	s.mu.Lock()
+	s.silent = true
+	s.mu.Unlock()
+}
+
+func (n *network) serve(address string, s peerpb.DRPCPeerServer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.servers[address] = s
+}
+
+// dialer returns the Dial function of the process at address from.
+func (n *network) dialer(from string) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, to string) (net.Conn, error) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		server := n.servers[to]
+		if server == nil || n.down[to] || n.down[from] {
+			return nil, errors.NotFoundf("route from %s to %s", from, to)
+		}
+		here, there := net.Pipe()
+		mux := drpcmux.New()
+		if err := peerpb.DRPCRegisterPeer(mux, server); err != nil {
+			return nil, err
+		}
+		out, back := &silencer{Conn: here}, &silencer{Conn: there}
+		n.pipes[from+">"+to] = append(n.pipes[from+">"+to], out)
+		n.pipes[to+">"+from] = append(n.pipes[to+">"+from], back)
+		n.wg.Go(func() { _ = drpcserver.New(mux).ServeOne(context.Background(), back) })
+		return out, nil
+	}
+}
+
+// silence swallows what connections that exist now carry from one address to another, without an error.
+func (n *network) silence(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range n.pipes[from+">"+to] {
+		p.setSilent()
+	}
+}
+
+// cut separates an address from all others, without an error on connections that exist.
+func (n *network) cut(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down[address] = true
+	for other := range n.servers {
+		for _, p := range append(n.pipes[address+">"+other], n.pipes[other+">"+address]...) {
+			p.setSilent()
+		}
+	}
+}
+
+func (n *network) mend(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.down, address)
+}
+
+// process is a running replica.
+type process struct {
+	*Replica
+	sm   *list
+	err  chan error
+	stop context.CancelFunc
+}
+
+// kill ends the process without a word to the others.
+func (p *process) kill() error {
+	p.stop()
+	return <-p.err
+}
+
+func (p *process) commands() []string {
+	var got []string
+	p.View(func() { got = append(got, p.sm.commands...) })
+	return got
+}
+
+// cluster is a group of processes on one network.
+type cluster struct {
+	t       *testing.T
+	net     *network
+	members []Member
+	dir     string
+	disks   map[uint64]wal.FS
+	procs   map[uint64]*process
+	adjust  func(*Config)
+}
+
+func newCluster(t *testing.T, size int) *cluster {
+	c := &cluster{
+		t: t, net: newNetwork(), dir: t.TempDir(),
+		disks: make(map[uint64]wal.FS), procs: make(map[uint64]*process),
+	}
+	for id := range size {
+		c.members = append(c.members, member(uint64(id+1)))
+	}
+	return c
+}
+
+func member(id uint64) Member { return Member{ID: id, Address: "m" + strconv.FormatUint(id, 10)} }
+
+func (c *cluster) config(id uint64) Config {
+	cfg := Config{
+		GroupID: 7, ID: id, Members: c.members, DataDir: filepath.Join(c.dir, member(id).Address),
+		Dial: c.net.dialer(member(id).Address), FS: c.disks[id], MinFreeBytes: 1,
+	}
+	if c.adjust != nil {
+		c.adjust(&cfg)
+	}
+	return cfg
+}
+
+// start opens and runs a member.
+func (c *cluster) start(id uint64) *process {
+	c.t.Helper()
+	sm := &list{}
+	r, err := Open(c.config(id), sm)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &process{Replica: r, sm: sm, err: make(chan error, 1), stop: cancel}
+	c.net.serve(member(id).Address, r.PeerServer())
+	go func() { p.err <- r.Run(ctx) }()
+	c.procs[id] = p
+	return p
+}
+
+func (c *cluster) startAll() {
+	for _, m := range c.members {
+		c.start(m.ID)
+	}
+}
+
+// stop ends every process and waits for the connections.
+func (c *cluster) stop() {
+	for _, p := range c.procs {
+		p.stop()
+		_ = p.Close()
+	}
+	c.net.mu.Lock()
+	var pipes []*silencer
+	for _, ps := range c.net.pipes {
+		pipes = append(pipes, ps...)
+	}
+	c.net.mu.Unlock()
+	for _, p := range pipes {
+		_ = p.Close()
+	}
+	c.net.wg.Wait()
+}
+
+// leader waits until one of the running members leads and holds a lease.
+func (c *cluster) leader(among ...uint64) *process {
+	c.t.Helper()
+	for range 1000 {
+		for _, id := range among {
+			p := c.procs[id]
+			if lease, ok := p.Lease(); ok && time.Now().Before(lease.Expires) && p.Status().HasCommittedInTerm {
+				return p
+			}
+		}
+		time.Sleep(10 * time.Millisecond) // virtual time
+	}
+	c.t.Fatal("no leader")
+	return nil
+}
+
+// propose commits data through whichever member leads.
+func (c *cluster) propose(data string, among ...uint64) Outcome {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	out, err := c.leader(among...).Propose(ctx, []byte(data))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/wal/identity.go
@@ -0,0 +1,90 @@
+package wal
+
+import (
+	"encoding/json"
+	"io/fs"
+	"path/filepath"
+
+	"github.com/juju/errors"
+)
+
+const identityFile = "identity.json"
+
+// Identity names the owner of a data folder. It is written once.
+type Identity struct {
+	Group       uint64 `json:"group"`
+	ID          uint64 `json:"id"`
+	Incarnation uint64 `json:"incarnation"` // new for each data folder
+}
+
+// LoadIdentity returns the identity of a data folder, or creates it. Another group or id than the stored one is an
+// error. created is true when the folder was blank.
+func LoadIdentity(fsys FS, dir string, want Identity) (id Identity, created bool, err error) {
+	if err := fsys.MkdirAll(dir); err != nil {
+		return id, false, errors.Annotate(err, "data folder")
+	}
+	data, err := fsys.ReadFile(filepath.Join(dir, identityFile))
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+		return createIdentity(fsys, dir, want)
+	case err != nil:
+		return id, false, errors.Annotate(err, "identity of the data folder")
+	}
+	if err := json.Unmarshal(data, &id); err != nil {
+		return id, false, errors.Annotatef(ErrDamaged, "%s: %v; %s", identityFile, err, repairAdvice)
+	}
+	if id.Group != want.Group || id.ID != want.ID {
+		return id, false, errors.NotValidf("data folder %q of group %d member %d for group %d member %d",
+			dir, id.Group, id.ID, want.Group, want.ID)
+	}
+	return id, false, nil
+}
+
+// createIdentity writes the identity of a blank folder. A folder that holds a log but no identity is damaged.
+func createIdentity(fsys FS, dir string, id Identity) (Identity, bool, error) {
+	names, err := fsys.List(dir)
+	if err != nil {
+		return id, false, errors.Trace(err)
+	}
+	for _, name := range names {
+		if isLogName(name) || isSnapshotName(name) {
+			return id, false, errors.Annotatef(ErrDamaged, "%s is missing beside %s; %s", identityFile, name, repairAdvice)
+		}
+	}
+	data, err := json.Marshal(id)
+	if err != nil {
+		return id, false, errors.Trace(err)
+	}
+	if err := writeFile(fsys, dir, identityFile, data); err != nil {
+		return id, false, errors.Annotate(err, "identity of the data folder")
+	}
+	return id, true, nil
+}
+
+// writeFile replaces a file so that a crash leaves either the old or the new content.
+func writeFile(fsys FS, dir, name string, data []byte) error {
+	temp := filepath.Join(dir, name+tempSuffix)
+	f, err := fsys.Create(temp)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if _, err := f.Write(data); err != nil {
+		_ = f.Close()
+		_ = fsys.Remove(temp)
+		return errors.Trace(err)
+	}
+	if err := f.Sync(); err != nil {
+		_ = f.Close()
+		return errors.Wrap(err, syncFailed(err))
+	}
+	if err := f.Close(); err != nil {
+		return errors.Trace(err)
+	}
+	if err := fsys.Rename(temp, filepath.Join(dir, name)); err != nil {
+		return errors.Trace(err)
+	}
+	if err := fsys.SyncDir(dir); err != nil {
+		return errors.Wrap(err, syncFailed(err))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wal/record.go
@@ -0,0 +1,106 @@
+package wal
+
+import (
+	"bytes"
+	"encoding/binary"
+	"hash/crc32"
+
+	"github.com/juju/errors"
+)
+
+// A file is a sequence of records. One record is what one sync makes durable, so a crash damages only the last:
+//
+//	magic 4 bytes | length of the payload 4 bytes | CRC32C of length and payload 4 bytes | payload
+const (
+	headerSize = 12
+	maxPayload = 1 << 30
+)
+
+var (
+	recordMagic = []byte{0xB3, 'g', 'v', 0x1A}
+	castagnoli  = crc32.MakeTable(crc32.Castagnoli)
+)
+
+// ErrDamaged is the cause when a file holds something that no crash explains.
+const ErrDamaged = errors.ConstError("damaged record")
+
+// appendRecord appends the record of payload to buf.
+func appendRecord(buf, payload []byte) []byte {
+	var head [headerSize]byte
+	copy(head[:4], recordMagic)
+	binary.LittleEndian.PutUint32(head[4:8], uint32(len(payload)))
+	binary.LittleEndian.PutUint32(head[8:12], checksum(head[4:8], payload))
+	buf = append(buf, head[:]...)
+	return append(buf, payload...)
+}
+
+func checksum(length, payload []byte) uint32 {
+	return crc32.Update(crc32.Checksum(length, castagnoli), castagnoli, payload)
+}
+
+// record returns the payload of the record at the start of data, false when there is no whole record.
+func record(data []byte) ([]byte, bool) {
+	if len(data) < headerSize || !bytes.Equal(data[:4], recordMagic) {
+		return nil, false
+	}
+	length := binary.LittleEndian.Uint32(data[4:8])
+	if length > maxPayload || uint64(length) > uint64(len(data)-headerSize) {
+		return nil, false
+	}
+	payload := data[headerSize : headerSize+int(length)]
+	if checksum(data[4:8], payload) != binary.LittleEndian.Uint32(data[8:12]) {
+		return nil, false
+	}
+	return payload, true
+}
+
+// records returns the payloads in data and the length of the part that holds them. A rest that an interrupted write
+// explains is left out; any other rest is an ErrDamaged.
+func records(data []byte) (payloads [][]byte, valid int, err error) {
+	for valid < len(data) {
+		payload, ok := record(data[valid:])
+		if !ok {
+			if isTorn(data[valid:]) {
+				return payloads, valid, nil
+			}
+			return nil, valid, errors.Annotatef(ErrDamaged, "at byte %d of %d", valid, len(data))
+		}
+		payloads = append(payloads, payload)
+		valid += headerSize + len(payload)
+	}
+	return payloads, valid, nil
+}
+
+// isTorn reports whether rest is the beginning of one record, possibly followed by zeros that the file system put
+// in place of data that it had not written, and no record follows.
+func isTorn(rest []byte) bool {
+	written := bytes.TrimRight(rest, "\x00")
+	if hasRecord(rest) {
+		return false
+	}
+	head := min(len(written), len(recordMagic))
+	if !bytes.Equal(written[:head], recordMagic[:head]) {
+		return false
+	}
+	if len(rest) < headerSize {
+		return true
+	}
+	length := uint64(binary.LittleEndian.Uint32(rest[4:8]))
+	isShort := length <= maxPayload && headerSize+length > uint64(len(rest))
+	return isShort || len(written) < len(rest)
+}
+
+// hasRecord reports whether a whole record begins somewhere after the start of data.
+func hasRecord(data []byte) bool {
+	for at := 1; at < len(data); at++ {
+		next := bytes.Index(data[at:], recordMagic)
+		if next < 0 {
+			return false
+		}
+		at += next
+		if _, ok := record(data[at:]); ok {
+			return true
+		}
+	}
+	return false
+}
