Run entry, agent and control roles from a settings file

Entries report every usage counter until the control group has committed it; usage counted before a window is known goes into the first one that is.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -91,6 +91,7 @@
 	Data      string    `json:"data"` // folder
 	Peers     []Peer    `json:"peers"`
 	Platform  *Platform `json:"platform"`  // nil: no orders and no usage reports
+	Join      bool      `json:"join"`      // wait to be added to a group that exists, instead of founding one
 	Bootstrap string    `json:"bootstrap"` // file of the first settings document; read once, when the group has none
 }
 
--- a/internal/entry/usage.go
+++ b/internal/entry/usage.go
@@ -13,10 +13,6 @@
 // flushTimeout bounds the last usage report of an entry that shuts down.
 const flushTimeout = 5 * time.Second
 
-// keptWindows is how many billing windows an entry goes on reporting after they closed; the control group takes late
-// usage as a correction.
-const keptWindows = 3
-
 // usageKey names one counter.
 type usageKey struct {
 	window       uint64
@@ -33,15 +29,21 @@
 	outputTokens uint64
 }
 
+func (d *delivered) add(e delivered) {
+	d.requests += e.requests
+	d.promptTokens += e.promptTokens
+	d.cachedTokens += e.cachedTokens
+	d.outputTokens += e.outputTokens
+}
+
 // usageMeter counts what was delivered, cumulatively per window, and reports it. Counters of one incarnation only
-// grow, so that a report may be sent again.
+// grow, so that a report may be sent again; every counter is reported until the control group has committed it.
 type usageMeter struct {
 	cfg Config
 	dir Directory
 
 	mu       sync.Mutex
 	counters map[usageKey]*delivered
-	dirty    bool
 }
 
 func newUsageMeter(cfg Config, dir Directory) *usageMeter {
@@ -58,11 +60,7 @@
 		c = &delivered{}
 		m.counters[key] = c
 	}
-	c.requests += d.requests
-	c.promptTokens += d.promptTokens
-	c.cachedTokens += d.cachedTokens
-	c.outputTokens += d.outputTokens
-	m.dirty = true
+	c.add(d)
 }
 
 // run reports until ctx is done.
@@ -86,33 +84,36 @@
 	m.report(ctx)
 }
 
-// report sends all counters when some changed since the last report that was taken.
+// report sends all counters that are not settled.
 func (m *usageMeter) report(ctx context.Context) {
-	r := m.snapshot()
+	r := m.snapshot(m.dir.OpenWindow())
 	if r == nil {
 		return
 	}
 	ack, err := m.dir.ReportUsage(ctx, r)
-	if err != nil || !ack.Accepted {
-		m.mu.Lock()
-		m.dirty = true
-		m.mu.Unlock()
-		if err != nil && ctx.Err() == nil {
+	if err != nil {
+		if ctx.Err() == nil {
 			m.cfg.Logger.Warn("usage report failed; it will be sent again", telemetry.KeyError, err.Error())
 		}
 		return
 	}
-	m.prune(ack.OpenWindow)
+	if !ack.Accepted {
+		m.cfg.Logger.Error("usage came too late to be billed", "open_window", ack.OpenWindow)
+	}
+	m.forget(ack.Settled)
 }
 
-// snapshot returns the report to send, nil when nothing changed.
-func (m *usageMeter) snapshot() *controlpb.UsageReport {
+// snapshot returns the report to send, nil when there is none.
+func (m *usageMeter) snapshot(open uint64) *controlpb.UsageReport {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.dirty {
+	if open == 0 {
+		return nil
+	}
+	m.assign(open)
+	if len(m.counters) == 0 {
 		return nil
 	}
-	m.dirty = false
 	r := &controlpb.UsageReport{EntryId: m.cfg.ID, Incarnation: m.cfg.Incarnation}
 	for k, c := range m.counters {
 		r.Counters = append(r.Counters, &controlpb.UsageCounter{
@@ -142,15 +143,29 @@
 	return r
 }
 
-// prune forgets windows that closed long ago and whose figures were taken.
-func (m *usageMeter) prune(open uint64) {
+// assign moves usage that was counted before any window was known into the open one.
+func (m *usageMeter) assign(open uint64) {
+	for k, c := range m.counters {
+		if k.window != 0 {
+			continue
+		}
+		delete(m.counters, k)
+		k.window = open
+		to := m.counters[k]
+		if to == nil {
+			to = &delivered{}
+			m.counters[k] = to
+		}
+		to.add(*c)
+	}
+}
+
+// forget drops the counters of settled windows.
+func (m *usageMeter) forget(settled uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.dirty {
-		return
-	}
 	for k := range m.counters {
-		if k.window+keptWindows < open {
+		if k.window != 0 && k.window <= settled {
 			delete(m.counters, k)
 		}
 	}
--- /dev/null
+++ b/internal/process/agent.go
@@ -0,0 +1,158 @@
+package process
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/guavastack/guavastack/internal/agent"
+	"github.com/guavastack/guavastack/internal/config"
+	"github.com/guavastack/guavastack/internal/core/route"
+	"github.com/guavastack/guavastack/internal/watch"
+	"github.com/guavastack/guavastack/proto/controlpb"
+)
+
+const roleAgent = "agent"
+
+// Agent is the agent role.
+type Agent struct {
+	agent     *agent.Agent
+	registrar *watch.Registrar
+}
+
+// NewAgent returns the agent role, which listens already.
+func NewAgent(base *Base) (*Agent, error) {
+	c := base.Config.Agent
+	lis, err := base.Network.Listen(c.Listen)
+	if err != nil {
+		return nil, errors.Annotate(err, "agent.listen")
+	}
+	registry := metrics.NewRegistry()
+	base.Metrics.Attach(registry)
+	a, err := agent.New(agent.Config{
+		ID:          base.Config.ID,
+		Incarnation: base.Incarnation,
+		Zone:        base.Config.Zone,
+		Listener:    lis,
+		Advertise:   advertised(c, lis.Addr()),
+		Backend:     backendConfig(c.Backend),
+		QueueLimit:  c.QueueLimit,
+		Logger:      base.Logger,
+		Metrics:     registry,
+	})
+	if err != nil {
+		return nil, err
+	}
+	registrar := watch.NewRegistrar(watch.Config{
+		ProcessID:   base.Config.ID,
+		Incarnation: base.Incarnation,
+		Role:        roleAgent,
+		Zone:        base.Config.Zone,
+		Control:     base.Config.ControlMembers,
+		Dial:        base.Network.Dial,
+		Logger:      base.Logger,
+	}, func() *controlpb.BackendServer { return proto.CloneOf(a.Report()) })
+	registrar.OnDirective(func(d *controlpb.AgentDirective) { a.LearnFencing(d.Fencing) })
+	return &Agent{agent: a, registrar: registrar}, nil
+}
+
+// advertised is the address that entries use; a listener of port 0 knows its port only now.
+func advertised(c *config.Agent, addr net.Addr) string {
+	if c.Advertise == c.Listen {
+		return addr.String()
+	}
+	return c.Advertise
+}
+
+func backendConfig(b config.Backend) agent.BackendConfig {
+	cfg := agent.BackendConfig{
+		Kind:          agent.BackendKind(b.Kind),
+		URL:           b.URL,
+		Model:         b.Model,
+		Version:       b.Version,
+		Adapters:      b.Adapters,
+		Slots:         b.Slots,
+		MaxSlots:      b.MaxSlots,
+		Resumable:     b.Resumable,
+		ChecksFencing: b.ChecksFencing,
+	}
+	if cfg.Kind == agent.KindService {
+		cfg.Model = b.Service
+	}
+	return cfg
+}
+
+// lifecyclePoll is how often a change of the agent's lifecycle is looked for, to register it at once.
+const lifecyclePoll = 50 * time.Millisecond
+
+// Addr returns the address of the agent's links.
+func (a *Agent) Addr() net.Addr { return a.agent.Addr() }
+
+// Status implements Role.
+func (a *Agent) Status() (ready bool, reason string) {
+	lifecycle := a.agent.Report().Lifecycle
+	return lifecycle == route.LifecycleReady, "agent is " + lifecycle
+}
+
+// Run implements Role. The agent leaves the registry first, then what runs may end.
+func (a *Agent) Run(ctx context.Context) error {
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var running errgroup.Group
+	running.Go(func() error { return ignoreCancelled(a.agent.Run(serving)) })
+	running.Go(func() error { return ignoreCancelled(a.registrar.Run(serving)) })
+	running.Go(func() error {
+		a.watchLifecycle(serving)
+		return nil
+	})
+	failed := make(chan error, 1)
+	go func() { failed <- running.Wait() }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	err := a.agent.Shutdown(serving)
+	stop()
+	return errors.Annotate(firstError(err, <-failed), "agent")
+}
+
+// watchLifecycle registers changes of the lifecycle at once.
+func (a *Agent) watchLifecycle(ctx context.Context) {
+	tick := time.NewTicker(lifecyclePoll)
+	defer tick.Stop()
+	last := ""
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			if now := a.agent.Report().Lifecycle; now != last {
+				last = now
+				a.registrar.Notify()
+			}
+		}
+	}
+}
+
+// ignoreCancelled drops the error of a role that ended because it was told to.
+func ignoreCancelled(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/control.go
@@ -0,0 +1,208 @@
+package process
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/guavastack/guavastack/internal/config"
+	"github.com/guavastack/guavastack/internal/control"
+	"github.com/guavastack/guavastack/internal/core/billing"
+	"github.com/guavastack/guavastack/internal/core/claim"
+	"github.com/guavastack/guavastack/internal/core/duty"
+	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/core/state"
+	"github.com/guavastack/guavastack/internal/operate"
+	"github.com/guavastack/guavastack/internal/platform"
+	"github.com/guavastack/guavastack/internal/replica"
+	"github.com/guavastack/guavastack/internal/rpcpool"
+	"github.com/guavastack/guavastack/proto/controlpb"
+	"github.com/guavastack/guavastack/proto/peerpb"
+)
+
+// State is the replicated state machine with its modules.
+type State struct {
+	Machine  *state.Machine
+	Settings *settings.Module
+	Claims   *claim.Module
+	Duty     *duty.Module
+	Billing  *billing.Module
+}
+
+// NewState returns an empty state machine.
+func NewState() (*State, error) {
+	s := &State{
+		Settings: settings.NewModule(),
+		Claims:   claim.NewModule(claim.DefaultBounds()),
+		Duty:     duty.NewModule(),
+		Billing:  billing.NewModule(),
+	}
+	var err error
+	s.Machine, err = state.New(s.Settings, s.Claims, s.Duty, s.Billing)
+	return s, err
+}
+
+// NewReplica opens the member's data folder.
+func NewReplica(base *Base, s *State) (*replica.Replica, error) {
+	c := base.Config.Control
+	r, err := replica.Open(replica.Config{
+		GroupID: c.Group,
+		ID:      c.Member,
+		Members: membersOf(c.Peers),
+		Join:    c.Join,
+		DataDir: c.Data,
+		Logger:  base.Logger,
+		Dial:    base.Network.Dial,
+	}, s.Machine)
+	return r, errors.Annotate(err, "control.data")
+}
+
+func membersOf(peers []config.Peer) []replica.Member {
+	out := make([]replica.Member, len(peers))
+	for i, p := range peers {
+		out[i] = replica.Member{ID: p.ID, Address: p.Address}
+	}
+	return out
+}
+
+// Control is the control role.
+type Control struct {
+	base     *Base
+	state    *State
+	replica  *replica.Replica
+	service  *control.Service
+	operator *operate.Operator // nil without a platform
+	listener net.Listener
+}
+
+// NewControl returns the control role, which listens already.
+func NewControl(base *Base, s *State, r *replica.Replica) (*Control, error) {
+	c := base.Config.Control
+	ctl := &Control{base: base, state: s, replica: r}
+	group := controlGroup{Replica: r, self: replica.Member{ID: c.Member, Address: c.Listen}}
+	cfg := control.Config{
+		Group:       group,
+		Settings:    s.Settings,
+		Peers:       otherPeers(c),
+		Dial:        base.Network.Dial,
+		Incarnation: base.Incarnation,
+		Logger:      base.Logger,
+	}
+	if c.Platform != nil {
+		operator, err := newOperator(base, s, r, func() []*controlpb.BackendServer { return ctl.service.Backends() })
+		if err != nil {
+			return nil, errors.Annotate(err, "control.platform")
+		}
+		ctl.operator = operator
+		cfg.Usage = usageSink{operator.Usage()}
+		cfg.OpenWindow = operator.Usage().OpenWindow
+	}
+	cfg.Fencing = func(string) uint64 {
+		var n uint64
+		r.View(func() { n, _ = s.Duty.Fencing() })
+		return n
+	}
+	ctl.service = control.New(cfg)
+	var err error
+	ctl.listener, err = base.Network.Listen(c.Listen)
+	return ctl, errors.Annotate(err, "control.listen")
+}
+
+func otherPeers(c *config.Control) []string {
+	var out []string
+	for _, p := range c.Peers {
+		if p.ID != c.Member {
+			out = append(out, p.Address)
+		}
+	}
+	return out
+}
+
+func newOperator(base *Base, s *State, r *replica.Replica, registry func() []*controlpb.BackendServer) (*operate.Operator, error) {
+	c := base.Config.Control.Platform
+	client, err := platform.NewClient(platform.Config{URL: c.URL})
+	if err != nil {
+		return nil, err
+	}
+	return operate.New(operate.Config{
+		ID:       base.Config.ID,
+		Group:    operateGroup{r},
+		Platform: client,
+		Agents:   operate.AgentClient{},
+		Duty:     s.Duty,
+		Billing:  s.Billing,
+		Registry: registry,
+		Window:   time.Duration(c.WindowLength),
+		Logger:   base.Logger,
+	})
+}
+
+// Addr returns the address of the member's service.
+func (c *Control) Addr() net.Addr { return c.listener.Addr() }
+
+// Status implements Role.
+func (c *Control) Status() (ready bool, reason string) {
+	if _, ok := c.replica.Leader(); !ok {
+		return false, "no leader of the control group is known"
+	}
+	return true, ""
+}
+
+// handOverTimeout bounds the search for another leader when this member shuts down.
+const handOverTimeout = 3 * time.Second
+
+// Run implements Role. At shutdown leadership moves to another member first.
+func (c *Control) Run(ctx context.Context) error {
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var running errgroup.Group
+	start := func(f func(context.Context) error) {
+		running.Go(func() error {
+			defer stop()
+			return ignoreCancelled(f(serving))
+		})
+	}
+	start(c.replica.Run)
+	start(c.service.Run)
+	start(c.serveLinks)
+	if c.operator != nil {
+		start(c.operator.Run)
+	}
+	select {
+	case <-ctx.Done():
+		c.handOver()
+	case <-serving.Done():
+	}
+	stop()
+	err := running.Wait()
+	return firstError(err, c.replica.Close())
+}
+
+// serveLinks answers entries, agents and the other members.
+func (c *Control) serveLinks(ctx context.Context) error {
+	mux := drpcmux.New()
+	if err := c.service.RegisterWith(mux); err != nil {
+		return errors.Trace(err)
+	}
+	if err := peerpb.DRPCRegisterPeer(mux, c.replica.PeerServer()); err != nil {
+		return errors.Trace(err)
+	}
+	return drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: rpcpool.Options()}).Serve(ctx, c.listener)
+}
+
+// handOver gives leadership to another member, if there is one.
+func (c *Control) handOver() {
+	if _, leads := c.replica.Lease(); !leads || len(c.base.Config.Control.Peers) == 1 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	if err := c.replica.TransferLeadership(ctx); err != nil {
+		c.base.Logger.Warn("leadership was not handed over", "error", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/process/entry.go
@@ -0,0 +1,100 @@
+package process
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/entry"
+	"github.com/guavastack/guavastack/internal/link"
+	"github.com/guavastack/guavastack/internal/watch"
+)
+
+const roleEntry = "entry"
+
+// Entry is the entry role.
+type Entry struct {
+	base     *Base
+	watch    *watch.Client
+	links    *link.Pool
+	server   *entry.Server
+	listener net.Listener
+}
+
+// NewWatch returns the entry's client of the control group.
+func NewWatch(base *Base) *watch.Client {
+	cfg := watch.Config{
+		ProcessID:   base.Config.ID,
+		Incarnation: base.Incarnation,
+		Role:        roleEntry,
+		Zone:        base.Config.Zone,
+		Control:     base.Config.ControlMembers,
+		Dial:        base.Network.Dial,
+		Logger:      base.Logger,
+	}
+	if e := base.Config.Entry; e != nil {
+		cfg.FreshnessLimit = time.Duration(e.FreshnessLimit)
+	}
+	return watch.New(cfg)
+}
+
+// NewLinks returns the entry's links to agents.
+func NewLinks(base *Base) *link.Pool {
+	return link.NewPool(link.Config{
+		EntryID:     base.Config.ID,
+		Incarnation: base.Incarnation,
+		Dial:        base.Network.DialNetwork,
+		Logger:      base.Logger,
+	})
+}
+
+// NewEntry returns the entry role, which listens already.
+func NewEntry(base *Base, client *watch.Client, links *link.Pool) (*Entry, error) {
+	c := base.Config.Entry
+	cert, err := listenerTLS(c.TLS)
+	if err != nil {
+		return nil, errors.Annotate(err, "entry.tls")
+	}
+	cfg := entry.Config{
+		ID:             base.Config.ID,
+		Incarnation:    base.Incarnation,
+		Zone:           base.Config.Zone,
+		MaxBodyBytes:   int64(c.MaxBodyBytes),
+		MaxConnections: c.MaxConnections,
+		MaxInFlight:    c.MaxInFlight,
+		DrainDelay:     time.Duration(c.DrainDelay),
+		Logger:         base.Logger,
+		Metrics:        base.Metrics,
+	}
+	if cert != nil {
+		cfg.TLS = cert.Server()
+	}
+	lis, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return nil, errors.Annotate(err, "entry.listen")
+	}
+	return &Entry{base: base, watch: client, links: links, server: entry.New(cfg, client, links), listener: lis}, nil
+}
+
+// Addr returns the address that callers use.
+func (e *Entry) Addr() net.Addr { return e.listener.Addr() }
+
+// Status implements Role.
+func (e *Entry) Status() (ready bool, reason string) { return e.server.Status() }
+
+// Run implements Role. The watch and the links outlive the requests in progress.
+func (e *Entry) Run(ctx context.Context) error {
+	watching, stop := context.WithCancel(context.WithoutCancel(ctx))
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		_ = e.watch.Run(watching)
+	}()
+	err := e.server.Serve(ctx, e.listener)
+	stop()
+	<-watched
+	e.links.Close()
+	return err
+}
--- /dev/null
+++ b/internal/process/group.go
@@ -0,0 +1,99 @@
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/control"
+	"github.com/guavastack/guavastack/internal/core/duty"
+	"github.com/guavastack/guavastack/internal/operate"
+	"github.com/guavastack/guavastack/internal/replica"
+	"github.com/guavastack/guavastack/proto/controlpb"
+)
+
+// controlGroup shows a replica to the control service.
+type controlGroup struct {
+	*replica.Replica
+	self replica.Member
+}
+
+func memberOf(m replica.Member) control.Member {
+	return control.Member{ID: strconv.FormatUint(m.ID, 10), Address: m.Address}
+}
+
+// Propose implements control.Group.
+func (g controlGroup) Propose(ctx context.Context, data []byte) (control.Outcome, error) {
+	out, err := g.Replica.Propose(ctx, data)
+	var notLeader *replica.NotLeaderError
+	if errors.As(err, &notLeader) {
+		e := &control.NotLeaderError{}
+		if notLeader.Leader != 0 {
+			e.Leader = memberOf(replica.Member{ID: notLeader.Leader, Address: notLeader.Address})
+		}
+		return control.Outcome{}, e
+	}
+	return control.Outcome{Index: out.Index, Result: out.Result}, err
+}
+
+// Leader implements control.Group.
+func (g controlGroup) Leader() (control.Member, bool) {
+	m, ok := g.Replica.Leader()
+	return memberOf(m), ok
+}
+
+// Self implements control.Group.
+func (g controlGroup) Self() control.Member { return memberOf(g.self) }
+
+// Applied implements control.Group.
+func (g controlGroup) Applied() (events <-chan struct{}, cancel func()) {
+	applied, stop := g.Subscribe(1)
+	out := make(chan struct{}, 1)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case _, ok := <-applied:
+				if !ok {
+					return
+				}
+			}
+			select {
+			case out <- struct{}{}:
+			default:
+			}
+		}
+	}()
+	return out, func() {
+		stop()
+		close(done)
+	}
+}
+
+// operateGroup shows a replica to the operator of the platform.
+type operateGroup struct{ *replica.Replica }
+
+// Propose implements operate.Group.
+func (g operateGroup) Propose(ctx context.Context, data []byte) (json.RawMessage, error) {
+	out, err := g.Replica.Propose(ctx, data)
+	return out.Result, err
+}
+
+// Lease implements operate.Group.
+func (g operateGroup) Lease() (duty.Lease, bool) {
+	l, ok := g.Replica.Lease()
+	return duty.Lease{Term: l.Term, Expires: l.Expires}, ok
+}
+
+// usageSink passes the usage reports of entries to the operator.
+type usageSink struct{ *operate.Usage }
+
+// ReportUsage implements control.UsageSink.
+func (u usageSink) ReportUsage(_ context.Context, report *controlpb.UsageReport) (*controlpb.UsageAck, error) {
+	ack := u.Report(report)
+	return &controlpb.UsageAck{OpenWindow: ack.OpenWindow, Accepted: ack.Accepted, Settled: ack.Settled}, nil
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -2,7 +2,8 @@
 
 import (
 	"io"
-	"sort"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -50,8 +51,28 @@
 type Registry struct {
 	max int
 
-	mu     sync.RWMutex
-	series map[string]*series
+	mu       sync.RWMutex
+	series   map[string]*series
+	attached []metrics.Registry
+}
+
+// Attach shows the instruments of another registry beside the own ones, without labels.
+func (r *Registry) Attach(other metrics.Registry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.attached = append(r.attached, other)
+}
+
+// all returns the own and the attached series by key. The caller holds r.mu.
+func (r *Registry) all() map[string]*series {
+	all := maps.Clone(r.series)
+	for _, other := range r.attached {
+		other.Each(func(name string, instrument any) {
+			name = strings.NewReplacer(".", "_", "-", "_").Replace(name)
+			all[name] = &series{name: name, instrument: instrument}
+		})
+	}
+	return all
 }
 
 // NewRegistry returns an empty registry of at most maxSeries instruments.
@@ -162,14 +183,10 @@
 func (r *Registry) sorted() []*series {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	keys := make([]string, 0, len(r.series))
-	for k := range r.series {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	out := make([]*series, len(keys))
-	for i, k := range keys {
-		out[i] = r.series[k]
+	all := r.all()
+	out := make([]*series, 0, len(all))
+	for _, k := range slices.Sorted(maps.Keys(all)) {
+		out = append(out, all[k])
 	}
 	return out
 }
