settings: commands carry the operator's text, with comments; tests

A document with comments isn't JSON, so a command that held it as raw JSON was refused as a whole. Commands now carry the text itself, which also keeps the lines in the report of mistakes.

--- a/internal/core/settings/command.go
+++ b/internal/core/settings/command.go
@@ -1,7 +1,5 @@
 package settings
 
-import "encoding/json"
-
 // ModuleName is the name of the settings in the replicated state machine.
 const ModuleName = "settings"
 
@@ -28,15 +26,15 @@
 	ChangeID string `json:"change_id,omitempty"` // the same id again returns the first outcome
 	IfMatch  string `json:"if_match,omitempty"`  // version that the operator has read; empty: any
 
-	Path      string          `json:"path,omitempty"` // of the organisation
-	Node      json.RawMessage `json:"node,omitempty"`
-	Document  json.RawMessage `json:"document,omitempty"`
-	Globals   json.RawMessage `json:"globals,omitempty"`
-	KeyID     string          `json:"key_id,omitempty"`
-	NewKeyID  string          `json:"new_key_id,omitempty"`
-	KeyHash   string          `json:"key_hash,omitempty"` // SHA-256 in hexadecimal; the key itself never enters the log
-	ExpiresMS int64           `json:"expires_ms,omitempty"`
-	To        string          `json:"to,omitempty"`
+	Path      string `json:"path,omitempty"`     // of the organisation
+	Node      string `json:"node,omitempty"`     // JSON with comments, as the operator wrote it
+	Document  string `json:"document,omitempty"` // likewise
+	Globals   string `json:"globals,omitempty"`  // likewise
+	KeyID     string `json:"key_id,omitempty"`
+	NewKeyID  string `json:"new_key_id,omitempty"`
+	KeyHash   string `json:"key_hash,omitempty"` // SHA-256 in hexadecimal; the key itself never enters the log
+	ExpiresMS int64  `json:"expires_ms,omitempty"`
+	To        string `json:"to,omitempty"`
 }
 
 // Code says why a command was refused.
--- a/internal/core/settings/document.go
+++ b/internal/core/settings/document.go
@@ -120,16 +120,16 @@
 }
 
 // ParseNode reads one node, as an operator writes it.
-func ParseNode(data []byte) (*Node, Problems) {
+func ParseNode(text string) (*Node, Problems) {
 	node := &Node{}
-	_, problems := strict.Decode("", data, node)
+	_, problems := strict.Decode("", []byte(text), node)
 	return node, problems
 }
 
 // ParseGlobals reads the settings that belong to no node.
-func ParseGlobals(data []byte) (*Globals, Problems) {
+func ParseGlobals(text string) (*Globals, Problems) {
 	globals := &Globals{}
-	_, problems := strict.Decode("", data, globals)
+	_, problems := strict.Decode("", []byte(text), globals)
 	return globals, problems
 }
 
--- a/internal/core/settings/module.go
+++ b/internal/core/settings/module.go
@@ -296,7 +296,7 @@
 }
 
 func (m *Module) planDocument(c Command) (Delta, *Outcome) {
-	doc, problems := Parse("", c.Document)
+	doc, problems := Parse("", []byte(c.Document))
 	if len(problems) > 0 {
 		return Delta{}, m.refusal(problems)
 	}
--- a/internal/core/settings/patch.go
+++ b/internal/core/settings/patch.go
@@ -4,25 +4,31 @@
 	"encoding/json"
 
 	"github.com/juju/errors"
+	"github.com/tailscale/hujson"
 )
 
 // mergePatch returns node after an RFC 7396 merge patch: null removes, objects merge, all else replaces.
-func mergePatch(node Node, patch []byte) ([]byte, error) {
+func mergePatch(node Node, patch string) (string, error) {
 	data, err := json.Marshal(node)
 	if err != nil {
-		return nil, err
+		return "", err
+	}
+	plain, err := hujson.Standardize([]byte(patch))
+	if err != nil {
+		return "", err
 	}
 	var target, change any
 	if err := json.Unmarshal(data, &target); err != nil {
-		return nil, err
+		return "", err
 	}
-	if err := json.Unmarshal(patch, &change); err != nil {
-		return nil, err
+	if err := json.Unmarshal(plain, &change); err != nil {
+		return "", err
 	}
 	if _, ok := change.(map[string]any); !ok {
-		return nil, errors.NotValidf("a patch that is not an object")
+		return "", errors.NotValidf("a patch that is not an object")
 	}
-	return json.Marshal(merge(target, change))
+	merged, err := json.Marshal(merge(target, change))
+	return string(merged), err
 }
 
 func merge(target, patch any) any {
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -204,7 +204,7 @@
 	return cmd
 }
 
-var putShop = settings.Command{Op: settings.PutNode, Path: "shop", Node: json.RawMessage(`{"classes": {"chat": {"tier": 1}}}`)}
+var putShop = settings.Command{Op: settings.PutNode, Path: "shop", Node: `{"classes": {"chat": {"tier": 1}}}`}
 
 func TestWatcherLearnsChangesAndIsFresh(t *testing.T) {
 	inWorld(t, 3, func(w *world) {
