--- /dev/null
+++ b/internal/operate/faults_test.go
@@ -0,0 +1,346 @@
+package operate
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/duty"
+	standin "github.com/guavastack/guavastack/internal/standin/platform"
+)
+
+// onPut makes a plan for calls that change something; others are delivered.
+func onPut(f fault) func(method, path string) fault {
+	return func(method, _ string) fault {
+		if method != http.MethodPut {
+			return deliver
+		}
+		return f
+	}
+}
+
+// first makes a plan for the first n calls of a path prefix.
+func first(n int, prefix string, f fault) func(method, path string) fault {
+	return func(method, path string) fault {
+		if method != http.MethodPut || !strings.HasPrefix(path, prefix) || n == 0 {
+			return deliver
+		}
+		n--
+		return f
+	}
+}
+
+// settled is long enough for a takeover, the retries of open orders, and the closing and reporting of windows.
+const settled = 60 * time.Second
+
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults func(b *bench) // begins with control-0 in charge and three servers wanted
+	}{
+		{"no fault", func(*bench) {}},
+		{"leader isolated silently while its orders are on their way", func(b *bench) {
+			b.faults.set(onPut(arriveAtEnd))
+			b.run(4 * time.Second)
+			b.isolate(0)
+			b.elect(1)
+			b.run(3 * time.Second)
+			b.faults.set(nil)
+			b.run(settled)
+			b.heal(0)
+		}},
+		{"both sides of a partition reach the platform", func(b *bench) {
+			b.isolate(0)
+			b.elect(1)
+			b.run(settled)
+			b.heal(0)
+			b.isolate(1)
+			b.elect(2)
+			b.run(settled)
+			b.heal(1)
+		}},
+		{"lease ends during a call", func(b *bench) {
+			b.faults.set(onPut(loseAnswer))
+			b.run(3 * time.Second)
+			b.isolate(0)
+			b.elect(2)
+			b.run(5 * time.Second)
+			b.faults.set(nil)
+		}},
+		{"process paused between check and send", func(b *bench) {
+			b.pauseAfterCheck(0, 30*time.Second)
+			b.elect(1)
+			b.run(settled)
+			b.heal(0)
+		}},
+		{"process paused shorter than the lease, then elected again", func(b *bench) {
+			b.pauseAfterCheck(0, time.Second)
+			b.run(2 * time.Second)
+			b.elect(0)
+		}},
+		{"answers to orders lost", func(b *bench) { b.faults.set(first(4, "/v1/orders/", loseAnswer)) }},
+		{"orders lost", func(b *bench) { b.faults.set(first(4, "/v1/orders/", loseCall)) }},
+		{"orders and reports duplicated", func(b *bench) { b.faults.set(onPut(twice)) }},
+		{"answers to reports lost", func(b *bench) {
+			b.faults.set(first(3, "/v1/usage/", loseAnswer))
+			b.run(settled)
+		}},
+		{"report on its way when the leader changes", func(b *bench) {
+			b.faults.set(first(20, "/v1/usage/", loseAnswer))
+			b.run(30 * time.Second)
+			b.isolate(0)
+			b.elect(1)
+			b.run(settled)
+			b.heal(0)
+		}},
+		{"crash between commit and send", func(b *bench) {
+			b.faults.set(onPut(loseCall))
+			b.run(4 * time.Second)
+			b.crash(0)
+			b.faults.set(nil)
+			b.elect(1)
+		}},
+		{"crash between send and record", func(b *bench) {
+			b.faults.set(onPut(loseAnswer))
+			b.run(4 * time.Second)
+			b.crash(0)
+			b.faults.set(nil)
+			b.elect(1)
+		}},
+		{"outcomes of proposals lost", func(b *bench) {
+			b.loseOutcomes(0, 3)
+			b.run(20 * time.Second)
+			b.loseOutcomes(0, 2)
+		}},
+		{"intents commit after their proposals gave up", func(b *bench) {
+			b.want(0, 0)
+			b.run(5 * time.Second)
+			b.want(0, 1)
+			b.stall(14 * time.Second)
+			b.run(30 * time.Second)
+			b.want(2, 1)
+		}},
+		{"two leaders in quick succession", func(b *bench) {
+			b.faults.set(onPut(arriveAtEnd))
+			b.run(4 * time.Second)
+			b.isolate(0)
+			b.elect(1)
+			b.run(time.Second)
+			b.isolate(1)
+			b.elect(2)
+			b.run(3 * time.Second)
+			b.faults.set(nil)
+			b.run(settled)
+			b.heal(0)
+			b.heal(1)
+		}},
+		{"window closed while counters arrive late", func(b *bench) {
+			b.entry.muted = true
+			b.run(time.Minute)
+			b.entry.muted = false
+			b.entry.report(b.reachable())
+			b.crash(0) // with counters taken and not committed
+			b.elect(1)
+		}},
+		{"leader loses and regains its office", func(b *bench) {
+			b.faults.set(onPut(loseAnswer))
+			b.run(4 * time.Second)
+			b.isolate(0)
+			b.elect(1)
+			b.run(2 * time.Second)
+			b.isolate(1)
+			b.heal(0)
+			b.elect(0)
+			b.run(4 * time.Second)
+			b.faults.set(nil)
+			b.heal(1)
+		}},
+	}
+	platforms := []struct {
+		name string
+		cfg  standin.Config
+	}{
+		{"platform checks fencing", standin.Config{}},
+		{"platform ignores fencing", standin.Config{IgnoreFencing: true}},
+		{"platform forgets order ids", standin.Config{IgnoreFencing: true, ForgetOrders: true}},
+	}
+	for _, p := range platforms {
+		for _, tt := range tests {
+			if p.cfg.ForgetOrders && strings.Contains(tt.name, "duplicated") {
+				continue // no sender can help where the network duplicates and the receiver forgets
+			}
+			t.Run(p.name+"/"+tt.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					b := newBench(t, p.cfg)
+					b.elect(0)
+					b.want(2, 1)
+					b.run(2 * time.Second) // still waiting out older leaders
+					tt.faults(b)
+					b.run(settled)
+					if n := b.started(); n != 3 {
+						t.Errorf("%d servers started for 3 intents", n)
+					}
+					b.check(2, 1)
+				})
+			})
+		}
+	}
+}
+
+// check compares the platform's record with the rules, the servers with the wanted counts, and the figures with what
+// the entry served.
+func (b *bench) check(a, z int) {
+	b.t.Helper()
+	for _, violation := range b.standin.Record().Violations {
+		b.t.Error(violation)
+	}
+	if b.servers("a") != a || b.servers("b") != z {
+		b.t.Errorf("servers: a %d, b %d; want %d, %d", b.servers("a"), b.servers("b"), a, z)
+	}
+	served := b.entry.total
+	b.run(settled)
+	tokens, windows := b.reported()
+	if tokens < served || tokens > b.entry.total || windows < 2 {
+		b.t.Errorf("reported %d tokens in %d windows; served %d before, %d now", tokens, windows, served, b.entry.total)
+	}
+}
+
+func TestStopDrainsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, standin.Config{})
+		b.elect(0)
+		b.want(2, 1)
+		b.run(20 * time.Second)
+		for _, s := range b.standin.Servers() {
+			b.agents.running[s.ID] = 5
+		}
+		b.want(0, 1)
+		b.run(6 * time.Second)
+		if b.servers("a") != 2 {
+			t.Errorf("stopped before the agents were idle: %d left", b.servers("a"))
+		}
+		b.run(20 * time.Second)
+		b.check(0, 1)
+	})
+}
+
+func TestPausedFleetSendsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, standin.Config{})
+		b.elect(0)
+		leader := b.group.members[0]
+		data, err := duty.Encode(duty.Command{Change: &duty.Change{ID: "p", Settings: pausedSettings()}}, "test", 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := leader.Propose(b.ctx, data); err != nil {
+			t.Fatal(err)
+		}
+		b.run(time.Minute)
+		if n := len(b.standin.Servers()); n != 0 {
+			t.Errorf("%d servers ordered while paused", n)
+		}
+		if status := leader.operator.FleetStatus(); len(status.Plans) != 1 || status.Plans[0].Total() != 2 {
+			t.Errorf("plans while paused: %+v", status.Plans)
+		}
+	})
+}
+
+func TestZoneWithoutSupply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, standin.Config{})
+		b.standin.SetSupply("a", false)
+		b.elect(0)
+		leader := b.group.members[0]
+		settings := pausedSettings()
+		settings.Paused = false
+		settings.Pools[0].Manual = nil
+		settings.Broadcasts = burst(4)
+		data, err := duty.Encode(duty.Command{Change: &duty.Change{ID: "p", Settings: settings}}, "test", 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := leader.Propose(b.ctx, data); err != nil {
+			t.Fatal(err)
+		}
+		b.run(30 * time.Second)
+		b.check(0, 4)
+	})
+}
+
+func TestRateLimitKeepsTheOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, standin.Config{})
+		b.standin.SetRateLimited(true)
+		b.elect(0)
+		b.want(1, 0)
+		b.run(30 * time.Second)
+		b.standin.SetRateLimited(false)
+		b.run(10 * time.Second)
+		ids := make(map[string]bool)
+		for _, e := range b.standin.Record().Events {
+			if e.Kind == standin.EventOrder {
+				ids[e.OrderID] = true
+			}
+		}
+		if len(ids) != 1 {
+			t.Errorf("%d order ids for one server", len(ids))
+		}
+		b.check(1, 0)
+	})
+}
+
+// pausingGroup stands still for a time after each look at the lease.
+type pausingGroup struct {
+	Group
+	lease duty.Lease
+	pause time.Duration
+}
+
+func (g *pausingGroup) Lease() (duty.Lease, bool) {
+	time.Sleep(g.pause)
+	return g.lease, true
+}
+
+func TestCallEndsBeforeLease(t *testing.T) {
+	timing := duty.DefaultTiming()
+	tests := []struct {
+		name      string
+		remaining time.Duration
+		pause     time.Duration
+		term      uint64
+		called    bool
+	}{
+		{"whole lease left", timing.Lease, 0, 1, true},
+		{"less left than the longest call", timing.LongestCall / 2, 0, 1, true},
+		{"less left than the shortest call", timing.ShortestCall - 1, 0, 1, false},
+		{"over", -time.Second, 0, 1, false},
+		{"paused beyond the lease after the look at it", timing.Lease, time.Minute, 1, false},
+		{"paused within the lease", timing.Lease, timing.Lease / 2, 1, true},
+		{"lease of another term", timing.Lease, 0, 2, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				expires := time.Now().Add(tt.remaining)
+				group := &pausingGroup{lease: duty.Lease{Term: tt.term, Expires: expires}, pause: tt.pause}
+				c := &charge{op: &Operator{cfg: Config{Group: group, Timing: timing}}, term: 1}
+				called := false
+				err := c.call(t.Context(), func(ctx context.Context) error {
+					called = true
+					deadline, ok := ctx.Deadline()
+					if !ok || deadline.After(expires) || time.Until(deadline) > timing.LongestCall {
+						t.Errorf("call may last %v, lease %v", time.Until(deadline), time.Until(expires))
+					}
+					return nil
+				})
+				if called != tt.called || (err == nil) != tt.called {
+					t.Errorf("called %v, error %v; want called %v", called, err, tt.called)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/operate/harness_test.go
@@ -0,0 +1,519 @@
+package operate
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/core/billing"
+	"github.com/guavastack/guavastack/internal/core/duty"
+	"github.com/guavastack/guavastack/internal/core/fleet"
+	"github.com/guavastack/guavastack/internal/core/state"
+	"github.com/guavastack/guavastack/internal/platform"
+	standin "github.com/guavastack/guavastack/internal/standin/platform"
+	"github.com/guavastack/guavastack/proto/controlpb"
+	"github.com/guavastack/guavastack/proto/linkpb"
+)
+
+const beat = 100 * time.Millisecond
+
+// fakeGroup is a control group in one process: one log, a state machine per member, leases in virtual time.
+type fakeGroup struct {
+	mu      sync.Mutex
+	term    uint64
+	leader  int
+	log     [][]byte
+	queue   [][]byte  // proposals that wait for the end of a stall
+	stalled time.Time // nothing commits before
+	members []*fakeMember
+}
+
+// commit appends to the log and applies it everywhere.
+func (g *fakeGroup) commit(data [][]byte, proposer *fakeMember) json.RawMessage {
+	g.log = append(g.log, data...)
+	var result json.RawMessage
+	for _, m := range g.members {
+		r := m.catchUp()
+		if m == proposer {
+			result = r
+		}
+	}
+	return result
+}
+
+// fakeMember implements Group for one member.
+type fakeMember struct {
+	group    *fakeGroup
+	id       int
+	duty     *duty.Module
+	billing  *billing.Module
+	machine  *state.Machine
+	operator *Operator
+	applied  int
+
+	leads    bool // in its own belief
+	term     uint64
+	cutOff   time.Time // last confirmed heartbeat, once the member is cut off
+	stopped  context.CancelFunc
+	pause    time.Duration // the process stands still for so long right after its next look at the lease
+	loseNext int           // proposals that commit without an answer
+}
+
+func (m *fakeMember) Lease() (duty.Lease, bool) {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	last := time.Now().Truncate(beat)
+	if !m.cutOff.IsZero() {
+		last = m.cutOff
+	}
+	lease := duty.Lease{Term: m.term, Expires: last.Add(duty.DefaultLease - duty.DefaultDrift)}
+	ok := m.leads && time.Now().Before(lease.Expires)
+	if ok && m.pause > 0 {
+		d := m.pause
+		m.pause = 0
+		m.group.mu.Unlock()
+		time.Sleep(d)
+		m.group.mu.Lock()
+	}
+	return lease, ok
+}
+
+func (m *fakeMember) View(f func()) {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	f()
+}
+
+func (m *fakeMember) Propose(ctx context.Context, data []byte) (json.RawMessage, error) {
+	m.group.mu.Lock()
+	reachable := m.leads && m.cutOff.IsZero() && m.group.leader == m.id
+	if !reachable {
+		m.group.mu.Unlock()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	defer m.group.mu.Unlock()
+	if time.Now().Before(m.group.stalled) {
+		m.group.queue = append(m.group.queue, data)
+		m.group.mu.Unlock()
+		<-ctx.Done() // every stall lasts longer than a proposal waits
+		m.group.mu.Lock()
+		return nil, ctx.Err()
+	}
+	result := m.group.commit([][]byte{data}, m)
+	if m.loseNext > 0 {
+		m.loseNext--
+		return nil, errors.New("outcome of the proposal lost")
+	}
+	return result, nil
+}
+
+// catchUp applies the log and returns the outcome of its last command. A member that is cut off learns nothing.
+func (m *fakeMember) catchUp() json.RawMessage {
+	var result json.RawMessage
+	for m.cutOff.IsZero() && m.applied < len(m.group.log) {
+		m.applied++
+		r, err := m.machine.Apply(uint64(m.applied), m.group.log[m.applied-1])
+		if err != nil {
+			panic(err)
+		}
+		result = r
+	}
+	return result
+}
+
+// bench is a group with its platform, agents and usage.
+type bench struct {
+	t       *testing.T
+	ctx     context.Context
+	group   *fakeGroup
+	standin *standin.Standin
+	faults  *faultyTransport
+	agents  *fakeAgents
+	entry   *fakeEntry
+	running sync.WaitGroup
+}
+
+// newBench must be called within a synctest bubble.
+func newBench(t *testing.T, cfg standin.Config) *bench {
+	t.Helper()
+	if cfg.Zones == nil {
+		cfg.Zones = []platform.Zone{{Name: "a", PricePerHour: 2}, {Name: "b", PricePerHour: 2}}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	b := &bench{t: t, ctx: ctx, group: &fakeGroup{leader: -1}, standin: standin.New(cfg), agents: newFakeAgents()}
+	b.faults = &faultyTransport{handler: b.standin.Handler()}
+	b.entry = &fakeEntry{open: 1, counters: make(map[uint64]uint64)}
+	for i := range 3 {
+		b.addMember(i)
+	}
+	t.Cleanup(func() {
+		cancel()
+		b.running.Wait()
+	})
+	return b
+}
+
+func (b *bench) addMember(id int) {
+	m := &fakeMember{group: b.group, id: id, duty: duty.NewModule(), billing: billing.NewModule()}
+	machine, err := state.New(m.duty, m.billing)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	m.machine = machine
+	b.group.members = append(b.group.members, m)
+	b.startOperator(m)
+}
+
+// startOperator starts the process of a member, also after a crash.
+func (b *bench) startOperator(m *fakeMember) {
+	client, err := platform.NewClient(platform.Config{URL: "http://platform.test", Transport: b.faults})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	operator, err := New(Config{
+		ID: fmt.Sprintf("control-%d", m.id), Group: m, Platform: client, Agents: b.agents, Duty: m.duty,
+		Billing: m.billing, Registry: b.registry, Poll: 200 * time.Millisecond,
+		Window: 20 * time.Second, Grace: 4 * time.Second, Record: 3 * time.Second,
+	})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	m.operator = operator
+	ctx, cancel := context.WithCancel(b.ctx)
+	m.stopped = cancel
+	b.running.Go(func() { _ = operator.Run(ctx) })
+}
+
+// registry shows an agent for every server that runs.
+func (b *bench) registry() []*controlpb.BackendServer {
+	var servers []*controlpb.BackendServer
+	for _, s := range b.standin.Servers() {
+		servers = append(servers, &controlpb.BackendServer{Id: s.ID, Model: s.Model, Zone: s.Zone, Slots: 8, Lifecycle: "ready"})
+	}
+	return servers
+}
+
+// elect makes a member the leader at once, without any grace for the older one: the worst that voting can do.
+func (b *bench) elect(id int) {
+	b.group.mu.Lock()
+	defer b.group.mu.Unlock()
+	b.group.term++
+	b.group.leader = id
+	for _, m := range b.group.members {
+		if m.id != id && m.cutOff.IsZero() {
+			m.leads = false
+		}
+	}
+	m := b.group.members[id]
+	m.leads = true
+	m.term = b.group.term
+	m.cutOff = time.Time{}
+	m.catchUp()
+}
+
+// isolate cuts a member off without its knowing.
+func (b *bench) isolate(id int) {
+	b.group.mu.Lock()
+	defer b.group.mu.Unlock()
+	b.group.members[id].cutOff = time.Now().Truncate(beat)
+}
+
+// heal lets a member that was cut off learn of the newer leader.
+func (b *bench) heal(id int) {
+	b.group.mu.Lock()
+	defer b.group.mu.Unlock()
+	m := b.group.members[id]
+	m.cutOff = time.Time{}
+	m.leads = m.id == b.group.leader
+	m.catchUp()
+}
+
+// crash ends the process of a member; its replicated state is on disk.
+func (b *bench) crash(id int) {
+	m := b.group.members[id]
+	m.stopped()
+	b.isolate(id)
+	b.group.mu.Lock()
+	m.leads = false
+	b.group.mu.Unlock()
+}
+
+// pauseAfterCheck stops a member's process for d, right after its next look at the lease, and cuts it off.
+func (b *bench) pauseAfterCheck(id int, d time.Duration) {
+	b.isolate(id)
+	b.group.mu.Lock()
+	defer b.group.mu.Unlock()
+	b.group.members[id].pause = d
+}
+
+// loseOutcomes lets the next n proposals of a member commit without an answer.
+func (b *bench) loseOutcomes(id, n int) {
+	b.group.mu.Lock()
+	defer b.group.mu.Unlock()
+	b.group.members[id].loseNext = n
+}
+
+// stall lets nothing commit for d; what is proposed meanwhile commits then.
+func (b *bench) stall(d time.Duration) {
+	b.group.mu.Lock()
+	b.group.stalled = time.Now().Add(d)
+	b.group.mu.Unlock()
+	b.running.Go(func() {
+		time.Sleep(d)
+		b.group.mu.Lock()
+		defer b.group.mu.Unlock()
+		b.group.commit(b.group.queue, nil)
+		b.group.queue = nil
+	})
+}
+
+// want asks for manual counts in both zones.
+func (b *bench) want(a, z int) {
+	b.t.Helper()
+	b.group.mu.Lock()
+	leader := b.group.members[b.group.leader]
+	_, version := leader.duty.Settings()
+	b.group.mu.Unlock()
+	data, err := duty.Encode(duty.Command{Change: &duty.Change{
+		ID: fmt.Sprintf("change-%d", version), IfMatch: version,
+		Settings: fleet.Settings{Pools: []fleet.Pool{{Model: "m", Zones: []string{"a", "b"}, Manual: map[string]int{"a": a, "b": z}}}},
+	}}, "test", 0)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	if _, err := leader.Propose(b.ctx, data); err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+// run lets virtual time pass; the entry reports every second to every member that would take it.
+func (b *bench) run(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		b.entry.serve()
+		b.entry.report(b.reachable())
+		time.Sleep(time.Second)
+	}
+	synctest.Wait()
+}
+
+// reachable returns the member that the entry's reports reach, nil during an election.
+func (b *bench) reachable() *fakeMember {
+	b.group.mu.Lock()
+	defer b.group.mu.Unlock()
+	for _, m := range b.group.members {
+		if m.leads && m.cutOff.IsZero() {
+			return m
+		}
+	}
+	return nil
+}
+
+// servers counts the servers of a zone.
+func (b *bench) servers(zone string) int {
+	n := 0
+	for _, s := range b.standin.Servers() {
+		if s.Zone == zone {
+			n++
+		}
+	}
+	return n
+}
+
+// started counts the servers that the platform ever started.
+func (b *bench) started() int {
+	servers := make(map[string]bool)
+	for _, e := range b.standin.Record().Events {
+		if e.Order == platform.KindStart && e.Code == "ok" {
+			servers[e.Server] = true
+		}
+	}
+	return len(servers)
+}
+
+// reported sums everything that the platform holds, by the newest state of the log.
+func (b *bench) reported() (tokens, windows uint64) {
+	seen := make(map[uint64]bool)
+	for _, e := range b.standin.Record().Events {
+		if e.Kind != standin.EventUsage || e.Code != "ok" || seen[e.Window] {
+			continue
+		}
+		seen[e.Window] = true
+		r, err := billing.ParseReport([]byte(e.Body))
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		tokens += r.Total().OutputTokens
+		windows++
+	}
+	return tokens, windows
+}
+
+// fakeEntry meters one organisation's usage as an entry does.
+type fakeEntry struct {
+	open     uint64
+	counters map[uint64]uint64 // output tokens by window
+	total    uint64
+	muted    bool // its reports are lost
+}
+
+func (e *fakeEntry) serve() {
+	e.counters[e.open] += 10
+	e.total += 10
+}
+
+func (e *fakeEntry) report(m *fakeMember) {
+	if m == nil || e.muted {
+		return
+	}
+	report := &controlpb.UsageReport{EntryId: "entry", Incarnation: "1"}
+	for window, tokens := range e.counters {
+		report.Counters = append(report.Counters, &controlpb.UsageCounter{
+			Window: window, Organisation: "camurca", Class: "chat", Model: "m", Requests: tokens / 10, OutputTokens: tokens,
+		})
+	}
+	ack := m.operator.Usage().Report(report)
+	e.open = max(e.open, ack.OpenWindow)
+	for window := range e.counters {
+		if window <= ack.Settled && window < e.open {
+			delete(e.counters, window)
+		}
+	}
+}
+
+// fakeAgents drains each server over a few rounds.
+type fakeAgents struct {
+	mu      sync.Mutex
+	fencing map[string]uint64
+	running map[string]uint32
+	orders  []*linkpb.EngineOrder
+	calls   int
+}
+
+func newFakeAgents() *fakeAgents {
+	return &fakeAgents{fencing: make(map[string]uint64), running: make(map[string]uint32)}
+}
+
+func (a *fakeAgents) SetLifecycle(_ context.Context, s *controlpb.BackendServer, r *linkpb.LifecycleRequest) (*linkpb.LifecycleReply, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.calls++
+	if r.Fencing < a.fencing[s.Id] {
+		return &linkpb.LifecycleReply{Fencing: a.fencing[s.Id]}, nil
+	}
+	a.fencing[s.Id] = r.Fencing
+	if a.running[s.Id] > 0 {
+		a.running[s.Id]--
+	}
+	return &linkpb.LifecycleReply{
+		Accepted: true, Fencing: r.Fencing, Lifecycle: linkpb.Lifecycle_LIFECYCLE_LEAVING, Running: a.running[s.Id],
+	}, nil
+}
+
+func (a *fakeAgents) Order(_ context.Context, s *controlpb.BackendServer, o *linkpb.EngineOrder) (*linkpb.EngineOrderResult, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if o.Fencing < a.fencing[s.Id] {
+		return &linkpb.EngineOrderResult{Stale: true, Fencing: a.fencing[s.Id]}, nil
+	}
+	a.fencing[s.Id] = o.Fencing
+	a.orders = append(a.orders, o)
+	return &linkpb.EngineOrderResult{Accepted: true, Fencing: o.Fencing}, nil
+}
+
+// fault is what the network does to a call.
+type fault int
+
+const (
+	deliver     fault = iota
+	loseCall          // never arrives; the caller waits for its deadline
+	loseAnswer        // arrives; the caller waits for its deadline
+	twice             // arrives twice
+	arriveAtEnd       // arrives when the caller's deadline ends
+	refuseOnce        // the platform refuses for its rate
+)
+
+// faultyTransport carries calls to a handler in this process.
+type faultyTransport struct {
+	handler http.Handler
+	mu      sync.Mutex
+	plan    func(method, path string) fault
+}
+
+func (f *faultyTransport) set(plan func(method, path string) fault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.plan = plan
+}
+
+func (f *faultyTransport) next(r *http.Request) fault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.plan == nil {
+		return deliver
+	}
+	return f.plan(r.Method, r.URL.Path)
+}
+
+// RoundTrip implements http.RoundTripper.
+func (f *faultyTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	switch f.next(r) {
+	case loseCall:
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	case loseAnswer:
+		f.serve(r, body)
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	case arriveAtEnd:
+		<-r.Context().Done()
+		f.serve(r, body)
+		return nil, r.Context().Err()
+	case twice:
+		f.serve(r, body)
+		return f.serve(r, body), nil
+	default:
+		time.Sleep(5 * time.Millisecond)
+		return f.serve(r, body), nil
+	}
+}
+
+func (f *faultyTransport) serve(r *http.Request, body []byte) *http.Response {
+	w := httptest.NewRecorder()
+	req := httptest.NewRequestWithContext(context.Background(), r.Method, r.URL.Path, bytes.NewReader(body))
+	req.Header = r.Header
+	f.handler.ServeHTTP(w, req)
+	return w.Result()
+}
+
+// pausedSettings want one server in each zone and are paused.
+func pausedSettings() fleet.Settings {
+	return fleet.Settings{
+		Paused: true,
+		Pools:  []fleet.Pool{{Model: "m", Zones: []string{"a", "b"}, Manual: map[string]int{"a": 1, "b": 1}}},
+	}
+}
+
+// burst announces a broadcast that begins now and needs n servers.
+func burst(n int) []fleet.Broadcast {
+	return []fleet.Broadcast{{
+		Model: "m", BeginMS: time.Now().UnixMilli(), EndMS: time.Now().Add(time.Hour).UnixMilli(), Servers: n,
+	}}
+}
