--- a/internal/entry/usage.go
+++ b/internal/entry/usage.go
@@ -100,7 +100,7 @@
 	if !ack.Accepted {
 		m.cfg.Logger.Error("usage came too late to be billed", "open_window", ack.OpenWindow)
 	}
-	m.forget(ack.Settled)
+	m.forget(ack.SettledWindow)
 }
 
 // snapshot returns the report to send, nil when there is none.
