--- /dev/null
+++ b/cmd/guavastack/output.go
@@ -0,0 +1,13 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+)
+
+// printJSON writes v to stdout, indented.
+func printJSON(v any) error {
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
--- /dev/null
+++ b/cmd/guavastack/roles.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/guavastack/guavastack/internal/config"
+	"github.com/guavastack/guavastack/internal/process"
+	"github.com/guavastack/guavastack/internal/telemetry"
+	"github.com/guavastack/guavastack/internal/up"
+)
+
+// upCommand runs everything on loopback addresses.
+func upCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "up",
+		Usage: "run all roles and stand-ins in this process, with a demonstration organisation and key",
+		Description: "Prints one JSON line on stdout once everything serves; logs go to stderr.\n" +
+			"Ends on SIGINT or SIGTERM after the requests in progress.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:8080", Usage: "`ADDRESS` for callers"},
+			&cli.StringFlag{Name: "admin", Value: "127.0.0.1:8081", Usage: "`ADDRESS` for operators"},
+			&cli.StringFlag{Name: "data", Usage: "`FOLDER` for the state (default: a temporary one)"},
+			&cli.IntFlag{Name: "backends", Value: 2, Usage: "number of stand-in model engines"},
+			&cli.StringFlag{Name: "log-level", Value: "warn", Usage: "debug, info, warn or error"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			logger, err := telemetry.NewLogger(os.Stderr, cmd.String("log-level"))
+			if err != nil {
+				return usagef("--log-level: %v", err)
+			}
+			if cmd.Int("backends") < 1 {
+				return usagef("--backends: %d; expected at least 1", cmd.Int("backends"))
+			}
+			return up.Run(ctx, up.Options{
+				Listen:   cmd.String("listen"),
+				Admin:    cmd.String("admin"),
+				Data:     cmd.String("data"),
+				Backends: cmd.Int("backends"),
+				Stdout:   os.Stdout,
+				Logger:   logger,
+			})
+		},
+	}
+}
+
+// roleCommand runs one role of a settings file, or all of them.
+func roleCommand(role, usage string) *cli.Command {
+	return &cli.Command{
+		Name:  role,
+		Usage: usage,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Required: true, Usage: "settings `FILE` of the process"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			cfg, err := config.Load(cmd.String("config"))
+			if err != nil {
+				return err
+			}
+			if err := keepRole(cfg, role); err != nil {
+				return err
+			}
+			logger, err := telemetry.NewLogger(os.Stderr, cfg.Log.Level)
+			if err != nil {
+				return err
+			}
+			return runRoles(ctx, cfg, logger)
+		},
+	}
+}
+
+// keepRole removes the other roles from the settings.
+func keepRole(cfg *config.Config, role string) error {
+	roles := map[string]bool{"entry": cfg.Entry != nil, "agent": cfg.Agent != nil, "control": cfg.Control != nil}
+	if role == "run" {
+		return nil
+	}
+	if !roles[role] {
+		return usagef("the settings file has no %q section", role)
+	}
+	if role != "entry" {
+		cfg.Entry = nil
+	}
+	if role != "agent" {
+		cfg.Agent = nil
+	}
+	if role != "control" {
+		cfg.Control = nil
+	}
+	return nil
+}
+
+// runRoles runs the roles of the settings in the order in which they shut down.
+func runRoles(ctx context.Context, cfg *config.Config, logger *slog.Logger) error {
+	base, err := process.NewBase(cfg, logger)
+	if err != nil {
+		return err
+	}
+	var roles []process.Role
+	if cfg.Entry != nil {
+		r, err := process.BuildEntry(base)
+		if err != nil {
+			return err
+		}
+		roles = append(roles, r)
+	}
+	if cfg.Agent != nil {
+		r, err := process.BuildAgent(base)
+		if err != nil {
+			return err
+		}
+		roles = append(roles, r)
+	}
+	if cfg.Control != nil {
+		r, err := process.BuildControl(base)
+		if err != nil {
+			return err
+		}
+		roles = append(roles, r)
+	}
+	logger.Info("starting", "process", cfg.ID, "incarnation", base.Incarnation, "roles", len(roles))
+	return process.Run(ctx, base, roles...)
+}
--- /dev/null
+++ b/internal/process/build.go
@@ -0,0 +1,20 @@
+//go:build wireinject
+
+package process
+
+import "github.com/google/wire"
+
+// BuildEntry builds the entry role.
+func BuildEntry(base *Base) (*Entry, error) {
+	panic(wire.Build(NewWatch, NewLinks, NewEntry))
+}
+
+// BuildAgent builds the agent role.
+func BuildAgent(base *Base) (*Agent, error) {
+	panic(wire.Build(NewAgent))
+}
+
+// BuildControl builds the control role.
+func BuildControl(base *Base) (*Control, error) {
+	panic(wire.Build(NewState, NewReplica, NewControl))
+}
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"time"
 
@@ -145,6 +146,15 @@
 // Addr returns the address of the member's service.
 func (c *Control) Addr() net.Addr { return c.listener.Addr() }
 
+// AdminAddr returns the address of the operators' API.
+func (c *Control) AdminAddr() string { return c.base.Config.Control.Admin.Listen }
+
+// Propose commits one command, if this member leads.
+func (c *Control) Propose(ctx context.Context, data []byte) (json.RawMessage, error) {
+	out, err := c.replica.Propose(ctx, data)
+	return out.Result, err
+}
+
 // Status implements Role.
 func (c *Control) Status() (ready bool, reason string) {
 	if _, ok := c.replica.Leader(); !ok {
--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Generates the code that is committed: messages from proto/, wire graphs from cmd/guavastack.
+# Generates the code that is committed: messages from proto/, wire graphs of internal/process.
 set -euo pipefail
 cd "$(dirname "$0")"
 go run ./genproto ../proto
@@ -7,6 +7,4 @@
 trap 'rm -rf "$bin"' EXIT
 go build -o "$bin/wire" github.com/google/wire/cmd/wire
 cd ..
-if grep -rlq --include='*.go' wireinject cmd internal; then
-  "$bin/wire" gen ./cmd/guavastack/...
-fi
+"$bin/wire" gen ./internal/process
