Measure the policy under overload in virtual time

Cause: attainment, fairness and waste under a burst are what the product is for, and need a figure for each change. Change: small fake engines (continuous batching, chunked prefill), services and entries round the scheduler, the router and the retry rules; both fleets; three policies in one run. Time in a slot is learned for requests without tokens too.

--- a/internal/core/sched/scheduler.go
+++ b/internal/core/sched/scheduler.go
@@ -124,7 +124,7 @@
 	if it.state == waiting {
 		return s.Cancel(now, id)
 	}
-	if it.state == running && it.tokens > 0 {
+	if it.state == running {
 		s.learned.observeFinish(it.tokens, now.Sub(it.started))
 		it.queue.lane.meanCost.observe(float64(it.tokens))
 	}
--- /dev/null
+++ b/internal/policybench/entry.go
@@ -0,0 +1,115 @@
+package policybench
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/retry"
+	"github.com/guavastack/guavastack/internal/core/route"
+	"github.com/guavastack/guavastack/internal/core/sched"
+	"github.com/guavastack/guavastack/internal/core/verdict"
+)
+
+// request is one request of a caller.
+type request struct {
+	id           string
+	attemptID    string
+	class        *class
+	organisation string
+	prompt       int
+	output       int
+	arrived      time.Time
+	due          time.Time
+	deadline     time.Time
+	measured     bool
+	service      bool
+
+	entry      *entry
+	placements int
+	exclude    []string
+	dispatched time.Time
+
+	firstStart time.Time
+	first      time.Time
+	last       time.Time
+	tokens     int
+	computed   int
+}
+
+// entry is a fake entry: the table, the router and the retry rules of the core.
+type entry struct {
+	sim    *simulation
+	zone   int
+	table  *route.Table
+	router *route.Router
+	budget *retry.Budget
+}
+
+func newEntry(sim *simulation, zone int) *entry {
+	table := route.NewTable(route.Config{})
+	return &entry{
+		sim: sim, zone: zone, table: table, budget: retry.NewBudget(),
+		router: route.NewRouter(table, route.RouterConfig{Policy: sim.policies.Route}),
+	}
+}
+
+// place dispatches a request to the backend server that the router chooses.
+func (e *entry) place(r *request) {
+	now := e.sim.clock.now
+	kind, model := route.KindEngine, engineModel
+	if r.service {
+		kind, model = route.KindService, serviceModel
+	}
+	backend, err := e.router.Choose(now, route.Request{
+		Kind: kind, Model: model, Zone: zoneName(e.zone), Tier: r.class.tier, PromptTokens: r.prompt, Exclude: r.exclude,
+		FirstTokenTarget: r.class.firstToken,
+	}, e.sim.rand.Uint64())
+	if err != nil {
+		e.sim.lost(r)
+		return
+	}
+	r.placements++
+	r.attemptID = fmt.Sprintf("%s.%d", r.id, r.placements)
+	r.dispatched = now
+	e.table.Began(now, backend.ID, r.prompt, nil)
+	s := e.sim.servers[backend.ID]
+	e.sim.clock.after(e.sim.delay(e.zone, s.zone), func() { s.submit(r) })
+}
+
+// refused is the arrival of a refusal or a return.
+func (e *entry) refused(s *server, r *request, a sched.Action) {
+	now := e.sim.clock.now
+	e.table.Ended(now, s.id, route.Outcome{Result: route.Refused})
+	if a.Reason == sched.Hopeless || a.Started {
+		e.sim.lost(r)
+		return
+	}
+	r.exclude = append(r.exclude, s.id)
+	d := retry.DefaultConfig.Next(now, retry.Attempt{
+		Refused: true, Verdict: verdict.NotRun, Repeatable: r.class.repeatable, Placements: r.placements,
+		MaxAttempts: 1, Deadline: r.deadline,
+	}, e.budget, e.sim.rand.Float64())
+	if !d.Again {
+		e.sim.lost(r)
+		return
+	}
+	e.place(r)
+}
+
+func (e *entry) firstToken(*server, *request) {}
+
+func (e *entry) ended(s *server, r *request, whole bool) {
+	result := route.OK
+	if !whole {
+		result = route.Failed
+	}
+	e.table.Ended(e.sim.clock.now, s.id, route.Outcome{Result: result, FirstToken: r.first.Sub(r.dispatched)})
+	if whole {
+		e.budget.OnSuccess()
+		e.sim.completed(r)
+		return
+	}
+	e.sim.lost(r)
+}
+
+func zoneName(zone int) string { return fmt.Sprintf("zone%d", zone) }
--- /dev/null
+++ b/internal/policybench/server.go
@@ -0,0 +1,252 @@
+package policybench
+
+import (
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/route"
+	"github.com/guavastack/guavastack/internal/core/sched"
+)
+
+const (
+	// An engine computes one token for every request of its batch in a step.
+	stepBase     = 12 * time.Millisecond
+	stepPerBatch = 600 * time.Microsecond
+	// prefillToken is the time that one prompt token adds to a step, of at most prefillChunk prompt tokens.
+	prefillToken = 50 * time.Microsecond
+	prefillChunk = 512
+	// referenceBatch is the batch size at which the capacity is reckoned.
+	referenceBatch = 40
+)
+
+// job is one request at a backend server.
+type job struct {
+	req     *request
+	prefill int // prompt tokens still to compute
+	stop    bool
+}
+
+// server is a fake backend server with its agent.
+type server struct {
+	sim     *simulation
+	id      string
+	zone    int
+	service bool
+	slow    float64
+	sched   *sched.Scheduler
+
+	jobs     []*job // in the engine, by start
+	byID     map[string]*job
+	held     map[string]*request // at the agent, waiting or running
+	stepping bool
+}
+
+func newServer(sim *simulation, id string, zone int, service bool) *server {
+	cfg := sched.Config{Policy: sim.policies.Sched, Slots: startSlots, MaxSlots: maxSlots, QueueLimit: queueLimit}
+	if service {
+		cfg.Slots, cfg.MaxSlots = serviceSlots, serviceSlots
+	}
+	s := &server{
+		sim: sim, id: id, zone: zone, service: service, slow: 1, sched: sched.New(cfg),
+		byID: make(map[string]*job), held: make(map[string]*request),
+	}
+	sim.clock.after(tickInterval, s.tick)
+	sim.clock.after(reportInterval, s.report)
+	return s
+}
+
+func (s *server) backend() route.Backend {
+	kind, model := route.KindEngine, engineModel
+	if s.service {
+		kind, model = route.KindService, serviceModel
+	}
+	return route.Backend{
+		ID: s.id, Kind: kind, Model: model, Zone: zoneName(s.zone), Lifecycle: route.LifecycleReady, Slots: startSlots,
+	}
+}
+
+func (s *server) tick() {
+	s.apply(s.sched.Tick(s.sim.clock.now))
+	s.sim.clock.after(tickInterval, s.tick)
+}
+
+// report sends the load to every entry; reports come late, and some never.
+func (s *server) report() {
+	load := routeLoad(s.sched.Load(s.sim.clock.now))
+	for _, e := range s.sim.entries {
+		if s.sim.rand.Float64() < reportLoss {
+			continue
+		}
+		s.sim.clock.after(reportLag, func() { e.table.Report(s.sim.clock.now, s.id, load) })
+	}
+	s.sim.clock.after(reportInterval, s.report)
+}
+
+// submit is the arrival of a request from an entry.
+func (s *server) submit(r *request) {
+	s.held[r.attemptID] = r
+	c := r.class
+	s.apply(s.sched.Submit(s.sim.clock.now, sched.Request{
+		ID: r.attemptID, Organisation: r.organisation, Class: c.name, Tier: c.tier,
+		Deadline: r.deadline, FirstTokenTarget: r.due.Sub(s.sim.clock.now), BetweenTokenTarget: c.betweenTokens,
+		PromptTokens: r.prompt, Repeatable: c.repeatable, Preemptible: c.preemptible, Resumable: c.resumable,
+	}))
+}
+
+func (s *server) apply(actions []sched.Action) {
+	for _, a := range actions {
+		r := s.held[a.ID]
+		switch a.Kind {
+		case sched.Start:
+			s.start(r)
+		case sched.Preempt:
+			s.byID[a.ID].stop = true
+			s.sim.report.Preemptions++
+		case sched.Return, sched.Refuse:
+			delete(s.held, a.ID)
+			s.sim.reply(s, r, func() { r.entry.refused(s, r, a) })
+		}
+	}
+}
+
+func (s *server) start(r *request) {
+	s.sim.starts(r)
+	if r.firstStart.IsZero() || !r.class.resumable {
+		r.tokens = 0
+	}
+	r.firstStart = s.sim.clock.now
+	j := &job{req: r, prefill: r.prompt}
+	if r.tokens > 0 {
+		j.prefill = 0 // resumed with its cache
+	}
+	s.jobs = append(s.jobs, j)
+	s.byID[r.attemptID] = j
+	if s.service {
+		took := time.Duration(float64(r.output) * s.slow * float64(time.Millisecond))
+		s.sim.clock.after(took, func() { s.answer(j) })
+		return
+	}
+	if !s.stepping {
+		s.stepping = true
+		s.sim.clock.after(0, s.step)
+	}
+}
+
+// step computes the next token of every request in the batch.
+func (s *server) step() {
+	s.removeStopped()
+	if len(s.jobs) == 0 {
+		s.stepping = false
+		return
+	}
+	took := stepBase + time.Duration(len(s.jobs))*stepPerBatch
+	chunk := prefillChunk
+	var ready []*job
+	for _, j := range s.jobs {
+		if j.prefill > 0 {
+			n := min(j.prefill, chunk)
+			j.prefill -= n
+			chunk -= n
+			j.req.computed += n
+			s.sim.report.Computed += n
+			took += time.Duration(n) * prefillToken
+		}
+		if j.prefill == 0 {
+			ready = append(ready, j)
+		}
+	}
+	s.sim.clock.after(time.Duration(float64(took)*s.slow), func() {
+		for _, j := range ready {
+			s.token(j)
+		}
+		s.step()
+	})
+}
+
+// token delivers one token of a request.
+func (s *server) token(j *job) {
+	r := j.req
+	if j.stop || s.byID[r.attemptID] != j {
+		return
+	}
+	now := s.sim.clock.now
+	r.tokens++
+	r.computed++
+	s.sim.report.Computed++
+	if r.first.IsZero() {
+		r.first = now
+		s.sim.reply(s, r, func() { r.entry.firstToken(s, r) })
+	}
+	r.last = now
+	s.apply(s.sched.Progress(now, r.attemptID, 1))
+	switch {
+	case r.tokens >= r.output:
+		s.end(j, true)
+	case now.After(r.deadline):
+		s.end(j, false)
+	}
+}
+
+// answer is the whole answer of a service.
+func (s *server) answer(j *job) {
+	r := j.req
+	if s.byID[r.attemptID] != j {
+		return
+	}
+	if j.stop {
+		s.preempted(j)
+		return
+	}
+	r.first, r.last = s.sim.clock.now, s.sim.clock.now
+	r.tokens, r.computed = 1, r.computed+1
+	s.sim.reply(s, r, func() { r.entry.firstToken(s, r) })
+	s.end(j, !r.last.After(r.deadline))
+}
+
+// end takes a request out of the engine and tells its entry.
+func (s *server) end(j *job, whole bool) {
+	r := j.req
+	s.remove(j)
+	delete(s.held, r.attemptID)
+	s.apply(s.sched.Finish(s.sim.clock.now, r.attemptID))
+	s.sim.reply(s, r, func() { r.entry.ended(s, r, whole) })
+}
+
+func (s *server) remove(j *job) {
+	delete(s.byID, j.req.attemptID)
+	for i := range s.jobs {
+		if s.jobs[i] == j {
+			s.jobs = append(s.jobs[:i], s.jobs[i+1:]...)
+			return
+		}
+	}
+}
+
+// removeStopped completes the preemptions at the end of a step.
+func (s *server) removeStopped() {
+	for _, j := range append([]*job(nil), s.jobs...) {
+		if j.stop && s.byID[j.req.attemptID] == j {
+			s.preempted(j)
+		}
+	}
+}
+
+func (s *server) preempted(j *job) {
+	s.remove(j)
+	if !j.req.class.resumable {
+		s.sim.report.Wasted += j.req.computed
+		j.req.computed = 0
+	}
+	s.apply(s.sched.Requeue(s.sim.clock.now, j.req.attemptID))
+}
+
+// routeLoad converts the load report of a scheduler to that of the router.
+func routeLoad(l sched.Load) route.Load {
+	out := route.Load{
+		Slots: l.Slots, Running: l.Running, Waiting: l.Waiting, QueueLimit: l.QueueLimit,
+		HasDisplaceable: l.HasDisplaceable, LowestTier: l.LowestTier, TokenInterval: l.TokenInterval, FirstToken: l.FirstToken,
+	}
+	for tier, n := range l.WaitingByTier {
+		out.WaitingByTier[min(tier, route.MaxTiers-1)] += n
+	}
+	return out
+}
--- /dev/null
+++ b/internal/policybench/simulation.go
@@ -0,0 +1,138 @@
+package policybench
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// simulation is one run of a scenario under one choice of policies.
+type simulation struct {
+	scenario Scenario
+	policies Policies
+	clock    *clock
+	rand     *rand.Rand
+	servers  map[string]*server
+	engines  []*server
+	entries  []*entry
+	arrivals uint64
+	report   Report
+}
+
+// Run measures a scenario under one choice of policies. The same arguments give the same report.
+func Run(scenario Scenario, policies Policies) Report {
+	sim := &simulation{
+		scenario: scenario, policies: policies, clock: newClock(), servers: make(map[string]*server),
+		rand:   rand.New(rand.NewPCG(scenario.Seed, 0)),
+		report: newReport(scenario, policies),
+	}
+	sim.build()
+	sim.scheduleArrivals(engineClasses, scenario.Engines, engineWork, false)
+	sim.scheduleArrivals(serviceClasses, scenario.Services*serviceSlots, serviceWork, true)
+	sim.scheduleStragglers()
+	longest := engineClasses[len(engineClasses)-1].deadline
+	sim.clock.runUntil(epoch.Add(scenario.Warmup + scenario.Burst + longest + time.Minute))
+	return sim.report
+}
+
+func (sim *simulation) build() {
+	for i := range sim.scenario.Entries {
+		sim.entries = append(sim.entries, newEntry(sim, i%sim.scenario.Zones))
+	}
+	for i := range sim.scenario.Engines + sim.scenario.Services {
+		service := i >= sim.scenario.Engines
+		s := newServer(sim, fmt.Sprintf("server%02d", i), i%sim.scenario.Zones, service)
+		sim.servers[s.id] = s
+		if !service {
+			sim.engines = append(sim.engines, s)
+		}
+		for _, e := range sim.entries {
+			e.table.Upsert(epoch, s.backend())
+		}
+	}
+}
+
+// engineWork is the time of an engine that a request of the class takes at the reference batch size.
+func engineWork(c *class) float64 {
+	step := stepBase + referenceBatch*stepPerBatch
+	return float64(c.output)*step.Seconds()/referenceBatch + float64(c.prompt)*prefillToken.Seconds()
+}
+
+// serviceWork is the time of a slot that a request of the class takes.
+func serviceWork(c *class) float64 { return float64(c.output) / 1000 }
+
+// scheduleArrivals starts one Poisson stream for each class.
+func (sim *simulation) scheduleArrivals(classes []class, capacity int, work func(*class) float64, service bool) {
+	end := sim.scenario.Warmup + sim.scenario.Burst
+	for i := range classes {
+		c := &classes[i]
+		rate := c.workShare * float64(capacity) / work(c)
+		random := rand.New(rand.NewPCG(sim.scenario.Seed, uint64(c.tier)<<1|uint64(len(c.name))<<8|1))
+		var next func()
+		next = func() {
+			at := sim.clock.now.Sub(epoch)
+			if at >= end {
+				return
+			}
+			sim.arrive(c, random, service, at >= sim.scenario.Warmup)
+			load := warmupLoad
+			if at >= sim.scenario.Warmup {
+				load = sim.scenario.Overload
+			}
+			sim.clock.after(time.Duration(random.ExpFloat64()/(rate*load)*float64(time.Second)), next)
+		}
+		sim.clock.after(time.Duration(random.ExpFloat64()/(rate*warmupLoad)*float64(time.Second)), next)
+	}
+}
+
+func (sim *simulation) arrive(c *class, random *rand.Rand, service, measured bool) {
+	sim.arrivals++
+	now := sim.clock.now
+	organisation := 0
+	if random.Float64() >= bigShare {
+		organisation = 1 + random.IntN(sim.scenario.Organisations-1)
+	}
+	r := &request{
+		id: fmt.Sprint(sim.arrivals), class: c, organisation: fmt.Sprintf("organisation%02d", organisation),
+		prompt: length(random, c.prompt), output: max(1, length(random, c.output)),
+		arrived: now, deadline: now.Add(c.deadline), measured: measured, service: service,
+		entry: sim.entries[random.IntN(len(sim.entries))],
+	}
+	r.due = now.Add(c.firstToken)
+	if c.firstToken == 0 {
+		r.due = now
+	}
+	sim.offered(r)
+	r.entry.place(r)
+}
+
+// length draws an exponential length of at most eight times the mean.
+func length(random *rand.Rand, mean int) int {
+	return int(math.Min(8, random.ExpFloat64()) * float64(mean))
+}
+
+func (sim *simulation) scheduleStragglers() {
+	third := sim.scenario.Burst / 3
+	for i := range sim.scenario.Stragglers {
+		s := sim.engines[i*5%len(sim.engines)]
+		sim.clock.after(sim.scenario.Warmup+third, func() { s.slow = sim.scenario.Slowdown })
+		sim.clock.after(sim.scenario.Warmup+2*third, func() { s.slow = 1 })
+	}
+}
+
+func (sim *simulation) delay(a, b int) time.Duration {
+	if a == b {
+		return sameZoneDelay
+	}
+	return otherZoneDelay
+}
+
+// reply carries a message from an agent to the entry, and the load with it.
+func (sim *simulation) reply(s *server, r *request, deliver func()) {
+	load := routeLoad(s.sched.Load(sim.clock.now))
+	sim.clock.after(sim.delay(s.zone, r.entry.zone), func() {
+		r.entry.table.Report(sim.clock.now, s.id, load)
+		deliver()
+	})
+}
