Tune the policy under overload by its traces

Traces of late requests show: requests past their first-token target were served before those that could still meet it; preemption looked at the head of the least-served organisation alone; the batch size fell with each long prefill and grew by one; entries could not tell servers full of preemptible work from those full of higher tiers; first-token comparisons included the wait in the queue, so that healthy servers counted as stragglers; old load reports overtook new ones; a short queue erased the claim of small organisations; services' time was not charged. Change: late requests go last; one preemption for each threatened request, by due time; longer window and a margin that follows the misses; running tiers in load reports; numbered reports; first token counted from the start; a small credit for a returning organisation; three random choices.

--- a/internal/core/route/health.go
+++ b/internal/core/route/health.go
@@ -17,7 +17,7 @@
 	// probesToReturn is the number of good outcomes after which a server is fully back.
 	probesToReturn = 3
 	minAside       = 2 * time.Second
-	maxAside       = time.Minute
+	maxAside       = 8 * time.Second
 )
 
 // healthState is how much work a server gets.
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -50,6 +50,7 @@
 
 // Load is the last load report of a backend server.
 type Load struct {
+	Seq             uint64 // of the report at its sender; one that a later report has overtaken is ignored; 0: not numbered
 	Slots           int
 	Running         int
 	Waiting         int
@@ -59,6 +60,7 @@
 	TokenInterval   time.Duration // between two tokens of one request
 	FirstToken      time.Duration // expected for an arrival of the lowest tier
 	WaitingByTier   [MaxTiers]int // zero where the reporter tells no tiers apart
+	RunningByTier   [MaxTiers]int // zero where the reporter tells no tiers apart
 }
 
 // Result is how an attempt ended.
@@ -76,7 +78,7 @@
 // Outcome is the end of an attempt.
 type Outcome struct {
 	Result     Result
-	FirstToken time.Duration // from the dispatch to the first token; with OK
+	FirstToken time.Duration // from the start at the backend server, without the wait in its queue; with OK
 }
 
 // Request is what the router knows of a request.
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -9,7 +9,7 @@
 type Policy uint8
 
 const (
-	// PolicyTwoChoices takes the better of two random candidates and the one that holds the prompt's prefix.
+	// PolicyTwoChoices takes the best of a few random candidates and the one that holds the prompt's prefix.
 	PolicyTwoChoices Policy = iota
 	// PolicyRoundRobin takes the candidates in turn; a baseline of the measurements.
 	PolicyRoundRobin
@@ -18,12 +18,16 @@
 )
 
 const (
+	// choices is the number of random candidates that a pick compares.
+	choices = 3
 	// maxDraws bounds the random draws of a pick before all candidates are looked at.
 	maxDraws = 8
 	// affinityLoadFactor bounds the load of a server that is chosen for its cache, as a multiple of the mean.
 	affinityLoadFactor = 1.25
-	// utilisationCost is the part of the score of a server whose slots are all taken.
-	utilisationCost = 50 * time.Millisecond
+	// tierUseCost is the part of the score of a server whose slots are all taken by the request's tier and those above.
+	tierUseCost = 50 * time.Millisecond
+	// useCost is the part of the score of a server whose slots are all taken, by whatever tier.
+	useCost = 10 * time.Millisecond
 	// failureCost is the part of the score of a server that fails always.
 	failureCost = 2 * time.Second
 	// noRoomCost is the part of the score of a server that would refuse by its last report.
@@ -108,7 +112,7 @@
 	return least
 }
 
-// twoChoices is the pick stage.
+// twoChoices is the pick stage. A few random candidates keep entries from herding on the one that looks best to all.
 func (r *Router) twoChoices(now time.Time, g *group, req *Request, rnd uint64) *server {
 	home, cached := r.holder(now, g, req)
 	best, bestScore := home, time.Duration(0)
@@ -116,7 +120,7 @@
 		bestScore = r.score(now, home, req, cached)
 	}
 	drawn := 0
-	for i := 0; i < maxDraws && drawn < 2; i++ {
+	for i := 0; i < maxDraws && drawn < choices; i++ {
 		rnd = nextRandom(rnd)
 		s := g.servers[(rnd>>32)%uint64(len(g.servers))]
 		if s == best || !s.isCandidate(now, req) {
--- a/internal/core/route/score.go
+++ b/internal/core/route/score.go
@@ -12,7 +12,8 @@
 	slots := float64(s.slots())
 	prefill := float64(req.PromptTokens) * (1 - cachedShare) * float64(t.cfg.PrefillPerToken)
 	wait := math.Max(0, queued-slots+1) * float64(s.slotInterval)
-	score := time.Duration(prefill + wait + busy/slots*float64(utilisationCost) + s.health.failures*float64(failureCost))
+	use := queued/slots*float64(tierUseCost) + busy/slots*float64(useCost)
+	score := time.Duration(prefill + wait + use + s.health.failures*float64(failureCost))
 	if req.Zone != s.Zone {
 		score += t.cfg.ZoneCost
 	}
@@ -28,8 +29,7 @@
 	prior := (1 - c) * s.group.meanBusy()
 	own := float64(s.sinceReport)
 	all = c*s.reportedBusy() + prior + own
-	ahead := s.load.Running + s.waitingUpTo[min(max(0, tier), MaxTiers-1)]
-	before = c*float64(ahead) + math.Min(prior, float64(s.slots())) + own
+	before = c*float64(s.before[min(max(0, tier), MaxTiers-1)]) + math.Min(prior, float64(s.slots())) + own
 	return all, before
 }
 
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -79,7 +79,7 @@
 	loadAt       time.Time
 	hasLoad      bool
 	slotInterval time.Duration
-	waitingUpTo  [MaxTiers]int // waiting requests of the tier and those above
+	before       [MaxTiers]int // requests that go before one of the tier: those of the tier and above
 
 	inFlight    int // own, begun and not ended
 	sinceReport int // own, begun and not ended since the last report
@@ -143,7 +143,7 @@
 // Report takes a load report.
 func (t *Table) Report(now time.Time, id string, l Load) {
 	s := t.servers[id]
-	if s == nil {
+	if s == nil || (l.Seq != 0 && l.Seq <= s.load.Seq) {
 		return
 	}
 	g := s.group
@@ -158,21 +158,22 @@
 	if l.Waiting > 0 && l.FirstToken > 0 {
 		s.slotInterval = l.FirstToken / time.Duration(l.Waiting+1)
 	}
-	s.sumWaiting()
+	s.sumBefore()
 	g.review(now)
 }
 
-// sumWaiting derives the waiting requests of each tier and those above from the report.
-func (s *server) sumWaiting() {
-	sum := 0
-	for i, n := range s.load.WaitingByTier {
-		sum += n
-		s.waitingUpTo[i] = sum
+// sumBefore derives from the report how many requests go before an arrival of each tier.
+func (s *server) sumBefore() {
+	running, waiting := 0, 0
+	for i := range s.before {
+		running += s.load.RunningByTier[i]
+		waiting += s.load.WaitingByTier[i]
+		s.before[i] = running + waiting
 	}
-	if sum == 0 && s.load.Waiting > 0 {
-		for i := range s.waitingUpTo {
-			s.waitingUpTo[i] = s.load.Waiting
-		}
+	runningUntold := s.load.Running - running
+	waitingUntold := s.load.Waiting - waiting
+	for i := range s.before {
+		s.before[i] += runningUntold + waitingUntold
 	}
 }
 
--- a/internal/core/sched/learn.go
+++ b/internal/core/sched/learn.go
@@ -8,16 +8,25 @@
 const (
 	// averageWeight is the weight of a new observation in a moving average.
 	averageWeight = 0.1
-	// prefillOverheadTokens stands for the part of a first token that does not depend on the prompt.
-	prefillOverheadTokens = 32
 	// burstHalfLife is how fast blocked arrivals are forgotten.
 	burstHalfLife = 10 * time.Second
-	// batchWindow is the number of observations between two changes of the batch size.
-	batchWindow = 64
-	// batchMargin is the part of the between-token target that the batch size aims at.
-	batchMargin = 0.9
+	// batchWindow is the number of tokens of each slot between two changes of the batch size. Shorter windows follow the
+	// prefill of single prompts, and the batch size falls with each long one.
+	batchWindow = 32
+	// allowedMissShare is the share of answers that may miss their between-token target.
+	allowedMissShare = 0.005
+	// marginWindow is the number of answers between two changes of the margin.
+	marginWindow = 200
+	// The batch size aims at a part of the between-token target, which falls while too many answers miss it.
+	startMargin    = 0.65
+	minMargin      = 0.5
+	maxMargin      = 0.9
+	marginDecrease = 0.95
+	marginIncrease = 1.01
 	// batchDecrease is the factor by which the batch size falls when the target is missed.
 	batchDecrease = 0.9
+	// maxBatchGrowth bounds one increase of the batch size.
+	maxBatchGrowth = 1.25
 )
 
 // average is an exponential moving average; its zero value has no observations.
@@ -34,6 +43,30 @@
 	a.value += averageWeight * (x - a.value)
 }
 
+// line is a straight line fitted to observations, of which recent ones count more.
+type line struct {
+	x, y, xx, xy average
+}
+
+func (l *line) observe(x, y float64) {
+	l.x.observe(x)
+	l.y.observe(y)
+	l.xx.observe(x * x)
+	l.xy.observe(x * y)
+}
+
+// at returns the value of the line; neither its slope nor its value at zero is negative.
+func (l *line) at(x float64) float64 {
+	slope := 0.0
+	if variance := l.xx.value - l.x.value*l.x.value; variance > 0 {
+		slope = math.Max(0, (l.xy.value-l.x.value*l.y.value)/variance)
+	}
+	if l.x.value > 0 {
+		slope = math.Min(slope, l.y.value/l.x.value)
+	}
+	return l.y.value + slope*(x-l.x.value)
+}
+
 // decaying is a count that halves every burstHalfLife.
 type decaying struct {
 	value float64
@@ -54,29 +87,31 @@
 
 // estimates are what the scheduler has learned of its backend server.
 type estimates struct {
-	prefill  average // seconds for one uncached prompt token
+	prefill  line    // seconds to the first token, by uncached prompt tokens
 	interval average // seconds between two tokens of a request
 	service  average // seconds from start to finish
-	output   average // output tokens of an answer
 
 	// Since the last change of the batch size.
 	observations int
 	sum          float64
 	batch        int // largest number of running requests seen
-}
 
-func uncached(r *Request) float64 {
-	return float64(max(0, r.PromptTokens-r.CachedTokens) + prefillOverheadTokens)
+	answers int     // since the last change of the margin
+	missed  int     // of them, those that missed their between-token target
+	margin  float64 // part of the target that the batch size aims at
 }
 
+// uncached is the number of prompt tokens that the engine has to compute.
+func uncached(r *Request) float64 { return float64(max(0, r.PromptTokens-r.CachedTokens)) }
+
 // firstToken is the expected time from the start of a request to its first token.
 func (e *estimates) firstToken(r *Request) time.Duration {
-	return seconds(e.prefill.value * uncached(r))
+	return seconds(e.prefill.at(uncached(r)))
 }
 
 // observeFirstToken learns from a first token.
 func (e *estimates) observeFirstToken(r *Request, took time.Duration) {
-	e.prefill.observe(took.Seconds() / uncached(r))
+	e.prefill.observe(uncached(r), took.Seconds())
 }
 
 // observeTokens learns from further tokens of one request.
@@ -89,14 +124,38 @@
 }
 
 // observeFinish learns from a finished request.
-func (e *estimates) observeFinish(tokens int, took time.Duration) {
-	e.service.observe(took.Seconds())
-	e.output.observe(float64(tokens))
+func (e *estimates) observeFinish(it *item, now time.Time) {
+	e.service.observe(now.Sub(it.started).Seconds())
+	between := it.tokens - it.tokensThen - 1
+	if it.BetweenTokenTarget <= 0 || between <= 0 {
+		return
+	}
+	e.answers++
+	if it.lastToken.Sub(it.firstToken) > time.Duration(between)*it.BetweenTokenTarget {
+		e.missed++
+	}
+	e.adjustMargin()
+}
+
+// adjustMargin follows the share of answers that missed their target.
+func (e *estimates) adjustMargin() {
+	if e.answers < marginWindow {
+		return
+	}
+	if float64(e.missed) > allowedMissShare*float64(e.answers) {
+		e.margin = math.Max(minMargin, e.margin*marginDecrease)
+	} else {
+		e.margin = math.Min(maxMargin, e.margin*marginIncrease)
+	}
+	e.answers, e.missed = 0, 0
 }
 
+// isWindowFull reports whether enough was observed since the last change of the batch size.
+func (e *estimates) isWindowFull(slots int) bool { return e.observations >= batchWindow*slots }
+
 // batchSize returns the batch size to use after the last observations, where target bounds the time between tokens.
 func (e *estimates) batchSize(slots, maxSlots int, target time.Duration) int {
-	if e.observations < batchWindow {
+	if !e.isWindowFull(slots) {
 		return slots
 	}
 	mean := e.sum / float64(e.observations)
@@ -105,15 +164,16 @@
 	if target <= 0 {
 		return min(slots+1, maxSlots)
 	}
-	goal := target.Seconds() * batchMargin
+	goal := target.Seconds() * e.margin
 	if mean > goal {
 		return max(1, min(slots-1, int(float64(slots)*batchDecrease)))
 	}
-	grown := mean * float64(batch+1) / float64(max(1, batch))
-	if batch >= slots && grown <= goal {
-		return min(slots+1, maxSlots)
+	if batch < slots {
+		return slots // the present size was not put to the test
 	}
-	return slots
+	// The time between tokens grows at most in proportion to the batch.
+	grown := float64(slots) * math.Min(maxBatchGrowth, goal/mean)
+	return min(int(grown), maxSlots)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/core/sched/overload.go
+++ b/internal/core/sched/overload.go
@@ -36,7 +36,7 @@
 		if l == nil {
 			return
 		}
-		s.startOrRefuse(now, l.byServed.first().items.first(), true)
+		s.startOrRefuse(now, s.firstOf(now, l.byServed.first().queue), true)
 	}
 }
 
@@ -78,7 +78,7 @@
 			s.giveBack(now, it, Return, Displaced)
 			continue
 		}
-		if arrived.victim == nil && s.preemptLowerThan(arrived.Tier, arrived) {
+		if s.preemptLowerThan(arrived.Tier) {
 			continue
 		}
 		s.giveBack(now, it, Refuse, QueueFull)
@@ -124,37 +124,53 @@
 	return it.Resumable || it.tokens == 0
 }
 
-// preemptFor stops a running request of a lower tier when it would miss its first-token target otherwise.
-func (s *Scheduler) preemptFor(now time.Time, it *item) {
-	if it.victim != nil || it.due.IsZero() {
-		return
-	}
-	first := s.learned.firstToken(&it.Request)
-	if now.Add(first).After(it.due) {
-		return // no preemption helps any more
-	}
-	ahead := 1
-	for _, t := range s.tiers[:it.Tier] {
-		ahead += t.waiting
-	}
-	wait := time.Duration(float64(ahead) * slotWaitFactor * float64(s.slotInterval()))
-	if s.learned.service.known && !now.Add(wait+first).After(it.due) {
-		return
+// preemptForThreatened stops running requests of lower tiers, one for each waiting request that would miss its
+// first-token target otherwise.
+func (s *Scheduler) preemptForThreatened(now time.Time) {
+	s.findThreatened(now)
+	for i, it := range s.threatened {
+		if s.preempting <= i {
+			s.preemptLowerThan(it.Tier)
+		}
 	}
-	s.preemptLowerThan(it.Tier, it)
 }
 
-// preemptForFirst considers the first waiting request of every tier for a preemption.
-func (s *Scheduler) preemptForFirst(now time.Time) {
-	for _, t := range s.tiers {
-		if q := t.leastServed(); q != nil {
-			s.preemptFor(now, q.items.first())
+// findThreatened keeps the list of waiting requests that may miss their target, highest tier first. Those that miss it
+// whatever is done are left out.
+func (s *Scheduler) findThreatened(now time.Time) {
+	// A victim stops when the engine has computed its next token.
+	stop := seconds(s.learned.interval.value)
+	kept := s.threatened[:0]
+	for _, it := range s.threatened {
+		if it.state == waiting && !it.startedOnce && s.items[it.ID] == it && !s.isLate(now.Add(stop), it) {
+			kept = append(kept, it)
 		}
 	}
+	s.threatened = kept
+	for {
+		it := s.byDue.first().item
+		if it == nil {
+			break
+		}
+		wait := time.Duration(float64(len(s.threatened)+1) * slotWaitFactor * float64(s.slotInterval()))
+		if s.learned.service.known && !s.isLate(now.Add(stop+wait), it) {
+			break
+		}
+		s.byDue.remove(dueItem{it})
+		if !s.isLate(now.Add(stop), it) {
+			s.threatened = append(s.threatened, it)
+		}
+	}
+	sort.SliceStable(s.threatened, func(i, j int) bool { return s.threatened[i].Tier < s.threatened[j].Tier })
+}
+
+// isLate reports whether a request that starts at the given time misses its first-token target.
+func (s *Scheduler) isLate(at time.Time, it *item) bool {
+	return at.Add(s.learned.firstToken(&it.Request)).After(it.due)
 }
 
-// preemptLowerThan stops the cheapest running request below the tier for the sake of one that waits.
-func (s *Scheduler) preemptLowerThan(above int, sake *item) bool {
+// preemptLowerThan stops the cheapest running request below the tier.
+func (s *Scheduler) preemptLowerThan(above int) bool {
 	if !s.hasPreemptibleBelow(above) {
 		return false
 	}
@@ -167,8 +183,6 @@
 	s.tier(victim).preemptible--
 	victim.state = preempting
 	s.preempting++
-	sake.victim = victim
-	victim.preemptedFor = sake
 	s.actions = append(s.actions, Action{Kind: Preempt, ID: victim.ID, Reason: HigherTier})
 	return true
 }
@@ -209,7 +223,7 @@
 	if it.Deadline.IsZero() || s.cfg.Policy == PolicyFIFO {
 		return it.Deadline
 	}
-	output := hopelessOutputShare * it.queue.lane.meanCost.value * s.learned.interval.value
+	output := hopelessOutputShare * it.queue.lane.meanOutput.value * s.learned.interval.value
 	return it.Deadline.Add(-s.learned.firstToken(&it.Request) - seconds(output))
 }
 
--- a/internal/core/sched/queue.go
+++ b/internal/core/sched/queue.go
@@ -29,16 +29,18 @@
 	cost      float64       // tokens it is expected to be charged
 	inQueue   int           // position in queue.items
 	inLatest  int           // position in Scheduler.byLatest
+	inDue     int           // position in Scheduler.byDue
 	byArrival *list.Element // in queue.arrivals; nil where it cannot be displaced
 
-	started      time.Time
-	lastToken    time.Time
-	tokens       int
-	startedOnce  bool
-	onFloorSlot  bool
-	inActive     int   // position in Scheduler.active
-	victim       *item // being preempted for this request
-	preemptedFor *item // inverse of victim
+	started     time.Time
+	firstToken  time.Time // since the last start
+	lastToken   time.Time
+	tokensThen  int // at the last start
+	tokens      int
+	startedOnce bool
+	onFloorSlot bool
+	late        bool // in queue.late
+	inActive    int  // position in Scheduler.active
 }
 
 func (it *item) position() *int { return &it.inQueue }
@@ -48,6 +50,11 @@
 
 func (l latestItem) position() *int { return &l.inLatest }
 
+// dueItem orders items by their first-token target.
+type dueItem struct{ *item }
+
+func (d dueItem) position() *int { return &d.inDue }
+
 // account is what one organisation was charged in one tier.
 type account struct {
 	organisation string
@@ -62,7 +69,8 @@
 type queue struct {
 	lane     *lane
 	account  *account
-	items    priorityQueue[*item] // by urgency
+	items    priorityQueue[*item] // that can meet their first-token target, by urgency
+	late     priorityQueue[*item] // the others, most time to the deadline first
 	arrivals *list.List           // displaceable items, oldest first
 	byServed int                  // position in lane.byServed
 	byFinish int                  // position in lane.byFinish
@@ -80,16 +88,17 @@
 
 // lane holds the waiting requests of one class in one tier.
 type lane struct {
-	class    string
-	tier     int
-	floor    float64
-	credit   float64 // starts that the floor share owes
-	waiting  int
-	resident int // waiting requests that began before; they cannot be displaced
-	queues   map[string]*queue
-	byServed priorityQueue[servedQueue]
-	byFinish priorityQueue[finishQueue] // queues with displaceable items
-	meanCost average                    // output tokens of an answer
+	class      string
+	tier       int
+	floor      float64
+	credit     float64 // starts that the floor share owes
+	waiting    int
+	resident   int // waiting requests that began before; they cannot be displaced
+	queues     map[string]*queue
+	byServed   priorityQueue[servedQueue]
+	byFinish   priorityQueue[finishQueue] // queues with displaceable items
+	meanOutput average                    // charge of a request after its start
+	meanCharge average                    // whole charge of a request
 }
 
 // tier holds the lanes of one tier.
@@ -167,7 +176,7 @@
 		if q == nil {
 			continue
 		}
-		if least == nil || lessServed(q, least) || (q.account == least.account && lessItem(q.items.first(), least.items.first())) {
+		if least == nil || lessServed(q, least) || (q.account == least.account && lessItem(q.first(), least.first())) {
 			least = q
 		}
 	}
@@ -182,6 +191,7 @@
 	}
 	q = &queue{lane: l, account: a, arrivals: list.New(), byServed: noPosition, byFinish: noPosition}
 	q.items.less = lessItem
+	q.late.less = func(a, b *item) bool { return a.seq > b.seq }
 	l.queues[a.organisation] = q
 	a.queues = append(a.queues, q)
 	return q
@@ -195,10 +205,33 @@
 	}
 }
 
+// first returns the request of the queue that goes next. Late ones go last, the youngest first: under overload the
+// oldest would be served just too late, and each would make the next one late.
+func (q *queue) first() *item {
+	if it := q.items.first(); it != nil {
+		return it
+	}
+	return q.late.first()
+}
+
+// moveLate moves the requests that cannot meet their first-token target any more behind the others.
+func (q *queue) moveLate(now time.Time, firstToken func(*Request) time.Duration) {
+	for {
+		it := q.items.first()
+		if it == nil || it.due.IsZero() || it.startedOnce || !now.Add(firstToken(&it.Request)).After(it.due) {
+			return
+		}
+		q.items.remove(it)
+		it.late = true
+		q.late.add(it)
+	}
+}
+
 // push adds a waiting request. A resident one began before and cannot be displaced.
 func (q *queue) push(it *item, resident bool) {
 	it.queue = q
 	it.state = waiting
+	it.late = false
 	q.items.add(it)
 	if resident {
 		q.lane.resident++
@@ -214,7 +247,11 @@
 
 // drop removes a waiting request.
 func (q *queue) drop(it *item) {
-	q.items.remove(it)
+	if it.late {
+		q.late.remove(it)
+	} else {
+		q.items.remove(it)
+	}
 	if it.byArrival != nil {
 		q.arrivals.Remove(it.byArrival)
 		it.byArrival = nil
@@ -235,7 +272,7 @@
 func (q *queue) list() {
 	served, finish := servedQueue{q}, finishQueue{q}
 	switch {
-	case q.items.Len() == 0:
+	case q.items.Len()+q.late.Len() == 0:
 		q.lane.byServed.remove(served)
 	case q.byServed == noPosition:
 		q.lane.byServed.add(served)
--- a/internal/core/sched/scheduler.go
+++ b/internal/core/sched/scheduler.go
@@ -20,6 +20,10 @@
 	DefaultFloorShare = 0.02
 	// maxFloorCredit bounds the starts that a class is owed after a long wait.
 	maxFloorCredit = 4
+	// returnCredit is the number of requests by which an organisation that returns from idleness goes first.
+	returnCredit = 4
+	// tokensPerSlotSecond is the charge for a second in a slot of a request without output tokens.
+	tokensPerSlotSecond = 100
 	// minRetryAfter and maxRetryAfter bound what refused callers are told.
 	minRetryAfter = time.Second
 	maxRetryAfter = 30 * time.Second
@@ -36,15 +40,17 @@
 
 // Scheduler decides which waiting request runs next.
 type Scheduler struct {
-	cfg      Config
-	slots    int
-	tiers    []*tier
-	items    map[string]*item
-	active   []*item // in slots, in no order
-	byLatest priorityQueue[latestItem]
-	learned  estimates
-	seq      uint64
-	leaving  bool
+	cfg        Config
+	slots      int
+	tiers      []*tier
+	items      map[string]*item
+	active     []*item // in slots, in no order
+	byLatest   priorityQueue[latestItem]
+	byDue      priorityQueue[dueItem] // that have a first-token target and never began
+	threatened []*item                // taken from byDue, for they may miss their target
+	learned    estimates
+	seq        uint64
+	leaving    bool
 
 	waiting      int // all waiting requests
 	running      int // in slots, without those on floor slots
@@ -60,13 +66,19 @@
 	if cfg.FloorShare == 0 {
 		cfg.FloorShare = DefaultFloorShare
 	}
-	s := &Scheduler{cfg: cfg, slots: cfg.Slots, items: make(map[string]*item)}
+	s := &Scheduler{cfg: cfg, slots: cfg.Slots, items: make(map[string]*item), learned: estimates{margin: startMargin}}
 	s.byLatest.less = func(a, b latestItem) bool {
 		if !a.latest.Equal(b.latest) {
 			return a.latest.Before(b.latest)
 		}
 		return a.seq < b.seq
 	}
+	s.byDue.less = func(a, b dueItem) bool {
+		if !a.due.Equal(b.due) {
+			return a.due.Before(b.due)
+		}
+		return a.seq < b.seq
+	}
 	return s
 }
 
@@ -85,9 +97,7 @@
 	s.noteBlocked(now, it)
 	s.enqueue(it, false)
 	s.dispatch(now)
-	if it.state == waiting {
-		s.preemptFor(now, it)
-	}
+	s.preemptForThreatened(now)
 	s.enforceQueueLimit(now, it)
 	return s.take()
 }
@@ -100,6 +110,7 @@
 	}
 	if it.lastToken.IsZero() {
 		s.learned.observeFirstToken(&it.Request, now.Sub(it.started))
+		it.firstToken = now
 	} else {
 		s.learned.observeTokens(tokens, s.running+s.floorRunning, now.Sub(it.lastToken))
 	}
@@ -125,8 +136,8 @@
 		return s.Cancel(now, id)
 	}
 	if it.state == running {
-		s.learned.observeFinish(it.tokens, now.Sub(it.started))
-		it.queue.lane.meanCost.observe(float64(it.tokens))
+		s.learned.observeFinish(it, now)
+		s.chargeFinished(now, it)
 	}
 	s.release(it)
 	delete(s.items, id)
@@ -172,7 +183,7 @@
 		s.giveBack(now, it, Refuse, Hopeless)
 	}
 	s.dispatch(now)
-	s.preemptForFirst(now)
+	s.preemptForThreatened(now)
 	return s.take()
 }
 
@@ -215,7 +226,7 @@
 		r.FloorShare = s.cfg.FloorShare
 	}
 	s.seq++
-	it := &item{Request: r, seq: s.seq, arrived: now, inQueue: noPosition, inLatest: noPosition}
+	it := &item{Request: r, seq: s.seq, arrived: now, inQueue: noPosition, inLatest: noPosition, inDue: noPosition}
 	if r.FirstTokenTarget > 0 {
 		it.due = now.Add(r.FirstTokenTarget)
 	}
@@ -224,7 +235,7 @@
 	l := t.lane(r.Class, r.Tier)
 	l.floor = math.Max(0, r.FloorShare)
 	it.queue = l.queue(t.account(r.Organisation, r.Weight))
-	it.cost = uncached(&it.Request) + l.meanCost.value
+	it.cost = math.Max(1, uncached(&it.Request)+l.meanOutput.value)
 	it.latest = s.latestStart(it)
 	return it
 }
@@ -259,25 +270,30 @@
 func (s *Scheduler) enqueue(it *item, resident bool) {
 	s.items[it.ID] = it
 	t := s.tier(it)
-	s.lift(t, it.queue.account)
+	s.lift(t, it)
 	it.queue.push(it, resident)
 	t.waiting++
 	s.waiting++
 	if !it.latest.IsZero() {
 		s.byLatest.add(latestItem{it})
 	}
+	if !it.due.IsZero() && !it.startedOnce && s.cfg.Policy == PolicyTiered {
+		s.byDue.add(dueItem{it})
+	}
 }
 
-// lift brings an organisation that returns from idleness up to the least served active one, so that it has saved up
-// nothing.
-func (s *Scheduler) lift(t *tier, a *account) {
+// lift brings an organisation that returns from idleness up to the least served active one, less a small credit. It has
+// saved up nothing, and yet its few requests hold their own against the many of another one in a short queue.
+func (s *Scheduler) lift(t *tier, it *item) {
+	a := it.queue.account
 	if a.waiting > 0 {
 		return
 	}
 	if q := t.leastServed(); q != nil {
 		t.lifted = math.Max(t.lifted, q.account.served)
 	}
-	a.served = math.Max(a.served, t.lifted)
+	credit := returnCredit * it.queue.lane.meanCharge.value
+	a.served = math.Max(a.served, t.lifted-credit)
 }
 
 // dequeue takes a request out of the waiting ones.
@@ -288,6 +304,7 @@
 	t.waiting--
 	s.waiting--
 	s.byLatest.remove(latestItem{it})
+	s.byDue.remove(dueItem{it})
 }
 
 // charge adds served tokens to the organisation's account.
@@ -297,6 +314,18 @@
 	a.reorder()
 }
 
+// chargeFinished charges the time in a slot of a request without tokens, and learns the charges of its lane.
+func (s *Scheduler) chargeFinished(now time.Time, it *item) {
+	output := float64(it.tokens)
+	if it.tokens == 0 {
+		output = now.Sub(it.started).Seconds() * tokensPerSlotSecond
+		s.charge(it, output)
+	}
+	l := it.queue.lane
+	l.meanOutput.observe(output)
+	l.meanCharge.observe(output + uncached(&it.Request))
+}
+
 // dispatch starts waiting requests in free slots, then those that the floor shares owe.
 func (s *Scheduler) dispatch(now time.Time) {
 	for {
@@ -322,13 +351,21 @@
 		if free <= s.keptBack(now, i) {
 			return nil
 		}
-		return t.leastServed().items.first()
+		return s.firstOf(now, t.leastServed())
 	}
 	return nil
 }
 
+// firstOf returns the request of the queue that goes next.
+func (s *Scheduler) firstOf(now time.Time, q *queue) *item {
+	if s.cfg.Policy == PolicyTiered {
+		q.moveLate(now, s.learned.firstToken)
+	}
+	return q.first()
+}
+
 func (s *Scheduler) startOrRefuse(now time.Time, it *item, onFloorSlot bool) {
-	if !it.latest.IsZero() && it.latest.Before(now) {
+	if latest := s.latestStart(it); !latest.IsZero() && latest.Before(now) {
 		s.giveBack(now, it, Refuse, Hopeless)
 		return
 	}
@@ -341,8 +378,9 @@
 	it.state = running
 	it.onFloorSlot = onFloorSlot
 	it.started = now
+	it.tokensThen = it.tokens
 	if !it.startedOnce {
-		s.charge(it, float64(max(0, it.PromptTokens-it.CachedTokens)))
+		s.charge(it, uncached(&it.Request))
 	}
 	it.startedOnce = true
 	it.inActive = len(s.active)
@@ -368,8 +406,6 @@
 	}
 	if it.state == preempting {
 		s.preempting--
-		it.preemptedFor.victim = nil
-		it.preemptedFor = nil
 	}
 	last := s.active[len(s.active)-1]
 	s.active[it.inActive] = last
@@ -399,7 +435,7 @@
 	if s.cfg.MaxSlots == s.cfg.Slots {
 		return
 	}
-	if s.learned.observations < batchWindow {
+	if !s.learned.isWindowFull(s.slots) {
 		return
 	}
 	s.slots = s.learned.batchSize(s.slots, s.cfg.MaxSlots, s.tightestTarget())
--- a/internal/policybench/entry.go
+++ b/internal/policybench/entry.go
@@ -30,6 +30,7 @@
 	dispatched time.Time
 
 	firstStart time.Time
+	started    time.Time // of the start that gave the first token
 	first      time.Time
 	last       time.Time
 	tokens     int
@@ -101,9 +102,9 @@
 func (e *entry) ended(s *server, r *request, whole bool) {
 	result := route.OK
 	if !whole {
-		result = route.Failed
+		result = route.Refused // its deadline passed, which proves nothing against the backend server
 	}
-	e.table.Ended(e.sim.clock.now, s.id, route.Outcome{Result: result, FirstToken: r.first.Sub(r.dispatched)})
+	e.table.Ended(e.sim.clock.now, s.id, route.Outcome{Result: result, FirstToken: r.first.Sub(r.started)})
 	if whole {
 		e.budget.OnSuccess()
 		e.sim.completed(r)
--- a/internal/policybench/simulation.go
+++ b/internal/policybench/simulation.go
@@ -130,7 +130,7 @@
 
 // reply carries a message from an agent to the entry, and the load with it.
 func (sim *simulation) reply(s *server, r *request, deliver func()) {
-	load := routeLoad(s.sched.Load(sim.clock.now))
+	load := s.load()
 	sim.clock.after(sim.delay(s.zone, r.entry.zone), func() {
 		r.entry.table.Report(sim.clock.now, s.id, load)
 		deliver()
