Damp the learned batch size

Cause: a trace of late tier-1 requests showed slots swinging between 27 and 43 on one backend server; each fall by a tenth kept the highest tiers waiting until enough answers had ended. Change: the wanted size follows from the measured time between tokens in proportion, and one change makes up a quarter of the difference. The margin of 0.61 replaces one that was adapted to the misses.

--- a/internal/core/sched/learn.go
+++ b/internal/core/sched/learn.go
@@ -13,20 +13,12 @@
 	// batchWindow is the number of tokens of each slot between two changes of the batch size. Shorter windows follow the
 	// prefill of single prompts, and the batch size falls with each long one.
 	batchWindow = 32
-	// allowedMissShare is the share of answers that may miss their between-token target.
-	allowedMissShare = 0.005
-	// marginWindow is the number of answers between two changes of the margin.
-	marginWindow = 200
-	// The batch size aims at a part of the between-token target, which falls while too many answers miss it.
-	startMargin    = 0.65
-	minMargin      = 0.5
-	maxMargin      = 0.9
-	marginDecrease = 0.95
-	marginIncrease = 1.01
-	// batchDecrease is the factor by which the batch size falls when the target is missed.
-	batchDecrease = 0.9
-	// maxBatchGrowth bounds one increase of the batch size.
-	maxBatchGrowth = 1.25
+	// batchMargin is the part of the between-token target that the batch size aims at: the steps of an engine vary with
+	// the prompts that it computes beside, and short answers follow single steps.
+	batchMargin = 0.61
+	// batchDamping is the part of a difference from the wanted batch size that one change makes up. A batch size that
+	// swings keeps the highest tiers waiting whenever it falls.
+	batchDamping = 0.25
 )
 
 // average is an exponential moving average; its zero value has no observations.
@@ -95,10 +87,6 @@
 	observations int
 	sum          float64
 	batch        int // largest number of running requests seen
-
-	answers int     // since the last change of the margin
-	missed  int     // of them, those that missed their between-token target
-	margin  float64 // part of the target that the batch size aims at
 }
 
 // uncached is the number of prompt tokens that the engine has to compute.
@@ -126,28 +114,6 @@
 // observeFinish learns from a finished request.
 func (e *estimates) observeFinish(it *item, now time.Time) {
 	e.service.observe(now.Sub(it.started).Seconds())
-	between := it.tokens - it.tokensThen - 1
-	if it.BetweenTokenTarget <= 0 || between <= 0 {
-		return
-	}
-	e.answers++
-	if it.lastToken.Sub(it.firstToken) > time.Duration(between)*it.BetweenTokenTarget {
-		e.missed++
-	}
-	e.adjustMargin()
-}
-
-// adjustMargin follows the share of answers that missed their target.
-func (e *estimates) adjustMargin() {
-	if e.answers < marginWindow {
-		return
-	}
-	if float64(e.missed) > allowedMissShare*float64(e.answers) {
-		e.margin = math.Max(minMargin, e.margin*marginDecrease)
-	} else {
-		e.margin = math.Min(maxMargin, e.margin*marginIncrease)
-	}
-	e.answers, e.missed = 0, 0
 }
 
 // isWindowFull reports whether enough was observed since the last change of the batch size.
@@ -164,16 +130,19 @@
 	if target <= 0 {
 		return min(slots+1, maxSlots)
 	}
-	goal := target.Seconds() * e.margin
-	if mean > goal {
-		return max(1, min(slots-1, int(float64(slots)*batchDecrease)))
-	}
-	if batch < slots {
+	// The time between tokens grows at most in proportion to the batch.
+	wanted := float64(batch) * target.Seconds() * batchMargin / mean
+	change := wanted - float64(slots)
+	switch {
+	case change >= 1 && batch < slots:
 		return slots // the present size was not put to the test
+	case change >= 1:
+		return min(slots+int(math.Ceil(change*batchDamping)), maxSlots)
+	case change <= -1:
+		return max(1, slots+int(math.Floor(change*batchDamping)))
+	default:
+		return slots
 	}
-	// The time between tokens grows at most in proportion to the batch.
-	grown := float64(slots) * math.Min(maxBatchGrowth, goal/mean)
-	return min(int(grown), maxSlots)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/core/sched/overload.go
+++ b/internal/core/sched/overload.go
@@ -8,7 +8,7 @@
 
 const (
 	// hopelessOutputShare is the part of a class's mean answer that a request is assumed to need at least.
-	hopelessOutputShare = 0.5
+	hopelessOutputShare = 1.0
 	// slotWaitFactor multiplies the mean wait for a slot, so that few waits are longer.
 	slotWaitFactor = 2
 	// keptBackPerBlocked is the number of recently blocked arrivals for which one slot is kept back.
--- a/internal/core/sched/scheduler.go
+++ b/internal/core/sched/scheduler.go
@@ -66,7 +66,7 @@
 	if cfg.FloorShare == 0 {
 		cfg.FloorShare = DefaultFloorShare
 	}
-	s := &Scheduler{cfg: cfg, slots: cfg.Slots, items: make(map[string]*item), learned: estimates{margin: startMargin}}
+	s := &Scheduler{cfg: cfg, slots: cfg.Slots, items: make(map[string]*item)}
 	s.byLatest.less = func(a, b latestItem) bool {
 		if !a.latest.Equal(b.latest) {
 			return a.latest.Before(b.latest)
