Keep the claim of organisations that a short queue displaces

Change: only an organisation without arrivals for a minute is lifted to the least served one; another may lag by up to eight requests. Equals take turns by their last start instead of by name.

--- a/internal/core/sched/queue.go
+++ b/internal/core/sched/queue.go
@@ -63,6 +63,8 @@
 	pending      float64 // expected virtual tokens of its waiting requests
 	queues       []*queue
 	waiting      int
+	arrived      time.Time // last
+	turn         uint64    // number of the last start of its requests; the longest ago goes first among equals
 }
 
 // queue holds the waiting requests of one organisation in one lane.
@@ -81,7 +83,7 @@
 
 func (q servedQueue) position() *int { return &q.byServed }
 
-// finishQueue orders queues by what their organisation would be served once all its waiting requests had run.
+// finishQueue orders queues by what their organisation will have been served once all its waiting requests have run.
 type finishQueue struct{ *queue }
 
 func (q finishQueue) position() *int { return &q.byFinish }
@@ -121,17 +123,25 @@
 		if x != y {
 			return x > y
 		}
-		return a.account.organisation > b.account.organisation
+		return b.account.goesBefore(a.account)
 	}
 	return l
 }
 
-// lessServed orders queues by served tokens, then by the urgency of their first request, then by name.
+// lessServed orders queues by the served tokens of their organisations.
 func lessServed(a, b *queue) bool {
 	if a.account.served != b.account.served {
 		return a.account.served < b.account.served
 	}
-	return a.account.organisation < b.account.organisation
+	return a.account.goesBefore(b.account)
+}
+
+// goesBefore orders organisations that were served alike.
+func (a *account) goesBefore(b *account) bool {
+	if a.turn != b.turn {
+		return a.turn < b.turn
+	}
+	return a.organisation < b.organisation
 }
 
 func lessItem(a, b *item) bool {
@@ -141,7 +151,7 @@
 	return a.seq < b.seq
 }
 
-// finish is what the organisation would have been served once all its waiting requests had run.
+// finish is what the organisation will have been served once all its waiting requests have run.
 func (a *account) finish() float64 { return a.served + a.pending }
 
 // lane returns the lane of a class, which it makes when there is none.
--- a/internal/core/sched/scheduler.go
+++ b/internal/core/sched/scheduler.go
@@ -20,8 +20,10 @@
 	DefaultFloorShare = 0.02
 	// maxFloorCredit bounds the starts that a class is owed after a long wait.
 	maxFloorCredit = 4
-	// returnCredit is the number of requests by which an organisation that returns from idleness goes first.
-	returnCredit = 4
+	// idleAfter is the time without arrivals after which an organisation counts as idle.
+	idleAfter = time.Minute
+	// maxLag is the number of requests by which an organisation that is not idle may lag behind the others.
+	maxLag = 8
 	// tokensPerSlotSecond is the charge for a second in a slot of a request without output tokens.
 	tokensPerSlotSecond = 100
 	// minRetryAfter and maxRetryAfter bound what refused callers are told.
@@ -50,6 +52,7 @@
 	threatened []*item                // taken from byDue, for they may miss their target
 	learned    estimates
 	seq        uint64
+	starts     uint64
 	leaving    bool
 
 	waiting      int // all waiting requests
@@ -282,18 +285,24 @@
 	}
 }
 
-// lift brings an organisation that returns from idleness up to the least served active one, less a small credit. It has
-// saved up nothing, and yet its few requests hold their own against the many of another one in a short queue.
+// lift brings an organisation that returns from idleness up to the least served active one, so that it has saved up
+// nothing. One that sent requests a moment ago may lag by a few requests: those were displaced from a short queue, and
+// the claim of a small organisation against a large one would be lost with each of them.
 func (s *Scheduler) lift(t *tier, it *item) {
 	a := it.queue.account
+	idle := it.arrived.Sub(a.arrived) > idleAfter
+	a.arrived = it.arrived
 	if a.waiting > 0 {
 		return
 	}
 	if q := t.leastServed(); q != nil {
 		t.lifted = math.Max(t.lifted, q.account.served)
 	}
-	credit := returnCredit * it.queue.lane.meanCharge.value
-	a.served = math.Max(a.served, t.lifted-credit)
+	lag := 0.0
+	if !idle {
+		lag = maxLag * it.queue.lane.meanCharge.value
+	}
+	a.served = math.Max(a.served, t.lifted-lag)
 }
 
 // dequeue takes a request out of the waiting ones.
@@ -378,6 +387,8 @@
 	it.state = running
 	it.onFloorSlot = onFloorSlot
 	it.started = now
+	s.starts++
+	it.queue.account.turn = s.starts
 	it.tokensThen = it.tokens
 	if !it.startedOnce {
 		s.charge(it, uncached(&it.Request))
