Prove the log safe under faults

Cause: nothing showed that votes, leases and reads stay right when members crash, pause, split and lose disks. Change: a simulated group with lossy network, drifting clocks, crashes that forget unsynced data, blank disks and membership changes checks election safety, log matching, leader completeness, state machine safety, disjoint leases, linearizable reads and progress after the faults; the log on disk is checked with a fault at each write. Found by it: a learner whose last commit notice was lost stayed one entry behind; heartbeat answers carry the commit index now, and the leader repeats the notice.

--- a/internal/core/raft/replication.go
+++ b/internal/core/raft/replication.go
@@ -118,7 +118,7 @@
 
 func (n *Node) handleHeartbeat(m Message) {
 	n.commit = max(n.commit, min(m.Commit, n.log.last()))
-	n.replySynced(m, Message{Kind: HeartbeatReply, Context: m.Context})
+	n.replySynced(m, Message{Kind: HeartbeatReply, Context: m.Context, Commit: n.commit})
 }
 
 func (n *Node) handleHeartbeatReply(now time.Time, m Message) {
@@ -129,16 +129,17 @@
 	pr.ackedRound = max(pr.ackedRound, m.Context)
 	n.extendLease()
 	n.answerReads()
-	n.detectLoss(pr, m.Context)
+	n.detectLoss(pr, m)
 	n.sendAppend(now, m.From, pr)
 }
 
 // detectLoss goes back to what is acknowledged when a later heartbeat was answered and an earlier Append was not.
-func (n *Node) detectLoss(pr *progress, round uint64) {
-	sent, ok := n.rounds.sentAt(round)
+func (n *Node) detectLoss(pr *progress, m Message) {
+	sent, ok := n.rounds.sentAt(m.Context)
 	if !ok || !pr.sentAt.Before(sent) || pr.isInstalling && !n.isInstallOverdue(pr, sent) {
 		return
 	}
+	pr.commitSent = min(pr.commitSent, m.Commit)
 	if pr.isAwaiting || pr.match+1 < pr.next {
 		pr.next, pr.isProbing, pr.isAwaiting, pr.isInstalling = pr.match+1, true, false, false
 	}
--- /dev/null
+++ b/internal/core/raft/safety_test.go
@@ -0,0 +1,270 @@
+package raft
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20260704", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	if flag.Lookup("rapid.checks").Value.String() == "100" {
+		if err := flag.Set("rapid.checks", "300"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// faultSteps are the actions of a schedule; some appear more often.
+var faultSteps = []string{
+	"write", "write", "write", "read", "read", "read", "crash", "restart", "restart", "bounce", "bounce", "bounce",
+	"cut", "cut", "split", "mend", "pause", "loss", "slow", "slow", "fast", "storm", "calm", "calm", "compact",
+	"transfer", "transfer", "add", "promote", "promote", "remove", "wipe",
+}
+
+func TestSafetyUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.SampledFrom([]int{3, 3, 3, 5}).Draw(t, "size")
+		w := newWorld(rapid.Uint64().Draw(t, "network"), size)
+		steps := rapid.SliceOfN(rapid.SampledFrom(faultSteps), 30, 120).Draw(t, "steps")
+		for _, step := range steps {
+			w.step(step, rapid.Uint64Range(0, 1<<20).Draw(t, "choice"))
+			w.run(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			w.checkLogs()
+			if len(w.faults) > 0 {
+				t.Fatal(w.report())
+			}
+		}
+		w.heal()
+		w.checkLogs()
+		if len(w.faults) > 0 {
+			t.Fatal(w.report())
+		}
+		if !isLinearizable(w) {
+			t.Fatal("history of the register is not linearizable")
+		}
+	})
+}
+
+// step carries out one action with a member that choice picks.
+func (w *world) step(name string, choice uint64) {
+	id := w.ids[choice%uint64(len(w.ids))]
+	switch name {
+	case "write":
+		if l := w.leader(); l != nil && choice%4 != 0 {
+			id = l.id
+		}
+		w.write(id)
+	case "read":
+		w.read(id)
+	case "crash":
+		w.crash = id
+	case "restart":
+		for _, id := range w.ids {
+			w.restart(id)
+		}
+	case "bounce":
+		w.stop(id)
+		w.restart(id)
+	case "cut":
+		other := w.ids[choice/64%uint64(len(w.ids))]
+		w.cut[[2]uint64{id, other}] = true
+		w.cut[[2]uint64{other, id}] = choice%3 != 0
+	case "split":
+		w.isolate(id)
+	case "slow":
+		w.delay = time.Duration(choice%300+1) * time.Millisecond
+	case "fast":
+		w.delay = usualDelay
+	case "storm":
+		w.crashes = int(choice % 60)
+	case "calm":
+		w.crashes = 0
+	case "mend":
+		w.cut = make(map[[2]uint64]bool)
+		w.lossPct = 0
+	case "pause":
+		w.members[id].pausedUntil = w.at + time.Duration(choice%1500)*time.Millisecond
+	case "loss":
+		w.lossPct = int(choice % 30)
+	case "compact":
+		w.compact(id)
+	case "wipe":
+		w.wipe(id)
+	default:
+		w.stepLeader(name, choice)
+	}
+}
+
+func (w *world) isolate(id uint64) {
+	for _, other := range w.ids {
+		w.cut[[2]uint64{id, other}] = true
+		w.cut[[2]uint64{other, id}] = true
+	}
+}
+
+// stepLeader carries out an action that operators ask of the leader.
+func (w *world) stepLeader(name string, choice uint64) {
+	l := w.leader()
+	if l == nil || l.pausedUntil > w.at {
+		return
+	}
+	members := l.node.conf().Members
+	target := members[choice%uint64(len(members))]
+	switch name {
+	case "transfer":
+		_ = l.node.Transfer(l.now(w.at), 0)
+	case "add":
+		w.addMember(l, choice%6+1)
+	case "promote":
+		for _, m := range members {
+			_, _ = l.node.Promote(l.now(w.at), m.ID)
+		}
+	case "remove":
+		for _, m := range members {
+			if !m.Learner && w.isDead(m) {
+				target = m
+			}
+		}
+		if rest := l.node.conf().without(target.ID); len(rest.Voters()) >= 2 && w.hasLivingQuorum(rest) {
+			_, _ = l.node.Remove(target.ID)
+		}
+	}
+	w.handle(l)
+}
+
+// addMember adds a learner with a blank disk.
+func (w *world) addMember(l *simMember, id uint64) {
+	for _, known := range w.ids {
+		if m := w.members[known]; m.node != nil {
+			if _, ok := m.node.conf().Member(id); ok {
+				return
+			}
+		}
+	}
+	if _, err := l.node.AddLearner(Member{ID: id}); err == nil {
+		w.addBlank(id)
+		w.start(id, 0)
+	}
+}
+
+// isDead reports whether the disk that a configuration names is lost.
+func (w *world) isDead(m Member) bool {
+	return m.Incarnation != 0 && w.members[m.ID].disk.incarnation != m.Incarnation
+}
+
+func (w *world) hasLivingQuorum(c Configuration) bool {
+	living := 0
+	for _, m := range c.Members {
+		if !m.Learner && !w.isDead(m) {
+			living++
+		}
+	}
+	return living >= c.Quorum()
+}
+
+// wipe replaces the disk of a voter by a blank one under the old name, unless that would destroy a quorum of some
+// configuration that a member still believes in.
+func (w *world) wipe(id uint64) {
+	if len(w.committed) == 0 {
+		return
+	}
+	old := w.members[id].disk.incarnation
+	w.members[id].disk.incarnation = 0
+	allowed := true
+	for _, c := range w.configurations() {
+		m, ok := c.Member(id)
+		allowed = allowed && (!ok || !m.Learner) && w.hasLivingQuorum(c)
+	}
+	w.members[id].disk.incarnation = old
+	if allowed {
+		w.addBlank(id)
+		w.start(id, uint64(len(w.ids)))
+	}
+}
+
+// configurations returns what the logs on all disks hold.
+func (w *world) configurations() []Configuration {
+	var all []Configuration
+	for _, id := range w.ids {
+		d := w.members[id].disk
+		if d.snap != nil {
+			all = append(all, d.snap.Configuration)
+		}
+		for _, e := range d.entries {
+			if c, err := decodeConfiguration(e.Data); err == nil && e.Kind == EntryConfiguration {
+				all = append(all, c)
+			}
+		}
+	}
+	return all
+}
+
+// heal ends all faults and expects the group to work again.
+func (w *world) heal() {
+	w.cut, w.lossPct, w.crash, w.crashes, w.delay = make(map[[2]uint64]bool), 0, 0, 0, usualDelay
+	for _, id := range w.ids {
+		w.members[id].pausedUntil = 0
+		w.restart(id)
+	}
+	w.run(15 * time.Second)
+	l := w.leader()
+	if l == nil {
+		w.fail("liveness: no leader after all faults ended")
+		return
+	}
+	w.write(l.id)
+	w.run(10 * time.Second)
+	l = w.leader()
+	if l == nil || !w.history[len(w.history)-1].isDone {
+		w.fail("liveness: no write commits after all faults ended")
+		return
+	}
+	for _, m := range l.node.conf().Members {
+		if got := w.members[m.ID]; !w.isDead(m) && got.node != nil && got.applied != l.applied {
+			w.fail("liveness: member %d applied %d, the leader %d", m.ID, got.applied, l.applied)
+		}
+	}
+}
+
+// isLinearizable checks the history of the register. A write without an answer may take effect at any later time.
+func isLinearizable(w *world) bool {
+	type input struct {
+		isWrite bool
+		value   string
+	}
+	model := porcupine.Model{
+		Init: func() any { return "" },
+		Step: func(state, in, out any) (bool, any) {
+			if op := in.(input); op.isWrite {
+				return true, op.value
+			}
+			return out == state, state
+		},
+	}
+	var ops []porcupine.Operation
+	for i, op := range w.history {
+		finish := op.finish
+		switch {
+		case !op.isDone && !op.isWrite:
+			continue
+		case !op.isDone:
+			finish = w.at + time.Hour
+		}
+		ops = append(ops, porcupine.Operation{
+			ClientId: i, Input: input{op.isWrite, op.value}, Output: op.value,
+			Call: int64(op.call), Return: int64(finish),
+		})
+	}
+	return porcupine.CheckOperations(model, ops)
+}
--- /dev/null
+++ b/internal/wal/wal_test.go
@@ -0,0 +1,292 @@
+package wal_test
+
+import (
+	"fmt"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/core/raft"
+	"github.com/guavastack/guavastack/internal/wal"
+	"github.com/guavastack/guavastack/internal/wal/waltest"
+)
+
+const dir = "data"
+
+var logFile = filepath.Join(dir, "log-00000000000000000001.wal")
+
+func entry(term, index uint64) raft.Entry {
+	return raft.Entry{Term: term, Index: index, Kind: raft.EntryCommand, Data: fmt.Appendf(nil, "%d/%d", term, index)}
+}
+
+func hard(term uint64) *raft.HardState { return &raft.HardState{Term: term, Vote: 2} }
+
+// model is what a reader must find after a number of successful steps.
+type model struct {
+	hs      raft.HardState
+	base    uint64
+	entries []raft.Entry
+}
+
+// steps are the writes of the tests; each returns what must be found once it has succeeded.
+var steps = []func(l *wal.Log, m *model) error{
+	appendStep(hard(1), entry(1, 1), entry(1, 2)),
+	appendStep(nil, entry(1, 3)),
+	appendStep(hard(2), entry(2, 3), entry(2, 4)), // replaces entry 3
+	snapshotStep(3, 2, hard(2), entry(2, 4)),
+	appendStep(hard(3), entry(3, 5)),
+	snapshotStep(9, 4, hard(4)), // a received snapshot
+	appendStep(nil, entry(4, 10)),
+}
+
+func appendStep(hs *raft.HardState, entries ...raft.Entry) func(*wal.Log, *model) error {
+	return func(l *wal.Log, m *model) error {
+		if hs != nil {
+			m.hs = *hs
+		}
+		for _, e := range entries {
+			m.entries = append(m.entries[:e.Index-m.base-1:e.Index-m.base-1], e)
+		}
+		return l.Append(hs, entries)
+	}
+}
+
+func snapshotStep(index, term uint64, hs *raft.HardState, tail ...raft.Entry) func(*wal.Log, *model) error {
+	return func(l *wal.Log, m *model) error {
+		m.hs, m.base, m.entries = *hs, index, tail
+		return l.SaveSnapshot(raft.Snapshot{Index: index, Term: term, Data: []byte("state")}, *hs, tail)
+	}
+}
+
+// run carries out the steps and returns the state before and after the first failure.
+func run(t *testing.T, fs wal.FS) (before, after model, err error) {
+	t.Helper()
+	if _, _, err = wal.LoadIdentity(fs, dir, wal.Identity{Group: 1, ID: 1, Incarnation: 9}); err != nil {
+		return before, after, err
+	}
+	l, _, err := wal.Open(fs, dir)
+	if err != nil {
+		return before, after, err
+	}
+	for _, step := range steps {
+		before = after
+		if err = step(l, &after); err != nil {
+			return before, after, err
+		}
+	}
+	return after, after, l.Close()
+}
+
+func read(t *testing.T, fs wal.FS) model {
+	t.Helper()
+	l, state, err := wal.Open(fs, dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	m := model{hs: state.HardState, entries: state.Entries}
+	if state.Snapshot != nil {
+		m.base = state.Snapshot.Index
+	}
+	return m
+}
+
+func same(a, b model) bool {
+	return a.hs == b.hs && a.base == b.base && (len(a.entries)+len(b.entries) == 0 || reflect.DeepEqual(a.entries, b.entries))
+}
+
+func TestReopenFindsEverything(t *testing.T) {
+	fs := waltest.New()
+	_, want, err := run(t, fs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := read(t, fs.Crash(0)); !same(got, want) {
+		t.Errorf("found %+v, want %+v", got, want)
+	}
+}
+
+// TestEveryDiskFault fails each changing call in turn, crashes, and expects the state before or after the step that
+// failed. Whatever a step acknowledged must be there.
+func TestEveryDiskFault(t *testing.T) {
+	count := waltest.New()
+	count.FailAt(0)
+	if _, _, err := run(t, count); err != nil {
+		t.Fatal(err)
+	}
+	for n := 1; n <= count.Calls(); n++ {
+		for _, keep := range []int{0, 5, 1 << 20} {
+			fs := waltest.New()
+			fs.FailAt(n)
+			before, after, err := run(t, fs)
+			left := fs.Crash(keep)
+			if _, _, idErr := wal.LoadIdentity(left, dir, wal.Identity{Group: 1, ID: 1, Incarnation: 9}); idErr != nil {
+				t.Fatalf("fault %d: %v", n, idErr)
+			}
+			if got := read(t, left); !same(got, before) && !same(got, after) && !isBetween(got, before, after) {
+				t.Errorf("fault %d (%v), keep %d: found %+v, want %+v or %+v", n, err, keep, got, before, after)
+			}
+		}
+	}
+}
+
+// isBetween reports whether a crash fell between a snapshot and its log: the snapshot is new, the rest is old.
+func isBetween(got, before, after model) bool {
+	if got.base != after.base || got.hs != before.hs {
+		return false
+	}
+	for _, e := range got.entries {
+		if old := e.Index - before.base - 1; old >= uint64(len(before.entries)) || !reflect.DeepEqual(before.entries[old], e) {
+			return false
+		}
+	}
+	return true
+}
+
+func TestNothingIsWrittenAfterAFailedSync(t *testing.T) {
+	fs := waltest.New()
+	l, _, err := wal.Open(fs, dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fs.FailAt(2)
+	if err := l.Append(hard(1), nil); !errors.Is(err, wal.ErrSync) {
+		t.Fatalf("error %v, want %v", err, wal.ErrSync)
+	}
+	calls := fs.Calls()
+	if err := l.Append(hard(2), nil); !errors.Is(err, wal.ErrSync) || fs.Calls() != calls {
+		t.Errorf("error %v after %d calls, want %v and no call", err, fs.Calls()-calls, wal.ErrSync)
+	}
+}
+
+func TestDamage(t *testing.T) {
+	build := func() (*waltest.FS, int, int) {
+		fs := waltest.New()
+		l, _, err := wal.Open(fs, dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var sizes []int
+		for i := uint64(1); i <= 3; i++ {
+			if err := l.Append(nil, []raft.Entry{entry(1, i)}); err != nil {
+				t.Fatal(err)
+			}
+			sizes = append(sizes, int(l.Size()))
+		}
+		return fs, sizes[1], sizes[2]
+	}
+	cases := []struct {
+		name    string
+		damage  func(fs *waltest.FS, second, end int)
+		entries int // -1: refused
+	}{
+		{"none", func(*waltest.FS, int, int) {}, 3},
+		{"last record short", func(fs *waltest.FS, _, end int) { fs.Resize(logFile, end-3) }, 2},
+		{"last record short in its header", func(fs *waltest.FS, second, _ int) { fs.Resize(logFile, second+5) }, 2},
+		{"last record ends in zeros", func(fs *waltest.FS, _, end int) {
+			fs.Resize(logFile, end-4)
+			fs.Resize(logFile, end)
+		}, 2},
+		{"zeros after the last record", func(fs *waltest.FS, _, end int) { fs.Resize(logFile, end+4096) }, 3},
+		{"byte of the first record", func(fs *waltest.FS, _, _ int) { fs.Corrupt(logFile, 14) }, -1},
+		{"byte of the second record", func(fs *waltest.FS, second, _ int) { fs.Corrupt(logFile, second-2) }, -1},
+		{"length of the second record", func(fs *waltest.FS, second, end int) { fs.Corrupt(logFile, second-(end-second)+6) }, -1},
+		{"byte of the last record", func(fs *waltest.FS, _, end int) { fs.Corrupt(logFile, end-2) }, -1},
+		{"all but the name", func(fs *waltest.FS, _, _ int) { fs.Resize(logFile, 0) }, -1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			fs, second, end := build()
+			c.damage(fs, second, end)
+			_, state, err := wal.Open(fs, dir)
+			switch {
+			case c.entries < 0 && (!errors.Is(err, wal.ErrDamaged) || !strings.Contains(err.Error(), "learner")):
+				t.Errorf("error %v, want damage and what to do", err)
+			case c.entries >= 0 && (err != nil || len(state.Entries) != c.entries):
+				t.Errorf("%d entries, %v, want %d", len(state.Entries), err, c.entries)
+			}
+		})
+	}
+}
+
+func TestDamagedSnapshotIsRefused(t *testing.T) {
+	fs := waltest.New()
+	if _, _, err := run(t, fs); err != nil {
+		t.Fatal(err)
+	}
+	fs.Corrupt(filepath.Join(dir, "snapshot-00000000000000000009.snap"), 15)
+	if _, _, err := wal.Open(fs, dir); !errors.Is(err, wal.ErrDamaged) {
+		t.Errorf("error %v, want %v", err, wal.ErrDamaged)
+	}
+}
+
+func TestLogWithoutIdentityIsRefused(t *testing.T) {
+	fs := waltest.New()
+	if _, _, err := wal.Open(fs, dir); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := wal.LoadIdentity(fs, dir, wal.Identity{Group: 1, ID: 1, Incarnation: 3}); !errors.Is(err, wal.ErrDamaged) {
+		t.Errorf("error %v, want %v", err, wal.ErrDamaged)
+	}
+}
+
+// TestReceivedSnapshotBesideOldLog crashes between the two files of a received snapshot: entries of the old log that
+// disagree with the snapshot are dropped.
+func TestReceivedSnapshotBesideOldLog(t *testing.T) {
+	fs := waltest.New()
+	l, _, err := wal.Open(fs, dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Append(hard(1), []raft.Entry{entry(1, 1), entry(1, 2), entry(1, 3)}); err != nil {
+		t.Fatal(err)
+	}
+	const snapshotCalls = 5 // create, write, sync, rename, sync of the folder
+	fs.FailAt(snapshotCalls + 1)
+	if err := l.SaveSnapshot(raft.Snapshot{Index: 2, Term: 5}, *hard(5), nil); err == nil {
+		t.Fatal("no fault")
+	}
+	if got := read(t, fs.Crash(0)); got.base != 2 || len(got.entries) != 0 {
+		t.Errorf("found %+v, want the snapshot alone", got)
+	}
+}
+
+func FuzzOpen(f *testing.F) {
+	fs := waltest.New()
+	l, _, err := wal.Open(fs, dir)
+	if err != nil {
+		f.Fatal(err)
+	}
+	if err := l.Append(hard(3), []raft.Entry{entry(1, 1), entry(3, 2)}); err != nil {
+		f.Fatal(err)
+	}
+	good, err := fs.ReadFile(logFile)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add(good[:len(good)-1])
+	f.Add([]byte{})
+	f.Add([]byte("\xb3gv\x1a\xff\xff\xff\xff"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		fs := waltest.New()
+		file, _ := fs.Create(logFile)
+		_, _ = file.Write(data)
+		_, state, err := wal.Open(fs, dir)
+		if err != nil {
+			return
+		}
+		for i, e := range state.Entries {
+			if e.Index != uint64(i+1) {
+				t.Fatalf("entry %d at place %d", e.Index, i+1)
+			}
+		}
+		again := read(t, fs)
+		if !same(again, model{hs: state.HardState, entries: state.Entries}) {
+			t.Fatal("a second opening finds something else")
+		}
+	})
+}
--- /dev/null
+++ b/internal/wal/waltest/fs.go
@@ -0,0 +1,254 @@
+// Package waltest provides a file system in memory that forgets what was not synced and fails on demand. It is for
+// tests.
+package waltest
+
+import (
+	"io/fs"
+	"path/filepath"
+	"sort"
+	"sync"
+
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/wal"
+)
+
+// ErrInjected is the error of an injected fault.
+const ErrInjected = errors.ConstError("injected fault")
+
+// file is the content of one file: what is durable, and what a reader sees.
+type file struct {
+	synced, current []byte
+}
+
+// FS is a wal.FS in memory.
+type FS struct {
+	mu      sync.Mutex
+	names   map[string]*file // what a reader sees
+	durable map[string]*file // what a crash leaves
+	calls   int
+	failAt  int // call that fails, 0: none
+	free    uint64
+}
+
+var _ wal.FS = (*FS)(nil)
+
+// New returns an empty file system.
+func New() *FS {
+	return &FS{names: make(map[string]*file), durable: make(map[string]*file), free: 1 << 40}
+}
+
+// FailAt lets the n-th changing call from now on fail, counted from 1; 0 ends that. A write that fails leaves half of
+// its data.
+func (f *FS) FailAt(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls, f.failAt = 0, n
+}
+
+// Calls returns the number of changing calls since FailAt.
+func (f *FS) Calls() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
+// SetFree sets what Free returns.
+func (f *FS) SetFree(bytes uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.free = bytes
+}
+
+// Crash returns the file system as a restart finds it. Of data that was not synced, keep bytes per file survive.
+func (f *FS) Crash(keep int) *FS {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := New()
+	for name, old := range f.durable {
+		kept := old.synced
+		if extra := len(old.current) - len(kept); extra > 0 {
+			kept = old.current[:len(kept)+min(keep, extra)]
+		}
+		content := append([]byte(nil), kept...)
+		file := &file{synced: content, current: append([]byte(nil), content...)}
+		next.names[name], next.durable[name] = file, file
+	}
+	return next
+}
+
+// Corrupt changes one byte of a file for good.
+func (f *FS) Corrupt(name string, at int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	file := f.names[name]
+	file.current[at] ^= 0x40
+	file.synced = append([]byte(nil), file.current...)
+}
+
+// Resize cuts a file, or extends it with zeros, for good.
+func (f *FS) Resize(name string, size int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	file := f.names[name]
+	resized := make([]byte, size)
+	copy(resized, file.current)
+	file.current, file.synced = resized, append([]byte(nil), resized...)
+}
+
+// change counts a changing call and reports whether it fails.
+func (f *FS) change() error {
+	f.calls++
+	if f.calls == f.failAt {
+		return ErrInjected
+	}
+	return nil
+}
+
+// MkdirAll does nothing: folders need no creation here.
+func (f *FS) MkdirAll(string) error { return nil }
+
+// Create opens a new or emptied file for writing.
+func (f *FS) Create(name string) (wal.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.change(); err != nil {
+		return nil, err
+	}
+	file := &file{}
+	f.names[name] = file
+	return &handle{fs: f, file: file}, nil
+}
+
+// OpenAppend opens an existing file for writing at its end.
+func (f *FS) OpenAppend(name string) (wal.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	file, ok := f.names[name]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return &handle{fs: f, file: file}, nil
+}
+
+// ReadFile returns the content of a file.
+func (f *FS) ReadFile(name string) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	file, ok := f.names[name]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return append([]byte(nil), file.current...), nil
+}
+
+// List returns the base names of the files of dir in order.
+func (f *FS) List(dir string) ([]string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for name := range f.names {
+		if filepath.Dir(name) == filepath.Clean(dir) {
+			names = append(names, filepath.Base(name))
+		}
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
+// Rename gives a file a new name.
+func (f *FS) Rename(from, to string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.change(); err != nil {
+		return err
+	}
+	file, ok := f.names[from]
+	if !ok {
+		return fs.ErrNotExist
+	}
+	delete(f.names, from)
+	f.names[to] = file
+	return nil
+}
+
+// Remove deletes a file.
+func (f *FS) Remove(name string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.change(); err != nil {
+		return err
+	}
+	delete(f.names, name)
+	return nil
+}
+
+// SyncDir makes the names in dir durable.
+func (f *FS) SyncDir(dir string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.change(); err != nil {
+		return err
+	}
+	for name := range f.durable {
+		if filepath.Dir(name) == filepath.Clean(dir) {
+			delete(f.durable, name)
+		}
+	}
+	for name, file := range f.names {
+		if filepath.Dir(name) == filepath.Clean(dir) {
+			f.durable[name] = file
+		}
+	}
+	return nil
+}
+
+// Free returns what SetFree set.
+func (f *FS) Free(string) (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.free, nil
+}
+
+// handle is an open file.
+type handle struct {
+	fs   *FS
+	file *file
+}
+
+// Write appends p, or half of it when the write is to fail.
+func (h *handle) Write(p []byte) (int, error) {
+	h.fs.mu.Lock()
+	defer h.fs.mu.Unlock()
+	if err := h.fs.change(); err != nil {
+		h.file.current = append(h.file.current, p[:len(p)/2]...)
+		return len(p) / 2, err
+	}
+	h.file.current = append(h.file.current, p...)
+	return len(p), nil
+}
+
+// Sync makes the content durable.
+func (h *handle) Sync() error {
+	h.fs.mu.Lock()
+	defer h.fs.mu.Unlock()
+	if err := h.fs.change(); err != nil {
+		return err
+	}
+	h.file.synced = append([]byte(nil), h.file.current...)
+	return nil
+}
+
+// Truncate cuts the content.
+func (h *handle) Truncate(size int64) error {
+	h.fs.mu.Lock()
+	defer h.fs.mu.Unlock()
+	if err := h.fs.change(); err != nil {
+		return err
+	}
+	h.file.current = h.file.current[:size]
+	return nil
+}
+
+// Close does nothing.
+func (h *handle) Close() error { return nil }
