Test replicas under faults; back up and restore a group

Cause: the runner's handling of disks, connections and membership was shown by two tests only. Change: tests under virtual time over pipes that fall silent and disks that forget: leader loss, isolation for an hour, one silent direction, a blank disk under an old name, two losses around a repair, a fault at each disk call, a full disk, hand-over, two processes on a folder.

--- /dev/null
+++ b/internal/replica/backup.go
@@ -0,0 +1,61 @@
+package replica
+
+import (
+	"context"
+	"io/fs"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/core/raft"
+	"github.com/guavastack/guavastack/internal/wal"
+)
+
+// Backup writes the applied state of this member to a new file, synced.
+func (r *Replica) Backup(ctx context.Context, file string) error {
+	type result struct {
+		snap raft.Snapshot
+		err  error
+	}
+	ch := make(chan result, 1)
+	err := r.do(ctx, func(time.Time) {
+		snap, _, err := r.snapshot()
+		ch <- result{snap, err}
+	})
+	if err != nil {
+		return err
+	}
+	res := <-ch
+	if res.err != nil {
+		return res.err
+	}
+	return errors.Annotate(wal.WriteBackup(wal.OS{}, file, res.snap), "backup")
+}
+
+// Restore creates the data folder of cfg from a backup. The folder must be blank. The member named by cfg is then the
+// only one of a new group, whose epoch is higher than that of the old: start it and add the others as learners.
+func Restore(cfg Config, file string) error {
+	cfg = cfg.withDefaults()
+	if err := cfg.validate(); err != nil {
+		return errors.Trace(err)
+	}
+	snap, err := wal.ReadBackup(wal.OS{}, file)
+	if errors.Is(err, fs.ErrNotExist) {
+		return errors.NotFoundf("backup %q", file)
+	}
+	if err != nil {
+		return errors.Annotate(err, "backup")
+	}
+	id := wal.Identity{Group: cfg.GroupID, ID: cfg.ID, Incarnation: randomID()}
+	self := raft.Member{ID: cfg.ID, Incarnation: id.Incarnation}
+	for _, m := range cfg.Members {
+		if m.ID == cfg.ID {
+			self.Address = m.Address
+		}
+	}
+	snap.Configuration = raft.Configuration{
+		Epoch:   max(snap.Configuration.Epoch+1, uint64(time.Now().Unix())),
+		Members: []raft.Member{self},
+	}
+	return wal.Initialize(cfg.FS, cfg.DataDir, id, *snap)
+}
--- /dev/null
+++ b/internal/replica/fault_test.go
@@ -0,0 +1,395 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/core/raft"
+	"github.com/guavastack/guavastack/internal/wal"
+	"github.com/guavastack/guavastack/internal/wal/waltest"
+)
+
+// inBubble runs a test on a cluster of the given size under virtual time.
+func inBubble(t *testing.T, size int, fn func(t *testing.T, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, size)
+		defer c.stop()
+		for _, m := range c.members {
+			c.disks[m.ID] = waltest.New()
+		}
+		fn(t, c)
+	})
+}
+
+// crash ends a process and restarts it from what was synced.
+func (c *cluster) crash(id uint64) {
+	_ = c.procs[id].kill()
+	c.disks[id] = c.disks[id].(*waltest.FS).Crash(0)
+	c.start(id)
+}
+
+// expect waits until a member has applied want.
+func (c *cluster) expect(id uint64, want []string) {
+	c.t.Helper()
+	for range 1000 {
+		if slices.Equal(c.procs[id].commands(), want) {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.t.Errorf("member %d applied %d commands, want %d", id, len(c.procs[id].commands()), len(want))
+}
+
+func (c *cluster) others(id uint64) []uint64 {
+	var ids []uint64
+	for _, m := range c.members {
+		if m.ID != id {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
+func TestLeaderIsReplacedAndComesBack(t *testing.T) {
+	inBubble(t, 3, func(_ *testing.T, c *cluster) {
+		c.startAll()
+		c.propose("a", 1, 2, 3)
+		old := c.leader(1, 2, 3).cfg.ID
+		_ = c.procs[old].kill()
+		c.propose("b", c.others(old)...)
+		c.disks[old] = c.disks[old].(*waltest.FS).Crash(0)
+		c.start(old)
+		c.propose("c", 1, 2, 3)
+		for id := range c.procs {
+			c.expect(id, []string{"a", "b", "c"})
+		}
+	})
+}
+
+func TestRestartAfterThousandChanges(t *testing.T) {
+	inBubble(t, 3, func(_ *testing.T, c *cluster) {
+		c.adjust = func(cfg *Config) { cfg.CompactEntries = 300 }
+		c.startAll()
+		var want []string
+		for i := range 1000 {
+			want = append(want, fmt.Sprint(i))
+			c.propose(want[i], 1, 2, 3)
+		}
+		for id := uint64(1); id <= 3; id++ {
+			_ = c.procs[id].kill()
+			c.disks[id] = c.disks[id].(*waltest.FS).Crash(0)
+		}
+		c.startAll()
+		c.leader(1, 2, 3)
+		for id := range c.procs {
+			c.expect(id, want)
+		}
+	})
+}
+
+// TestIsolatedMemberDoesNotDisturb cuts a follower off for a long time: the others keep their term, and it catches up
+// by a snapshot.
+func TestIsolatedMemberDoesNotDisturb(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		c.adjust = func(cfg *Config) { cfg.CompactEntries = 500 }
+		c.startAll()
+		leader := c.leader(1, 2, 3)
+		term := leader.Status().Term
+		lost := c.others(leader.cfg.ID)[0]
+		c.net.cut(member(lost).Address)
+		var want []string
+		for i := range 2 * retainedEntries {
+			want = append(want, fmt.Sprint(i))
+			c.propose(want[i], leader.cfg.ID)
+		}
+		time.Sleep(time.Hour)
+		c.net.mend(member(lost).Address)
+		c.expect(lost, want)
+		if got := leader.Status(); got.Term != term || got.Role != raft.Leader {
+			t.Errorf("term %d, role %v, want term %d and still the leader", got.Term, got.Role, term)
+		}
+	})
+}
+
+// TestIsolatedLeaderStops cuts the leader off: its lease ends, it answers no read and its proposal has no outcome.
+func TestIsolatedLeaderStops(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		c.startAll()
+		old := c.leader(1, 2, 3)
+		c.net.cut(member(old.cfg.ID).Address)
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		if _, err := old.Propose(ctx, []byte("lost")); !errors.Is(err, ErrUnknownOutcome) {
+			t.Errorf("proposal: %v, want %v", err, ErrUnknownOutcome)
+		}
+		if _, ok := old.Lease(); ok {
+			t.Error("the isolated leader still has a lease")
+		}
+		readCtx, cancelRead := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancelRead()
+		if _, err := old.ReadIndex(readCtx); err == nil {
+			t.Error("the isolated leader answers a read")
+		}
+		c.propose("kept", c.others(old.cfg.ID)...)
+		c.net.mend(member(old.cfg.ID).Address)
+		c.expect(old.cfg.ID, []string{"kept"})
+	})
+}
+
+// TestSilentDirectionIsReplaced lets each direction of the connections between leader and follower fall silent
+// without an error. New connections work, so the follower must hear of the next command.
+func TestSilentDirectionIsReplaced(t *testing.T) {
+	for _, towards := range []string{"leader", "follower"} {
+		t.Run(towards, func(t *testing.T) {
+			inBubble(t, 3, func(_ *testing.T, c *cluster) {
+				c.startAll()
+				c.propose("a", 1, 2, 3)
+				from := c.leader(1, 2, 3).cfg.ID
+				to := c.others(from)[0]
+				if towards == "leader" {
+					c.net.silence(member(to).Address, member(from).Address)
+				} else {
+					c.net.silence(member(from).Address, member(to).Address)
+				}
+				c.propose("b", 1, 2, 3)
+				for id := range c.procs {
+					c.expect(id, []string{"a", "b"})
+				}
+			})
+		})
+	}
+}
+
+// TestBlankDiskUnderOldName loses a disk. The blank member founds nothing and gets no vote; removed and added again
+// it catches up, and then the group survives the loss of another member.
+func TestBlankDiskUnderOldName(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		c.startAll()
+		c.propose("a", 1, 2, 3)
+		lost := uint64(1) // the founder
+		_ = c.procs[lost].kill()
+		c.disks[lost] = waltest.New()
+		blank := c.start(lost)
+		c.propose("b", 2, 3)
+		time.Sleep(time.Minute)
+		if got := blank.Status(); got.LastIndex != 0 || got.Role == raft.Leader {
+			t.Fatalf("the blank member holds %d entries as %v", got.LastIndex, got.Role)
+		}
+		leader := c.leader(2, 3)
+		if got := leader.Status().Strangers; !slices.Contains(got, lost) {
+			t.Errorf("strangers %v, want member %d", got, lost)
+		}
+		for _, err := range []error{
+			leader.Remove(t.Context(), lost),
+			leader.AddLearner(t.Context(), member(lost)),
+			leader.Promote(t.Context(), lost),
+		} {
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		c.expect(lost, []string{"a", "b"})
+		_ = c.procs[3].kill()
+		c.propose("c", 1, 2)
+		c.expect(lost, []string{"a", "b", "c"})
+	})
+}
+
+// TestTwoLossesAroundARepair loses a member, replaces it by a new one, and loses another right after.
+func TestTwoLossesAroundARepair(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		c.startAll()
+		c.propose("a", 1, 2, 3)
+		_ = c.procs[3].kill()
+		leader := c.leader(1, 2)
+		c.members = append(c.members, member(4))
+		c.adjust = func(cfg *Config) { cfg.Join = cfg.ID == 4 }
+		c.disks[4] = waltest.New()
+		c.start(4)
+		for _, err := range []error{
+			leader.Remove(t.Context(), 3), leader.AddLearner(t.Context(), member(4)), leader.Promote(t.Context(), 4),
+		} {
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		_ = c.procs[leader.cfg.ID].kill()
+		rest := slices.DeleteFunc([]uint64{1, 2, 4}, func(id uint64) bool { return id == leader.cfg.ID })
+		c.propose("b", rest...)
+		for _, id := range rest {
+			c.expect(id, []string{"a", "b"})
+		}
+	})
+}
+
+// TestDiskFaultEndsTheProcess fails each changing call of one member's disk in turn. The process ends with an error,
+// the others go on, and after a restart from what was synced nothing accepted is missing.
+func TestDiskFaultEndsTheProcess(t *testing.T) {
+	for n := 1; n <= 12; n++ {
+		inBubble(t, 3, func(t *testing.T, c *cluster) {
+			c.adjust = func(cfg *Config) { cfg.CompactEntries = 4 }
+			c.startAll()
+			c.propose("a", 1, 2, 3)
+			victim := c.leader(1, 2, 3).cfg.ID
+			c.disks[victim].(*waltest.FS).FailAt(n)
+			want := []string{"a"}
+			for i := range 6 {
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				_, err := c.procs[victim].Propose(ctx, []byte(fmt.Sprint(i)))
+				cancel()
+				if err != nil {
+					break
+				}
+				want = append(want, fmt.Sprint(i))
+			}
+			c.disks[victim].(*waltest.FS).FailAt(0)
+			c.crash(victim)
+			c.propose("end", 1, 2, 3)
+			time.Sleep(5 * time.Second)
+			got := c.procs[victim].commands()
+			if len(got) <= len(want) || !slices.Equal(got[:len(want)], want) || got[len(got)-1] != "end" {
+				t.Errorf("fault %d: member %d applied %v, want %v, perhaps one more, and the end", n, victim, got, want)
+			}
+		})
+	}
+}
+
+func TestFailedSyncIsFatal(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, c *cluster) {
+		c.startAll()
+		p := c.leader(1)
+		c.disks[1].(*waltest.FS).FailAt(2)
+		if _, err := p.Propose(t.Context(), []byte("a")); !errors.Is(err, ErrUnknownOutcome) {
+			t.Errorf("proposal: %v, want %v", err, ErrUnknownOutcome)
+		}
+		if err := <-p.err; !errors.Is(err, wal.ErrSync) {
+			t.Errorf("Run: %v, want %v", err, wal.ErrSync)
+		}
+		if _, ok := p.Lease(); ok {
+			t.Error("a lease without a process")
+		}
+	})
+}
+
+func TestFullDiskRefusesChanges(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, c *cluster) {
+		c.adjust = func(cfg *Config) { cfg.MinFreeBytes = 1000 }
+		c.startAll()
+		c.propose("a", 1)
+		disk := c.disks[1].(*waltest.FS)
+		disk.SetFree(999)
+		time.Sleep(2 * diskCheckInterval)
+		if _, err := c.procs[1].Propose(t.Context(), []byte("b")); !errors.Is(err, ErrDiskFull) {
+			t.Errorf("proposal: %v, want %v", err, ErrDiskFull)
+		}
+		disk.SetFree(1000)
+		time.Sleep(2 * diskCheckInterval)
+		c.propose("c", 1)
+		c.expect(1, []string{"a", "c"})
+	})
+}
+
+func TestTransferGivesUpTheLeaseFirst(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		c.startAll()
+		c.propose("a", 1, 2, 3)
+		old := c.leader(1, 2, 3)
+		lease, _ := old.Lease()
+		if err := old.TransferLeadership(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if time.Now().Before(lease.Expires) {
+			t.Error("handed over before the lease ended")
+		}
+		c.propose("b", c.others(old.cfg.ID)...)
+		var notLeader *NotLeaderError
+		if _, err := old.Propose(t.Context(), []byte("c")); !errors.As(err, &notLeader) || notLeader.Address == "" {
+			t.Errorf("proposal at the old leader: %v, want the address of the new one", err)
+		}
+	})
+}
+
+func TestOneProcessPerDataFolder(t *testing.T) {
+	cfg := Config{ID: 1, Members: []Member{member(1)}, DataDir: t.TempDir()}
+	first, err := Open(cfg, &list{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(cfg, &list{}); !errors.Is(err, ErrLocked) {
+		t.Errorf("second process: %v, want %v", err, ErrLocked)
+	}
+	if err := first.Close(); err != nil {
+		t.Fatal(err)
+	}
+	again, err := Open(cfg, &list{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = again.Close()
+	cfg.ID, cfg.Members = 2, []Member{member(2)}
+	if _, err := Open(cfg, &list{}); err == nil || !strings.Contains(err.Error(), "member 1") {
+		t.Errorf("another member's folder: %v, want an error that names the member", err)
+	}
+}
+
+func TestSubscriptionLeavesNoGap(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, c *cluster) {
+		c.startAll()
+		c.propose("a", 1)
+		p := c.procs[1]
+		var seen []string
+		var ch <-chan Applied
+		var end func()
+		p.View(func() {
+			seen = append(seen, p.sm.commands...)
+			ch, end = p.Subscribe(2)
+		})
+		defer end()
+		for _, data := range []string{"b", "c", "d"} {
+			c.propose(data, 1)
+		}
+		for a := range ch { // closed, for a third command did not fit
+			seen = append(seen, string(a.Data))
+		}
+		if want := []string{"a", "b", "c"}; !slices.Equal(seen, want) {
+			t.Errorf("saw %v, want %v", seen, want)
+		}
+	})
+}
+
+func TestBackupAndRestore(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, c *cluster) {
+		c.startAll()
+		c.propose("a", 1)
+		file := filepath.Join(c.dir, "backup")
+		if err := c.procs[1].Backup(t.Context(), file); err != nil {
+			t.Fatal(err)
+		}
+		c.propose("after", 1)
+		epoch := c.procs[1].Status().Epoch
+		_ = c.procs[1].kill()
+
+		c.disks[1] = wal.OS{}
+		cfg := c.config(1)
+		if err := Restore(cfg, file); err != nil {
+			t.Fatal(err)
+		}
+		if err := Restore(cfg, file); err == nil {
+			t.Error("restored over a data folder in use")
+		}
+		c.start(1)
+		c.propose("b", 1)
+		c.expect(1, []string{"a", "b"})
+		if got := c.procs[1].Status().Epoch; got <= epoch {
+			t.Errorf("epoch %d after %d", got, epoch)
+		}
+	})
+}
--- a/internal/wal/identity.go
+++ b/internal/wal/identity.go
@@ -51,14 +51,15 @@
 			return id, false, errors.Annotatef(ErrDamaged, "%s is missing beside %s; %s", identityFile, name, repairAdvice)
 		}
 	}
+	return id, true, writeIdentity(fsys, dir, id)
+}
+
+func writeIdentity(fsys FS, dir string, id Identity) error {
 	data, err := json.Marshal(id)
 	if err != nil {
-		return id, false, errors.Trace(err)
-	}
-	if err := writeFile(fsys, dir, identityFile, data); err != nil {
-		return id, false, errors.Annotate(err, "identity of the data folder")
+		return errors.Trace(err)
 	}
-	return id, true, nil
+	return errors.Annotate(writeFile(fsys, dir, identityFile, data), "identity of the data folder")
 }
 
 // writeFile replaces a file so that a crash leaves either the old or the new content.
