--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -1,9 +1,11 @@
 package fleet
 
 import (
+	"iter"
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -133,7 +135,8 @@
 	return sum / float64(len(o.Zones))
 }
 
-// ceilingFactors returns, for each organisation over its price ceiling, the part of its demand that the ceiling pays for.
+// ceilingFactors returns, for each organisation over its price ceiling, the part of its demand that the ceiling pays
+// for. The demand of an organisation counts for those above it in the tree, too.
 func ceilingFactors(s Settings, observed []Observation) map[string]float64 {
 	cost := make(map[string]float64)
 	for _, pool := range s.Pools {
@@ -143,8 +146,10 @@
 				continue
 			}
 			perSlot := price(o) / (slots(pool, o) * pool.TargetUtilisation)
-			for organisation, demand := range o.DemandByOrganisation {
-				cost[organisation] += demand * perSlot
+			for _, organisation := range slices.Sorted(maps.Keys(o.DemandByOrganisation)) {
+				for owner := range lineage(organisation) {
+					cost[owner] += o.DemandByOrganisation[organisation] * perSlot
+				}
 			}
 		}
 	}
@@ -157,15 +162,32 @@
 	return factors
 }
 
-// payableDemand sums the demand that the organisations pay for, and names those held at their ceiling.
+// lineage yields an organisation's path and the paths above it.
+func lineage(organisation string) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for yield(organisation) {
+			i := strings.LastIndexByte(organisation, '/')
+			if i < 0 {
+				return
+			}
+			organisation = organisation[:i]
+		}
+	}
+}
+
+// payableDemand sums the demand that the organisations pay for, and names those held at a ceiling.
 func payableDemand(o Observation, factors map[string]float64) (demand float64, capped []string) {
 	for _, organisation := range slices.Sorted(maps.Keys(o.DemandByOrganisation)) {
-		d := o.DemandByOrganisation[organisation]
-		if factor, ok := factors[organisation]; ok {
-			d *= factor
+		factor := 1.0
+		for owner := range lineage(organisation) {
+			if f, ok := factors[owner]; ok {
+				factor = min(factor, f)
+			}
+		}
+		if factor < 1 {
 			capped = append(capped, organisation)
 		}
-		demand += d
+		demand += factor * o.DemandByOrganisation[organisation]
 	}
 	return demand, capped
 }
@@ -179,7 +201,7 @@
 	low := int(math.Ceil(demand / (perServer * scaleDownMargin)))
 	state.observe(now, hold(pool), low)
 	if len(capped) == 0 {
-		need = max(need, state.attainmentNeed(now, pool, o))
+		need = max(need, state.attainmentNeed(now, pool, o, need))
 	}
 	state.adjust(now, pool, need)
 	plan.Holding = state.level > low
@@ -234,7 +256,7 @@
 }
 
 // attainmentNeed raises the need once per start time while attainment is below its target.
-func (st *poolState) attainmentNeed(now time.Time, pool Pool, o Observation) int {
+func (st *poolState) attainmentNeed(now time.Time, pool Pool, o Observation, need int) int {
 	if o.Attainment < 0 || o.Attainment >= pool.TargetAttainment {
 		return 0
 	}
@@ -242,7 +264,8 @@
 		return st.level
 	}
 	st.raisedAt = now
-	return st.level + int(math.Ceil(float64(st.level)*attainmentStep))
+	need = max(need, st.level)
+	return need + int(math.Ceil(float64(need)*attainmentStep))
 }
 
 // adjust raises the level at once, and lowers it by steps to the highest need of the hold.
