--- /dev/null
+++ b/internal/entry/faults_test.go
@@ -0,0 +1,302 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/claim"
+	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/standin/engine"
+	"github.com/guavastack/guavastack/internal/standin/service"
+)
+
+// begin starts a stream of many tokens and returns once its first event is here.
+func (b *bench) begin(c call) (*http.Response, *bufio.Reader) {
+	b.t.Helper()
+	resp := b.start(context.Background(), b.url, c)
+	b.t.Cleanup(func() { _ = resp.Body.Close() })
+	r := bufio.NewReader(resp.Body)
+	if line, err := r.ReadString('\n'); err != nil || !strings.HasPrefix(line, "data: ") {
+		b.t.Fatalf("first line %q, error %v", line, err)
+	}
+	return resp, r
+}
+
+// endsInError checks that a stream ends in an error event with the given code and never looks whole.
+func endsInError(t *testing.T, r io.Reader, code string) {
+	t.Helper()
+	rest, err := io.ReadAll(r)
+	if err == nil {
+		t.Error("the connection ended as if the answer were whole")
+	}
+	if strings.Contains(string(rest), "[DONE]") || !strings.Contains(string(rest), `"code":"`+code+`"`) {
+		t.Errorf("stream ended in %q, want an error event with code %s", rest, code)
+	}
+}
+
+func TestRunningStreamsEnd(t *testing.T) {
+	tests := []struct {
+		name  string
+		cause func(b *bench)
+		code  string
+	}{
+		{"key withdrawn", func(b *bench) {
+			b.dir.change(b.t, settings.Command{Op: settings.WithdrawKey, KeyID: b.key.ID})
+		}, "key_withdrawn"},
+		{"keys not confirmed any more", func(b *bench) { b.dir.fresh.Store(false) }, "settings_not_fresh"},
+		{"engine crashes", func(b *bench) { b.engine.Crash() }, "answer_cut"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			_, r := b.begin(b.chat("100000"))
+			tt.cause(b)
+			endsInError(t, r, tt.code)
+			waitFor(t, func() bool { return b.entry.active.count() == 0 })
+		})
+	}
+}
+
+func TestWithdrawnKeyOnIdleConnection(t *testing.T) {
+	b := newBench(t)
+	if a := b.do(b.chat("1")); a.status != 200 {
+		t.Fatalf("status %d", a.status)
+	}
+	b.dir.change(t, settings.Command{Op: settings.WithdrawKey, KeyID: b.key.ID})
+	if a := b.do(b.chat("1")); a.status != 401 || a.code != "invalid_key" {
+		t.Errorf("status %d, code %q", a.status, a.code)
+	}
+}
+
+func TestOpenRouteSurvivesStaleSettings(t *testing.T) {
+	b := newBench(t)
+	b.dir.fresh.Store(false)
+	if a := b.do(call{path: "/services/stock", body: "x"}); a.status != 200 {
+		t.Errorf("open route: status %d, body %s", a.status, a.body)
+	}
+	if a := b.do(b.order("x", "")); a.status != 503 || a.code != "settings_not_fresh" || a.verdict != "not_run" {
+		t.Errorf("keyed route: status %d, code %q", a.status, a.code)
+	}
+}
+
+func TestCallerThatLeavesCancelsItsWork(t *testing.T) {
+	b := newBench(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	resp := b.start(ctx, b.url, b.chat("100000"))
+	_, _ = resp.Body.Read(make([]byte, 1))
+	cancel()
+	_ = resp.Body.Close()
+	waitFor(t, func() bool { return b.engine.Running() == 0 && b.entry.active.count() == 0 })
+}
+
+func TestShortAnswersNeverLookWhole(t *testing.T) {
+	for _, kind := range []engine.FaultKind{engine.Cut, engine.Short, engine.Garbage, engine.Endless} {
+		t.Run(string(kind), func(t *testing.T) {
+			b := newBench(t)
+			b.engine.Inject(engine.Fault{Kind: kind, After: 3})
+			a := b.do(b.chat("50"))
+			if strings.Contains(a.body, "[DONE]") || a.readErr == nil && a.code == "" {
+				t.Errorf("answer looks whole: status %d, body %q", a.status, a.body)
+			}
+		})
+	}
+}
+
+func TestRepeatableRequestIsRetriedElsewhere(t *testing.T) {
+	b := newBench(t)
+	b.engine.Inject(engine.Fault{Kind: engine.Reject, Times: 1})
+	second := engine.New(engine.Config{Model: "m", TokenInterval: time.Millisecond})
+	b.startAgent("engine-2", agentFor(b, second))
+	for range 4 {
+		if a := b.do(b.chat("3")); a.status != 200 || !strings.HasSuffix(a.body, "[DONE]\n\n") {
+			t.Errorf("status %d, body %s", a.status, a.body)
+		}
+	}
+}
+
+func TestAtMostOnce(t *testing.T) {
+	tests := []struct {
+		name    string
+		fault   *service.Fault
+		key     string
+		first   string // code of the first answer
+		verdict string
+		second  string // code of the second, equal request
+		times   int    // arrivals in all
+	}{
+		{"answered, then sent again", nil, "k", "", "ran", "", 1},
+		{"no idempotency key: two requests", nil, "", "", "ran", "", 2},
+		{"reply lost after it ran", &service.Fault{Kind: service.CloseAfterReading, Times: 1}, "k", "answer_cut", "may_have_run", "outcome_unknown", 1},
+		{"reply lost, no idempotency key", &service.Fault{Kind: service.CloseAfterReading, Times: 1}, "", "answer_cut", "may_have_run", "", 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			if tt.fault != nil {
+				b.service.Inject(*tt.fault)
+			}
+			c := b.order(`{"hides":3}`, tt.key)
+			a := b.do(c)
+			if a.code != tt.first || a.header.Get(headerVerdict) != tt.verdict {
+				t.Errorf("first: code %q verdict %q, want %q %q; body %s", a.code, a.header.Get(headerVerdict), tt.first, tt.verdict, a.body)
+			}
+			b.entry.background.Wait()
+			again := b.do(c)
+			if again.code != tt.second {
+				t.Errorf("second: code %q, want %q; body %s", again.code, tt.second, again.body)
+			}
+			if tt.key != "" && tt.second == "" && again.body != a.body {
+				t.Errorf("second answer %q differs from the first %q", again.body, a.body)
+			}
+			if n := b.arrivals(); n != tt.times {
+				t.Errorf("arrived %d times, want %d", n, tt.times)
+			}
+		})
+	}
+}
+
+func (b *bench) arrivals() int {
+	n := 0
+	for _, times := range b.service.Arrivals() {
+		n += times
+	}
+	return n
+}
+
+func TestIdempotencyKeyWithAnotherBody(t *testing.T) {
+	b := newBench(t)
+	b.do(b.order("a", "k"))
+	if a := b.do(b.order("b", "k")); a.status != 422 || a.code != "idempotency_key_reused" || a.verdict != "not_run" {
+		t.Errorf("status %d, code %q, verdict %q", a.status, a.code, a.verdict)
+	}
+	if n := b.arrivals(); n != 1 {
+		t.Errorf("arrived %d times", n)
+	}
+}
+
+// TestEntryDiedWithAClaim leaves a claim behind as an entry does that dies between claim and dispatch, or after it.
+func TestEntryDiedWithAClaim(t *testing.T) {
+	tests := []struct {
+		name        string
+		incarnation string // of the agent in the claim; empty: the present one
+		code        string
+		times       int
+	}{
+		{"before the dispatch: the agent proves that it never started", "", "", 1},
+		{"at an agent that has restarted since: nothing is proven", "old", "request_in_progress", 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			server, _ := b.entry.fleet.find("orders-1")
+			if tt.incarnation != "" {
+				server.Incarnation = tt.incarnation
+			}
+			x := &exchange{organisation: "camurca", model: "orders", idempotencyKey: "k", method: "POST", pathAndQuery: "/services/orders/new", body: []byte("x")}
+			dead := b.entry.newAttempt(x, server, 1, nil)
+			out, err := b.entry.proposeClaim(context.Background(), dead.command(claim.Claim))
+			if err != nil || out.State != claim.StateClaimed {
+				t.Fatalf("%+v, %v", out, err)
+			}
+			x.id = newRequestID()
+			url, _ := b.startEntry("entry-2")
+			a := b.doAt(url, b.order("x", "k"))
+			if a.code != tt.code || b.arrivals() != tt.times {
+				t.Errorf("code %q, arrivals %d, want %q, %d; body %s", a.code, b.arrivals(), tt.code, tt.times, a.body)
+			}
+		})
+	}
+}
+
+// TestSecondCallerJoinsTheRunningRequest sends a request again while the first is running.
+func TestSecondCallerJoinsTheRunningRequest(t *testing.T) {
+	b := newBench(t)
+	b.service.Inject(service.Fault{Kind: service.Slow, Times: 1, DelayMs: 200})
+	url, _ := b.startEntry("entry-2")
+	first := make(chan answer, 1)
+	go func() { first <- b.do(b.order("x", "k")) }()
+	waitFor(t, func() bool { return b.arrivals() == 1 })
+	second := b.doAt(url, b.order("x", "k"))
+	a := <-first
+	if a.status != 200 || second.status != 200 || a.body != second.body || b.arrivals() != 1 {
+		t.Errorf("first %d %q, second %d %q, arrivals %d", a.status, a.body, second.status, second.body, b.arrivals())
+	}
+}
+
+func TestAnswerIsFetchedAgain(t *testing.T) {
+	b := newBench(t)
+	c := b.chat("20")
+	c.headers = map[string]string{headerClass: "kept"}
+	a := b.do(c)
+	id := a.header.Get(headerRequestID)
+	other := b.dir.key(t, "fjordslag")
+	url, _ := b.startEntry("entry-2")
+	again := b.doAt(url, call{method: "GET", path: "/v1/answers/" + id, key: b.key.Secret})
+	if again.body != a.body || again.readErr != nil {
+		t.Errorf("fetched %q, want %q", again.body, a.body)
+	}
+	foreign := b.doAt(url, call{method: "GET", path: "/v1/answers/" + id, key: other.Secret})
+	if foreign.status == 200 || strings.Contains(foreign.body, "delta") {
+		t.Errorf("another organisation fetched the answer: status %d, body %s", foreign.status, foreign.body)
+	}
+}
+
+func TestConcurrencyLimit(t *testing.T) {
+	b := newBench(t)
+	c := b.chat("100000")
+	c.headers = map[string]string{headerClass: "single"}
+	resp, _ := b.begin(c)
+	a := b.do(c)
+	if a.status != 429 || a.code != "limit_exceeded" || a.header.Get("Retry-After") == "" || a.verdict != "not_run" {
+		t.Errorf("status %d, code %q, headers %v", a.status, a.code, a.header)
+	}
+	_ = resp.Body.Close()
+	waitFor(t, func() bool { return b.entry.active.count() == 0 })
+	c.body = strings.Replace(c.body, "100000", "1", 1)
+	if a := b.do(c); a.status != 200 {
+		t.Errorf("after the release: status %d, body %s", a.status, a.body)
+	}
+}
+
+func TestGracefulShutdownCutsNothing(t *testing.T) {
+	b := newBench(t)
+	_, r := b.begin(b.chat("300"))
+	stopped := make(chan struct{})
+	go func() {
+		b.stop()
+		close(stopped)
+	}()
+	waitFor(t, func() bool { ready, _ := b.entry.Status(); return !ready })
+	rest, err := io.ReadAll(r)
+	if err != nil || !strings.HasSuffix(string(rest), "data: [DONE]\n\n") {
+		t.Errorf("stream ended in %q, error %v", rest[max(0, len(rest)-40):], err)
+	}
+	<-stopped
+}
+
+// TestUsageOfDeliveredTokens checks that what was delivered is reported, cumulatively and once.
+func TestUsageOfDeliveredTokens(t *testing.T) {
+	b := newBench(t)
+	for range 3 {
+		b.do(b.chat("7"))
+	}
+	b.do(b.order("x", "k"))
+	b.do(b.order("x", "k")) // replayed
+	b.stop()
+	b.dir.mu.Lock()
+	defer b.dir.mu.Unlock()
+	last := b.dir.usage[len(b.dir.usage)-1]
+	var tokens, requests uint64
+	for _, c := range last.Counters {
+		tokens += c.OutputTokens
+		requests += c.Requests
+	}
+	if tokens != 21 || requests != 4 {
+		t.Errorf("reported %d tokens of %d requests, want 21 of 4: %v", tokens, requests, last.Counters)
+	}
+}
