Settle lost and silent links, with a table of link faults in virtual time

Cause: a link may be cut or fall silent at any step. Change: frames that wait share one message (EntryFrames, AgentFrames); a Submit that the agent proves it never took is sent again under the new epoch; a duplicate of an ended request gets the first one's outcome. Ruled out: drpc's manual flush. With it MsgRecv takes the write lock, and TestSlowReader hung: both ends were blocked in Write while their receivers waited for the lock. Conclusion: 11 link faults, resume through another entry, a killed agent, a slow reader and a forgotten request pass with -race.

--- a/internal/agent/answer.go
+++ b/internal/agent/answer.go
@@ -12,9 +12,6 @@
 	"github.com/guavastack/guavastack/proto/linkpb"
 )
 
-// errAnswerClosed says that nobody takes the answer any more.
-var errAnswerClosed = errors.New("answer is closed")
-
 // piece is one event of an answer.
 type piece struct {
 	end    int // offset of its end in the answer
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +16,8 @@
 
 	"github.com/guavastack/guavastack/internal/core/verdict"
 	"github.com/guavastack/guavastack/internal/link"
+	"github.com/guavastack/guavastack/internal/link/linktest"
+	"github.com/guavastack/guavastack/internal/standin/engine"
 	"github.com/guavastack/guavastack/proto/linkpb"
 )
 
@@ -28,6 +33,10 @@
 	status  uint32
 }
 
+func (o outcome) String() string {
+	return fmt.Sprintf("verdict %v, end %v, refused %v, lost %v, status %d, %d bytes", o.verdict, o.end, o.refused, o.lost, o.status, len(o.body))
+}
+
 // recorder is a link.Handler that grants what it takes and keeps the answer.
 type recorder struct {
 	mu      sync.Mutex
@@ -117,6 +126,45 @@
 	}
 }
 
+// cluster is one agent and its backend server on networks in memory, for virtual time.
+type cluster struct {
+	t      *testing.T
+	links  *linktest.Network
+	engine *linktest.Network
+	agent  *Agent
+}
+
+const (
+	agentAddr  = "agent:1"
+	engineAddr = "engine:1"
+)
+
+// newCluster starts an agent with cfg before h.
+func newCluster(t *testing.T, cfg Config, h http.Handler) *cluster {
+	c := &cluster{t: t, links: linktest.New(), engine: linktest.New()}
+	serveMemory(t, c.engine, h)
+	if cfg.Backend.Kind == "" {
+		cfg.Backend.Kind = KindEngine
+	}
+	cfg.Backend.URL = "http://" + engineAddr
+	cfg.Listener = c.links.Listen(agentAddr)
+	cfg.Dial = c.engine.Dial
+	c.agent = startAgent(t, cfg)
+	return c
+}
+
+// pool returns the links of an entry.
+func (c *cluster) pool(id string) *link.Pool { return newPool(c.t, id, c.links.Dial) }
+
+// whole is what an engine answers to the first run of s, called directly.
+func whole(s *linkpb.Submit) string {
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(s.Method, s.Path, strings.NewReader(string(s.Body)))
+	r.Header.Set("X-Request-Id", s.RequestId+".1.1")
+	engine.New(engine.Config{}).ServeHTTP(w, r)
+	return w.Body.String()
+}
+
 // serveHTTP serves h on loopback and returns its URL.
 func serveHTTP(t testing.TB, h http.Handler) string {
 	s := httptest.NewServer(h)
@@ -158,3 +206,39 @@
 	r.call = call
 	close(r.ready)
 }
+
+// serveMemory serves h at engineAddr of n.
+func serveMemory(t *testing.T, n *linktest.Network, h http.Handler) {
+	server := &http.Server{Handler: h}
+	lis := n.Listen(engineAddr)
+	go server.Serve(lis)
+	t.Cleanup(func() {
+		if c, ok := h.(io.Closer); ok {
+			c.Close()
+		}
+		server.Close()
+	})
+}
+
+// runAgent serves cfg and returns what kills the agent.
+func runAgent(t *testing.T, cfg Config) (kill func()) {
+	a, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- a.Run(ctx) }()
+	waitUp(t, a)
+	return func() {
+		cancel()
+		<-stopped
+	}
+}
+
+// runningAt returns how many requests e works on.
+func runningAt(e *engine.Engine) int {
+	w := httptest.NewRecorder()
+	e.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/running?owner=agent-1/", nil))
+	return strings.Count(w.Body.String(), `"id"`)
+}
--- /dev/null
+++ b/internal/agent/link_faults_test.go
@@ -0,0 +1,263 @@
+package agent
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/verdict"
+	"github.com/guavastack/guavastack/internal/link"
+	"github.com/guavastack/guavastack/internal/link/linktest"
+	"github.com/guavastack/guavastack/internal/standin/engine"
+	"github.com/guavastack/guavastack/proto/linkpb"
+)
+
+// TestLinkFaults causes each fault of a link while an answer is streamed, and compares what the caller gets.
+func TestLinkFaults(t *testing.T) {
+	tests := []struct {
+		name    string
+		warm    bool // another request opens the link before
+		before  func(n *linktest.Network)
+		atEvent int
+		fault   func(n *linktest.Network)
+		whole   bool
+		verdict verdict.Verdict
+	}{
+		{name: "none", whole: true, verdict: verdict.Ran},
+		{name: "idle link cut before the submit", warm: true, before: (*linktest.Network).Cut, whole: true, verdict: verdict.Ran},
+		{name: "idle link silent before the submit", warm: true, before: silence(linktest.Both), whole: true, verdict: verdict.Ran},
+		{name: "no agent", before: refuse1, verdict: verdict.NotRun},
+		{name: "cut at the first event", atEvent: 1, fault: (*linktest.Network).Cut, whole: true, verdict: verdict.Ran},
+		{name: "cut in the middle", atEvent: 20, fault: (*linktest.Network).Cut, whole: true, verdict: verdict.Ran},
+		{name: "cut before the end", atEvent: 40, fault: (*linktest.Network).Cut, whole: true, verdict: verdict.Ran},
+		{name: "silent to the agent", atEvent: 20, fault: silence(linktest.ToListener), whole: true, verdict: verdict.Ran},
+		{name: "silent to the entry", atEvent: 20, fault: silence(linktest.ToDialler), whole: true, verdict: verdict.Ran},
+		{name: "silent both ways", atEvent: 20, fault: silence(linktest.Both), whole: true, verdict: verdict.Ran},
+		{name: "cut for good", atEvent: 20, fault: func(n *linktest.Network) { n.Refuse(true); n.Cut() }, verdict: verdict.MayHaveRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := engine.New(engine.Config{TokenInterval: 100 * time.Millisecond})
+				c := newCluster(t, Config{}, h)
+				p := c.pool("entry-1")
+				if tt.warm {
+					r := newRecorder()
+					submit(t, p, agentAddr, chat("r0", "1"), r)
+					<-r.done
+				}
+				if tt.before != nil {
+					tt.before(c.links)
+				}
+				r := newRecorder()
+				r.onEvent = func(n int) {
+					if n == tt.atEvent {
+						go tt.fault(c.links)
+					}
+				}
+				submit(t, p, agentAddr, chat("r1", "40"), r)
+				o := <-r.done
+				if o.verdict != tt.verdict {
+					t.Errorf("verdict %v, want %v: %v", o.verdict, tt.verdict, o)
+				}
+				if isWhole := o.end != nil && !o.end.Stopped && o.body == whole(chat("r1", "40")); isWhole != tt.whole {
+					t.Errorf("whole %v, want %v: %v", isWhole, tt.whole, o)
+				}
+			})
+		})
+	}
+}
+
+func refuse1(n *linktest.Network) { n.Refuse(true) }
+
+func silence(d linktest.Direction) func(*linktest.Network) {
+	return func(n *linktest.Network) { n.Silence(d) }
+}
+
+// TestSilenceIsFound measures in virtual time how long a silent link goes unnoticed.
+func TestSilenceIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, Config{}, engine.New(engine.Config{TokenInterval: 100 * time.Millisecond}))
+		r := newRecorder()
+		var silentAt, nextAt time.Time
+		r.onEvent = func(n int) {
+			if n == 20 {
+				silentAt = time.Now()
+				c.links.Silence(linktest.Both)
+			}
+			if n == 21 {
+				nextAt = time.Now()
+			}
+		}
+		submit(t, c.pool("entry-1"), agentAddr, chat("r1", "40"), r)
+		<-r.done
+		if gap := nextAt.Sub(silentAt); gap > 2*time.Second || gap < time.Second {
+			t.Errorf("%v from silence to the next event, want about 1.5 s", gap)
+		}
+	})
+}
+
+func TestResumeThroughAnotherEntry(t *testing.T) {
+	tests := []struct {
+		name         string
+		organisation string
+		next         uint64
+		whole        bool
+		code         linkpb.RefuseCode
+	}{
+		{"from the beginning", "camurca", 0, true, 0},
+		{"from the middle", "camurca", 20, true, 0},
+		{"other organisation", "fjordslag", 0, false, linkpb.RefuseCode_REFUSE_CODE_UNKNOWN_REQUEST},
+		{"beyond the end", "camurca", 99, false, linkpb.RefuseCode_REFUSE_CODE_UNKNOWN_REQUEST},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := engine.New(engine.Config{TokenInterval: 100 * time.Millisecond})
+				c := newCluster(t, Config{}, h)
+				first := c.pool("entry-1")
+				r := newRecorder()
+				at20 := make(chan struct{})
+				r.onEvent = func(n int) {
+					if n == 20 {
+						close(at20)
+					}
+				}
+				submit(t, first, agentAddr, chat("r1", "40"), r)
+				<-at20
+				first.Close() // the entry dies
+				<-r.done
+
+				again := newRecorder()
+				call, err := c.pool("entry-2").Resume(context.Background(), agentAddr, &linkpb.Resume{
+					RequestId: "r1", Organisation: tt.organisation, NextSeq: tt.next, Credit: 1 << 16,
+				}, again)
+				if err != nil {
+					t.Fatal(err)
+				}
+				again.call = call
+				close(again.ready)
+				o := <-again.done
+				if tt.whole {
+					want := strings.SplitAfter(whole(chat("r1", "40")), "\n\n")
+					if o.body != strings.Join(want[tt.next:], "") || o.status != 200 || o.end == nil || o.end.Stopped {
+						t.Errorf("outcome %v", o)
+					}
+					return
+				}
+				if o.refused == nil || o.refused.Code != tt.code || o.body != "" || o.verdict == verdict.NotRun {
+					t.Errorf("outcome %v", o)
+				}
+			})
+		})
+	}
+}
+
+// TestSlowReader lets one caller take nothing: the others are served, its answer stays bounded, and whole in the end.
+func TestSlowReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := engine.New(engine.Config{})
+		c := newCluster(t, Config{BufferBytes: 4 << 10}, h)
+		p := c.pool("entry-1")
+		slow := newRecorder()
+		slow.hold = true
+		s := chat("slow", "400")
+		s.Credit = 100
+		submit(t, p, agentAddr, s, slow)
+		synctest.Wait()
+		for _, id := range []string{"a", "b", "c"} {
+			r := newRecorder()
+			submit(t, p, agentAddr, chat(id, "400"), r)
+			if o := <-r.done; o.end == nil || o.body != whole(chat(id, "400")) {
+				t.Errorf("%s: outcome %v", id, o)
+			}
+		}
+		var kept int
+		_ = c.agent.ask(context.Background(), func(time.Time) { kept = c.agent.records["slow"].answer.size() })
+		if kept > 4<<10 {
+			t.Errorf("%d bytes are buffered, the limit is %d", kept, 4<<10)
+		}
+		slow.call.Grant(1 << 30)
+		if o := <-slow.done; o.end == nil || o.body != whole(chat("slow", "400")) {
+			t.Errorf("slow reader: %d bytes, %v", len(o.body), o.end)
+		}
+	})
+}
+
+// TestAgentKilled kills the agent at each step and starts another one in its place.
+func TestAgentKilled(t *testing.T) {
+	tests := []struct {
+		name    string
+		slots   int // of the engine: with 1 the request waits behind another
+		atEvent int
+		verdict verdict.Verdict
+	}{
+		{"while it waits at the agent", 1, 0, verdict.MayHaveRun}, // true, but nothing proves more
+		{"while it runs", 8, 5, verdict.MayHaveRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := engine.New(engine.Config{TokenInterval: 100 * time.Millisecond})
+				links, engines := linktest.New(), linktest.New()
+				serveMemory(t, engines, h)
+				cfg := Config{
+					ID: "agent-1", Listener: links.Listen(agentAddr), Dial: engines.Dial,
+					Backend: BackendConfig{Kind: KindEngine, URL: "http://" + engineAddr, Slots: tt.slots},
+				}
+				kill := runAgent(t, cfg)
+				p := newPool(t, "entry-1", links.Dial)
+				if tt.slots == 1 {
+					submit(t, p, agentAddr, chat("r0", "1000"), newRecorder())
+				}
+				r := newRecorder()
+				reached := make(chan struct{})
+				r.onEvent = func(n int) {
+					if n == tt.atEvent {
+						close(reached)
+					}
+				}
+				submit(t, p, agentAddr, chat("r1", "40"), r)
+				if tt.atEvent > 0 {
+					<-reached
+				} else {
+					synctest.Wait()
+				}
+				cfg.Listener = links.Listen(agentAddr)
+				kill()
+				startAgent(t, cfg)
+				if o := <-r.done; o.verdict != tt.verdict || o.lost == nil {
+					t.Errorf("outcome %v", o)
+				}
+				synctest.Wait()
+				if n := runningAt(h); n != 0 {
+					t.Errorf("engine still runs %d requests of the agent's old life", n)
+				}
+			})
+		})
+	}
+}
+
+// TestForgottenRequestIsNotCalledNotRun checks that an answer dropped before its entry had the end is never called not run.
+func TestForgottenRequestIsNotCalledNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, Config{KeepFor: time.Second}, engine.New(engine.Config{TokenInterval: 100 * time.Millisecond}))
+		p := link.NewPool(link.Config{
+			EntryID: "entry-1", Incarnation: "1", Dial: c.links.Dial,
+			HeartbeatInterval: 20 * time.Second, SilenceTimeout: 60 * time.Second, // slow to notice
+		})
+		t.Cleanup(p.Close)
+		r := newRecorder()
+		r.onEvent = func(n int) {
+			if n == 3 {
+				c.links.Silence(linktest.Both)
+			}
+		}
+		submit(t, p, agentAddr, chat("r1", "4"), r)
+		if o := <-r.done; o.verdict == verdict.NotRun {
+			t.Errorf("outcome %v", o)
+		}
+	})
+}
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -47,7 +47,8 @@
 func (a *Agent) submit(now time.Time, s *link.Session, e *entry, current bool, m *linkpb.Submit) {
 	old := a.records[m.RequestId]
 	if old != nil && old.submit != nil && old.submit.Attempt == m.Attempt && current {
-		return // a duplicate: the first one answers
+		a.repeatOutcome(s, old, m)
+		return
 	}
 	if why := a.refuseArrival(e, current, m, old); why != nil {
 		a.meters.refused.Inc(1)
@@ -64,6 +65,20 @@
 	a.act(now, a.sched.Submit(now, r.schedRequest(a.backend.Resumable())))
 }
 
+// repeatOutcome answers a duplicate of a request that has ended; one that is in progress answers by itself.
+func (a *Agent) repeatOutcome(s *link.Session, r *record, m *linkpb.Submit) {
+	if r.active() {
+		return
+	}
+	if err := r.answer.attach(s, 0, m.Credit); err != nil {
+		s.Send(a.refusedFrame(r.id, m.Attempt, &refusal{
+			verdict: mayHaveRun, code: linkpb.RefuseCode_REFUSE_CODE_INVALID, message: "request has run before",
+		}))
+		return
+	}
+	r.session = s
+}
+
 // refuseArrival says why a Submit is not taken; nil: it is.
 func (a *Agent) refuseArrival(e *entry, current bool, m *linkpb.Submit, old *record) *refusal {
 	switch {
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -20,15 +20,15 @@
 	handler Handler
 
 	// Guarded by peer.mu.
-	sent       bool   // the Submit was handed to a connection
-	sentTo     string // incarnation of the agent that it was sent to
-	queuedAt   time.Time
-	grant      uint32 // credit that waits to be sent
-	inFlight   bool   // the call stands in peer.calls
-	cancelled  bool
-	cancelWhy  linkpb.CancelReason
-	cancelSent bool
-	resumes    int
+	sent      bool   // the Submit was handed to a connection
+	sentTo    string // incarnation of the agent that it was sent to
+	queuedAt  time.Time
+	deadline  int64  // milliseconds from queuedAt; 0: none
+	grant     uint32 // credit that waits to be sent
+	inFlight  bool   // the call stands in peer.calls
+	cancelled bool
+	cancelWhy linkpb.CancelReason
+	resumes   int
 
 	attempt atomic.Uint32 // 0: learned from the first message
 	next    atomic.Uint64 // sequence number of the next event
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -60,20 +60,17 @@
 	}
 	c.stream = stream
 	hello := &linkpb.Hello{EntryId: pool.cfg.EntryID, Incarnation: pool.cfg.Incarnation, Epoch: c.epoch}
-	if err := stream.Send(&linkpb.EntryFrame{Hello: hello}); err != nil {
+	if err := stream.Send(&linkpb.EntryFrames{Frames: []*linkpb.EntryFrame{{Hello: hello}}}); err != nil {
 		return errors.Trace(err)
 	}
-	if err := flush(stream); err != nil {
-		return errors.Trace(err)
-	}
-	frame, err := stream.Recv()
+	m, err := stream.Recv()
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if frame.Welcome == nil {
+	if len(m.Frames) != 1 || m.Frames[0].Welcome == nil {
 		return errors.NotValidf("first frame of the agent")
 	}
-	c.welcome = frame.Welcome
+	c.welcome = m.Frames[0].Welcome
 	return nil
 }
 
@@ -97,12 +94,14 @@
 // read delivers frames until the link ends.
 func (p *peer) read(c *conn) error {
 	for {
-		frame, err := c.stream.Recv()
+		m, err := c.stream.Recv()
 		if err != nil {
 			return errors.Trace(err)
 		}
 		c.lastRecv.Store(time.Now().UnixNano())
-		p.deliver(frame)
+		for _, frame := range m.Frames {
+			p.deliver(frame)
+		}
 	}
 }
 
@@ -207,7 +206,7 @@
 	return ""
 }
 
-// write sends what waits in the queue, and flushes when nothing more does.
+// write sends what waits in the queue, as many frames in one message as wait.
 func (p *peer) write(c *conn, done <-chan struct{}) {
 	for {
 		select {
@@ -216,23 +215,32 @@
 		case <-p.wake:
 		}
 		for {
-			frame, ok := p.next(c)
-			if !ok {
+			m := p.batch(c)
+			if len(m.Frames) == 0 {
 				break
 			}
-			if frame == nil {
-				continue
-			}
-			if err := c.stream.Send(frame); err != nil {
+			if err := c.stream.Send(m); err != nil {
 				c.drpc.Close()
 				return
 			}
 		}
-		if err := flush(c.stream); err != nil {
-			c.drpc.Close()
-			return
+	}
+}
+
+// batch takes items off the queue up to about batchBytes.
+func (p *peer) batch(c *conn) *linkpb.EntryFrames {
+	m := &linkpb.EntryFrames{}
+	for size := 0; size < batchBytes; {
+		frame, ok := p.next(c)
+		if !ok {
+			break
+		}
+		if frame != nil {
+			m.Frames = append(m.Frames, frame)
+			size += frame.SizeVT()
 		}
 	}
+	return m
 }
 
 // next takes one item off the queue and returns its frame, nil where there is nothing to send for it any more.
@@ -289,8 +297,8 @@
 func (c *Call) submitFrame(conn *conn) *linkpb.EntryFrame {
 	s := c.submit
 	s.Epoch = conn.epoch
-	if s.DeadlineMs > 0 {
-		s.DeadlineMs = max(s.DeadlineMs-time.Since(c.queuedAt).Milliseconds(), 1)
+	if c.deadline > 0 {
+		s.DeadlineMs = max(c.deadline-time.Since(c.queuedAt).Milliseconds(), 1)
 	}
 	if s.AgentIncarnation == "" {
 		s.AgentIncarnation = conn.welcome.Incarnation
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -292,6 +292,12 @@
 		}
 		c.resumes++
 		c.grant = 0
+		if c.submit != nil && !known[c.id] {
+			c.sent = false
+			p.waitingBytes += len(c.submit.Body)
+			p.push(item{kind: itemSubmit, call: c})
+			continue
+		}
 		p.push(item{kind: itemResume, call: c})
 		if c.cancelled {
 			p.push(item{kind: itemCancel, call: c})
@@ -327,10 +333,8 @@
 		return nil // the agent answers the Resume itself
 	case w.Incarnation != c.sentTo:
 		return verdict.New(verdict.MayHaveRun, "agent_restarted", "agent restarted while request %s was in flight", c.id)
-	case known:
-		return nil
-	case w.Complete:
-		return verdict.New(verdict.NotRun, "link_lost", "request %s did not reach its agent", c.id)
+	case known, w.Complete:
+		return nil // it is resumed, or sent again: the agent refuses the older epoch's Submit
 	default:
 		return verdict.New(verdict.MayHaveRun, "agent_forgot", "agent no longer knows whether request %s started", c.id)
 	}
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -107,10 +107,11 @@
 // Submit hands one attempt of a request to the link to addr. An error means that h is never called.
 func (p *Pool) Submit(ctx context.Context, addr string, s *linkpb.Submit, h Handler) (*Call, error) {
 	c := &Call{
-		id:      s.RequestId,
-		org:     s.Organisation,
-		submit:  s,
-		handler: h,
+		id:       s.RequestId,
+		deadline: s.DeadlineMs,
+		org:      s.Organisation,
+		submit:   s,
+		handler:  h,
 	}
 	c.attempt.Store(s.Attempt)
 	c.credit.Store(int64(s.Credit))
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -127,12 +127,12 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if first.Hello == nil {
+	if len(first.Frames) != 1 || first.Frames[0].Hello == nil {
 		return errors.NotValidf("first frame of the entry")
 	}
 	session.touch()
-	session.hello = first.Hello
-	welcome := s.acceptor.Open(session, first.Hello)
+	session.hello = first.Frames[0].Hello
+	welcome := s.acceptor.Open(session, session.hello)
 	if welcome == nil {
 		return errors.New("link has an older epoch")
 	}
@@ -149,17 +149,23 @@
 
 func (s *Server) read(session *Session) error {
 	for {
-		f, err := session.stream.Recv()
+		m, err := session.stream.Recv()
 		if err != nil {
 			return errors.Trace(err)
 		}
 		session.touch()
-		if f.Ping != nil {
-			session.Send(&linkpb.AgentFrame{Pong: &linkpb.Pong{Nonce: f.Ping.Nonce}, Load: s.acceptor.Load()})
-			continue
+		for _, f := range m.Frames {
+			s.take(session, f)
 		}
+	}
+}
+
+func (s *Server) take(session *Session, f *linkpb.EntryFrame) {
+	if f.Ping == nil {
 		s.acceptor.Frame(session, f)
+		return
 	}
+	session.Send(&linkpb.AgentFrame{Pong: &linkpb.Pong{Nonce: f.Ping.Nonce}, Load: s.acceptor.Load()})
 }
 
 // Order passes an engine order on.
@@ -173,7 +179,7 @@
 }
 
 // Source is an answer that a session sends. Next returns its next frame, of no more than about maxBytes of data,
-// or nil when it has none now. The writer calls it from one goroutine.
+// or nil when it has none now. The writer calls it from one goroutine; the frame is its until the next call.
 type Source interface {
 	Next(maxBytes int) *linkpb.AgentFrame
 }
@@ -190,6 +196,11 @@
 	queued map[Source]bool
 	closed bool
 
+	// Owned by the writer.
+	message     linkpb.AgentFrames
+	spareFrames []*linkpb.AgentFrame
+	spareReady  []Source
+
 	wake chan struct{}
 	done chan struct{}
 }
@@ -254,7 +265,7 @@
 	}
 }
 
-// write sends frames first, then a chunk of each answer in turn, and flushes when nothing more waits.
+// write sends what waits, as many frames in one message as wait.
 func (s *Session) write() {
 	for {
 		select {
@@ -262,49 +273,61 @@
 			return
 		case <-s.wake:
 		}
-		if err := s.drain(); err != nil {
-			s.Close()
-			return
-		}
-	}
-}
-
-func (s *Session) drain() error {
-	for {
-		frames, sources := s.take()
-		if len(frames)+len(sources) == 0 {
-			return flush(s.stream)
-		}
-		for _, f := range frames {
-			if err := s.stream.Send(f); err != nil {
-				return err
+		for {
+			m := s.batch()
+			if len(m.Frames) == 0 {
+				break
 			}
-		}
-		for _, src := range sources {
-			if err := s.sendFrom(src); err != nil {
-				return err
+			if err := s.stream.Send(m); err != nil {
+				s.Close()
+				return
 			}
 		}
 	}
 }
 
-func (s *Session) sendFrom(src Source) error {
-	f := src.Next(eventChunkBytes)
-	if f == nil {
-		return nil
-	}
-	if err := s.stream.Send(f); err != nil {
-		return err
+// batch takes the frames that wait, then a chunk of each answer in turn, up to about batchBytes. The answers that had
+// their turn queue again behind the others.
+func (s *Session) batch() *linkpb.AgentFrames {
+	frames, sources := s.take()
+	m := &s.message
+	m.Frames = append(m.Frames[:0], frames...)
+	size := 0
+	for i, src := range sources {
+		if size >= batchBytes {
+			s.putBack(sources[i:])
+			break
+		}
+		if f := src.Next(eventChunkBytes); f != nil {
+			m.Frames = append(m.Frames, f)
+			size += f.SizeVT()
+			s.Wake(src)
+		}
 	}
-	s.Wake(src)
-	return nil
+	return m
 }
 
+// take returns all that waits.
 func (s *Session) take() ([]*linkpb.AgentFrame, []Source) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	frames, sources := s.frames, s.ready
-	s.frames, s.ready = nil, nil
+	s.frames, s.ready = s.spareFrames[:0], s.spareReady[:0]
+	s.spareFrames, s.spareReady = frames, sources
 	clear(s.queued)
 	return frames, sources
 }
+
+// putBack queues sources whose turn did not come, before those that were woken since.
+func (s *Session) putBack(sources []Source) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var first []Source
+	for _, src := range sources {
+		if !s.queued[src] {
+			s.queued[src] = true
+			first = append(first, src)
+		}
+	}
+	s.ready = append(first, s.ready...)
+}
--- a/internal/link/transport.go
+++ b/internal/link/transport.go
@@ -18,33 +18,20 @@
 	// MaxFrameBytes bounds one frame; a Submit carries a whole request body.
 	MaxFrameBytes = 32 << 20
 
+	// batchBytes is about the most that one message takes of the frames that wait.
+	batchBytes = 64 << 10
+
 	// keptBufferBytes bounds the buffers that an idle link keeps.
 	keptBufferBytes = 64 << 10
 )
 
-// managerOptions are those of both ends. Messages are flushed by the writers, so that frames that wait share a write.
+// managerOptions are those of both ends. Frames that wait share a message and so a write. drpc's manual flush is not
+// used: with it a receiver waits for a sender that is blocked, and two ends that are both blocked never go on.
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{
 		Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxFrameBytes},
-		Stream: drpcstream.Options{ManualFlush: true, MaximumBufferSize: keptBufferBytes},
-	}
-}
-
-// flusher is the part of a drpc stream that writes out what is buffered.
-type flusher interface {
-	RawFlush() error
-}
-
-// flush writes out the frames buffered in s.
-func flush(s drpc.Stream) error {
-	if g, ok := s.(interface{ GetStream() drpc.Stream }); ok {
-		s = g.GetStream()
-	}
-	f, ok := s.(flusher)
-	if !ok {
-		return errors.NotSupportedf("flush of %T", s)
+		Stream: drpcstream.Options{MaximumBufferSize: keptBufferBytes},
 	}
-	return f.RawFlush()
 }
 
 // secure starts TLS on conn as a client, where config asks for it.
--- a/internal/standin/engine/fault.go
+++ b/internal/standin/engine/fault.go
@@ -105,3 +105,9 @@
 	e.mu.Unlock()
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// Close ends the work on all requests.
+func (e *Engine) Close() error {
+	e.Crash()
+	return nil
+}
