Test at-most-once, cancellation, shutdown, preemption and orders at the agent

Change: a table of 11 orders in which a network may bring a request that may not be repeated (arrivals counted by the stand-in service), 6 service faults over real sockets, 11 engine faults with and without resume, cancel, dead entry, graceful shutdown, preemption, fencing numbers. An endless line on a resumable engine ends whole, not stopped: the stream is resumed on a new connection.

--- /dev/null
+++ b/internal/agent/backend_faults_test.go
@@ -0,0 +1,176 @@
+package agent
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/verdict"
+	"github.com/guavastack/guavastack/internal/standin/engine"
+	"github.com/guavastack/guavastack/internal/standin/service"
+	"github.com/guavastack/guavastack/proto/linkpb"
+)
+
+// order is a call of a service that may not be repeated.
+func order(id, method, body string) *linkpb.Submit {
+	return &linkpb.Submit{
+		RequestId:    id,
+		Attempt:      1,
+		Organisation: "camurca",
+		Method:       method,
+		Path:         "/place?shop=7",
+		Headers:      []*linkpb.Header{{Name: "Idempotency-Key", Value: "k1"}, {Name: "Authorization", Value: "Bearer secret"}},
+		Body:         []byte(body),
+		Credit:       1 << 16,
+	}
+}
+
+// TestServiceFaults causes each fault of a service over real sockets, after a first call that went well, and counts
+// the arrivals of the second: it must never come twice.
+func TestServiceFaults(t *testing.T) {
+	tests := []struct {
+		name    string
+		method  string
+		body    string
+		fault   service.FaultKind
+		verdict verdict.Verdict
+		whole   bool
+	}{
+		{"none", "POST", "hides", "", verdict.Ran, true},
+		{"closes after reading", "POST", "hides", service.CloseAfterReading, verdict.MayHaveRun, false},
+		{"closes after reading a call without body", "POST", "", service.CloseAfterReading, verdict.MayHaveRun, false},
+		{"closes after reading a GET", "GET", "", service.CloseAfterReading, verdict.MayHaveRun, false},
+		{"closes in the middle of the reply", "POST", "hides", service.CloseMidReply, verdict.Ran, false},
+		{"never replies", "POST", "hides", service.Silent, verdict.MayHaveRun, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := service.New()
+			a := startAgent(t, Config{Backend: BackendConfig{
+				Kind: KindService, URL: serveHTTP(t, s), StallTimeout: 200 * time.Millisecond,
+			}})
+			p := newPool(t, "entry-1", nil)
+			first := newRecorder()
+			submit(t, p, a.Addr().String(), order("r0", "POST", "first"), first)
+			if o := <-first.done; o.end == nil {
+				t.Fatal(o)
+			}
+			if tt.fault != "" {
+				s.Inject(service.Fault{Kind: tt.fault})
+			}
+			r := newRecorder()
+			submit(t, p, a.Addr().String(), order("r1", tt.method, tt.body), r)
+			o := <-r.done
+			if isWhole := o.end != nil && !o.end.Stopped; isWhole != tt.whole || o.verdict != tt.verdict {
+				t.Errorf("outcome %v", o)
+			}
+			for digest, n := range s.Arrivals() {
+				if n != 1 {
+					t.Errorf("body %s arrived %d times", digest, n)
+				}
+			}
+			if len(s.Arrivals()) != 2 {
+				t.Errorf("arrivals %v", s.Arrivals())
+			}
+		})
+	}
+}
+
+// TestEngineFaults causes each fault of an engine with and without resume. A short answer never looks whole.
+func TestEngineFaults(t *testing.T) {
+	const whole, stopped, refused = "whole", "stopped", "refused"
+	tests := []struct {
+		fault           engine.Fault
+		plain, resuming string // outcome without and with resume
+	}{
+		{engine.Fault{Kind: engine.Slow, DelayMs: 300}, whole, whole},
+		{engine.Fault{Kind: engine.Cut, After: 5}, stopped, whole},
+		{engine.Fault{Kind: engine.Cut}, refused, whole},
+		{engine.Fault{Kind: engine.Silent, After: 5}, stopped, whole},
+		{engine.Fault{Kind: engine.Silent}, refused, whole},
+		{engine.Fault{Kind: engine.Short, After: 5}, stopped, whole},
+		{engine.Fault{Kind: engine.Stall, After: 5}, stopped, stopped},
+		{engine.Fault{Kind: engine.Crash, After: 5}, stopped, stopped},
+		{engine.Fault{Kind: engine.Garbage, After: 5}, stopped, stopped},
+		{engine.Fault{Kind: engine.Endless, After: 5}, stopped, whole},
+		{engine.Fault{Kind: engine.Reject}, refused, refused},
+	}
+	for _, tt := range tests {
+		for _, resumable := range []bool{false, true} {
+			name, want := string(tt.fault.Kind), tt.plain
+			if resumable {
+				name, want = name+" resumable", tt.resuming
+			}
+			t.Run(name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					h := engine.New(engine.Config{TokenInterval: 100 * time.Millisecond})
+					h.Inject(tt.fault)
+					c := newCluster(t, Config{Backend: BackendConfig{Resumable: resumable}}, h)
+					r := newRecorder()
+					s := chat("r1", "20")
+					s.DeadlineMs = 60_000
+					submit(t, c.pool("entry-1"), agentAddr, s, r)
+					o := <-r.done
+					got := whole
+					switch {
+					case o.refused != nil:
+						got = refused
+					case o.end == nil || o.end.Stopped:
+						got = stopped
+					case o.body != wholeOf(chat("r1", "20")):
+						got = "short"
+					}
+					if got != want || (got != whole && o.verdict == verdict.NotRun) {
+						t.Errorf("%s, want %s: %v", got, want, o)
+					}
+					synctest.Wait()
+					if n := runningAt(h); n != 0 {
+						t.Errorf("engine still runs %d requests", n)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestWrongLength checks that an answer in one piece that is shorter than announced does not look whole.
+func TestWrongLength(t *testing.T) {
+	h := engine.New(engine.Config{})
+	h.Inject(engine.Fault{Kind: engine.WrongLength})
+	a := startAgent(t, Config{Backend: BackendConfig{Kind: KindEngine, URL: serveHTTP(t, h)}})
+	s := chat("r1", "20")
+	s.Stream = false
+	s.Body = []byte(`{"model":"standin","max_tokens":20,"prompt":"count"}`)
+	r := newRecorder()
+	submit(t, newPool(t, "entry-1", nil), a.Addr().String(), s, r)
+	if o := <-r.done; o.end == nil || !o.end.Stopped {
+		t.Errorf("outcome %v", o)
+	}
+}
+
+// TestBackendDown checks that requests are refused as not run while the backend server is out of reach, and taken
+// again afterwards.
+func TestBackendDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, Config{}, engine.New(engine.Config{}))
+		p := c.pool("entry-1")
+		c.engine.Refuse(true)
+		c.engine.Cut()
+		for _, id := range []string{"r1", "r2"} {
+			r := newRecorder()
+			submit(t, p, agentAddr, chat(id, "5"), r)
+			o := <-r.done
+			if o.refused == nil || o.refused.Code != linkpb.RefuseCode_REFUSE_CODE_BACKEND_DOWN || o.verdict != verdict.NotRun {
+				t.Errorf("%s: outcome %v", id, o)
+			}
+		}
+		c.engine.Refuse(false)
+		time.Sleep(2 * probeInterval) // virtual
+		waitUp(t, c.agent)
+		r := newRecorder()
+		submit(t, p, agentAddr, chat("r3", "5"), r)
+		if o := <-r.done; o.end == nil {
+			t.Errorf("outcome %v", o)
+		}
+	})
+}
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -156,8 +156,8 @@
 // pool returns the links of an entry.
 func (c *cluster) pool(id string) *link.Pool { return newPool(c.t, id, c.links.Dial) }
 
-// whole is what an engine answers to the first run of s, called directly.
-func whole(s *linkpb.Submit) string {
+// wholeOf is what an engine answers to the first run of s, called directly.
+func wholeOf(s *linkpb.Submit) string {
 	w := httptest.NewRecorder()
 	r := httptest.NewRequest(s.Method, s.Path, strings.NewReader(string(s.Body)))
 	r.Header.Set("X-Request-Id", s.RequestId+".1.1")
--- a/internal/agent/link_faults_test.go
+++ b/internal/agent/link_faults_test.go
@@ -62,7 +62,7 @@
 				if o.verdict != tt.verdict {
 					t.Errorf("verdict %v, want %v: %v", o.verdict, tt.verdict, o)
 				}
-				if isWhole := o.end != nil && !o.end.Stopped && o.body == whole(chat("r1", "40")); isWhole != tt.whole {
+				if isWhole := o.end != nil && !o.end.Stopped && o.body == wholeOf(chat("r1", "40")); isWhole != tt.whole {
 					t.Errorf("whole %v, want %v: %v", isWhole, tt.whole, o)
 				}
 			})
@@ -141,7 +141,7 @@
 				close(again.ready)
 				o := <-again.done
 				if tt.whole {
-					want := strings.SplitAfter(whole(chat("r1", "40")), "\n\n")
+					want := strings.SplitAfter(wholeOf(chat("r1", "40")), "\n\n")
 					if o.body != strings.Join(want[tt.next:], "") || o.status != 200 || o.end == nil || o.end.Stopped {
 						t.Errorf("outcome %v", o)
 					}
@@ -170,7 +170,7 @@
 		for _, id := range []string{"a", "b", "c"} {
 			r := newRecorder()
 			submit(t, p, agentAddr, chat(id, "400"), r)
-			if o := <-r.done; o.end == nil || o.body != whole(chat(id, "400")) {
+			if o := <-r.done; o.end == nil || o.body != wholeOf(chat(id, "400")) {
 				t.Errorf("%s: outcome %v", id, o)
 			}
 		}
@@ -180,7 +180,7 @@
 			t.Errorf("%d bytes are buffered, the limit is %d", kept, 4<<10)
 		}
 		slow.call.Grant(1 << 30)
-		if o := <-slow.done; o.end == nil || o.body != whole(chat("slow", "400")) {
+		if o := <-slow.done; o.end == nil || o.body != wholeOf(chat("slow", "400")) {
 			t.Errorf("slow reader: %d bytes, %v", len(o.body), o.end)
 		}
 	})
--- /dev/null
+++ b/internal/agent/requests_test.go
@@ -0,0 +1,390 @@
+package agent
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+
+	"github.com/guavastack/guavastack/internal/core/verdict"
+	"github.com/guavastack/guavastack/internal/link"
+	"github.com/guavastack/guavastack/internal/standin/engine"
+	"github.com/guavastack/guavastack/internal/standin/service"
+	"github.com/guavastack/guavastack/proto/linkpb"
+)
+
+// rawLink is an entry's end of a link without a Pool, to send what a Pool never would.
+type rawLink struct {
+	t       *testing.T
+	stream  linkpb.DRPCAgentLink_ConnectClient
+	welcome *linkpb.Welcome
+	frames  []*linkpb.AgentFrame
+}
+
+func (c *cluster) raw(entry string, epoch uint64) *rawLink {
+	conn, err := c.links.Dial(context.Background(), "tcp", agentAddr)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	d := drpcconn.New(conn)
+	c.t.Cleanup(func() { d.Close() })
+	stream, err := linkpb.NewDRPCAgentLinkClient(d).Connect(context.Background())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	l := &rawLink{t: c.t, stream: stream}
+	l.send(&linkpb.EntryFrame{Hello: &linkpb.Hello{EntryId: entry, Incarnation: "1", Epoch: epoch}})
+	l.welcome = l.next(func(f *linkpb.AgentFrame) bool { return f.Welcome != nil }).Welcome
+	return l
+}
+
+func (l *rawLink) send(frames ...*linkpb.EntryFrame) {
+	l.t.Helper()
+	if err := l.stream.Send(&linkpb.EntryFrames{Frames: frames}); err != nil {
+		l.t.Fatal(err)
+	}
+}
+
+// next returns the next frame that matches.
+func (l *rawLink) next(match func(*linkpb.AgentFrame) bool) *linkpb.AgentFrame {
+	l.t.Helper()
+	for {
+		for len(l.frames) > 0 {
+			f := l.frames[0]
+			l.frames = l.frames[1:]
+			if match(f) {
+				return f
+			}
+		}
+		m, err := l.stream.Recv()
+		if err != nil {
+			l.t.Fatal(err)
+		}
+		l.frames = m.Frames
+	}
+}
+
+// refused returns the refusal of a request.
+func (l *rawLink) refused(id string) *linkpb.Refused {
+	l.t.Helper()
+	return l.next(func(f *linkpb.AgentFrame) bool { return f.Refused != nil && f.Refused.RequestId == id }).Refused
+}
+
+func (l *rawLink) ended(id string) *linkpb.End {
+	l.t.Helper()
+	return l.next(func(f *linkpb.AgentFrame) bool { return f.End != nil && f.End.RequestId == id }).End
+}
+
+// fenced asks whether a request has run.
+func (l *rawLink) fenced(id, incarnation string) linkpb.Verdict {
+	l.t.Helper()
+	l.send(&linkpb.EntryFrame{Fence: &linkpb.Fence{RequestId: id, AgentIncarnation: incarnation}})
+	return l.next(func(f *linkpb.AgentFrame) bool { return f.Fenced != nil }).Fenced.Verdict
+}
+
+func submitFrame(s *linkpb.Submit, epoch uint64) *linkpb.EntryFrame {
+	s.Epoch = epoch
+	return &linkpb.EntryFrame{Submit: s}
+}
+
+func serviceCluster(t *testing.T, s *service.Service) *cluster {
+	return newCluster(t, Config{Incarnation: "life-1", Backend: BackendConfig{Kind: KindService, Slots: 1}}, s)
+}
+
+// TestAtMostOnce sends what may not be repeated in the orders in which a network may bring it, and counts arrivals.
+func TestAtMostOnce(t *testing.T) {
+	tests := []struct {
+		name     string
+		run      func(t *testing.T, c *cluster)
+		arrivals int
+	}{
+		{"duplicated submit", func(t *testing.T, c *cluster) {
+			l := c.raw("e", 1)
+			l.send(submitFrame(order("r1", "POST", "x"), 1), submitFrame(order("r1", "POST", "x"), 1))
+			l.ended("r1")
+			l.send(submitFrame(order("r1", "POST", "x"), 1))
+			l.ended("r1") // the first one's outcome again
+		}, 1},
+		{"second attempt after a run", func(t *testing.T, c *cluster) {
+			l := c.raw("e", 1)
+			l.send(submitFrame(order("r1", "POST", "x"), 1))
+			l.ended("r1")
+			again := order("r1", "POST", "x")
+			again.Attempt = 2
+			l.send(submitFrame(again, 1))
+			wantRefused(t, l.refused("r1"), linkpb.RefuseCode_REFUSE_CODE_INVALID, mayHaveRun)
+		}, 1},
+		{"cancel overtakes", func(t *testing.T, c *cluster) {
+			l := c.raw("e", 1)
+			l.send(&linkpb.EntryFrame{Cancel: &linkpb.Cancel{RequestId: "r1"}}, submitFrame(order("r1", "POST", "x"), 1))
+			wantRefused(t, l.refused("r1"), linkpb.RefuseCode_REFUSE_CODE_CANCELLED, notRun)
+		}, 0},
+		{"fence of another entry overtakes", func(t *testing.T, c *cluster) {
+			if v := c.raw("other", 1).fenced("r1", "life-1"); v != notRun {
+				t.Errorf("fenced: %v", v)
+			}
+			l := c.raw("e", 1)
+			l.send(submitFrame(order("r1", "POST", "x"), 1))
+			wantRefused(t, l.refused("r1"), linkpb.RefuseCode_REFUSE_CODE_CANCELLED, notRun)
+		}, 0},
+		{"fence after the run", func(t *testing.T, c *cluster) {
+			l := c.raw("e", 1)
+			l.send(submitFrame(order("r1", "POST", "x"), 1))
+			l.ended("r1")
+			if v := c.raw("other", 1).fenced("r1", "life-1"); v != ran {
+				t.Errorf("fenced: %v", v)
+			}
+		}, 1},
+		{"fence after the answer is forgotten", func(t *testing.T, c *cluster) {
+			l := c.raw("e", 1)
+			l.send(submitFrame(order("r1", "POST", "x"), 1))
+			l.ended("r1")
+			time.Sleep(2 * defaultKeepFor) // virtual
+			if v := c.raw("other", 1).fenced("r1", "life-1"); v != mayHaveRun {
+				t.Errorf("fenced: %v", v)
+			}
+		}, 1},
+		{"fence for an earlier life of the agent", func(t *testing.T, c *cluster) {
+			if v := c.raw("e", 1).fenced("r1", "life-0"); v != mayHaveRun {
+				t.Errorf("fenced: %v", v)
+			}
+		}, 0},
+		{"submit of an older epoch", func(t *testing.T, c *cluster) {
+			l := c.raw("e", 2)
+			l.send(submitFrame(order("r1", "POST", "x"), 1))
+			wantRefused(t, l.refused("r1"), linkpb.RefuseCode_REFUSE_CODE_STALE_EPOCH, notRun)
+		}, 0},
+		{"submit that waited in a replaced link", func(t *testing.T, c *cluster) {
+			c.raw("e", 1)
+			var old *link.Session
+			find := func(time.Time) { old = c.agent.entries[entryKey{"e", "1"}].session }
+			_ = c.agent.ask(context.Background(), find)
+			if known := c.raw("e", 2).welcome; len(known.Known) != 0 || !known.Complete {
+				t.Errorf("welcome %v", known)
+			}
+			c.agent.Frame(old, submitFrame(order("r1", "POST", "x"), 1))
+		}, 0},
+		{"submit for an earlier life of the agent", func(t *testing.T, c *cluster) {
+			s := order("r1", "POST", "x")
+			s.AgentIncarnation = "life-0"
+			l := c.raw("e", 1)
+			l.send(submitFrame(s, 1))
+			wantRefused(t, l.refused("r1"), linkpb.RefuseCode_REFUSE_CODE_STALE_EPOCH, notRun)
+		}, 0},
+		{"link lost while it runs, and the submit again", func(t *testing.T, c *cluster) {
+			l := c.raw("e", 1)
+			l.send(submitFrame(order("r1", "POST", "x"), 1))
+			synctest.Wait()
+			c.links.Cut()
+			l = c.raw("e", 2)
+			if len(l.welcome.Known) != 1 {
+				t.Errorf("welcome %v", l.welcome)
+			}
+			l.send(submitFrame(order("r1", "POST", "x"), 2))
+			l.ended("r1")
+		}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := service.New()
+				tt.run(t, serviceCluster(t, s))
+				synctest.Wait()
+				total := 0
+				for _, n := range s.Arrivals() {
+					total += n
+				}
+				if total != tt.arrivals {
+					t.Errorf("%d arrivals, want %d", total, tt.arrivals)
+				}
+			})
+		})
+	}
+}
+
+func wantRefused(t *testing.T, r *linkpb.Refused, code linkpb.RefuseCode, v linkpb.Verdict) {
+	t.Helper()
+	if r.Code != code || r.Verdict != v {
+		t.Errorf("refused %v, want %v %v", r, code, v)
+	}
+}
+
+// TestCancel ends requests where they stand.
+func TestCancel(t *testing.T) {
+	tests := []struct {
+		name    string
+		slots   int
+		keep    bool
+		reason  linkpb.CancelReason
+		verdict verdict.Verdict
+		goesOn  bool
+	}{
+		{name: "waiting", slots: 1, verdict: verdict.NotRun},
+		{name: "running", slots: 2, verdict: verdict.Ran},
+		{
+			name: "running, kept for its caller", slots: 2, keep: true, goesOn: true,
+			reason: linkpb.CancelReason_CANCEL_REASON_CALLER_GONE,
+		},
+		{
+			name: "running, kept, key withdrawn", slots: 2, keep: true, verdict: verdict.Ran,
+			reason: linkpb.CancelReason_CANCEL_REASON_KEY_WITHDRAWN,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := engine.New(engine.Config{TokenInterval: 100 * time.Millisecond})
+				c := newCluster(t, Config{Backend: BackendConfig{Slots: tt.slots}}, h)
+				p := c.pool("entry-1")
+				other := newRecorder()
+				submit(t, p, agentAddr, chat("r0", "100"), other)
+				r := newRecorder()
+				s := chat("r1", "100")
+				s.KeepAnswer = tt.keep
+				s.FloorShare = -1
+				submit(t, p, agentAddr, s, r)
+				time.Sleep(time.Second) // virtual
+				r.call.Cancel(tt.reason)
+				if tt.goesOn {
+					<-other.done
+					synctest.Wait()
+					fetched := newRecorder()
+					call, err := c.pool("entry-2").Resume(context.Background(), agentAddr,
+						&linkpb.Resume{RequestId: "r1", Organisation: "camurca", Credit: 1 << 20}, fetched)
+					if err != nil {
+						t.Fatal(err)
+					}
+					fetched.call = call
+					close(fetched.ready)
+					if o := <-fetched.done; o.end == nil || o.body != wholeOf(chat("r1", "100")) {
+						t.Errorf("outcome %v", o)
+					}
+					return
+				}
+				if o := <-r.done; o.verdict != tt.verdict {
+					t.Errorf("outcome %v", o)
+				}
+				if n := runningAt(h); n != 1 {
+					t.Errorf("engine runs %d requests, want the other one only", n)
+				}
+			})
+		})
+	}
+}
+
+// TestEntryDies checks that a request without its entry is cancelled after a bounded time, and not before.
+func TestEntryDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := engine.New(engine.Config{TokenInterval: 100 * time.Millisecond})
+		c := newCluster(t, Config{OrphanTimeout: 10 * time.Second}, h)
+		p := c.pool("entry-1")
+		submit(t, p, agentAddr, chat("r1", "1000"), newRecorder())
+		time.Sleep(time.Second) // virtual
+		p.Close()
+		time.Sleep(9 * time.Second)
+		if n := runningAt(h); n != 1 {
+			t.Errorf("engine runs %d requests after 9 s, want 1", n)
+		}
+		time.Sleep(2 * time.Second)
+		if n := runningAt(h); n != 0 {
+			t.Errorf("engine runs %d requests after 11 s, want 0", n)
+		}
+	})
+}
+
+// TestShutdown checks that a planned stop cuts nothing, returns what waits, and refuses what comes.
+func TestShutdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, Config{Backend: BackendConfig{Slots: 1}}, engine.New(engine.Config{TokenInterval: 100 * time.Millisecond}))
+		p := c.pool("entry-1")
+		runs, waits := newRecorder(), newRecorder()
+		submit(t, p, agentAddr, chat("runs", "100"), runs)
+		synctest.Wait()
+		s := chat("waits", "100")
+		s.FloorShare = -1
+		submit(t, p, agentAddr, s, waits)
+		synctest.Wait()
+		stopped := make(chan error, 1)
+		go func() { stopped <- c.agent.Shutdown(context.Background()) }()
+		o := <-waits.done
+		if o.refused == nil || o.refused.Code != linkpb.RefuseCode_REFUSE_CODE_LEAVING || o.verdict != verdict.NotRun {
+			t.Errorf("waiting request: %v", o)
+		}
+		comes := newRecorder()
+		submit(t, p, agentAddr, chat("comes", "100"), comes)
+		if o := <-comes.done; o.refused == nil || o.refused.Code != linkpb.RefuseCode_REFUSE_CODE_LEAVING {
+			t.Errorf("arriving request: %v", o)
+		}
+		select {
+		case err := <-stopped:
+			t.Fatalf("Shutdown returned %v while a request runs", err)
+		default:
+		}
+		if o := <-runs.done; o.end == nil || o.end.Stopped || o.body != wholeOf(chat("runs", "100")) {
+			t.Errorf("running request: %v", o)
+		}
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// TestPreemption lets a request of a higher tier take the slot; the lower one goes on afterwards and is whole.
+func TestPreemption(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := engine.New(engine.Config{TokenInterval: 100 * time.Millisecond})
+		c := newCluster(t, Config{Backend: BackendConfig{Slots: 1, Resumable: true}}, h)
+		p := c.pool("entry-1")
+		low, high := newRecorder(), newRecorder()
+		s := chat("low", "300")
+		s.Tier, s.Preemptible, s.FloorShare = 3, true, -1
+		submit(t, p, agentAddr, s, low)
+		time.Sleep(5 * time.Second) // virtual
+		s = chat("high", "10")
+		s.Tier, s.FirstTokenTargetMs, s.FloorShare = 0, 1000, -1
+		submit(t, p, agentAddr, s, high)
+		if o := <-high.done; o.end == nil {
+			t.Errorf("high: %v", o)
+		}
+		if len(low.done) > 0 || c.agent.meters.preempted.Count() == 0 {
+			t.Errorf("low was not preempted")
+		}
+		if o := <-low.done; o.end == nil || o.body != wholeOf(chat("low", "300")) {
+			t.Errorf("low: %v", o)
+		}
+	})
+}
+
+// TestOrders checks fencing numbers on behalf of an engine that ignores them.
+func TestOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, Config{}, engine.New(engine.Config{}))
+		load := func(fencing uint64) *linkpb.EngineOrderResult {
+			r, err := c.agent.Order(context.Background(), &linkpb.EngineOrder{
+				Fencing: fencing, Kind: linkpb.EngineOrderKind_ENGINE_ORDER_KIND_LOAD_MODEL, Model: "m2",
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return r
+		}
+		if r := load(7); r.Accepted {
+			t.Error("order was taken before any fencing number was known")
+		}
+		c.agent.LearnFencing(7)
+		for _, tt := range []struct {
+			fencing  uint64
+			accepted bool
+		}{{6, false}, {7, true}, {9, true}, {8, false}, {9, true}} {
+			if r := load(tt.fencing); r.Accepted != tt.accepted || r.Stale == tt.accepted {
+				t.Errorf("order with %d: %v", tt.fencing, r)
+			}
+		}
+		m := &linkpb.LifecycleRequest{Fencing: 8, Lifecycle: linkpb.Lifecycle_LIFECYCLE_LEAVING}
+		if r, err := c.agent.SetLifecycle(context.Background(), m); err != nil || r.Accepted {
+			t.Errorf("lifecycle with an old number: %v, %v", r, err)
+		}
+	})
+}
