admin: operators' HTTP API with OpenAPI description, and its client

Roles are checked per organisation subtree. The control group's adapter for the replica and the expiry of claims are here as well.

--- /dev/null
+++ b/internal/admin/respond.go
@@ -0,0 +1,70 @@
+package admin
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/emicklei/go-restful/v3"
+
+	"github.com/guavastack/guavastack/internal/adminapi"
+	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/core/verdict"
+)
+
+// pathSeparator joins the names of an organisation's path within one segment of a URL; names can't hold it.
+const pathSeparator = "."
+
+// joinPaths lets an organisation's path be written with escaped slashes as well: camurca%2Fporto is camurca.porto.
+func joinPaths(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if escaped := r.URL.EscapedPath(); strings.Contains(strings.ToUpper(escaped), "%2F") {
+			r.URL.Path = strings.NewReplacer("%2F", pathSeparator, "%2f", pathSeparator).Replace(escaped)
+			r.URL.RawPath = ""
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// organisationOf returns the organisation that the path of the request names.
+func organisationOf(req *restful.Request) string {
+	return strings.ReplaceAll(req.PathParameter("organisation"), pathSeparator, "/")
+}
+
+// answer writes a success.
+func answer(resp *restful.Response, status int, version settings.Version, body any) {
+	resp.Header().Set(adminapi.HeaderVersion, `"`+version.String()+`"`)
+	_ = resp.WriteHeaderAndJson(status, body, restful.MIME_JSON)
+}
+
+// fail writes an error that proves that nothing was changed.
+func fail(resp *restful.Response, status int, code, format string, args ...any) {
+	writeError(resp, status, adminapi.Error{Code: code, Message: fmt.Sprintf(format, args...), Verdict: verdict.NotRun.String()})
+}
+
+func writeError(resp *restful.Response, status int, e adminapi.Error) {
+	_ = resp.WriteHeaderAndJson(status, e, restful.MIME_JSON)
+}
+
+// serviceError answers requests that no route takes.
+func serviceError(e restful.ServiceError, _ *restful.Request, resp *restful.Response) {
+	for name, values := range e.Header {
+		resp.Header()[name] = values
+	}
+	fail(resp, e.Code, adminapi.CodeBadRequest, "%s", e.Message)
+}
+
+// refused writes the refusal of a command.
+func refused(resp *restful.Response, o settings.Outcome) {
+	status := http.StatusConflict
+	switch o.Code {
+	case settings.CodeInvalid:
+		status = http.StatusUnprocessableEntity
+	case settings.CodeNotFound:
+		status = http.StatusNotFound
+	}
+	resp.Header().Set(adminapi.HeaderVersion, `"`+o.Version.String()+`"`)
+	writeError(resp, status, adminapi.Error{
+		Code: string(o.Code), Message: o.Message, Verdict: verdict.NotRun.String(), Version: o.Version.String(), Problems: o.Problems,
+	})
+}
--- /dev/null
+++ b/internal/admin/server.go
@@ -0,0 +1,146 @@
+// Package admin serves the operators' HTTP API of a control member.
+//
+// Any member serves it: changes go to the leader, and a change that is sent again under the same change id gets its
+// first outcome.
+package admin
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/emicklei/go-restful/v3"
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/control"
+	"github.com/guavastack/guavastack/internal/core/duty"
+	"github.com/guavastack/guavastack/internal/core/member"
+	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/operate"
+	"github.com/guavastack/guavastack/proto/controlpb"
+)
+
+// Bounds of requests.
+const (
+	maxBodyBytes      = 4 << 20
+	maxHeaderBytes    = 32 << 10
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 20 * time.Second
+	writeTimeout      = 60 * time.Second
+	idleTimeout       = 90 * time.Second
+	changeTimeout     = 10 * time.Second // of one change, with its attempts
+	attemptTimeout    = 2 * time.Second
+	confirmTimeout    = time.Second // of a reading; without a quorum it is answered unconfirmed
+	defaultWait       = time.Second // for a change to be in force everywhere
+	maxWait           = 30 * time.Second
+	retryDelay        = 100 * time.Millisecond
+)
+
+// Control is what the API needs of the control member; control.Service implements it.
+type Control interface {
+	Propose(ctx context.Context, req *controlpb.ProposeRequest) (*controlpb.ProposeReply, error)
+	Tree() *settings.Tree
+	Confirm(ctx context.Context) (*settings.Tree, error)
+	History(limit int) []settings.HistoryEntry
+	Processes() []member.Process
+	Behind(v settings.Version) []member.Process
+	WaitInForce(ctx context.Context, v settings.Version) []member.Process
+	Backends() []*controlpb.BackendServer
+	Leader() (control.Member, bool)
+	Self() control.Member
+}
+
+// Operations is what the API shows of orders and billing; operate.Operator implements it.
+type Operations interface {
+	FleetStatus() operate.FleetStatus
+	Orders() []duty.Order
+	Windows(limit int) ([]operate.WindowUsage, error)
+}
+
+// Config is what a Server works with.
+type Config struct {
+	Control    Control
+	Operations Operations // nil: /v1/usage, /v1/orders and /v1/fleet aren't served
+	Tokens     []Token
+	Replica    func() any                      // status of the replica, in the JSON form; nil: none
+	Backup     func() ([]byte, error)          // nil: /v1/backup isn't served
+	Mounts     map[string]http.Handler         // other paths of the same listener, such as /metrics
+	Logger     *slog.Logger                    // nil: none; gets a record of every change
+	TLS        func(net.Listener) net.Listener // nil: none, on loopback only
+}
+
+// Server is the operators' API.
+type Server struct {
+	cfg     Config
+	handler http.Handler
+}
+
+// New returns a server. It fails for tokens that can't work.
+func New(cfg Config) (*Server, error) {
+	if cfg.Logger == nil {
+		cfg.Logger = slog.New(slog.DiscardHandler)
+	}
+	for _, t := range cfg.Tokens {
+		if err := t.check(); err != nil {
+			return nil, err
+		}
+	}
+	s := &Server{cfg: cfg}
+	ws := s.webService()
+	doc, err := describe(ws)
+	if err != nil {
+		return nil, errors.Annotate(err, "OpenAPI description")
+	}
+	container := restful.NewContainer()
+	container.Add(ws)
+	container.ServiceErrorHandler(serviceError)
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", joinPaths(container))
+	mux.HandleFunc("GET /openapi.json", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(doc)
+	})
+	for path, h := range cfg.Mounts {
+		mux.Handle(path, h)
+	}
+	s.handler = mux
+	return s, nil
+}
+
+// Handler returns the API without a listener.
+func (s *Server) Handler() http.Handler { return s.handler }
+
+// Serve answers on lis until ctx ends. Without TLS it refuses a listener that others than this machine can reach.
+func (s *Server) Serve(ctx context.Context, lis net.Listener) error {
+	if s.cfg.TLS == nil && !isLoopback(lis.Addr()) {
+		return errors.NotValidf("operators' API on %s without TLS; only a loopback address", lis.Addr())
+	}
+	if s.cfg.TLS != nil {
+		lis = s.cfg.TLS(lis)
+	}
+	server := &http.Server{
+		Handler: s.handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+	}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		<-ctx.Done()
+		drain, cancel := context.WithTimeout(context.Background(), changeTimeout)
+		defer cancel()
+		_ = server.Shutdown(drain)
+	}()
+	err := server.Serve(lis)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-stopped
+		return nil
+	}
+	return err
+}
+
+func isLoopback(addr net.Addr) bool {
+	tcp, ok := addr.(*net.TCPAddr)
+	return ok && tcp.IP.IsLoopback()
+}
--- /dev/null
+++ b/internal/admin/status.go
@@ -0,0 +1,96 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/emicklei/go-restful/v3"
+
+	"github.com/guavastack/guavastack/internal/adminapi"
+	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/proto/controlpb"
+)
+
+func (s *Server) getStatus(req *restful.Request, resp *restful.Response) {
+	tree, confirmed := s.newest(req.Request.Context())
+	asked := tree.Version()
+	out := adminapi.Status{
+		Member: s.cfg.Control.Self().ID, Version: tree.Version().String(), Confirmed: confirmed, Asked: req.QueryParameter("version"),
+		Processes: []adminapi.Process{},
+	}
+	if out.Asked != "" {
+		v, err := settings.ParseVersion(out.Asked)
+		if err != nil {
+			fail(resp, http.StatusBadRequest, adminapi.CodeBadRequest, "%v", err)
+			return
+		}
+		asked = v
+	}
+	if req.QueryParameter("wait") != "" {
+		ctx, cancel := context.WithTimeout(req.Request.Context(), waitOf(req))
+		defer cancel()
+		s.cfg.Control.WaitInForce(ctx, asked)
+	}
+	if leader, ok := s.cfg.Control.Leader(); ok {
+		out.Leader = leader.ID
+	}
+	if s.cfg.Replica != nil {
+		out.Replica = s.cfg.Replica()
+	}
+	out.Behind = processIDs(s.cfg.Control.Behind(asked))
+	out.InForce = len(out.Behind) == 0 && !tree.Version().Less(asked)
+	now := time.Now()
+	for _, p := range s.cfg.Control.Processes() {
+		out.Processes = append(out.Processes, adminapi.Process{
+			ID: p.ID, Role: p.Role, Zone: p.Zone, Version: p.Version.String(), AgeMS: now.Sub(p.Heard).Milliseconds(), Behind: p.Version.Less(asked),
+		})
+	}
+	answer(resp, http.StatusOK, tree.Version(), out)
+}
+
+func (s *Server) listBackends(_ *restful.Request, resp *restful.Response) {
+	out := adminapi.Backends{Backends: []adminapi.Backend{}}
+	for _, b := range s.cfg.Control.Backends() {
+		out.Backends = append(out.Backends, apiBackend(b))
+	}
+	answer(resp, http.StatusOK, s.cfg.Control.Tree().Version(), out)
+}
+
+func apiBackend(b *controlpb.BackendServer) adminapi.Backend {
+	const microseconds = 1e-3 // in milliseconds
+	return adminapi.Backend{
+		ID: b.Id, Address: b.Address, Kind: b.Kind, Model: b.Model, Version: b.Version, Adapters: b.Adapters, Zone: b.Zone,
+		Lifecycle: b.Lifecycle, Slots: b.Slots, Running: b.Running, Waiting: b.Waiting,
+		FirstTokenMS: float64(b.FirstTokenUs) * microseconds, BetweenTokenMS: float64(b.TokenIntervalUs) * microseconds, Fencing: b.Fencing,
+	}
+}
+
+const defaultWindows = 20
+
+func (s *Server) getUsage(req *restful.Request, resp *restful.Response) {
+	windows, err := s.cfg.Operations.Windows(limitOf(req, defaultWindows))
+	if err != nil {
+		fail(resp, http.StatusInternalServerError, adminapi.CodeUnavailable, "usage: %v", err)
+		return
+	}
+	answer(resp, http.StatusOK, s.cfg.Control.Tree().Version(), windows)
+}
+
+func (s *Server) getOrders(_ *restful.Request, resp *restful.Response) {
+	answer(resp, http.StatusOK, s.cfg.Control.Tree().Version(), s.cfg.Operations.Orders())
+}
+
+func (s *Server) getFleet(_ *restful.Request, resp *restful.Response) {
+	answer(resp, http.StatusOK, s.cfg.Control.Tree().Version(), s.cfg.Operations.FleetStatus())
+}
+
+func (s *Server) getBackup(_ *restful.Request, resp *restful.Response) {
+	data, err := s.cfg.Backup()
+	if err != nil {
+		fail(resp, http.StatusServiceUnavailable, adminapi.CodeUnavailable, "backup: %v", err)
+		return
+	}
+	resp.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = resp.Write(data)
+}
--- /dev/null
+++ b/internal/adminapi/adminapi.go
@@ -0,0 +1,194 @@
+// Package adminapi holds the messages of the operators' HTTP API, shared by its server and its client.
+package adminapi
+
+import (
+	"github.com/guavastack/guavastack/internal/core/settings"
+)
+
+// Headers of the API.
+const (
+	HeaderChangeID = "Idempotency-Key" // a change sent again under the same id gets the first outcome
+	HeaderIfMatch  = "If-Match"        // version that the operator has read
+	HeaderVersion  = "ETag"            // current version
+)
+
+// Error codes besides those of settings.Code.
+const (
+	CodeUnauthorized = "unauthorized"
+	CodeForbidden    = "forbidden"
+	CodeBadRequest   = "bad_request"
+	CodeNeedsVersion = "if_match_required"
+	CodeUnavailable  = "unavailable"     // the change was not made and never will be
+	CodeUnknown      = "unknown_outcome" // the change may have been made; send it again under the same id
+	CodeNotServed    = "not_served"      // by this member
+)
+
+// Error is the body of every answer that is not a success.
+type Error struct {
+	Code     string            `json:"code"`
+	Message  string            `json:"message"`
+	Verdict  string            `json:"verdict"`           // not_run or may_have_run
+	Version  string            `json:"version,omitempty"` // current one, of a conflict
+	Problems settings.Problems `json:"problems,omitempty"`
+}
+
+// Change is the answer to an accepted change.
+type Change struct {
+	Version  string   `json:"version"`
+	ChangeID string   `json:"change_id"`
+	InForce  bool     `json:"in_force"`         // in every process
+	Behind   []string `json:"behind,omitempty"` // processes in which it isn't in force yet
+}
+
+// Settings is the tree from one node down.
+type Settings struct {
+	Version   string            `json:"version"`
+	Confirmed bool              `json:"confirmed"` // a quorum confirmed that the version is the newest
+	Path      string            `json:"path"`
+	Root      settings.Branch   `json:"root"`
+	Globals   *settings.Globals `json:"globals,omitempty"` // with the whole tree only
+}
+
+// Globals are the settings that belong to no organisation.
+type Globals struct {
+	Version string `json:"version"`
+	settings.Globals
+}
+
+// HistoryChange is one accepted change: who, when and what.
+type HistoryChange struct {
+	Version      string      `json:"version"` // after the change
+	AtMS         int64       `json:"at_ms"`   // milliseconds since 1970
+	Operator     string      `json:"operator"`
+	ChangeID     string      `json:"change_id,omitempty"`
+	Op           settings.Op `json:"op"`
+	Organisation string      `json:"organisation,omitempty"`
+	KeyID        string      `json:"key_id,omitempty"`
+}
+
+// History is a list of changes, newest first.
+type History struct {
+	Version string          `json:"version"`
+	Changes []HistoryChange `json:"changes"`
+}
+
+// Explanation says where the effective values of a class come from.
+type Explanation struct {
+	Version      string            `json:"version"`
+	Organisation string            `json:"organisation"`
+	Class        string            `json:"class"`
+	Origins      []settings.Origin `json:"origins"`
+}
+
+// Check is what is wrong with a document.
+type Check struct {
+	Valid    bool              `json:"valid"`
+	Problems settings.Problems `json:"problems,omitempty"`
+}
+
+// Rollback names the version to return to.
+type Rollback struct {
+	To string `json:"to"`
+}
+
+// Organisation is a node of the tree in short.
+type Organisation struct {
+	Path    string   `json:"path"`
+	Classes []string `json:"classes"` // highest tier first
+	Keys    int      `json:"keys"`    // not withdrawn
+}
+
+// Organisations is a list of nodes.
+type Organisations struct {
+	Version       string         `json:"version"`
+	Organisations []Organisation `json:"organisations"`
+}
+
+// Node is what one organisation sets itself.
+type Node struct {
+	Version string        `json:"version"`
+	Path    string        `json:"path"`
+	Node    settings.Node `json:"node"`
+}
+
+// Key is a key as operators see it: never the key itself but in the answer that creates it.
+type Key struct {
+	ID           string `json:"id"`
+	Organisation string `json:"organisation"`
+	ExpiresMS    int64  `json:"expires_ms,omitempty"` // milliseconds since 1970; 0: never
+	Withdrawn    bool   `json:"withdrawn,omitempty"`
+}
+
+// Keys is a list of keys, oldest first.
+type Keys struct {
+	Version string `json:"version"`
+	Keys    []Key  `json:"keys"`
+}
+
+// NewKey asks for a key.
+type NewKey struct {
+	ExpiresIn settings.Duration `json:"expires_in,omitempty"` // such as "720h"; 0: never
+}
+
+// RotateKey asks for a key in place of another one.
+type RotateKey struct {
+	Overlap settings.Duration `json:"overlap,omitempty"` // time for which the old key still works
+}
+
+// ExpireKey sets the end of a key.
+type ExpireKey struct {
+	ExpiresMS int64 `json:"expires_ms"`
+}
+
+// CreatedKey shows a key, once.
+type CreatedKey struct {
+	Change
+	Key
+	Secret string `json:"key"`
+}
+
+// Process is a process that follows the settings.
+type Process struct {
+	ID      string `json:"id"`
+	Role    string `json:"role"`
+	Zone    string `json:"zone"`
+	Version string `json:"version"` // in force there
+	AgeMS   int64  `json:"age_ms"`  // since it was heard
+	Behind  bool   `json:"behind"`
+}
+
+// Status is the state of the system as one member sees it.
+type Status struct {
+	Member    string    `json:"member"`
+	Leader    string    `json:"leader"` // empty: none is known
+	Version   string    `json:"version"`
+	Confirmed bool      `json:"confirmed"` // a quorum confirmed the version now
+	Asked     string    `json:"asked,omitempty"`
+	InForce   bool      `json:"in_force"` // Asked, or else Version, in every process
+	Behind    []string  `json:"behind,omitempty"`
+	Processes []Process `json:"processes"`
+	Replica   any       `json:"replica,omitempty"`
+}
+
+// Backend is a registered backend server.
+type Backend struct {
+	ID             string   `json:"id"`
+	Address        string   `json:"address"`
+	Kind           string   `json:"kind"`
+	Model          string   `json:"model"`
+	Version        string   `json:"version,omitempty"`
+	Adapters       []string `json:"adapters,omitempty"`
+	Zone           string   `json:"zone"`
+	Lifecycle      string   `json:"lifecycle"`
+	Slots          uint32   `json:"slots"`
+	Running        uint32   `json:"running"`
+	Waiting        uint32   `json:"waiting"`
+	FirstTokenMS   float64  `json:"first_token_ms"`
+	BetweenTokenMS float64  `json:"between_token_ms"`
+	Fencing        uint64   `json:"fencing"`
+}
+
+// Backends is a list of backend servers, sorted by id.
+type Backends struct {
+	Backends []Backend `json:"backends"`
+}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/guavastack/guavastack/internal/core/claim"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/core/state"
 	"github.com/guavastack/guavastack/internal/core/verdict"
@@ -32,6 +33,7 @@
 	housekeepingInterval   = 500 * time.Millisecond
 	processMemory          = 2           // freshness limits for which a silent process counts as behind
 	loadUpdateInterval     = time.Second // least time between updates of load alone
+	claimExpiryInterval    = time.Minute
 	inForcePollInterval    = 50 * time.Millisecond
 	maxCommandBytes        = 8 << 20
 	maxDemandOrganisations = 10_000 // per watcher
@@ -110,7 +112,7 @@
 	defer s.pool.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	loops := []func(context.Context){s.hub.run, s.confirmer.run, s.housekeep}
+	loops := []func(context.Context){s.hub.run, s.confirmer.run, s.housekeep, s.expireClaims}
 	for _, peer := range s.cfg.Peers {
 		loops = append(loops, func(ctx context.Context) { s.exchangeWith(ctx, peer) })
 	}
@@ -155,6 +157,43 @@
 	}
 }
 
+// expireClaims lets the leader forget old claims.
+func (s *Service) expireClaims(ctx context.Context) {
+	tick := time.NewTicker(claimExpiryInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			for s.expireSomeClaims(ctx) {
+			}
+		}
+	}
+}
+
+// expireSomeClaims forgets a batch of claims and reports whether more may be due.
+func (s *Service) expireSomeClaims(ctx context.Context) bool {
+	leader, ok := s.cfg.Group.Leader()
+	if !ok || leader.ID != s.cfg.Group.Self().ID {
+		return false
+	}
+	body, err := json.Marshal(claim.Command{Op: claim.Expire})
+	if err != nil {
+		return false
+	}
+	command, err := json.Marshal(state.Command{Module: claim.ModuleName, Body: body, Actor: leader.ID})
+	if err != nil {
+		return false
+	}
+	reply, err := s.Propose(ctx, &controlpb.ProposeRequest{Command: command})
+	if err != nil || reply.Error != "" {
+		return false
+	}
+	var outcome claim.Outcome
+	return json.Unmarshal(reply.Result, &outcome) == nil && outcome.Expired > 0
+}
+
 // Propose commits one command, at the leader if another member leads.
 func (s *Service) Propose(ctx context.Context, req *controlpb.ProposeRequest) (*controlpb.ProposeReply, error) {
 	timeout := time.Duration(req.TimeoutMs) * time.Millisecond
@@ -163,9 +202,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(timeout, maxProposeTime))
 	defer cancel()
-	data, err := stamp(req.Command)
-	if err != nil {
-		return &controlpb.ProposeReply{Error: err.Error()}, nil
+	data := req.Command
+	if !req.Forwarded {
+		var err error
+		if data, err = stamp(data); err != nil {
+			return &controlpb.ProposeReply{Error: err.Error()}, nil
+		}
 	}
 	outcome, err := s.cfg.Group.Propose(ctx, data)
 	var notLeader *NotLeaderError
@@ -175,7 +217,7 @@
 	return proposeReply(outcome, err), nil
 }
 
-// stamp adds the wall clock of this member to a command that has none, so that no entry's clock enters the log.
+// stamp puts this member's wall clock on a command, so that no other process's clock enters the log.
 func stamp(data []byte) ([]byte, error) {
 	if len(data) > maxCommandBytes {
 		return nil, errors.NotValidf("command of %d bytes, above %d,", len(data), maxCommandBytes)
@@ -184,9 +226,6 @@
 	if err := json.Unmarshal(data, &cmd); err != nil {
 		return nil, errors.NewNotValid(err, "command")
 	}
-	if cmd.AtMS != 0 {
-		return data, nil
-	}
 	cmd.AtMS = time.Now().UnixMilli()
 	return json.Marshal(cmd)
 }
--- a/internal/watch/session.go
+++ b/internal/watch/session.go
@@ -86,7 +86,7 @@
 	defer ask.Stop()
 	watchdog := time.NewTicker(cfg.SilenceLimit / 5)
 	defer watchdog.Stop()
-	questions <- s.question()
+	s.ask(questions)
 	for {
 		select {
 		case <-ctx.Done():
@@ -94,23 +94,32 @@
 		case err := <-failed:
 			return err
 		case <-ask.C:
-			select {
-			case questions <- s.question():
-			default: // the connection takes nothing; the watchdog decides
-			}
+			s.ask(questions)
 		case <-watchdog.C:
 			if err := s.check(time.Now()); err != nil {
 				return err
 			}
 		case u := <-updates:
 			s.lastHeard = time.Now()
+			before := s.client.Tree()
 			if err := s.take(u); err != nil {
 				return err
 			}
+			if s.client.Tree() != before {
+				s.ask(questions) // tells the member at once which version is in force here
+			}
 		}
 	}
 }
 
+// ask sends a question unless the connection takes nothing; then the watchdog decides.
+func (s *session) ask(questions chan<- *controlpb.WatchRequest) {
+	select {
+	case questions <- s.question():
+	default:
+	}
+}
+
 func (s *session) check(now time.Time) error {
 	if now.Sub(s.lastHeard) >= s.client.cfg.SilenceLimit {
 		return errors.Timeoutf("silence of the control member")
