watch, member: failure scenarios in virtual time

Freshness from the send time, lagging and isolated members, gaps, withdrawn keys, leaving and silent backend servers, a registry after all members restarted, proposals whose answer is lost, shares of limits.

--- /dev/null
+++ b/internal/core/member/member_test.go
@@ -0,0 +1,177 @@
+package member_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/guavastack/guavastack/internal/core/member"
+	"github.com/guavastack/guavastack/internal/core/settings"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "5", "rapid.checks": "200", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const ttl = 4 * time.Second
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func report(incarnation string, startedMS int64, sequence uint64, l member.Lifecycle) member.Report[string] {
+	return member.Report[string]{ID: "b", Incarnation: incarnation, StartedMS: startedMS, Sequence: sequence, Lifecycle: l}
+}
+
+// TestRegistry puts reports one after another and looks at what the registry says of the backend server.
+func TestRegistry(t *testing.T) {
+	type step struct {
+		ms     int
+		report member.Report[string]
+	}
+	tests := []struct {
+		name        string
+		steps       []step
+		now         int
+		want        member.Lifecycle // empty: forgotten
+		incarnation string
+	}{
+		{"ready", []step{{0, report("1", 1, 1, member.Ready)}}, 0, member.Ready, "1"},
+		{"older report comes late", []step{{0, report("1", 1, 2, member.Leaving)}, {1, report("1", 1, 1, member.Ready)}}, 1, member.Leaving, "1"},
+		{"leaving isn't taken back", []step{{0, report("1", 1, 1, member.Leaving)}, {1, report("1", 1, 2, member.Ready)}}, 1, member.Leaving, "1"},
+		{"gone isn't taken back", []step{{0, report("1", 1, 1, member.Gone)}, {1, report("1", 1, 2, member.Leaving)}}, 1, member.Gone, "1"},
+		{"joining again while a model loads", []step{{0, report("1", 1, 1, member.Ready)}, {1, report("1", 1, 2, member.Joining)}}, 1, member.Joining, "1"},
+		{"new incarnation", []step{{0, report("1", 1, 9, member.Leaving)}, {1, report("2", 2, 1, member.Ready)}}, 1, member.Ready, "2"},
+		{"old incarnation comes late", []step{{0, report("2", 2, 1, member.Ready)}, {1, report("1", 1, 9, member.Leaving)}}, 1, member.Ready, "2"},
+		{"just before the time to live", []step{{0, report("1", 1, 1, member.Ready)}}, 3999, member.Ready, "1"},
+		{"silent", []step{{0, report("1", 1, 1, member.Ready)}}, 4000, member.Gone, "1"},
+		{"heard again after a silence", []step{{0, report("1", 1, 1, member.Ready)}, {5000, report("1", 1, 2, member.Ready)}}, 5000, member.Ready, "1"},
+		{"leaving, silent, heard again", []step{{0, report("1", 1, 1, member.Leaving)}, {5000, report("1", 1, 2, member.Ready)}}, 5000, member.Leaving, "1"},
+		{"forgotten", []step{{0, report("1", 1, 1, member.Ready)}}, 16000, "", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := member.NewRegistry[string](ttl, start)
+			for _, s := range tt.steps {
+				r.Expire(at(s.ms))
+				r.Put(s.report, at(s.ms), true, false)
+			}
+			r.Expire(at(tt.now))
+			e, ok := r.Get("b")
+			if ok != (tt.want != "") || e.Report.Lifecycle != tt.want || e.Report.Incarnation != tt.incarnation {
+				t.Errorf("got %+v", e.Report)
+			}
+		})
+	}
+}
+
+func TestRenewalKeepsOnlyAKnownIncarnation(t *testing.T) {
+	r := member.NewRegistry[string](ttl, start)
+	if r.Renew("b", "1", 2, at(0)) {
+		t.Error("renewed what isn't known")
+	}
+	r.Put(report("1", 1, 1, member.Ready), at(0), false, false)
+	if r.Renew("b", "2", 2, at(3000)) {
+		t.Error("renewed another incarnation")
+	}
+	if !r.Renew("b", "1", 2, at(3000)) {
+		t.Error("didn't renew")
+	}
+	r.Expire(at(6999))
+	if e, _ := r.Get("b"); e.Report.Lifecycle != member.Ready {
+		t.Errorf("got %+v", e)
+	}
+	r.Expire(at(7000))
+	if r.Renew("b", "1", 3, at(7001)) {
+		t.Error("a renewal alone brought back what counts as gone")
+	}
+}
+
+// TestFollowerOfARegistry checks, for any reports, that a watcher that takes what changed since its registry version
+// knows the same lifecycles as the registry.
+func TestFollowerOfARegistry(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r := member.NewRegistry[string](ttl, start)
+		known := make(map[string]member.Lifecycle)
+		var seen uint64
+		now := 0
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			now += rapid.IntRange(0, 2000).Draw(rt, "pause")
+			id := fmt.Sprint("b", rapid.IntRange(1, 3).Draw(rt, "id"))
+			r.Put(member.Report[string]{
+				ID: id, Incarnation: "1", StartedMS: 1, Sequence: uint64(rapid.IntRange(1, 60).Draw(rt, "sequence")),
+				Lifecycle: rapid.SampledFrom([]member.Lifecycle{member.Joining, member.Ready, member.Ready, member.Leaving}).Draw(rt, "lifecycle"),
+			}, at(now), true, false)
+			r.Expire(at(now))
+			if rapid.Bool().Draw(rt, "follow") {
+				for _, e := range r.Since(seen) {
+					known[e.Report.ID] = e.Report.Lifecycle
+				}
+				seen = r.Version()
+				for _, e := range r.Since(0) {
+					if known[e.Report.ID] != e.Report.Lifecycle {
+						rt.Fatalf("%s: follower has %s, registry %s", e.Report.ID, known[e.Report.ID], e.Report.Lifecycle)
+					}
+				}
+			}
+		}
+	})
+}
+
+func TestViewCountsFromTheSendTime(t *testing.T) {
+	v := member.NewView(5 * time.Second)
+	first := v.Ask(at(0))
+	second := v.Ask(at(1000))
+	if until := v.Confirm(99); !until.IsZero() {
+		t.Error("a question that wasn't asked was confirmed")
+	}
+	if until := v.Confirm(second); !until.Equal(at(6000)) {
+		t.Errorf("fresh until %v", until.Sub(start))
+	}
+	if until := v.Confirm(first); !until.Equal(at(6000)) {
+		t.Errorf("an older answer moved the end to %v", until.Sub(start))
+	}
+	late := v.Ask(at(2000))
+	v.Ask(at(8000))
+	if until := v.Confirm(late); !until.Equal(at(6000)) {
+		t.Errorf("a question older than the limit counted: %v", until.Sub(start))
+	}
+}
+
+func TestBehind(t *testing.T) {
+	p := member.NewProcesses(10*time.Second, 30*time.Second)
+	v := func(n uint64) settings.Version { return settings.Version{Version: n} }
+	p.Put(member.Process{ID: "a", Incarnation: "1", Version: v(5), Heard: at(0)})
+	p.Put(member.Process{ID: "b", Incarnation: "1", Version: v(4), Heard: at(0)})
+	p.Put(member.Process{ID: "a", Incarnation: "1", Version: v(3), Heard: at(1)}) // through a member that lags
+	ids := func(now int) (out []string) {
+		for _, proc := range p.Behind(v(5), at(now)) {
+			out = append(out, proc.ID)
+		}
+		return out
+	}
+	if got := ids(9999); len(got) != 1 || got[0] != "b" {
+		t.Errorf("behind: %v", got)
+	}
+	if got := ids(10001); len(got) != 0 {
+		t.Errorf("a process that can't serve keyed routes any more counts: %v", got)
+	}
+	p.Put(member.Process{ID: "a", Incarnation: "2", Version: v(0), Heard: at(2)})
+	if got := ids(3); len(got) != 2 {
+		t.Errorf("a restarted process that knows nothing: %v", got)
+	}
+	p.Expire(at(31000))
+	if n := len(p.All()); n != 0 {
+		t.Errorf("%d processes are remembered", n)
+	}
+}
--- /dev/null
+++ b/internal/watch/scenario_test.go
@@ -0,0 +1,375 @@
+package watch_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/core/claim"
+	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/core/state"
+	"github.com/guavastack/guavastack/internal/watch"
+	"github.com/guavastack/guavastack/proto/controlpb"
+)
+
+func shop(i int) settings.Command {
+	return settings.Command{Op: settings.PutNode, Path: fmt.Sprint("shop-", i), Node: `{"classes": {"chat": {"tier": 1}}}`}
+}
+
+// TestFreshnessCountsFromTheSendTime holds back the answers to questions: the view must be stale at the limit after the
+// last confirmed question was sent, however late its answer came.
+func TestFreshnessCountsFromTheSendTime(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		c := w.watcher("entry-1")
+		synctest.Wait()
+		time.Sleep(500 * time.Millisecond) // between questions, the last of which was sent at the start
+		start := time.Now().Add(-500 * time.Millisecond)
+		w.cluster.Isolate(0, true)
+		for _, tt := range []struct {
+			after time.Duration
+			fresh bool
+		}{{4900 * time.Millisecond, true}, {4999 * time.Millisecond, true}, {5 * time.Second, false}} {
+			time.Sleep(time.Until(start.Add(tt.after)))
+			if got := c.Fresh(time.Now()); got != tt.fresh {
+				t.Errorf("%v after the question was sent: fresh %v", tt.after, got)
+			}
+		}
+		w.cluster.Isolate(0, false)
+		time.Sleep(4 * time.Second)
+		if !c.Fresh(time.Now()) {
+			t.Error("not fresh after the quorum came back")
+		}
+	})
+}
+
+func TestLateAnswerDoesNotProlongTheView(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		c := w.watcher("entry-1")
+		synctest.Wait()
+		w.delayConfirm(0, 900*time.Millisecond)
+		time.Sleep(3 * time.Second)
+		w.cluster.Isolate(0, true)
+		isolated := time.Now()
+		var lost time.Time
+		for lost.IsZero() {
+			time.Sleep(10 * time.Millisecond)
+			if !c.Fresh(time.Now()) {
+				lost = time.Now()
+			}
+		}
+		if age := lost.Sub(isolated); age > watch.DefaultFreshnessLimit {
+			t.Errorf("the view lived %v after the quorum was gone", age)
+		}
+	})
+}
+
+// TestVersionsNeverFall moves a watcher between members that lag, are isolated or restart, while the tree changes.
+func TestVersionsNeverFall(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		c := w.watcher("entry-1")
+		synctest.Wait()
+		var highest settings.Version
+		var fell atomic.Bool
+		c.OnChange(func() {
+			v := c.Tree().Version()
+			if v.Less(highest) {
+				fell.Store(true)
+			}
+			highest = v
+		})
+		for round := range 12 {
+			lagging := round % 3
+			w.cluster.Hold(lagging, lagging != 0)
+			w.propose(shop(round))
+			time.Sleep(300 * time.Millisecond)
+			for i, address := range w.addresses {
+				w.setDown(address, i != lagging)
+			}
+			time.Sleep(2500 * time.Millisecond)
+			w.cluster.Hold(lagging, false)
+			for _, address := range w.addresses {
+				w.setDown(address, false)
+			}
+			time.Sleep(3 * time.Second)
+			if got := c.Tree().Version(); got.Version != uint64(round+1) || !c.Fresh(time.Now()) {
+				t.Fatalf("round %d: version %v, fresh %v", round, got, c.Fresh(time.Now()))
+			}
+		}
+		if fell.Load() {
+			t.Error("the version fell at the watcher")
+		}
+	})
+}
+
+// TestLaggingMemberConfirmsNothing watches a member that applies nothing: its old view must not count as fresh.
+func TestLaggingMemberConfirmsNothing(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		w.cluster.Hold(2, true)
+		w.propose(putShop)
+		c := w.watcher("entry-1", w.addresses[2])
+		time.Sleep(10 * time.Second)
+		if c.Ready() || c.Fresh(time.Now()) {
+			t.Error("a member that lags confirmed its old view")
+		}
+		w.cluster.Hold(2, false)
+		time.Sleep(3 * time.Second)
+		if _, err := c.Tree().Class("shop", "chat"); err != nil || !c.Fresh(time.Now()) {
+			t.Errorf("after the member caught up: %v", err)
+		}
+	})
+}
+
+func TestIsolatedMemberIsLeft(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		c := w.watcher("entry-1")
+		synctest.Wait()
+		home := w.home(c)
+		w.cluster.Lead((home + 1) % 3)
+		w.cluster.Isolate(home, true)
+		time.Sleep(4 * time.Second)
+		if !c.Fresh(time.Now()) {
+			t.Error("held by a member that reaches no quorum")
+		}
+	})
+}
+
+func TestGapBringsASnapshot(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		c := w.watcher("entry-1")
+		synctest.Wait()
+		w.setDown(w.addresses[0], true)
+		for i := range settings.MaxRecentDeltas + 5 {
+			w.propose(shop(i))
+		}
+		w.setDown(w.addresses[0], false)
+		time.Sleep(3 * time.Second)
+		if n := len(c.Tree().Organisations()); n != settings.MaxRecentDeltas+5 || !c.Fresh(time.Now()) {
+			t.Errorf("%d organisations after a gap", n)
+		}
+	})
+}
+
+func TestWithdrawnKeyReachesTheWatcher(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		hash := strings.Repeat("ab", 32)
+		w.propose(putShop)
+		w.propose(settings.Command{Op: settings.CreateKey, Path: "shop", KeyID: "k", KeyHash: hash})
+		c := w.watcher("entry-1")
+		synctest.Wait()
+		key, ok := c.Tree().Key("k")
+		if !ok || !key.Usable(time.Now()) {
+			t.Fatalf("key %+v", key)
+		}
+		changed := c.Changed()
+		w.propose(settings.Command{Op: settings.WithdrawKey, KeyID: "k"})
+		synctest.Wait()
+		select {
+		case <-changed:
+		default:
+			t.Error("no push")
+		}
+		if key, _ := c.Tree().KeyByHash(key.Hash); key.Usable(time.Now()) {
+			t.Error("the withdrawn key still works")
+		}
+	})
+}
+
+func TestInForceNamesWhoIsBehind(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		w.watcher("entry-1", w.addresses[0])
+		w.watcher("entry-2", w.addresses[1])
+		time.Sleep(2 * time.Second)
+		w.cluster.Hold(1, true)
+		v := w.propose(putShop).Version
+		time.Sleep(time.Second)
+		behind := w.services[2].Behind(v) // a member that neither of them watches
+		if len(behind) != 1 || behind[0].ID != "entry-2" {
+			t.Errorf("behind: %+v", behind)
+		}
+		w.cluster.Hold(1, false)
+		ctx, cancel := context.WithTimeout(w.ctx, 3*time.Second)
+		defer cancel()
+		if behind := w.services[2].WaitInForce(ctx, v); len(behind) != 0 {
+			t.Errorf("still behind: %+v", behind)
+		}
+	})
+}
+
+// agent registers a backend server whose lifecycle a test sets.
+func (w *world) agent(id string, lifecycle *atomic.Value) *watch.Registrar {
+	r := watch.NewRegistrar(watch.Config{ProcessID: id, Control: w.addresses, Dial: w.dial}, func() *controlpb.BackendServer {
+		return &controlpb.BackendServer{Id: id, Incarnation: "1", Kind: "engine", Model: "m", Lifecycle: lifecycle.Load().(string)}
+	})
+	go func() { _ = r.Run(w.ctx) }()
+	return r
+}
+
+func lifecycles(c *watch.Client) string {
+	var out []string
+	for _, b := range c.Backends() {
+		out = append(out, b.Id+" "+b.Lifecycle)
+	}
+	return strings.Join(out, ", ")
+}
+
+func TestLeavingIsPushedFromAnyMember(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		c := w.watcher("entry-1")
+		var state atomic.Value
+		state.Store("ready")
+		r := w.agent("backend-a", &state)
+		w.agent("backend-b", &state)
+		time.Sleep(time.Second)
+		if got := lifecycles(c); got != "backend-a ready, backend-b ready" {
+			t.Fatalf("got %s", got)
+		}
+		state.Store("leaving")
+		r.Notify()
+		synctest.Wait()
+		if got := lifecycles(c); !strings.HasPrefix(got, "backend-a leaving") {
+			t.Errorf("at once after it said so: %s", got)
+		}
+		state.Store("ready")
+		time.Sleep(2 * time.Second)
+		if got := lifecycles(c); !strings.HasPrefix(got, "backend-a leaving") {
+			t.Errorf("leaving was taken back: %s", got)
+		}
+	})
+}
+
+func TestSilentBackendServerIsGone(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		c := w.watcher("entry-1")
+		var state atomic.Value
+		state.Store("ready")
+		ctx, cancel := context.WithCancel(w.ctx)
+		r := watch.NewRegistrar(watch.Config{ProcessID: "a", Control: w.addresses, Dial: w.dial}, func() *controlpb.BackendServer {
+			return &controlpb.BackendServer{Id: "a", Incarnation: "1", Lifecycle: "ready"}
+		})
+		go func() { _ = r.Run(ctx) }()
+		time.Sleep(time.Second)
+		if got := lifecycles(c); got != "a ready" {
+			t.Fatalf("got %q", got)
+		}
+		cancel()
+		time.Sleep(6 * time.Second)
+		if got := lifecycles(c); got != "" {
+			t.Errorf("after its agent fell silent: %s", got)
+		}
+	})
+}
+
+// TestRegistryRecoversAfterAllMembersRestart checks that no watcher loses a backend server that is there.
+func TestRegistryRecoversAfterAllMembersRestart(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		c := w.watcher("entry-1")
+		var state atomic.Value
+		state.Store("ready")
+		w.agent("backend-a", &state)
+		w.agent("backend-b", &state)
+		time.Sleep(10 * time.Second)
+		want := "backend-a ready, backend-b ready"
+		var lost atomic.Bool
+		c.OnChange(func() {
+			if lifecycles(c) != want {
+				lost.Store(true)
+			}
+		})
+		for i := range 3 {
+			w.start(i, "2")
+		}
+		time.Sleep(20 * time.Second)
+		if lost.Load() || lifecycles(c) != want {
+			t.Errorf("lost backend servers; now %s", lifecycles(c))
+		}
+		for i, s := range w.services {
+			if n := len(s.Backends()); n != 2 {
+				t.Errorf("member %d knows %d backend servers", i, n)
+			}
+		}
+	})
+}
+
+func TestProposeIsForwardedAndRepeatedOnlyWhereHarmless(t *testing.T) {
+	claimBody := `{"op": "claim", "key": {"organisation": "o", "key": "k"}, "request_id": "r"}`
+	plain := `{"op": "put_node", "path": "a", "node": "{}"}`
+	withID := `{"op": "put_node", "path": "a", "node": "{}", "change_id": "c"}`
+	tests := []struct {
+		name, module, body string
+		arrange            func(w *world)
+		want               error
+	}{
+		{"leader elsewhere", "settings", plain, func(w *world) { w.cluster.Lead(2) }, nil},
+		{"first member down", "settings", plain, func(w *world) { w.setDown(w.addresses[0], true); w.cluster.Lead(1) }, nil},
+		{"no leader", "settings", plain, func(w *world) { w.cluster.Lead(-1) }, watch.ErrUnavailable},
+		{"lost answer", "settings", plain, func(w *world) { w.cluster.LoseAnswers(0, true) }, watch.ErrUnknownOutcome},
+		{"lost answer with change id", "settings", withID, func(w *world) { w.loseFirstAnswer() }, nil},
+		{"lost answer of a claim", "claim", claimBody, func(w *world) { w.loseFirstAnswer() }, nil},
+		{"all down", "settings", plain, func(w *world) {
+			for _, a := range w.addresses {
+				w.setDown(a, true)
+			}
+		}, watch.ErrUnavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inWorld(t, 3, func(w *world) {
+				c := w.watcher("entry-1")
+				synctest.Wait()
+				tt.arrange(w)
+				ctx, cancel := context.WithTimeout(w.ctx, 5*time.Second)
+				defer cancel()
+				result, err := c.Propose(ctx, state.Command{Module: tt.module, Body: json.RawMessage(tt.body)})
+				if tt.want != nil {
+					if !errors.Is(err, tt.want) {
+						t.Errorf("error %v, want %v", err, tt.want)
+					}
+					return
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+				if tt.module == claim.ModuleName && !strings.Contains(string(result), `"claimed"`) {
+					t.Errorf("got %s", result)
+				}
+				if tt.module == settings.ModuleName && !strings.Contains(string(result), `"accepted":true`) {
+					t.Errorf("got %s", result)
+				}
+			})
+		})
+	}
+}
+
+func TestSharesFollowDemandAndSumToOne(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		clients := []*watch.Client{w.watcher("entry-1"), w.watcher("entry-2"), w.watcher("entry-3")}
+		clients[0].SetDemand(func() []*controlpb.Demand {
+			return []*controlpb.Demand{{Organisation: "camurca", Requests: 100}}
+		})
+		time.Sleep(15 * time.Second)
+		for _, organisation := range []string{"camurca", "idle"} {
+			at := 0.0
+			for _, c := range clients {
+				s := c.Share(organisation)
+				if s.From != at {
+					t.Errorf("%s: share %+v doesn't begin at %v", organisation, s, at)
+				}
+				at = s.To
+			}
+			if math.Abs(at-1) > 1e-9 {
+				t.Errorf("%s: shares end at %v", organisation, at)
+			}
+		}
+		if busy, idle := clients[0].Share("camurca").Size(), clients[1].Share("camurca").Size(); busy <= idle {
+			t.Errorf("share of the busy entry %v, of an idle one %v", busy, idle)
+		}
+	})
+}
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -117,6 +117,7 @@
 	services  []*control.Service
 	addresses []string
 	stops     []context.CancelFunc
+	group     func(*controltest.Member) control.Group // nil: the member itself
 }
 
 // inWorld runs f with a group of n members; at its end everything stops and nothing may be left running.
@@ -158,7 +159,11 @@
 		}
 	}
 	m := w.cluster.Members[i]
-	s := control.New(control.Config{Group: m, Settings: m.Settings, Peers: peers, Dial: w.dial, Incarnation: incarnation})
+	var group control.Group = m
+	if w.group != nil {
+		group = w.group(m)
+	}
+	s := control.New(control.Config{Group: group, Settings: m.Settings, Peers: peers, Dial: w.dial, Incarnation: incarnation})
 	w.services[i] = s
 	l := &listener{address: w.addresses[i], conns: make(chan net.Conn), done: make(chan struct{})}
 	w.mu.Lock()
@@ -177,6 +182,47 @@
 	return c
 }
 
+// delayedGroup takes longer to confirm.
+type delayedGroup struct {
+	*controltest.Member
+	delay time.Duration
+}
+
+func (g delayedGroup) ReadIndex(ctx context.Context) (uint64, error) {
+	index, err := g.Member.ReadIndex(ctx)
+	select {
+	case <-time.After(g.delay):
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+	return index, err
+}
+
+// delayConfirm restarts the service of member i with slow quorum rounds.
+func (w *world) delayConfirm(i int, delay time.Duration) {
+	w.group = func(m *controltest.Member) control.Group { return delayedGroup{Member: m, delay: delay} }
+	w.start(i, "slow")
+}
+
+// home returns the member that a client watches.
+func (w *world) home(c *watch.Client) int {
+	for i, s := range w.services {
+		for _, p := range s.Processes() {
+			if p.First {
+				return i
+			}
+		}
+	}
+	w.t.Fatal("nobody is watched")
+	return 0
+}
+
+// loseFirstAnswer lets the leader commit without an answer for a moment.
+func (w *world) loseFirstAnswer() {
+	w.cluster.LoseAnswers(0, true)
+	time.AfterFunc(10*time.Millisecond, func() { w.cluster.LoseAnswers(0, false) })
+}
+
 func (w *world) propose(body settings.Command) settings.Outcome {
 	w.t.Helper()
 	leader := w.cluster.Members[0]
