Keep usage that is delivered between a report and its acknowledgement

Cause: an entry forgot a settled window's counters even when they had grown since the report, and went on tagging usage with a settled window while its watch lagged; the control group takes a counter that begins again for an old copy. Change (internal/entry/usage.go): forget only what was reported, and tag at least with the window of the newest acknowledgement. Conclusion: lost tokens were in the customer's favour, but the counters no longer reconciled.

--- a/internal/entry/usage.go
+++ b/internal/entry/usage.go
@@ -44,6 +44,7 @@
 
 	mu       sync.Mutex
 	counters map[usageKey]*delivered
+	open     uint64 // newest open window that an acknowledgement named; settled windows are below it
 }
 
 func newUsageMeter(cfg Config, dir Directory) *usageMeter {
@@ -52,9 +53,10 @@
 
 // add counts d for x in the open window.
 func (m *usageMeter) add(x *exchange, d delivered) {
-	key := usageKey{m.dir.OpenWindow(), x.organisation, x.class.Name, x.model}
+	known := m.dir.OpenWindow()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	key := usageKey{max(known, m.open), x.organisation, x.class.Name, x.model}
 	c := m.counters[key]
 	if c == nil {
 		c = &delivered{}
@@ -100,7 +102,7 @@
 	if !ack.Accepted {
 		m.cfg.Logger.Error("usage came too late to be billed", "open_window", ack.OpenWindow)
 	}
-	m.forget(ack.SettledWindow)
+	m.forget(r, ack)
 }
 
 // snapshot returns the report to send, nil when there is none.
@@ -160,12 +162,16 @@
 	}
 }
 
-// forget drops the counters of settled windows.
-func (m *usageMeter) forget(settled uint64) {
+// forget drops the counters of settled windows that did not grow since their report. From now on usage belongs to a
+// newer window, since a counter that began again from zero would be taken for an old copy.
+func (m *usageMeter) forget(r *controlpb.UsageReport, ack *controlpb.UsageAck) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for k := range m.counters {
-		if k.window != 0 && k.window <= settled {
+	m.open = max(m.open, ack.OpenWindow)
+	for _, c := range r.Counters {
+		k := usageKey{c.Window, c.Organisation, c.Class, c.Model}
+		reported := delivered{c.Requests, c.PromptTokens, c.CachedTokens, c.OutputTokens}
+		if now := m.counters[k]; now != nil && c.Window <= ack.SettledWindow && *now == reported {
 			delete(m.counters, k)
 		}
 	}
