--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -271,12 +271,19 @@
 		return
 	}
 	former := r.session
+	attended := former != nil && former != s && r.active()
+	if attended && m.Unattended {
+		s.Send(a.refusedFrame(m.RequestId, r.submit.Attempt, &refusal{
+			verdict: mayHaveRun, code: linkpb.RefuseCode_REFUSE_CODE_ATTENDED, message: "another entry follows the request",
+		}))
+		return
+	}
 	if err := r.answer.attach(s, m.NextSeq, m.Credit); err != nil {
 		unknown.message = errors.Annotate(err, "part of the answer is not kept").Error()
 		s.Send(a.refusedFrame(m.RequestId, r.submit.Attempt, unknown))
 		return
 	}
-	if former != nil && former != s && r.active() {
+	if attended {
 		former.Send(a.refusedFrame(r.id, r.submit.Attempt, &refusal{
 			verdict: mayHaveRun, code: linkpb.RefuseCode_REFUSE_CODE_CANCELLED, message: "answer is taken by another entry",
 		}))
--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -24,7 +24,7 @@
 	defer s.active.remove(x)
 
 	answer := newAnswerWriter(w, s.cfg.WriteTimeout)
-	result := s.fetch(ctx, x, x.id, server, answer)
+	result := s.fetch(ctx, x, x.id, server, answer, false)
 	if result.complete {
 		answer.finish()
 		return
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -25,6 +25,8 @@
 	maxKeptAnswer = 4 << 10
 	// maxIdempotencyKey is the longest key of a caller, in bytes.
 	maxIdempotencyKey = 255
+	// attachInterval is the pause between looks at a request that another entry follows.
+	attachInterval = 100 * time.Millisecond
 )
 
 // claimKey names the claim of x.
@@ -188,7 +190,10 @@
 	if !ok || server.Incarnation != out.Agent.Incarnation {
 		return result{}, false
 	}
-	r := a.s.fetch(ctx, a.x, id, server, a.writer)
+	r := a.s.fetch(ctx, a.x, id, server, a.writer, true)
+	for r.code == linkpb.RefuseCode_REFUSE_CODE_ATTENDED && sleep(ctx, attachInterval) {
+		r = a.s.fetch(ctx, a.x, id, server, a.writer, true)
+	}
 	if r.code == linkpb.RefuseCode_REFUSE_CODE_UNKNOWN_REQUEST {
 		return result{}, false
 	}
@@ -197,14 +202,28 @@
 	return r, true
 }
 
-// fetch relays the answer of an earlier request from the agent that keeps it.
-func (s *Server) fetch(ctx context.Context, x *exchange, id requestID, server route.Backend, w *answerWriter) result {
+// sleep waits for d and reports false when ctx ended before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// fetch relays the answer of an earlier request from the agent that keeps it. With unattended it is refused while
+// another entry follows the request.
+func (s *Server) fetch(ctx context.Context, x *exchange, id requestID, server route.Backend, w *answerWriter, unattended bool) result {
 	a := &attempt{s: s, x: x, id: id, server: server, writer: w, replayed: true}
 	a.relay = newRelay(s.fleet.load)
 	call, err := s.links.Resume(ctx, server.Address, &linkpb.Resume{
 		RequestId:    id.String(),
 		Organisation: x.organisation,
 		Credit:       answerCredit,
+		Unattended:   unattended,
 	}, a.relay)
 	if err != nil {
 		return result{verdict: verdict.Of(err), err: backendError(verdict.Of(err), err)}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -108,12 +108,7 @@
 		return true
 	}
 	s.count("retries", x)
-	select {
-	case <-time.After(d.After):
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleep(ctx, d.After)
 }
 
 // isCapacity reports whether an agent refused for want of room or because it leaves.
@@ -284,6 +279,9 @@
 // refused judges the agent's refusal.
 func (a *attempt) refused(m *linkpb.Refused) result {
 	v := link.VerdictOf(m.Verdict)
+	if v != verdict.NotRun {
+		return result{verdict: v, err: backendError(v, errors.New(m.Message)), code: m.Code}
+	}
 	ref := &refusal{
 		Error:      verdict.New(v, refuseCodes[m.Code], "the backend server's agent refused the request: %s", m.Message),
 		status:     refuseStatus(m.Code),
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -38,6 +38,7 @@
 	mu         sync.Mutex // serialises the handler and guards what follows
 	done       bool
 	anyAttempt bool // learn the attempt from the first message
+	unattended bool // until the first message, attach only where no other entry follows the request
 	partial    bool // the answer does not begin at its first event
 	digest     xxhash.Digest
 	digesting  bool
@@ -175,6 +176,7 @@
 		RequestId:    c.id,
 		Attempt:      c.attempt.Load(),
 		Organisation: c.org,
+		Unattended:   c.unattended && c.anyAttempt,
 		NextSeq:      c.next.Load(),
 		Credit:       c.openCredit(),
 	}}
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -125,6 +125,7 @@
 		org:        r.Organisation,
 		handler:    h,
 		anyAttempt: true,
+		unattended: r.Unattended,
 		partial:    r.NextSeq > 0,
 	}
 	c.next.Store(r.NextSeq)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -160,8 +160,9 @@
 	slotted   bool
 	cancelled bool
 	readers   int
-	changed   chan struct{} // closed and replaced when tokens or active change
-	admitted  chan struct{} // closed when the job gets its slot
+	changed   chan struct{}   // closed and replaced when tokens or active change
+	crashed   <-chan struct{} // closed by the crash that forgets the job
+	admitted  chan struct{}   // closed when the job gets its slot
 	faults    []*Fault
 }
 
@@ -235,7 +236,8 @@
 	j.admitted = make(chan struct{})
 	e.waiting = append(e.waiting, j)
 	e.admit()
-	go e.generate(j, prefill, e.crashes)
+	j.crashed = e.crashes
+	go e.generate(j, prefill, j.crashed)
 }
 
 // dropOldJobs forgets the oldest inactive jobs. The caller holds e.mu.
@@ -407,7 +409,7 @@
 	for {
 		e.mu.Lock()
 		tokens, over = j.tokens, !j.active
-		changed, crashed := j.changed, e.crashes
+		changed, crashed := j.changed, j.crashed
 		e.mu.Unlock()
 		if tokens > have || over {
 			return tokens, over, nil
