--- a/cmd/guavastack/main.go
+++ b/cmd/guavastack/main.go
@@ -57,10 +57,15 @@
 			roleCommand("control", "keep the system's state as a member of the control group"),
 			roleCommand("run", "run every role that the settings file names"),
 			checkCommand(),
+			settingsCommand(),
+			organisationCommand(),
+			keyCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		OnUsageError:   onUsageError,
 	}
+	cmd.Commands = append(cmd.Commands, statusCommands()...)
+	cmd.Commands = append(cmd.Commands, standinCommand())
 	prepare(cmd)
 	return cmd
 }
--- /dev/null
+++ b/cmd/guavastack/status.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/guavastack/guavastack/internal/adminclient"
+)
+
+// statusCommands show the state of the system.
+func statusCommands() []*cli.Command {
+	return []*cli.Command{
+		{
+			Name: "status", Usage: "print the leader, and the version of the settings in force in each process",
+			Flags: adminFlags(), Action: withClient(status),
+		},
+		{Name: "backends", Usage: "print the backend servers", Flags: adminFlags(), Action: withClient(backends)},
+		{
+			Name: "usage", Usage: "print billing windows: reported, counted and the difference", Action: withClient(usage),
+			Flags: append(adminFlags(), &cli.IntFlag{Name: "limit", Value: 10, Usage: "newest windows to print"}),
+		},
+		{Name: "orders", Usage: "print orders to the platform and to engines", Flags: adminFlags(), Action: withClient(orders)},
+		{Name: "fleet", Usage: "print wanted and running backend servers and their cost", Flags: adminFlags(), Action: withClient(fleetStatus)},
+		{
+			Name: "backup", Usage: "write a snapshot of the control group's state to a file", ArgsUsage: "FILE",
+			Flags: adminFlags(), Action: withClient(backup),
+		},
+	}
+}
+
+func status(ctx context.Context, cmd *cli.Command, client *adminclient.Client) error {
+	st, err := client.Status(ctx, "", 0)
+	if err != nil {
+		return err
+	}
+	return show(cmd, st, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "leader\t%s\nversion\t%s\nconfirmed\t%v\nin force everywhere\t%v\n\n", st.Leader, st.Version, st.Confirmed, st.InForce)
+		_, _ = fmt.Fprintln(w, "PROCESS\tROLE\tZONE\tVERSION\tHEARD (MS AGO)")
+		for _, p := range st.Processes {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\n", p.ID, p.Role, p.Zone, p.Version, p.AgeMS)
+		}
+	})
+}
+
+func backends(ctx context.Context, cmd *cli.Command, client *adminclient.Client) error {
+	list, err := client.Backends(ctx)
+	if err != nil {
+		return err
+	}
+	return show(cmd, list, func(w io.Writer) {
+		_, _ = fmt.Fprintln(w, "ID\tKIND\tMODEL\tZONE\tLIFECYCLE\tSLOTS\tRUNNING\tWAITING")
+		for _, b := range list.Backends {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\n", b.ID, b.Kind, b.Model, b.Zone, b.Lifecycle, b.Slots, b.Running, b.Waiting)
+		}
+	})
+}
+
+func usage(ctx context.Context, cmd *cli.Command, client *adminclient.Client) error {
+	windows, err := client.Usage(ctx, cmd.Int("limit"))
+	if err != nil {
+		return err
+	}
+	return show(cmd, windows, func(w io.Writer) {
+		_, _ = fmt.Fprintln(w, "WINDOW\tSTATUS\tORGANISATION\tCLASS\tMODEL\tREQUESTS\tPROMPT\tCACHED\tOUTPUT")
+		for _, win := range windows {
+			lines := win.Reported
+			if len(lines) == 0 {
+				lines = win.Counted
+			}
+			for _, l := range lines {
+				_, _ = fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\n", win.Window, win.Status,
+					l.Organisation, l.Class, l.Model, l.Requests, l.PromptTokens, l.CachedTokens, l.OutputTokens)
+			}
+			if len(lines) == 0 {
+				_, _ = fmt.Fprintf(w, "%d\t%s\t-\n", win.Window, win.Status)
+			}
+		}
+	})
+}
+
+func orders(ctx context.Context, cmd *cli.Command, client *adminclient.Client) error {
+	list, err := client.Orders(ctx)
+	if err != nil {
+		return err
+	}
+	return show(cmd, list, func(w io.Writer) {
+		_, _ = fmt.Fprintln(w, "ID\tKIND\tSTATUS\tMODEL\tZONE\tSERVER\tFENCING")
+		for _, o := range list {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\n", o.ID, o.Kind, o.Status, o.Model, o.Zone, o.Server, o.Fencing)
+		}
+	})
+}
+
+func fleetStatus(ctx context.Context, cmd *cli.Command, client *adminclient.Client) error {
+	f, err := client.Fleet(ctx)
+	if err != nil {
+		return err
+	}
+	return show(cmd, f, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "phase\t%s\nin charge\t%s\nfencing\t%d\nservers\t%d\ncost per hour\t%.2f\nopen orders\t%d\nstuck orders\t%v\nlast error\t%s\n",
+			f.Phase, f.Holder, f.Fencing, len(f.Servers), f.CostPerHour, len(f.OpenOrders), f.StuckOrders, f.LastError)
+	})
+}
+
+func backup(ctx context.Context, cmd *cli.Command, client *adminclient.Client) error {
+	file, err := oneArg(cmd, "FILE")
+	if err != nil {
+		return err
+	}
+	data, err := client.Backup(ctx)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, data, 0o600)
+}
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -22,6 +22,7 @@
 	"github.com/guavastack/guavastack/internal/adminclient"
 	"github.com/guavastack/guavastack/internal/control"
 	"github.com/guavastack/guavastack/internal/control/controltest"
+	"github.com/guavastack/guavastack/internal/core/settings"
 )
 
 // group is a control group with the API at each member.
@@ -264,7 +265,7 @@
 	c := g.client(0, "root-token")
 	o := adminclient.Options{ChangeID: "make"}
 	created, err := c.CreateKey(t.Context(), "camurca/porto", adminapi.NewKey{}, o)
-	if err != nil || created.Secret == "" {
+	if err != nil || !strings.HasPrefix(created.Secret, settings.KeyPrefix) || len(created.Secret) != settings.KeyLength {
 		t.Fatalf("%+v, %v", created, err)
 	}
 	_, err = c.CreateKey(t.Context(), "camurca/porto", adminapi.NewKey{}, o)
--- a/internal/admin/keys.go
+++ b/internal/admin/keys.go
@@ -1,9 +1,7 @@
 package admin
 
 import (
-	"crypto/rand"
 	"crypto/sha256"
-	"encoding/base64"
 	"encoding/hex"
 	"net/http"
 	"time"
@@ -12,22 +10,11 @@
 
 	"github.com/guavastack/guavastack/internal/adminapi"
 	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/keys"
 )
 
-const (
-	keyPrefix  = "gs_" // lets leak scanners find keys
-	keyBytes   = 32    // of random data in a key
-	keyIDBytes = 8
-)
-
-// newSecret returns a key and its hash.
-func newSecret() (secret, hash string) {
-	var b [keyBytes]byte
-	_, _ = rand.Read(b[:]) // never fails: crypto/rand ends the process instead
-	secret = keyPrefix + base64.RawURLEncoding.EncodeToString(b[:])
-	sum := sha256.Sum256([]byte(secret))
-	return secret, hex.EncodeToString(sum[:])
-}
+// keyIDBytes is the length of a key's id before it is written in hexadecimal.
+const keyIDBytes = 8
 
 // keyID derives the id of a key from its change, so that a resend meets the key that the first sending made.
 func keyID(changeID string) string {
@@ -89,7 +76,7 @@
 		return
 	}
 	id := keyID(c.command.ChangeID)
-	secret, hash := newSecret()
+	secret, hash := keys.NewSecret()
 	setID(&c.command, id)
 	c.command.KeyHash = hash
 	if tree, _ := s.newest(req.Request.Context()); hasKey(tree, id) {
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -19,10 +19,16 @@
 	Hash   string // SHA-256 of Secret in hexadecimal
 }
 
-// New returns a new key.
+// New returns a new key with a random id.
 func New() Key {
-	secret := settings.KeyPrefix + random()
-	return Key{ID: "key-" + uuid.NewString(), Secret: secret, Hash: Hash(secret)}
+	secret, hash := NewSecret()
+	return Key{ID: "key-" + uuid.NewString(), Secret: secret, Hash: hash}
+}
+
+// NewSecret returns a key and its hash, in the form in which entries look for keys.
+func NewSecret() (secret, hash string) {
+	secret = settings.KeyPrefix + random()
+	return secret, Hash(secret)
 }
 
 // NewToken returns a new operator's token.
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
+	"crypto/tls"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/juju/errors"
@@ -11,6 +12,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/guavastack/guavastack/internal/admin"
 	"github.com/guavastack/guavastack/internal/config"
 	"github.com/guavastack/guavastack/internal/control"
 	"github.com/guavastack/guavastack/internal/core/billing"
@@ -22,6 +24,7 @@
 	"github.com/guavastack/guavastack/internal/platform"
 	"github.com/guavastack/guavastack/internal/replica"
 	"github.com/guavastack/guavastack/internal/rpcpool"
+	"github.com/guavastack/guavastack/internal/telemetry"
 	"github.com/guavastack/guavastack/proto/controlpb"
 	"github.com/guavastack/guavastack/proto/peerpb"
 )
@@ -78,7 +81,9 @@
 	replica  *replica.Replica
 	service  *control.Service
 	operator *operate.Operator // nil without a platform
+	admin    *admin.Server     // nil where the settings name no address for it
 	listener net.Listener
+	adminLis net.Listener
 }
 
 // NewControl returns the control role, which listens already.
@@ -109,11 +114,53 @@
 		return n
 	}
 	ctl.service = control.New(cfg)
+	if c.Admin.Listen != "" {
+		if err := ctl.buildAdmin(); err != nil {
+			return nil, err
+		}
+	}
 	var err error
 	ctl.listener, err = base.Network.Listen(c.Listen)
 	return ctl, errors.Annotate(err, "control.listen")
 }
 
+// buildAdmin makes the operators' API, which listens already.
+func (c *Control) buildAdmin() error {
+	settings := c.base.Config.Control.Admin
+	mux := http.NewServeMux()
+	telemetry.Mount(mux, c.base.Metrics, c.Status)
+	cfg := admin.Config{
+		Control: c.service,
+		Tokens:  tokensOf(settings.Tokens),
+		Replica: func() any { return c.replica.Status() },
+		Mounts:  map[string]http.Handler{"/metrics": mux, "/healthz": mux, "/readyz": mux, "/debug/pprof/": mux},
+		Logger:  c.base.Logger,
+	}
+	if c.operator != nil {
+		cfg.Operations = c.operator
+	}
+	cert, err := listenerTLS(settings.TLS)
+	if err != nil {
+		return errors.Annotate(err, "control.admin.tls")
+	}
+	if cert != nil {
+		cfg.TLS = func(lis net.Listener) net.Listener { return tls.NewListener(lis, cert.Server()) }
+	}
+	if c.admin, err = admin.New(cfg); err != nil {
+		return errors.Annotate(err, "control.admin")
+	}
+	c.adminLis, err = net.Listen("tcp", settings.Listen)
+	return errors.Annotate(err, "control.admin.listen")
+}
+
+func tokensOf(tokens []config.Token) []admin.Token {
+	out := make([]admin.Token, len(tokens))
+	for i, t := range tokens {
+		out[i] = admin.Token{Name: t.Name, SHA256: t.SHA256, Role: admin.Role(t.Role), Organisation: t.Organisation}
+	}
+	return out
+}
+
 func otherPeers(c *config.Control) []string {
 	var out []string
 	for _, p := range c.Peers {
@@ -147,13 +194,7 @@
 func (c *Control) Addr() net.Addr { return c.listener.Addr() }
 
 // AdminAddr returns the address of the operators' API.
-func (c *Control) AdminAddr() string { return c.base.Config.Control.Admin.Listen }
-
-// Propose commits one command, if this member leads.
-func (c *Control) Propose(ctx context.Context, data []byte) (json.RawMessage, error) {
-	out, err := c.replica.Propose(ctx, data)
-	return out.Result, err
-}
+func (c *Control) AdminAddr() net.Addr { return c.adminLis.Addr() }
 
 // Status implements Role.
 func (c *Control) Status() (ready bool, reason string) {
@@ -183,6 +224,9 @@
 	if c.operator != nil {
 		start(c.operator.Run)
 	}
+	if c.admin != nil {
+		start(func(ctx context.Context) error { return c.admin.Serve(ctx, c.adminLis) })
+	}
 	select {
 	case <-ctx.Done():
 		c.handOver()
--- a/internal/up/up.go
+++ b/internal/up/up.go
@@ -237,7 +237,7 @@
 	if err := waitReady(ctx, done, s.control); err != nil {
 		return nil, err
 	}
-	key, keyID, err := s.provision(ctx)
+	key, err := s.provision(ctx)
 	if err != nil {
 		return nil, errors.Annotate(err, "set-up of the demonstration")
 	}
@@ -247,9 +247,9 @@
 	return &Ready{
 		Event:          "ready",
 		Listen:         s.entry.Addr().String(),
-		Admin:          s.control.AdminAddr(),
-		Key:            key,
-		KeyID:          keyID,
+		Admin:          s.control.AdminAddr().String(),
+		Key:            key.Secret,
+		KeyID:          key.ID,
 		Organisation:   Organisation,
 		Classes:        Classes,
 		Model:          Model,
