--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -133,8 +133,8 @@
 	if o := apply(t, m, 5, second); o.State != claim.StateClaimed {
 		t.Errorf("got %+v", o)
 	}
-	if o := apply(t, m, 6, claim.Command{Op: claim.Expire}); o.Expired != 0 {
-		t.Error("commanded time went back")
+	if o := apply(t, m, 5+hour, claim.Command{Op: claim.Expire}); o.Expired != 0 {
+		t.Error("commanded time went back: a claim expired too early")
 	}
 }
 
--- a/internal/watch/scenario_test.go
+++ b/internal/watch/scenario_test.go
@@ -54,9 +54,10 @@
 	inWorld(t, 1, func(w *world) {
 		c := w.watcher("entry-1")
 		synctest.Wait()
-		w.delayConfirm(0, 900*time.Millisecond)
+		asked := w.delayConfirm(0, 900*time.Millisecond)
 		time.Sleep(3 * time.Second)
-		w.cluster.Isolate(0, true)
+		<-asked
+		w.cluster.Isolate(0, true) // the quorum's last answer is still on its way
 		isolated := time.Now()
 		var lost time.Time
 		for lost.IsZero() {
@@ -134,7 +135,7 @@
 		home := w.home(c)
 		w.cluster.Lead((home + 1) % 3)
 		w.cluster.Isolate(home, true)
-		time.Sleep(4 * time.Second)
+		time.Sleep(8 * time.Second)
 		if !c.Fresh(time.Now()) {
 			t.Error("held by a member that reaches no quorum")
 		}
@@ -205,7 +206,7 @@
 
 // agent registers a backend server whose lifecycle a test sets.
 func (w *world) agent(id string, lifecycle *atomic.Value) *watch.Registrar {
-	r := watch.NewRegistrar(watch.Config{ProcessID: id, Control: w.addresses, Dial: w.dial}, func() *controlpb.BackendServer {
+	r := watch.NewRegistrar(watch.Config{ProcessID: id, Control: w.addresses, Dial: w.dialAgent}, func() *controlpb.BackendServer {
 		return &controlpb.BackendServer{Id: id, Incarnation: "1", Kind: "engine", Model: "m", Lifecycle: lifecycle.Load().(string)}
 	})
 	go func() { _ = r.Run(w.ctx) }()
@@ -283,9 +284,12 @@
 				lost.Store(true)
 			}
 		})
+		w.setAgentsDown(true)
 		for i := range 3 {
 			w.start(i, "2")
 		}
+		time.Sleep(3 * time.Second) // the watcher is back before the agents
+		w.setAgentsDown(false)
 		time.Sleep(20 * time.Second)
 		if lost.Load() || lifecycles(c) != want {
 			t.Errorf("lost backend servers; now %s", lifecycles(c))
@@ -332,6 +336,9 @@
 					if !errors.Is(err, tt.want) {
 						t.Errorf("error %v, want %v", err, tt.want)
 					}
+					if n := len(w.cluster.Members[0].Settings.History(10)); n > 1 {
+						t.Errorf("committed %d times", n)
+					}
 					return
 				}
 				if err != nil {
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -25,6 +25,8 @@
 	listen map[string]chan net.Conn
 	conns  map[string][]*pipe
 	down   map[string]bool
+
+	agentsDown bool // agents reach no member
 }
 
 // pipe is one end of a connection that can go silent in both directions.
@@ -88,6 +90,23 @@
 	return near, nil
 }
 
+// dialAgent is dial for agents.
+func (n *network) dialAgent(ctx context.Context, address string) (net.Conn, error) {
+	n.mu.Lock()
+	down := n.agentsDown
+	n.mu.Unlock()
+	if down {
+		return nil, errors.NotFoundf("way to member %q", address)
+	}
+	return n.dial(ctx, address)
+}
+
+func (n *network) setAgentsDown(down bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.agentsDown = down
+}
+
 // silence lets all open connections to a member lose everything; new ones work.
 func (n *network) silence(address string) {
 	n.mu.Lock()
@@ -186,11 +205,16 @@
 type delayedGroup struct {
 	*controltest.Member
 	delay time.Duration
+	asked chan struct{} // gets a value when the quorum has answered, before the delay
 }
 
 func (g delayedGroup) ReadIndex(ctx context.Context) (uint64, error) {
 	index, err := g.Member.ReadIndex(ctx)
 	select {
+	case g.asked <- struct{}{}:
+	default:
+	}
+	select {
 	case <-time.After(g.delay):
 	case <-ctx.Done():
 		return 0, ctx.Err()
@@ -198,10 +222,13 @@
 	return index, err
 }
 
-// delayConfirm restarts the service of member i with slow quorum rounds.
-func (w *world) delayConfirm(i int, delay time.Duration) {
-	w.group = func(m *controltest.Member) control.Group { return delayedGroup{Member: m, delay: delay} }
+// delayConfirm restarts the service of member i with slow quorum rounds. The channel gets a value when the quorum has
+// answered, before the delay.
+func (w *world) delayConfirm(i int, delay time.Duration) <-chan struct{} {
+	asked := make(chan struct{})
+	w.group = func(m *controltest.Member) control.Group { return delayedGroup{Member: m, delay: delay, asked: asked} }
 	w.start(i, "slow")
+	return asked
 }
 
 // home returns the member that a client watches.
@@ -283,7 +310,7 @@
 			w.silence(address)
 		}
 		w.propose(putShop)
-		time.Sleep(3 * time.Second)
+		time.Sleep(2200 * time.Millisecond) // silence limit, its resolution and the pause before the next member
 		if _, err := c.Tree().Class("shop", "chat"); err != nil {
 			t.Errorf("held by a connection that went silent: %v", err)
 		}
