Keep a finished answer until its caller has it

Cause: BenchmarkRelay/256 hung. The bound on kept bytes dropped finished answers that a link was still delivering; their later credits met no record. Change: only delivered or linkless records are dropped, oldest first; arrivals are refused while undelivered answers hold more than eight times the bound; links that owe acks but send nothing are closed. TestUndeliveredAnswerIsKept causes it in virtual time.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -55,6 +55,8 @@
 	ranForgot bool                         // an id has left ran
 	lostEntry bool                         // an entry with unfinished business has left the table
 	active    int
+	released  []*record // finished and delivered or without a link, oldest first
+	keptBytes int       // of all finished answers
 	lifecycle linkpb.Lifecycle
 	up        bool // the backend server answers
 	probing   bool
--- /dev/null
+++ b/internal/agent/bench_test.go
@@ -0,0 +1,166 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/backend"
+	"github.com/guavastack/guavastack/internal/core/verdict"
+	"github.com/guavastack/guavastack/internal/link"
+	"github.com/guavastack/guavastack/internal/standin/engine"
+	"github.com/guavastack/guavastack/proto/linkpb"
+)
+
+// pieceBytes is the size of an event of a chat stream with one token.
+const pieceBytes = 170
+
+// fountain is a backend that answers with a fixed number of pieces at once.
+type fountain struct {
+	backend.Backend
+	pieces int
+	piece  []byte
+}
+
+func (f *fountain) Do(_ context.Context, _ *backend.Request, sink backend.Sink) (backend.Usage, error) {
+	if err := sink.Head(200, nil); err != nil {
+		return backend.Usage{}, err
+	}
+	for range f.pieces {
+		if err := sink.Data(f.piece, 1); err != nil {
+			return backend.Usage{}, err
+		}
+	}
+	return backend.Usage{}, nil
+}
+
+// counter is a handler that grants what it takes.
+type counter struct {
+	call  *link.Call
+	ready chan struct{}
+	done  chan bool
+	first func()
+}
+
+func (c *counter) Started(*linkpb.Started)   {}
+func (c *counter) Load(string, *linkpb.Load) {}
+func (c *counter) Event(e *linkpb.Event) {
+	if c.first != nil {
+		c.first()
+		c.first = nil
+	}
+	<-c.ready
+	c.call.Grant(uint32(len(e.Data)))
+}
+func (c *counter) End(e *linkpb.End)           { c.done <- !e.Stopped }
+func (c *counter) Refused(*linkpb.Refused)     { c.done <- false }
+func (c *counter) Lost(verdict.Verdict, error) { c.done <- false }
+func newCounter() *counter                     { return &counter{ready: make(chan struct{}), done: make(chan bool, 1)} }
+
+func (c *counter) run(b testing.TB, p *link.Pool, addr string, s *linkpb.Submit) {
+	call, err := p.Submit(context.Background(), addr, s, c)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	c.call = call
+	close(c.ready)
+	if !<-c.done {
+		b.Error("answer is not whole")
+	}
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// relay sends b.N tokens in streams and reports tokens per second of processor time and allocations per token.
+func relay(b *testing.B, addr string, streams int, tokens int, s func(id string) *linkpb.Submit) {
+	p := newPool(b, "bench", nil)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	b.ResetTimer()
+	start, cpu := time.Now(), cpuTime()
+	var wg sync.WaitGroup
+	rounds := max(b.N/(streams*tokens), 1)
+	for i := range streams {
+		wg.Go(func() {
+			for k := range rounds {
+				newCounter().run(b, p, addr, s(fmt.Sprintf("r%d-%d", i, k)))
+			}
+		})
+	}
+	wg.Wait()
+	b.StopTimer()
+	runtime.ReadMemStats(&after)
+	n := float64(rounds * streams * tokens)
+	b.ReportMetric(n/(cpuTime()-cpu).Seconds(), "tokens/core-s")
+	b.ReportMetric(n/time.Since(start).Seconds(), "tokens/s")
+	b.ReportMetric(float64(after.Mallocs-before.Mallocs)/n, "allocs/token")
+}
+
+// BenchmarkRelay measures link and agent, both ends in one process over TCP, with a backend that costs nothing.
+func BenchmarkRelay(b *testing.B) {
+	for _, streams := range []int{1, 16, 256} {
+		b.Run(fmt.Sprint(streams), func(b *testing.B) {
+			const tokens = 1000
+			a, err := New(Config{
+				ID: "a", Listen: "127.0.0.1:0",
+				Backend: BackendConfig{Kind: KindEngine, URL: serveHTTP(b, engine.New(engine.Config{})), Slots: streams},
+			})
+			if err != nil {
+				b.Fatal(err)
+			}
+			a.backend = &fountain{Backend: a.backend, pieces: tokens, piece: make([]byte, pieceBytes)}
+			serveAgent(b, a)
+			relay(b, a.Addr().String(), streams, tokens, func(id string) *linkpb.Submit { return chat(id, "1") })
+		})
+	}
+}
+
+// BenchmarkRelayEngine measures the same with the stand-in engine over HTTP in the same process.
+func BenchmarkRelayEngine(b *testing.B) {
+	const streams, tokens = 64, 1000
+	a := startAgent(b, Config{Backend: BackendConfig{
+		Kind: KindEngine, URL: serveHTTP(b, engine.New(engine.Config{Slots: streams})), Slots: streams,
+	}})
+	relay(b, a.Addr().String(), streams, tokens, func(id string) *linkpb.Submit { return chat(id, fmt.Sprint(tokens)) })
+}
+
+// BenchmarkFirstToken measures the time from Submit to the first event, one request at a time.
+func BenchmarkFirstToken(b *testing.B) {
+	a := startAgent(b, Config{Backend: BackendConfig{Kind: KindEngine, URL: serveHTTP(b, engine.New(engine.Config{}))}})
+	p := newPool(b, "bench", nil)
+	newCounter().run(b, p, a.Addr().String(), chat("warm", "1"))
+	var total time.Duration
+	b.ResetTimer()
+	for i := range b.N {
+		start := time.Now()
+		c := newCounter()
+		c.first = func() { total += time.Since(start) }
+		c.run(b, p, a.Addr().String(), chat(fmt.Sprint("r", i), "1"))
+	}
+	b.ReportMetric(float64(total.Microseconds())/float64(b.N), "us/first-token")
+}
+
+// BenchmarkAtRest measures what an agent takes while nothing happens but an open link.
+func BenchmarkAtRest(b *testing.B) {
+	a := startAgent(b, Config{Backend: BackendConfig{Kind: KindEngine, URL: serveHTTP(b, engine.New(engine.Config{}))}})
+	p := newPool(b, "bench", nil)
+	newCounter().run(b, p, a.Addr().String(), chat("warm", "1"))
+	cpu, start := cpuTime(), time.Now()
+	time.Sleep(3 * time.Second)
+	b.ReportMetric((cpuTime()-cpu).Seconds()/time.Since(start).Seconds()*100, "%core")
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	b.ReportMetric(float64(m.HeapInuse+m.StackInuse)/(1<<20), "MiB")
+}
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -103,6 +103,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	serveAgent(t, a)
+	return a
+}
+
+// serveAgent runs a until the test ends, and returns once the backend server is reached.
+func serveAgent(t testing.TB, a *Agent) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan error, 1)
 	go func() { stopped <- a.Run(ctx) }()
@@ -113,7 +120,6 @@
 		}
 	})
 	waitUp(t, a)
-	return a
 }
 
 // waitUp asks the loop until the backend server is reached.
--- a/internal/agent/keep.go
+++ b/internal/agent/keep.go
@@ -33,58 +33,52 @@
 	}
 }
 
-// closeSilent closes links that have requests in progress but bring nothing, not even a heartbeat.
+// closeSilent closes links whose entry waits for something but sends nothing, not even a heartbeat.
 func (a *Agent) closeSilent(now time.Time) {
 	for _, r := range a.records {
-		if r.active() && r.session != nil && now.Sub(r.session.LastReceived()) >= a.cfg.LinkSilence {
+		if r.isDelivering() && now.Sub(r.session.LastReceived()) >= a.cfg.LinkSilence {
 			r.session.Close()
 		}
 	}
 }
 
-// evict drops finished records whose time is over, and the oldest beyond the bound on kept bytes.
+// evict drops finished records whose time is over.
 func (a *Agent) evict(now time.Time) {
-	kept := 0
-	for _, r := range a.records {
-		if r.active() {
-			continue
-		}
-		if now.Sub(r.finishedAt) >= a.cfg.KeepFor {
-			a.drop(r)
-		} else if r.answer != nil {
-			kept += r.answer.size()
-		}
-	}
-	for kept > a.cfg.KeepBytes {
-		r := a.oldestFinished()
-		if r == nil {
-			return
-		}
-		if r.answer != nil {
-			kept -= r.answer.size()
-		}
-		a.drop(r)
+	for len(a.released) > 0 && now.Sub(a.released[0].releasedAt) >= a.cfg.KeepFor {
+		a.evictOldest()
 	}
 }
 
-// evictOldest makes room for one record.
-func (a *Agent) evictOldest() bool {
-	r := a.oldestFinished()
-	if r == nil {
-		return false
+// release lets a finished record be dropped, once no link is about to deliver it, and drops the oldest ones beyond the
+// bound on kept bytes.
+func (a *Agent) release(now time.Time, r *record) {
+	if r.active() || r.isDelivering() || r.listed {
+		return
+	}
+	r.listed = true
+	r.releasedAt = now
+	a.released = append(a.released, r)
+	for a.keptBytes > a.cfg.KeepBytes && a.evictOldest() {
 	}
-	a.drop(r)
-	return true
 }
 
-func (a *Agent) oldestFinished() *record {
-	var oldest *record
-	for _, r := range a.records {
-		if !r.active() && (oldest == nil || r.finishedAt.Before(oldest.finishedAt)) {
-			oldest = r
+// evictOldest makes room by the oldest record that no link is about to deliver.
+func (a *Agent) evictOldest() bool {
+	for len(a.released) > 0 {
+		r := a.released[0]
+		a.released[0] = nil
+		a.released = a.released[1:]
+		r.listed = false
+		if r.isDelivering() {
+			continue // it is released again afterwards
+		}
+		a.keptBytes -= r.kept
+		if a.records[r.id] == r {
+			a.drop(r)
 		}
+		return true
 	}
-	return oldest
+	return false
 }
 
 // drop takes a record out of the table and remembers what could be asked later.
--- a/internal/agent/lifecycle.go
+++ b/internal/agent/lifecycle.go
@@ -68,7 +68,7 @@
 		return true
 	}
 	for _, r := range a.records {
-		if r.session != nil && !r.acked {
+		if r.isDelivering() {
 			return true
 		}
 	}
--- a/internal/agent/link_faults_test.go
+++ b/internal/agent/link_faults_test.go
@@ -261,3 +261,34 @@
 		}
 	})
 }
+
+// TestUndeliveredAnswerIsKept finishes an answer that its caller takes late: neither the bound on kept bytes nor the
+// time may drop it before.
+func TestUndeliveredAnswerIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, Config{KeepBytes: 1, KeepFor: time.Second}, engine.New(engine.Config{}))
+		p := c.pool("entry-1")
+		late := newRecorder()
+		late.hold = true
+		s := chat("late", "4")
+		s.Credit = 100
+		submit(t, p, agentAddr, s, late)
+		for _, id := range []string{"a", "b"} {
+			r := newRecorder()
+			s := chat(id, "1")
+			submit(t, p, agentAddr, s, r)
+			<-r.done
+			time.Sleep(3 * time.Second) // virtual
+		}
+		late.call.Grant(1 << 20)
+		if o := <-late.done; o.end == nil || o.body != wholeOf(chat("late", "4")) {
+			t.Errorf("outcome %v", o)
+		}
+		synctest.Wait()
+		left := 0
+		_ = c.agent.ask(context.Background(), func(time.Time) { left = len(c.agent.records) })
+		if left > 1 {
+			t.Errorf("%d records are kept beyond the bound", left)
+		}
+	})
+}
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -86,6 +86,7 @@
 			if r.answer != nil {
 				r.answer.detach()
 			}
+			a.release(now, r)
 		}
 	}
 }
@@ -120,6 +121,7 @@
 	case f.Ack != nil:
 		if r := a.records[f.Ack.RequestId]; r != nil && (r.entry == e || r.session == s) {
 			r.acked = true
+			a.release(now, r)
 		}
 	}
 }
--- a/internal/agent/record.go
+++ b/internal/agent/record.go
@@ -49,6 +49,9 @@
 	session    *link.Session // that consumes the answer; nil: none
 	orphanedAt time.Time     // when it lost its session
 	acked      bool          // the entry has seen the end
+	kept       int           // bytes of the finished answer
+	listed     bool          // stands in Agent.released
+	releasedAt time.Time
 
 	runs       int // calls of the backend server
 	backendID  string
@@ -71,6 +74,9 @@
 // active reports whether the request waits or runs.
 func (r *record) active() bool { return r.state != finished }
 
+// isDelivering reports whether a link is about to deliver the answer.
+func (r *record) isDelivering() bool { return r.session != nil && !r.acked }
+
 // mayHaveRun reports whether nothing proves that the request did not run.
 func (r *record) mayHaveRun() bool {
 	return r.active() || r.verdict != linkpb.Verdict_VERDICT_NOT_RUN
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -17,6 +17,9 @@
 	ran        = linkpb.Verdict_VERDICT_RAN
 )
 
+// undeliveredFactor times KeepBytes is the most that finished answers may hold that their callers have not taken yet.
+const undeliveredFactor = 8
+
 // refusal says why an attempt ends without an answer.
 type refusal struct {
 	verdict    linkpb.Verdict
@@ -102,6 +105,8 @@
 		return refuse(linkpb.RefuseCode_REFUSE_CODE_UNKNOWN_MODEL, "model "+m.Model+" is not served here")
 	case len(a.records) >= maxRecords && !a.evictOldest():
 		return refuse(linkpb.RefuseCode_REFUSE_CODE_QUEUE_FULL, "too many requests")
+	case a.keptBytes > undeliveredFactor*a.cfg.KeepBytes:
+		return refuse(linkpb.RefuseCode_REFUSE_CODE_QUEUE_FULL, "too many answers wait for their callers")
 	}
 	return nil
 }
@@ -212,6 +217,9 @@
 	a.active--
 	a.publish(now)
 	r.answer.finish(last)
+	r.kept = r.answer.size()
+	a.keptBytes += r.kept
+	a.release(now, r)
 }
 
 // cancelRequest ends a request. One that has not come yet leaves a tombstone, so that it never runs.
@@ -238,7 +246,9 @@
 	if len(a.records) >= maxRecords && !a.evictOldest() {
 		return
 	}
-	a.records[id] = &record{id: id, entry: e, state: finished, verdict: notRun, arrived: now, finishedAt: now}
+	r := &record{id: id, entry: e, state: finished, verdict: notRun, arrived: now, finishedAt: now}
+	a.records[id] = r
+	a.release(now, r)
 }
 
 // stop ends an active request: at once where it waits, when its run has ended otherwise.
