Add the load tool: open-loop arrivals, corrected latencies, results side by side (internal/loadgen)

Cause: attainment, goodput, wasted work and the worst-served organisation must be measured as callers see them. Change: scenarios in JSON with comments, fixed seeds; constant, Poisson, burst and recorded arrivals; skewed organisations, shared prompts, output lengths, callers that leave, orders with and without keys compared with what arrived; HdrHistogram; a table and a PNG or SVG. Run, ReadScenario, Open, WriteReport, SavePlot are for the command. Broken by hand, each seen to fail: a closed loop, told tokens not compared, remote addresses taken. Conclusion: tests in virtual time pass with -race; no load was sent to a real service yet.

--- /dev/null
+++ b/internal/loadgen/loadgen_test.go
@@ -0,0 +1,392 @@
+package loadgen
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// inProcess is a network that leads to a handler in this process, in virtual time.
+type inProcess struct{ http.Handler }
+
+func (t inProcess) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Body != nil {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return nil, err
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+	}
+	w := httptest.NewRecorder()
+	aborted := make(chan bool, 1)
+	go func() {
+		defer func() { aborted <- recover() != nil }()
+		t.ServeHTTP(w, r)
+	}()
+	select {
+	case bad := <-aborted:
+		if bad && w.Body.Len() == 0 {
+			return nil, io.ErrUnexpectedEOF
+		}
+		return w.Result(), nil
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	}
+}
+
+func scenario() Scenario {
+	return Scenario{
+		Name: "test", Entries: []string{"http://127.0.0.1:1", "http://127.0.0.1:2"}, Seed: 3, DurationS: 10, Model: "m",
+		Arrivals:      Arrivals{Kind: ArrivalsConstant, RatePerSecond: 10},
+		Classes:       []Class{{Name: "chat", Stream: true, FirstTokenTargetMS: 500, Output: Lengths{Mean: 4}}},
+		Organisations: []Organisation{{Name: "a", Key: "key-a"}, {Name: "b", Key: "key-b"}},
+	}
+}
+
+// run runs a scenario against a handler in virtual time.
+func run(t *testing.T, s Scenario, handler http.Handler) *Result {
+	t.Helper()
+	var result *Result
+	synctest.Test(t, func(t *testing.T) {
+		var err error
+		result, err = Run(t.Context(), s, Options{transport: inProcess{handler}})
+		if err != nil {
+			t.Fatal(err)
+		}
+	})
+	return result
+}
+
+// answer streams n tokens, with what the arguments leave out.
+func answer(w io.Writer, n int, finish, mark bool) {
+	for i := range n {
+		reason := "null"
+		if finish && i == n-1 {
+			reason = `"stop"`
+		}
+		_, _ = fmt.Fprintf(w, "data: {\"choices\":[{\"delta\":{\"content\":\"x\"},\"finish_reason\":%s}]}\n\n", reason)
+	}
+	if mark {
+		_, _ = fmt.Fprintf(w, "data: {\"choices\":[],\"usage\":{\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n", n)
+	}
+}
+
+func stream(w http.ResponseWriter) { w.Header().Set("Content-Type", "text/event-stream") }
+
+func TestLatencyCountsFromTheIntendedTime(t *testing.T) {
+	var began time.Time // of the service, which stalls for its first two seconds
+	var once sync.Once
+	r := run(t, scenario(), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		once.Do(func() { began = time.Now() })
+		time.Sleep(time.Until(began.Add(2 * time.Second)))
+		stream(w)
+		answer(w, 4, true, true)
+	}))
+	c := r.Classes[0]
+	if c.Arrivals != 99 || c.Ends[endWhole] != 99 {
+		t.Fatalf("%d arrivals, ends %v", c.Arrivals, c.Ends)
+	}
+	if late := c.Arrivals - c.Attained; late < 14 || late > 16 {
+		t.Errorf("%d answers missed 500 ms; the stall alone delays 15", late)
+	}
+	if c.FirstToken.Max < 1990 {
+		t.Errorf("longest wait %v ms", c.FirstToken.Max)
+	}
+}
+
+func TestEnds(t *testing.T) {
+	tests := []struct {
+		name   string
+		handle http.HandlerFunc
+		end    string
+	}{
+		{"whole", func(w http.ResponseWriter, _ *http.Request) { stream(w); answer(w, 4, true, true) }, endWhole},
+		{"no mark of the end", func(w http.ResponseWriter, _ *http.Request) { stream(w); answer(w, 4, true, false) }, endSilent},
+		{"no reason to finish", func(w http.ResponseWriter, _ *http.Request) { stream(w); answer(w, 4, false, true) }, endSilent},
+		{"fewer tokens than told", func(w http.ResponseWriter, _ *http.Request) {
+			stream(w)
+			answer(w, 3, false, false)
+			var b bytes.Buffer
+			answer(&b, 4, true, true)
+			events := strings.SplitN(b.String(), "\n\n", 4)
+			_, _ = io.WriteString(w, strings.Join(events[3:], ""))
+			_, _ = io.WriteString(w, "data: {\"choices\":[],\"usage\":{\"completion_tokens\":9}}\n\n")
+		}, endSilent},
+		{"error event", func(w http.ResponseWriter, _ *http.Request) {
+			stream(w)
+			answer(w, 2, false, false)
+			_, _ = io.WriteString(w, "data: {\"error\":{\"code\":\"broken\",\"verdict\":\"ran\"}}\n\n")
+		}, endCut},
+		{"garbage", func(w http.ResponseWriter, _ *http.Request) {
+			stream(w)
+			_, _ = io.WriteString(w, "data: {\"choices\": oops\n\n")
+		}, endCut},
+		{"refused", func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = io.WriteString(w, `{"error":{"code":"queue_full","verdict":"not_run"}}`)
+		}, endRefused},
+		{"no answer", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, endError},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := run(t, scenario(), tt.handle)
+			if c := r.Classes[0]; c.Ends[tt.end] != c.Arrivals {
+				t.Errorf("ends %v, want all %s", c.Ends, tt.end)
+			}
+			if tt.end == endRefused && (r.Verdicts["not_run"] != 99 || r.Codes["queue_full"] != 99) {
+				t.Errorf("verdicts %v, codes %v", r.Verdicts, r.Codes)
+			}
+		})
+	}
+}
+
+func TestCallersLeave(t *testing.T) {
+	s := scenario()
+	s.Classes[0].LeaveShare, s.Classes[0].LeaveAfterMS = 1, 50
+	r := run(t, s, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	if c := r.Classes[0]; c.Ends[endLeft] != c.Arrivals {
+		t.Errorf("ends %v", c.Ends)
+	}
+}
+
+func TestKeysAndClassesAreSent(t *testing.T) {
+	var mu sync.Mutex
+	seen := make(map[string]int)
+	run(t, scenario(), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		seen[r.Header.Get("Authorization")+r.Header.Get("X-Guavastack-Class")]++
+		seen[r.URL.Host]++
+		stream(w)
+		answer(w, 4, true, true)
+	}))
+	if seen["Bearer key-achat"]+seen["Bearer key-bchat"] != 99 || seen["127.0.0.1:1"] != 50 || seen["127.0.0.1:2"] != 49 {
+		t.Errorf("seen %v", seen)
+	}
+}
+
+// orderService counts arrivals, and misbehaves by the number of the call.
+type orderService struct {
+	mu       sync.Mutex
+	calls    int
+	arrivals map[string]int
+	handle   func(n int, w http.ResponseWriter) (arrives int)
+}
+
+func (o *orderService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if r.URL.Path == "/arrivals" {
+		_ = json.NewEncoder(w).Encode(o.arrivals)
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	sum := sha256.Sum256(body)
+	o.calls++
+	o.arrivals[hex.EncodeToString(sum[:])] += o.handle(o.calls, w)
+	_, _ = io.WriteString(w, "{}")
+}
+
+func TestOrders(t *testing.T) {
+	tests := []struct {
+		name   string
+		handle func(n int, w http.ResponseWriter) int
+		want   OrdersResult
+	}{
+		{"each once", func(int, http.ResponseWriter) int { return 1 }, OrdersResult{Answered: 99}},
+		{"one lost", func(n int, _ http.ResponseWriter) int { return min(1, n-1) }, OrdersResult{Answered: 99, Lost: 1}},
+		{"one doubled", func(n int, _ http.ResponseWriter) int { return 1 + n/99 }, OrdersResult{Answered: 99, Doubled: 1}},
+		{"refused", func(_ int, w http.ResponseWriter) int {
+			w.Header().Set("X-Guavastack-Verdict", "not_run")
+			w.WriteHeader(http.StatusBadRequest)
+			return 0
+		}, OrdersResult{NotRun: 99}},
+		{"refused as not run, and run", func(_ int, w http.ResponseWriter) int {
+			w.Header().Set("X-Guavastack-Verdict", "not_run")
+			w.WriteHeader(http.StatusBadRequest)
+			return 1
+		}, OrdersResult{NotRun: 99, FalseNotRun: 99}},
+		{"may have run", func(_ int, w http.ResponseWriter) int {
+			w.Header().Set("X-Guavastack-Verdict", "may_have_run")
+			w.WriteHeader(http.StatusBadGateway)
+			return 1
+		}, OrdersResult{Unknown: 99}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := scenario()
+			s.Orders = &Orders{Share: 1, ArrivalURLs: []string{"http://127.0.0.1:9/arrivals"}}
+			r := run(t, s, &orderService{arrivals: make(map[string]int), handle: tt.handle})
+			tt.want.Placed, tt.want.Compared = 99, true
+			if r.Orders != tt.want {
+				t.Errorf("%+v, want %+v", r.Orders, tt.want)
+			}
+		})
+	}
+}
+
+func TestKeyedOrdersAreSentAgainUnderTheirKey(t *testing.T) {
+	s := scenario()
+	s.DurationS = 1
+	s.Orders = &Orders{Share: 1, KeyedShare: 1, Resends: 2}
+	var mu sync.Mutex
+	keys := make(map[string]int)
+	r := run(t, s, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		key := r.Header.Get("Idempotency-Key")
+		keys[key]++
+		if keys[key] < 3 {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "{}")
+	}))
+	if r.Orders.Answered != 9 || len(keys) != 9 {
+		t.Errorf("%+v, %d keys", r.Orders, len(keys))
+	}
+}
+
+func TestSchedule(t *testing.T) {
+	s := scenario()
+	s.DurationS = 100
+	count := func(a Arrivals) (n int, in func(from, to time.Duration) int) {
+		s.Arrivals = a
+		all := slices.Collect(schedule(s.withDefaults()))
+		if again := slices.Collect(schedule(s.withDefaults())); !reflect.DeepEqual(all, again) {
+			t.Error("the same scenario gave other requests")
+		}
+		return len(all), func(from, to time.Duration) int {
+			n := 0
+			for _, r := range all {
+				if r.at >= from && r.at < to {
+					n++
+				}
+			}
+			return n
+		}
+	}
+	if n, _ := count(Arrivals{Kind: ArrivalsPoisson, RatePerSecond: 50}); n < 4700 || n > 5300 {
+		t.Errorf("Poisson: %d", n)
+	}
+	_, in := count(Arrivals{Kind: ArrivalsBurst, RatePerSecond: 10, Burst: Burst{AtS: 50, ForS: 10, RatePerSecond: 200}})
+	if calm, burst := in(0, 50*time.Second), in(50*time.Second, 60*time.Second); calm < 420 || calm > 580 || burst < 1850 || burst > 2150 {
+		t.Errorf("burst: %d calm, %d in the burst", calm, burst)
+	}
+	_, in = count(Arrivals{Kind: ArrivalsCurve, Curve: []Point{{0, 0}, {100, 100}}})
+	if first, second := in(0, 50*time.Second), in(50*time.Second, 100*time.Second); second < 2*first || second > 4*first {
+		t.Errorf("curve: %d in the first half, %d in the second", first, second)
+	}
+}
+
+func TestSkewAndLengths(t *testing.T) {
+	s := scenario()
+	s.Skew = 1
+	s.Arrivals.RatePerSecond = 1000
+	s.Classes[0].Output = Lengths{Kind: LengthsLognormal, Mean: 50, Sigma: 1, Max: 400}
+	s.Prompts = Prompts{SharedShare: 0.5, Prefixes: 2, PrefixTokens: 10}
+	s = s.withDefaults()
+	byOrganisation := make([]int, 2)
+	shared, above := 0, 0
+	for r := range schedule(s) {
+		byOrganisation[r.organisation]++
+		if r.prefix >= 0 {
+			shared++
+		}
+		if r.outputTokens > 50 {
+			above++
+		}
+		if r.outputTokens > 400 {
+			t.Fatalf("%d tokens", r.outputTokens)
+		}
+	}
+	total := byOrganisation[0] + byOrganisation[1]
+	if share := float64(byOrganisation[0]) / float64(total); share < 0.64 || share > 0.69 {
+		t.Errorf("first of two by Zipf: %.3f", share)
+	}
+	if half := total / 2; shared < half*9/10 || shared > half*11/10 || above < half*9/10 || above > half*11/10 {
+		t.Errorf("%d shared, %d above the median, of %d", shared, above, total)
+	}
+	a, b := s.prompt(request{n: 1, prefix: 0}), s.prompt(request{n: 2, prefix: 0})
+	if a == b || a[:40] != b[:40] {
+		t.Errorf("prompts that share a prefix: %q, %q", a[:60], b[:60])
+	}
+}
+
+func TestValidate(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Scenario)
+		remote bool
+		ok     bool
+	}{
+		{"as it is", func(*Scenario) {}, false, true},
+		{"remote address", func(s *Scenario) { s.Entries[0] = "http://10.1.2.3:80" }, false, false},
+		{"name that resolves", func(s *Scenario) { s.Entries[0] = "http://localhost:80" }, false, false},
+		{"remote address, asked for", func(s *Scenario) { s.Entries[0] = "http://10.1.2.3:80" }, true, true},
+		{"remote arrivals", func(s *Scenario) { s.Orders = &Orders{ArrivalURLs: []string{"http://10.0.0.1/"}} }, false, false},
+		{"no rate", func(s *Scenario) { s.Arrivals.RatePerSecond = 0 }, false, false},
+		{"unknown arrivals", func(s *Scenario) { s.Arrivals.Kind = "x" }, false, false},
+		{"unordered curve", func(s *Scenario) { s.Arrivals = Arrivals{Kind: ArrivalsCurve, Curve: []Point{{1, 1}, {1, 2}}} }, false, false},
+		{"unknown lengths", func(s *Scenario) { s.Classes[0].Output.Kind = "x" }, false, false},
+	}
+	for _, tt := range tests {
+		s := scenario()
+		tt.change(&s)
+		if err := s.Validate(tt.remote); (err == nil) != tt.ok {
+			t.Errorf("%s: %v", tt.name, err)
+		}
+	}
+	if _, err := ParseScenario([]byte(`{"name": "x", /* comment */ "duration": 3}`)); err == nil {
+		t.Error("an unknown field was taken")
+	}
+}
+
+func TestReportAndPlot(t *testing.T) {
+	r := run(t, scenario(), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		stream(w)
+		answer(w, 4, true, true)
+	}))
+	dir := t.TempDir()
+	if err := r.Save(filepath.Join(dir, "a.json")); err != nil {
+		t.Fatal(err)
+	}
+	read, err := Open(filepath.Join(dir, "a.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var table bytes.Buffer
+	if err := WriteReport(&table, []string{"a", "b"}, []*Result{r, read}); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(strings.Join(strings.Fields(table.String()), " "), "chat: attainment 100.00% 100.00%") {
+		t.Errorf("table:\n%s", table.String())
+	}
+	for _, name := range []string{"plot.png", "plot.svg"} {
+		path := filepath.Join(dir, name)
+		if err := SavePlot(path, []string{"a", "b"}, []*Result{r, read}); err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if info, err := os.Stat(path); err != nil || info.Size() < 1000 {
+			t.Errorf("%s: %v, %v", name, info, err)
+		}
+	}
+	if err := SavePlot(filepath.Join(dir, "plot.txt"), nil, nil); err == nil {
+		t.Error("an unknown format was taken")
+	}
+}
