--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -103,11 +103,29 @@
 	if late := c.Arrivals - c.Attained; late < 14 || late > 16 {
 		t.Errorf("%d answers missed 500 ms; the stall alone delays 15", late)
 	}
+	if r.Lateness.Max > 1 {
+		t.Errorf("requests were sent up to %v ms late", r.Lateness.Max)
+	}
 	if c.FirstToken.Max < 1990 {
 		t.Errorf("longest wait %v ms", c.FirstToken.Max)
 	}
 }
 
+func TestLateSendingCountsAsLatency(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSender(scenario().withDefaults())
+		s.shared.Transport = inProcess{http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			stream(w)
+			answer(w, 4, true, true)
+		})}
+		s.started = time.Now().Add(-3 * time.Second)
+		out := s.send(t.Context(), request{at: time.Second, prefix: -1})
+		if out.firstToken != 2*time.Second || out.total != 2*time.Second || out.lateness != 2*time.Second {
+			t.Errorf("first token %v, total %v, lateness %v", out.firstToken, out.total, out.lateness)
+		}
+	})
+}
+
 func TestEnds(t *testing.T) {
 	tests := []struct {
 		name   string
