--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -47,7 +47,8 @@
 func (a *Agent) submit(now time.Time, s *link.Session, e *entry, current bool, m *linkpb.Submit) {
 	old := a.records[m.RequestId]
 	if old != nil && old.submit != nil && old.submit.Attempt == m.Attempt && current {
-		return // a duplicate: the first one answers
+		a.repeatOutcome(s, old, m)
+		return
 	}
 	if why := a.refuseArrival(e, current, m, old); why != nil {
 		a.meters.refused.Inc(1)
@@ -64,6 +65,20 @@
 	a.act(now, a.sched.Submit(now, r.schedRequest(a.backend.Resumable())))
 }
 
+// repeatOutcome answers a duplicate of a request that has ended; one that is in progress answers by itself.
+func (a *Agent) repeatOutcome(s *link.Session, r *record, m *linkpb.Submit) {
+	if r.active() {
+		return
+	}
+	if err := r.answer.attach(s, 0, m.Credit); err != nil {
+		s.Send(a.refusedFrame(r.id, m.Attempt, &refusal{
+			verdict: mayHaveRun, code: linkpb.RefuseCode_REFUSE_CODE_INVALID, message: "request has run before",
+		}))
+		return
+	}
+	r.session = s
+}
+
 // refuseArrival says why a Submit is not taken; nil: it is.
 func (a *Agent) refuseArrival(e *entry, current bool, m *linkpb.Submit, old *record) *refusal {
 	switch {
@@ -256,12 +271,19 @@
 		return
 	}
 	former := r.session
+	attended := former != nil && former != s && r.active()
+	if attended && m.Unattended {
+		s.Send(a.refusedFrame(m.RequestId, r.submit.Attempt, &refusal{
+			verdict: mayHaveRun, code: linkpb.RefuseCode_REFUSE_CODE_ATTENDED, message: "another entry follows the request",
+		}))
+		return
+	}
 	if err := r.answer.attach(s, m.NextSeq, m.Credit); err != nil {
 		unknown.message = errors.Annotate(err, "part of the answer is not kept").Error()
 		s.Send(a.refusedFrame(m.RequestId, r.submit.Attempt, unknown))
 		return
 	}
-	if former != nil && former != s && r.active() {
+	if attended {
 		former.Send(a.refusedFrame(r.id, r.submit.Attempt, &refusal{
 			verdict: mayHaveRun, code: linkpb.RefuseCode_REFUSE_CODE_CANCELLED, message: "answer is taken by another entry",
 		}))
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -20,15 +20,15 @@
 	handler Handler
 
 	// Guarded by peer.mu.
-	sent       bool   // the Submit was handed to a connection
-	sentTo     string // incarnation of the agent that it was sent to
-	queuedAt   time.Time
-	grant      uint32 // credit that waits to be sent
-	inFlight   bool   // the call stands in peer.calls
-	cancelled  bool
-	cancelWhy  linkpb.CancelReason
-	cancelSent bool
-	resumes    int
+	sent      bool   // the Submit was handed to a connection
+	sentTo    string // incarnation of the agent that it was sent to
+	queuedAt  time.Time
+	deadline  int64  // milliseconds from queuedAt; 0: none
+	grant     uint32 // credit that waits to be sent
+	inFlight  bool   // the call stands in peer.calls
+	cancelled bool
+	cancelWhy linkpb.CancelReason
+	resumes   int
 
 	attempt atomic.Uint32 // 0: learned from the first message
 	next    atomic.Uint64 // sequence number of the next event
@@ -38,6 +38,7 @@
 	mu         sync.Mutex // serialises the handler and guards what follows
 	done       bool
 	anyAttempt bool // learn the attempt from the first message
+	unattended bool // until the first message, attach only where no other entry follows the request
 	partial    bool // the answer does not begin at its first event
 	digest     xxhash.Digest
 	digesting  bool
@@ -175,6 +176,7 @@
 		RequestId:    c.id,
 		Attempt:      c.attempt.Load(),
 		Organisation: c.org,
+		Unattended:   c.unattended && c.anyAttempt,
 		NextSeq:      c.next.Load(),
 		Credit:       c.openCredit(),
 	}}
