--- a/internal/loadgen/collect.go
+++ b/internal/loadgen/collect.go
@@ -183,6 +183,9 @@
 	for len(c.timeline) <= i {
 		c.timeline = append(c.timeline, TimelinePoint{AtS: float64(len(c.timeline)) * timelineStep.Seconds()})
 	}
+	if s.end == endLeft {
+		return
+	}
 	p := &c.timeline[i]
 	p.Arrivals++
 	if c.attained(s) {
--- a/internal/loadgen/result.go
+++ b/internal/loadgen/result.go
@@ -114,6 +114,9 @@
 
 const microsecondsPerMS = 1000.0
 
+// curveTicks is the number of points of a curve for each halving of the distance to 100 %.
+const curveTicks = 10
+
 func summarise(h *hdrhistogram.Histogram) Latencies {
 	at := func(percent float64) float64 { return float64(h.ValueAtQuantile(percent)) / microsecondsPerMS }
 	l := Latencies{Count: h.TotalCount()}
@@ -123,7 +126,7 @@
 	l.Mean = h.Mean() / microsecondsPerMS
 	l.P50, l.P90, l.P95, l.P99, l.P999 = at(50), at(90), at(95), at(99), at(99.9)
 	l.Max = float64(h.Max()) / microsecondsPerMS
-	for _, bracket := range h.CumulativeDistribution() {
+	for _, bracket := range h.CumulativeDistributionWithTicks(curveTicks) {
 		l.Curve = append(l.Curve, Percent{Percent: bracket.Quantile, MS: float64(bracket.ValueAt) / microsecondsPerMS})
 	}
 	return l
