--- /dev/null
+++ b/cmd/guavastack/processes_test.go
@@ -0,0 +1,236 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"github.com/guavastack/guavastack/internal/adminclient"
+	"github.com/guavastack/guavastack/internal/standin/service"
+)
+
+// TestProcessesServe runs the whole path as separate processes.
+func TestProcessesServe(t *testing.T) {
+	c := newCluster(t, 2)
+	for _, entry := range c.names("entry") {
+		if r := c.chat(entry, 20); !r.ok || strings.Count(r.body, "data: ") != 21 {
+			t.Errorf("%s: status %d, error %v, body %s", entry, r.status, r.err, r.body)
+		}
+	}
+	if r := c.order("entry-1", "hides", "k"); !r.ok {
+		t.Errorf("order: %+v", r)
+	}
+	if r := c.order("entry-2", "hides", "k"); !r.ok || c.arrivals("hides") != 1 {
+		t.Errorf("order again through another entry: %+v, arrivals %d", r, c.arrivals("hides"))
+	}
+	c.until("a usage report at the platform", func() bool { return len(c.platform.Record().Events) > 0 })
+}
+
+// TestKeyWithdrawnFromStreams withdraws a key while callers are connected at both entries.
+func TestKeyWithdrawnFromStreams(t *testing.T) {
+	c := newCluster(t, 1)
+	_, first := c.openStream("entry-1")
+	_, second := c.openStream("entry-2")
+	if _, err := c.admin().WithdrawKey(context.Background(), "camurca", c.key.ID, adminclient.Options{}); err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range []io.Reader{first, second} {
+		rest, err := io.ReadAll(r)
+		if err == nil || !strings.Contains(string(rest), `"code":"key_withdrawn"`) || strings.Contains(string(rest), "[DONE]") {
+			t.Errorf("stream ended with %v in %s", err, tail(string(rest), 300))
+		}
+	}
+	for _, entry := range c.names("entry") {
+		if r := c.chat(entry, 1); r.status != http.StatusUnauthorized || r.verdict != "not_run" {
+			t.Errorf("%s still serves the key: %+v", entry, r)
+		}
+	}
+}
+
+// TestControlGroupFrozen stops all control members without a word: keyed work ends, open routes go on.
+func TestControlGroupFrozen(t *testing.T) {
+	c := newCluster(t, 1)
+	_, stream := c.openStream("entry-1")
+	for _, name := range c.names("control") {
+		c.signal(name, syscall.SIGSTOP)
+	}
+	rest, err := io.ReadAll(stream)
+	if err == nil || !strings.Contains(string(rest), `"code":"settings_not_fresh"`) {
+		t.Errorf("stream ended with %v in %s", err, tail(string(rest), 300))
+	}
+	if r := c.order("entry-1", "frozen", ""); r.status != http.StatusServiceUnavailable || r.verdict != "not_run" {
+		t.Errorf("keyed request while frozen: %+v", r)
+	}
+	if r := c.request("entry-1", http.MethodPost, "/services/stock", "stock", nil); !r.ok {
+		t.Errorf("open request while frozen: %+v", r)
+	}
+	for _, name := range c.names("control") {
+		c.signal(name, syscall.SIGCONT)
+	}
+	c.until("service after the freeze", func() bool { return c.order("entry-1", "thawed", "").ok })
+	if n := c.arrivals("frozen"); n != 0 {
+		t.Errorf("a request refused as not run arrived %d times", n)
+	}
+}
+
+// TestEntriesKilledWithOrders kills entries while reservations are on their way; callers send them again through the
+// other entry until they know the outcome.
+func TestEntriesKilledWithOrders(t *testing.T) {
+	c := newCluster(t, 1)
+	c.service.Inject(service.Fault{Kind: service.Slow, DelayMs: 20})
+	const rounds, perRound = 4, 6
+	for round := range rounds {
+		victim := fmt.Sprintf("entry-%d", 1+round%2)
+		other := fmt.Sprintf("entry-%d", 2-round%2)
+		var callers sync.WaitGroup
+		for i := range perRound {
+			body := fmt.Sprintf("order %d of round %d", i, round)
+			callers.Go(func() {
+				r := c.order(victim, body, body)
+				c.until("outcome of "+body, func() bool {
+					if r.ok || r.verdict == "may_have_run" && r.err == nil {
+						return true
+					}
+					r = c.order(other, body, body)
+					return false
+				})
+				if r.ok && c.arrivals(body) != 1 {
+					t.Errorf("%s was answered and arrived %d times", body, c.arrivals(body))
+				}
+			})
+		}
+		c.until("an arrival", func() bool { return c.arrivals(fmt.Sprintf("order 0 of round %d", round)) > 0 || round%2 == 1 })
+		c.kill(victim)
+		callers.Wait()
+		c.start(victim)
+		c.waitReady(victim)
+	}
+	for digest, n := range c.service.Arrivals() {
+		if n > 1 && digest != warmUpDigest {
+			t.Errorf("a reservation arrived %d times", n)
+		}
+	}
+}
+
+// warmUpDigest is the SHA-256 of the body that the cluster's start sends more than once.
+const warmUpDigest = "b64f459893b6709b0efefe5a5a61b8a557b80176fe6c6bbf5d554e9f77ec0f0c"
+
+// TestAgentKilled kills an agent in the middle of an answer.
+func TestAgentKilled(t *testing.T) {
+	c := newCluster(t, 1)
+	_, stream := c.openStream("entry-1")
+	c.kill("engine-1")
+	rest, err := io.ReadAll(stream)
+	if err == nil || strings.Contains(string(rest), "[DONE]") || !strings.Contains(string(rest), "event: error") {
+		t.Errorf("stream ended with %v in %s", err, tail(string(rest), 300))
+	}
+	c.start("engine-1")
+	c.until("service by the new agent", func() bool { return c.chat("entry-2", 3).ok })
+	c.until("the old agent's work to be cancelled", func() bool { return c.engines["engine-1"].Running() == 0 })
+}
+
+// TestRollingRestart restarts every process in turn under load; no request fails.
+func TestRollingRestart(t *testing.T) {
+	c := newCluster(t, 2)
+	b := newBalancer(c)
+	var stop atomic.Bool
+	var sent, failed atomic.Int64
+	var callers sync.WaitGroup
+	for range 4 {
+		callers.Go(func() {
+			for !stop.Load() {
+				r := b.chat(30)
+				sent.Add(1)
+				if !r.ok {
+					failed.Add(1)
+					t.Errorf("request failed: status %d, error %v, verdict %s, body %s", r.status, r.err, r.verdict, tail(r.body, 300))
+				}
+			}
+		})
+	}
+	for _, name := range append(append(c.names("entry"), c.names("agent")...), c.names("control")...) {
+		before := sent.Load()
+		c.stop(name)
+		c.start(name)
+		c.waitReady(name)
+		c.until("requests after the restart of "+name, func() bool { return sent.Load() > before+4 })
+	}
+	stop.Store(true)
+	callers.Wait()
+	b.close()
+	t.Logf("%d requests during the restarts, %d failed", sent.Load(), failed.Load())
+}
+
+// TestLeadersKilledAndPaused kills and pauses leaders while changes are made and usage is reported.
+func TestLeadersKilledAndPaused(t *testing.T) {
+	c := newCluster(t, 1)
+	ctx := context.Background()
+	accepted := make(map[string]string) // version by change id
+	change := func(id string) {
+		t.Helper()
+		c.until("change "+id, func() bool {
+			patch := fmt.Sprintf(`{"classes":{"fast":{"weight":%d}}}`, 1+len(accepted))
+			r, err := c.admin().PatchOrganisation(ctx, "camurca", patch, adminclient.Options{IfMatch: "*", ChangeID: id})
+			if err == nil {
+				accepted[id] = r.Version
+			}
+			return err == nil
+		})
+	}
+	for round := range 4 {
+		change(fmt.Sprintf("before-%d", round))
+		leader := "control-" + c.leader()
+		if round%2 == 0 {
+			c.kill(leader)
+		} else {
+			c.signal(leader, syscall.SIGSTOP)
+		}
+		change(fmt.Sprintf("during-%d", round))
+		c.chat("entry-1", 5)
+		if round%2 == 0 {
+			c.start(leader)
+		} else {
+			c.signal(leader, syscall.SIGCONT)
+		}
+		c.waitReady(leader)
+		change(fmt.Sprintf("after-%d", round))
+	}
+	h, err := c.admin().History(ctx, 1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	times := make(map[string]int)
+	for _, entry := range h.Changes {
+		times[entry.ChangeID]++
+		if v, ok := accepted[entry.ChangeID]; ok && v != entry.Version {
+			t.Errorf("change %s was accepted as version %s and stands as %s", entry.ChangeID, v, entry.Version)
+		}
+	}
+	for id := range accepted {
+		if times[id] != 1 {
+			t.Errorf("accepted change %s stands %d times in the history", id, times[id])
+		}
+	}
+	reported := len(c.platform.Record().Events)
+	c.until("reports by the last leader", func() bool { return len(c.platform.Record().Events) > reported })
+	if v := c.platform.Record().Violations; len(v) > 0 {
+		t.Errorf("the platform saw: %v", v)
+	}
+}
+
+// leader returns the number of the leading control member.
+func (c *cluster) leader() string {
+	var leader string
+	c.until("a leader", func() bool {
+		st, err := c.admin().Status(context.Background(), "", 0)
+		leader = st.Leader
+		return err == nil && leader != "" && st.Confirmed
+	})
+	return leader
+}
