--- a/internal/operate/charge.go
+++ b/internal/operate/charge.go
@@ -12,6 +12,7 @@
 	"github.com/guavastack/guavastack/internal/core/duty"
 	"github.com/guavastack/guavastack/internal/core/fleet"
 	"github.com/guavastack/guavastack/internal/platform"
+	"github.com/guavastack/guavastack/proto/controlpb"
 )
 
 const (
@@ -28,7 +29,8 @@
 	began   time.Time
 	fencing uint64
 
-	inventory platform.Inventory // newest one
+	inventory platform.Inventory                  // of this round
+	registry  map[string]*controlpb.BackendServer // of this round, by id
 	planner   *fleet.Planner
 	inherited map[string]bool        // open orders of earlier spells that are not settled
 	unsure    []duty.Order           // intents whose proposal has no known outcome
--- a/internal/operate/fleet.go
+++ b/internal/operate/fleet.go
@@ -9,7 +9,6 @@
 	"github.com/guavastack/guavastack/internal/core/duty"
 	"github.com/guavastack/guavastack/internal/core/fleet"
 	"github.com/guavastack/guavastack/internal/platform"
-	"github.com/guavastack/guavastack/proto/controlpb"
 )
 
 // unregisteredStarts is how many start times a server may take before its agent registers; after that it counts as broken.
@@ -28,13 +27,12 @@
 
 // observe returns what is known of each pool.
 func (c *charge) observe(settings fleet.Settings, open []duty.Order) []fleet.Observation {
-	registry := c.op.cfg.Registry()
 	observed := make([]fleet.Observation, 0, len(settings.Pools))
 	for _, pool := range settings.Pools {
 		o := fleet.Observation{
 			Model: pool.Model, Attainment: c.op.cfg.Attainment(pool.Model),
-			DemandByOrganisation: c.demand(pool.Model, registry),
-			SlotsPerServer:       meanSlots(pool.Model, registry),
+			DemandByOrganisation: c.demand(pool.Model),
+			SlotsPerServer:       c.meanSlots(pool.Model),
 		}
 		for _, zone := range pool.Zones {
 			o.Zones = append(o.Zones, c.observeZone(pool, zone, open))
@@ -75,9 +73,9 @@
 }
 
 // demand shares the requests that run and wait for a model among the organisations, by their recent usage of it.
-func (c *charge) demand(model string, registry []*controlpb.BackendServer) map[string]float64 {
+func (c *charge) demand(model string) map[string]float64 {
 	requests := 0.0
-	for _, server := range registry {
+	for _, server := range c.registry {
 		if server.Model == model {
 			requests += float64(server.Running + server.Waiting)
 		}
@@ -92,9 +90,10 @@
 	return shares
 }
 
-func meanSlots(model string, registry []*controlpb.BackendServer) float64 {
+// meanSlots returns the mean slots of the servers of a model, 0 while none has reported.
+func (c *charge) meanSlots(model string) float64 {
 	sum, n := 0.0, 0.0
-	for _, server := range registry {
+	for _, server := range c.registry {
 		if server.Model == model && server.Slots > 0 {
 			sum += float64(server.Slots)
 			n++
@@ -170,7 +169,7 @@
 // isSomeBooting reports whether a server of the pool has no registered agent yet and is not broken.
 func (c *charge) isSomeBooting(pool fleet.Pool) bool {
 	return slices.ContainsFunc(c.inventory.Servers, func(s platform.Server) bool {
-		return s.Model == pool.Model && c.registered(s.ID) == nil && !c.isBroken(pool, s.ID)
+		return s.Model == pool.Model && c.registry[s.ID] == nil && !c.isBroken(pool, s.ID)
 	})
 }
 
@@ -186,7 +185,7 @@
 }
 
 func (c *charge) toDrain(id string) uint32 {
-	server := c.registered(id)
+	server := c.registry[id]
 	if server == nil {
 		return 0
 	}
--- a/internal/operate/orders.go
+++ b/internal/operate/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -56,10 +57,13 @@
 	return settings, open
 }
 
-// noteRegistry remembers which servers have an agent. A server first seen counts as seen by its agent just then.
+// noteRegistry takes the registry for this round and remembers which servers have an agent. A server first seen counts
+// as seen by its agent just then.
 func (c *charge) noteRegistry() {
 	now := time.Now()
+	c.registry = make(map[string]*controlpb.BackendServer)
 	for _, server := range c.op.cfg.Registry() {
+		c.registry[server.Id] = server
 		c.lastSeen[server.Id] = now
 	}
 	for _, server := range c.inventory.Servers {
@@ -67,6 +71,16 @@
 			c.lastSeen[server.ID] = now
 		}
 	}
+	c.forgetGone()
+}
+
+// forgetGone drops what is remembered of servers that are neither at the platform nor in the registry.
+func (c *charge) forgetGone() {
+	there := make(map[string]bool, len(c.inventory.Servers))
+	for _, server := range c.inventory.Servers {
+		there[server.ID] = true
+	}
+	maps.DeleteFunc(c.lastSeen, func(id string, _ time.Time) bool { return !there[id] && c.registry[id] == nil })
 }
 
 // settleKnown settles the open orders whose outcome the inventory shows, and returns the others.
@@ -212,7 +226,7 @@
 
 // stopStep drains the server, and stops it once its agent says that nothing runs or waits.
 func (c *charge) stopStep(ctx context.Context, order duty.Order) error {
-	server := c.registered(order.Server)
+	server := c.registry[order.Server]
 	if server == nil {
 		if time.Since(c.lastSeen[order.Server]) < c.op.cfg.AbsentAfter {
 			return nil
@@ -246,18 +260,9 @@
 	return reply.Accepted && leaving && reply.Running == 0 && reply.Waiting == 0
 }
 
-func (c *charge) registered(id string) *controlpb.BackendServer {
-	for _, server := range c.op.cfg.Registry() {
-		if server.Id == id {
-			return server
-		}
-	}
-	return nil
-}
-
 // engineStep gives an engine order to the agent.
 func (c *charge) engineStep(ctx context.Context, order duty.Order) error {
-	server := c.registered(order.Server)
+	server := c.registry[order.Server]
 	if server == nil {
 		return nil
 	}
