Close windows that are not longer than the grace

Cause: the grace was counted from the opening of the newest window, so with a window of 10 s and a grace of 10 s (the demonstration) the next window always opened first, and nothing was ever closed or reported. Change: the grace counts from when the window itself was left; by default it is no longer than a window. Conclusion: TestWindowsShorterThanTheGraceAreClosed failed with 0 windows in 30 s under the old rule, and passes.

--- a/internal/operate/billing.go
+++ b/internal/operate/billing.go
@@ -123,41 +123,53 @@
 
 // billingState is what one spell in charge remembers of billing.
 type billingState struct {
-	opened     time.Time // when this spell saw the open window first
-	window     uint64    // the open window
+	opened     map[uint64]time.Time // when this spell saw each window open first
+	window     uint64               // the open window
+	began      time.Time            // when this spell saw its first window
 	recorded   time.Time
 	reportedAt time.Time // of the last attempt
 	failed     uint64    // window whose last attempt has no known outcome
 }
 
+// noteWindow notices a window that is new to this spell.
+func (b *billingState) noteWindow(open uint64, now time.Time) {
+	if b.opened == nil {
+		b.opened = make(map[uint64]time.Time)
+		b.began = now
+	}
+	if open != b.window {
+		b.window = open
+		b.opened[open] = now
+	}
+}
+
+// left returns when the window after the given one was opened, as far as this spell knows.
+func (b *billingState) left(window uint64) time.Time {
+	if at, ok := b.opened[window+1]; ok {
+		return at
+	}
+	return b.began
+}
+
 // billingRound does whatever is due: commit counters, open the next window, close the one before, report one window.
 func (c *charge) billingRound(ctx context.Context) error {
-	c.noteWindow()
-	now := time.Now()
 	b := &c.billing
+	now := time.Now()
+	b.noteWindow(c.op.usage.OpenWindow(), now)
 	if now.Sub(b.recorded) >= c.op.cfg.Record {
 		if err := c.record(ctx); err != nil {
 			return err
 		}
 	}
-	if now.Sub(b.opened) >= c.op.cfg.Window {
+	if now.Sub(b.opened[b.window]) >= c.op.cfg.Window {
 		return c.advance(ctx)
 	}
-	if window, due := c.dueWindow(); due && now.Sub(b.opened) >= c.op.cfg.Grace {
+	if window, due := c.dueWindow(); due && now.Sub(b.left(window)) >= c.op.cfg.Grace {
 		return c.closeWindow(ctx, window)
 	}
 	return c.report(ctx)
 }
 
-// noteWindow notices a window that is new to this spell.
-func (c *charge) noteWindow() {
-	open := c.op.usage.OpenWindow()
-	if open != c.billing.window {
-		c.billing.window = open
-		c.billing.opened = time.Now()
-	}
-}
-
 func (c *charge) dueWindow() (window uint64, due bool) {
 	c.op.cfg.Group.View(func() { window, due = c.op.cfg.Billing.Due() })
 	return window, due
@@ -198,6 +210,9 @@
 	if err != nil {
 		return err
 	}
+	if result.Code == billing.CodeOK {
+		delete(c.billing.opened, window)
+	}
 	c.op.cfg.Logger.Info("billing window closed", "window", window, "code", result.Code)
 	return nil
 }
--- a/internal/operate/faults_test.go
+++ b/internal/operate/faults_test.go
@@ -271,6 +271,20 @@
 	})
 }
 
+func TestWindowsShorterThanTheGraceAreClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, standin.Config{})
+		for _, m := range b.group.members {
+			m.operator.cfg.Window, m.operator.cfg.Grace = 2*time.Second, 4*time.Second
+		}
+		b.elect(0)
+		b.run(30 * time.Second)
+		if _, windows := b.reported(); windows < 10 {
+			t.Errorf("%d windows reported in 30 s", windows)
+		}
+	})
+}
+
 func TestRateLimitKeepsTheOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, standin.Config{})
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -71,7 +71,7 @@
 	Poll          time.Duration // between looks at the lease
 	OrderInterval time.Duration // between rounds of orders
 	Window        time.Duration // length of a billing window
-	Grace         time.Duration // from the end of a window to its closing, for late counters
+	Grace         time.Duration // from the end of a window to its closing, for late counters; at most a window by default
 	Record        time.Duration // between commits of counters
 	NoSupplyHold  time.Duration // after a refusal of a zone, before it is asked again
 	AbsentAfter   time.Duration // a server whose agent was silent so long has no request left; above every deadline
@@ -119,7 +119,7 @@
 	setDefault(&cfg.Poll, defaultPoll)
 	setDefault(&cfg.OrderInterval, defaultOrderInterval)
 	setDefault(&cfg.Window, defaultWindow)
-	setDefault(&cfg.Grace, defaultGrace)
+	setDefault(&cfg.Grace, min(defaultGrace, cfg.Window))
 	setDefault(&cfg.Record, defaultRecord)
 	setDefault(&cfg.NoSupplyHold, defaultNoSupplyHold)
 	setDefault(&cfg.AbsentAfter, defaultAbsentAfter)
