--- /dev/null
+++ b/internal/agent/abuse_test.go
@@ -0,0 +1,206 @@
+package agent
+
+import (
+	"bytes"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"math/big"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/verdict"
+	"github.com/guavastack/guavastack/internal/link"
+	"github.com/guavastack/guavastack/internal/standin"
+	"github.com/guavastack/guavastack/internal/standin/engine"
+	"github.com/guavastack/guavastack/internal/standin/service"
+	"github.com/guavastack/guavastack/proto/linkpb"
+)
+
+// TestNoKeyReachesTheBackend records every byte that a service and an engine receive.
+func TestNoKeyReachesTheBackend(t *testing.T) {
+	const key = "gv-secret-key"
+	for _, kind := range []BackendKind{KindService, KindEngine} {
+		t.Run(string(kind), func(t *testing.T) {
+			var recorder standin.Recorder
+			server := httptest.NewUnstartedServer(service.New())
+			if kind == KindEngine {
+				server = httptest.NewUnstartedServer(engine.New(engine.Config{}))
+			}
+			server.Listener = recorder.Listen(server.Listener)
+			server.Start()
+			t.Cleanup(server.Close)
+			a := startAgent(t, Config{Backend: BackendConfig{Kind: kind, URL: server.URL}})
+			s := chat("r1", "3")
+			for _, name := range []string{"Authorization", "X-Api-Key", "Cookie", "Proxy-Authorization", "api-key", "X-Anything"} {
+				s.Headers = append(s.Headers, &linkpb.Header{Name: name, Value: key})
+			}
+			r := newRecorder()
+			submit(t, newPool(t, "entry-1", nil), a.Addr().String(), s, r)
+			if o := <-r.done; o.end == nil {
+				t.Fatal(o)
+			}
+			if got := recorder.Bytes(); bytes.Contains(got, []byte(key)) || !bytes.Contains(got, []byte("max_tokens")) {
+				t.Errorf("backend server received %q", got)
+			}
+		})
+	}
+}
+
+// TestAbusedLink gives the agent connections that are no links, and checks that it serves on.
+func TestAbusedLink(t *testing.T) {
+	tests := []struct {
+		name  string
+		bytes []byte
+	}{
+		{"nothing", nil},
+		{"HTTP", []byte("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")},
+		{"random", bytes.Repeat([]byte{0xde, 0xad, 0xbe, 0xef}, 1000)},
+		{"endless frame", bytes.Repeat([]byte{0xff}, 1<<20)},
+		{"zeroes", make([]byte, 1<<16)},
+	}
+	a := startAgent(t, Config{Backend: BackendConfig{Kind: KindEngine, URL: serveHTTP(t, engine.New(engine.Config{}))}})
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", a.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			_, _ = conn.Write(tt.bytes) // the agent may close it at any byte
+			r := newRecorder()
+			submit(t, newPool(t, "entry-"+tt.name, nil), a.Addr().String(), chat("r-"+tt.name, "3"), r)
+			if o := <-r.done; o.end == nil {
+				t.Error(o)
+			}
+		})
+	}
+}
+
+// TestIdleLink checks that a link without requests sends nothing, and is closed after the idle timeout.
+func TestIdleLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, Config{}, engine.New(engine.Config{}))
+		p := link.NewPool(link.Config{EntryID: "e", Incarnation: "1", Dial: c.links.Dial, IdleTimeout: 30 * time.Second})
+		defer p.Close()
+		run := func(id string) {
+			r := newRecorder()
+			submit(t, p, agentAddr, chat(id, "1"), r)
+			if o := <-r.done; o.end == nil {
+				t.Error(o)
+			}
+		}
+		run("r1")
+		time.Sleep(20 * time.Second) // virtual
+		run("r2")
+		if n := c.links.Dials(); n != 1 {
+			t.Errorf("%d dials before the idle timeout, want 1", n)
+		}
+		time.Sleep(40 * time.Second)
+		run("r3")
+		if n := c.links.Dials(); n != 2 {
+			t.Errorf("%d dials after the idle timeout, want 2", n)
+		}
+	})
+}
+
+// TestMutualTLS opens links with and without a certificate.
+func TestMutualTLS(t *testing.T) {
+	cert, pool := selfSigned(t)
+	server := &tls.Config{Certificates: []tls.Certificate{cert}, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert}
+	a := startAgent(t, Config{TLS: server, Backend: BackendConfig{Kind: KindEngine, URL: serveHTTP(t, engine.New(engine.Config{}))}})
+	tests := []struct {
+		name   string
+		client *tls.Config
+		want   verdict.Verdict
+	}{
+		{"with a certificate", &tls.Config{RootCAs: pool, Certificates: []tls.Certificate{cert}, ServerName: "agent"}, verdict.Ran},
+		{"without a certificate", &tls.Config{RootCAs: pool, ServerName: "agent"}, verdict.NotRun},
+		{"without TLS", nil, verdict.NotRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := link.NewPool(link.Config{EntryID: "e", Incarnation: tt.name, TLS: tt.client, SilenceTimeout: 300 * time.Millisecond})
+			defer p.Close()
+			r := newRecorder()
+			submit(t, p, a.Addr().String(), chat("r-"+tt.name, "1"), r)
+			if o := <-r.done; o.verdict != tt.want {
+				t.Errorf("outcome %v", o)
+			}
+		})
+	}
+}
+
+// selfSigned returns a certificate for "agent" and the pool that trusts it.
+func selfSigned(t *testing.T) (tls.Certificate, *x509.CertPool) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), DNSNames: []string{"agent"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	leaf, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(leaf)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool
+}
+
+// TestUnlistedPeer checks that without TLS only the listed addresses open links.
+func TestUnlistedPeer(t *testing.T) {
+	a := startAgent(t, Config{
+		AllowedPeers: []netip.Prefix{netip.MustParsePrefix("192.0.2.0/24")},
+		Backend:      BackendConfig{Kind: KindEngine, URL: serveHTTP(t, engine.New(engine.Config{}))},
+	})
+	r := newRecorder()
+	submit(t, newPool(t, "entry-1", nil), a.Addr().String(), chat("r1", "1"), r)
+	if o := <-r.done; o.verdict != verdict.NotRun || o.lost == nil {
+		t.Errorf("outcome %v", o)
+	}
+}
+
+// TestManySubmitsBound checks that the queue of the agent is bounded and its refusals are not run.
+func TestManySubmitsBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := engine.New(engine.Config{TokenInterval: 10 * time.Millisecond})
+		c := newCluster(t, Config{QueueLimit: 4, Backend: BackendConfig{Slots: 2}}, h)
+		p := c.pool("entry-1")
+		var all []*recorder
+		for i := range 30 {
+			r := newRecorder()
+			s := chat(string(rune('a'+i)), "5")
+			s.FloorShare = -1
+			submit(t, p, agentAddr, s, r)
+			all = append(all, r)
+		}
+		ends, refusals := 0, 0
+		for _, r := range all {
+			switch o := <-r.done; {
+			case o.end != nil && !o.end.Stopped:
+				ends++
+			case o.refused != nil && o.verdict == verdict.NotRun:
+				refusals++
+			default:
+				t.Errorf("outcome %v", o)
+			}
+		}
+		if ends != 6 || refusals != 24 {
+			t.Errorf("%d ends and %d refusals, want 6 and 24", ends, refusals)
+		}
+	})
+}
