--- a/internal/core/settings/tree.go
+++ b/internal/core/settings/tree.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -54,10 +55,11 @@
 // node is an organisation or a group with its effective settings.
 type node struct {
 	spec    Node
-	base    class   // what a class starts from that is first set below
-	classes []class // highest tier first
-	caps    []Cap   // from the root down
-	locked  []lock  // holds for the nodes below
+	base    class    // what a class starts from that is first set below
+	classes []class  // highest tier first
+	names   []string // of the classes; apart from them, so that a look-up touches little memory
+	caps    []Cap    // from the root down
+	locked  []lock   // holds for the nodes below
 }
 
 // class is the effective settings of a class before its organisation's name is filled in.
@@ -94,8 +96,8 @@
 	if !ok {
 		return Class{}, errors.NotFoundf("organisation %q", organisation)
 	}
-	for i := range n.classes {
-		if n.classes[i].Name == name {
+	for i, known := range n.names {
+		if known == name {
 			c := n.classes[i].Class
 			c.Organisation = organisation
 			return c, nil
@@ -110,11 +112,7 @@
 	if !ok {
 		return nil
 	}
-	names := make([]string, len(n.classes))
-	for i := range n.classes {
-		names[i] = n.classes[i].Name
-	}
-	return names
+	return slices.Clone(n.names)
 }
 
 // Caps returns the limits on the sum of an organisation with others, from the root down.
@@ -337,7 +335,7 @@
 
 // inherit returns the node of spec below parent. A node that sets nothing shares its parent's slices.
 func inherit(path string, spec Node, parent *node) (*node, Problems) {
-	n := &node{spec: spec, base: parent.base, classes: parent.classes, caps: parent.caps, locked: parent.locked}
+	n := &node{spec: spec, base: parent.base, classes: parent.classes, names: parent.names, caps: parent.caps, locked: parent.locked}
 	problems := checkLocks(path, spec, parent.locked)
 	if spec.Limits != nil {
 		caps := append([]Cap(nil), parent.caps...)
@@ -351,6 +349,7 @@
 	}
 	override(&n.base, spec.Defaults)
 	n.classes = inheritClasses(spec, parent, n)
+	n.names = namesOf(n.classes, parent.names)
 	return n, append(problems, checkClasses(path, n)...)
 }
 
@@ -387,6 +386,18 @@
 	return classes
 }
 
+// namesOf returns the names of classes, in the slice of the parent where they are the same.
+func namesOf(classes []class, parent []string) []string {
+	names := make([]string, len(classes))
+	for i := range classes {
+		names[i] = classes[i].Name
+	}
+	if slices.Equal(names, parent) {
+		return parent
+	}
+	return names
+}
+
 func override(c *class, o *Overrides) {
 	applyOverrides(&c.Class, o)
 	c.hasTier = c.hasTier || (o != nil && o.Tier != nil)
@@ -397,21 +408,29 @@
 	if len(n.classes) > MaxClasses {
 		ps = append(ps, problem(fieldPath(path, "classes"), "%d classes; expected at most %d", len(n.classes), MaxClasses))
 	}
-	for _, c := range n.classes {
-		at := fieldPath(path, "classes", c.Name)
-		if !c.hasTier {
-			ps = append(ps, problem(at, "class without a tier; expected \"tier\" here, in the defaults or above"))
-		}
-		if c.FirstTokenTarget > c.Deadline {
-			ps = append(ps, problem(at, "first_token_target %v is longer than the deadline %v", c.FirstTokenTarget, c.Deadline))
-		}
-		if c.BetweenTokenTarget > c.Deadline {
-			ps = append(ps, problem(at, "between_token_target %v is longer than the deadline %v", c.BetweenTokenTarget, c.Deadline))
+	for i := range n.classes {
+		for _, message := range checkClass(&n.classes[i]) {
+			ps = append(ps, Problem{Path: fieldPath(path, "classes", n.classes[i].Name), Message: message})
 		}
 	}
 	return ps
 }
 
+// checkClass returns what is wrong with the effective settings of a class.
+func checkClass(c *class) []string {
+	var messages []string
+	if !c.hasTier {
+		messages = append(messages, "class without a tier; expected \"tier\" here, in the defaults or above")
+	}
+	if c.FirstTokenTarget > c.Deadline {
+		messages = append(messages, fmt.Sprintf("first_token_target %v is longer than the deadline %v", c.FirstTokenTarget, c.Deadline))
+	}
+	if c.BetweenTokenTarget > c.Deadline {
+		messages = append(messages, fmt.Sprintf("between_token_target %v is longer than the deadline %v", c.BetweenTokenTarget, c.Deadline))
+	}
+	return messages
+}
+
 func checkLocks(path string, spec Node, locked []lock) Problems {
 	var ps Problems
 	for _, l := range locked {
