--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -256,6 +256,7 @@
 	a.keep.write(in.data)
 	a.writer.write(in.data)
 	if in.tokens > 0 && !a.writer.gone && !a.replayed {
+		x.deliveredTokens += uint64(in.tokens)
 		s.usage.add(x, delivered{outputTokens: uint64(in.tokens)})
 		s.limits.charge(x.lease, in.tokens)
 		s.demand.tokens(x.organisation, in.tokens)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -39,7 +39,8 @@
 	idempotencyKey string
 	claimedAs      string // request id under which the idempotency key is claimed; empty: it is not
 
-	lease *limit.Lease // of the limits; nil where none apply
+	lease           *limit.Lease // of the limits; nil where none apply
+	deliveredTokens uint64       // output tokens counted so far
 }
 
 // detached reports whether the request goes on when its caller goes away.
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -285,6 +285,9 @@
 	for range 3 {
 		b.do(b.chat("7"))
 	}
+	plain := b.chat("5")
+	plain.body = strings.Replace(plain.body, `"stream":true,`, "", 1)
+	b.do(plain)
 	b.do(b.order("x", "k"))
 	b.do(b.order("x", "k")) // replayed
 	b.stop()
@@ -296,7 +299,7 @@
 		tokens += c.OutputTokens
 		requests += c.Requests
 	}
-	if tokens != 21 || requests != 4 {
-		t.Errorf("reported %d tokens of %d requests, want 21 of 4: %v", tokens, requests, last.Counters)
+	if tokens != 26 || requests != 5 {
+		t.Errorf("reported %d tokens of %d requests, want 26 of 5: %v", tokens, requests, last.Counters)
 	}
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -130,6 +130,10 @@
 			d.promptTokens = r.usage.PromptTokens
 			d.cachedTokens = r.usage.CachedTokens
 		}
+		if r.complete && r.usage != nil && r.usage.OutputTokens > x.deliveredTokens {
+			// An answer in one piece tells its tokens only at its end.
+			d.outputTokens = r.usage.OutputTokens - x.deliveredTokens
+		}
 		s.usage.add(x, d)
 	}
 	code := "ok"
