--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -37,8 +37,10 @@
 	prefix       []uint64
 
 	idempotencyKey string
+	claimedAs      string // request id under which the idempotency key is claimed; empty: it is not
 
-	lease *limit.Lease // of the limits; nil where none apply
+	lease           *limit.Lease // of the limits; nil where none apply
+	deliveredTokens uint64       // output tokens counted so far
 }
 
 // detached reports whether the request goes on when its caller goes away.
@@ -203,6 +205,10 @@
 	if !rt.Repeatable && !rt.Open {
 		x.idempotencyKey = r.Header.Get(headerIdempotent)
 	}
+	if len(x.idempotencyKey) > maxIdempotencyKey {
+		return nil, refuse(http.StatusBadRequest, "idempotency_key_too_long",
+			"the idempotency key is longer than %d bytes", maxIdempotencyKey)
+	}
 	return x, s.complete(x, tree, who, r, body)
 }
 
