--- a/internal/wal/waltest/fs.go
+++ b/internal/wal/waltest/fs.go
@@ -16,9 +16,10 @@
 // ErrInjected is the error of an injected fault.
 const ErrInjected = errors.ConstError("injected fault")
 
-// file is the content of one file: what is durable, and what a reader sees.
+// file is the content of one file as a reader sees it. The first synced bytes are durable.
 type file struct {
-	synced, current []byte
+	current []byte
+	synced  int
 }
 
 // FS is a wal.FS in memory.
@@ -66,12 +67,8 @@
 	defer f.mu.Unlock()
 	next := New()
 	for name, old := range f.durable {
-		kept := old.synced
-		if extra := len(old.current) - len(kept); extra > 0 {
-			kept = old.current[:len(kept)+min(keep, extra)]
-		}
-		content := append([]byte(nil), kept...)
-		file := &file{synced: content, current: append([]byte(nil), content...)}
+		kept := min(old.synced+keep, len(old.current))
+		file := &file{synced: kept, current: append([]byte(nil), old.current[:kept]...)}
 		next.names[name], next.durable[name] = file, file
 	}
 	return next
@@ -81,9 +78,7 @@
 func (f *FS) Corrupt(name string, at int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	file := f.names[name]
-	file.current[at] ^= 0x40
-	file.synced = append([]byte(nil), file.current...)
+	f.names[name].current[at] ^= 0x40
 }
 
 // Resize cuts a file, or extends it with zeros, for good.
@@ -93,7 +88,7 @@
 	file := f.names[name]
 	resized := make([]byte, size)
 	copy(resized, file.current)
-	file.current, file.synced = resized, append([]byte(nil), resized...)
+	file.current, file.synced = resized, size
 }
 
 // change counts a changing call and reports whether it fails.
@@ -235,7 +230,7 @@
 	if err := h.fs.change(); err != nil {
 		return err
 	}
-	h.file.synced = append([]byte(nil), h.file.current...)
+	h.file.synced = len(h.file.current)
 	return nil
 }
 
@@ -247,6 +242,7 @@
 		return err
 	}
 	h.file.current = h.file.current[:size]
+	h.file.synced = min(h.file.synced, int(size))
 	return nil
 }
 
