--- a/cmd/guavastack/main.go
+++ b/cmd/guavastack/main.go
@@ -60,6 +60,7 @@
 			settingsCommand(),
 			organisationCommand(),
 			keyCommand(),
+			loadCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		OnUsageError:   onUsageError,
--- a/cmd/guavastack/processes_test.go
+++ b/cmd/guavastack/processes_test.go
@@ -12,13 +12,14 @@
 	"testing"
 
 	"github.com/guavastack/guavastack/internal/adminclient"
+	"github.com/guavastack/guavastack/internal/localcluster"
 	"github.com/guavastack/guavastack/internal/standin/service"
 )
 
 // TestProcessesServe runs the whole path as separate processes.
 func TestProcessesServe(t *testing.T) {
 	c := newCluster(t, 2)
-	for _, entry := range c.names("entry") {
+	for _, entry := range c.Names(localcluster.RoleEntry) {
 		if r := c.chat(entry, 20); !r.ok || strings.Count(r.body, "data: ") != 21 {
 			t.Errorf("%s: status %d, error %v, body %s", entry, r.status, r.err, r.body)
 		}
@@ -29,15 +30,15 @@
 	if r := c.order("entry-2", "hides", "k"); !r.ok || c.arrivals("hides") != 1 {
 		t.Errorf("order again through another entry: %+v, arrivals %d", r, c.arrivals("hides"))
 	}
-	c.until("a usage report at the platform", func() bool { return len(c.platform.Record().Events) > 0 })
+	c.until("a usage report at the platform", func() bool { return len(c.Platform.Record().Events) > 0 })
 }
 
 // TestKeyWithdrawnFromStreams withdraws a key while callers are connected at both entries.
 func TestKeyWithdrawnFromStreams(t *testing.T) {
 	c := newCluster(t, 1)
-	_, first := c.openStream("entry-1")
-	_, second := c.openStream("entry-2")
-	if _, err := c.admin().WithdrawKey(context.Background(), "camurca", c.key.ID, adminclient.Options{}); err != nil {
+	first := c.openStream("entry-1")
+	second := c.openStream("entry-2")
+	if _, err := c.Admin().WithdrawKey(context.Background(), "camurca", c.key.ID, adminclient.Options{}); err != nil {
 		t.Fatal(err)
 	}
 	for _, r := range []io.Reader{first, second} {
@@ -46,7 +47,7 @@
 			t.Errorf("stream ended with %v in %s", err, tail(string(rest), 300))
 		}
 	}
-	for _, entry := range c.names("entry") {
+	for _, entry := range c.Names(localcluster.RoleEntry) {
 		if r := c.chat(entry, 1); r.status != http.StatusUnauthorized || r.verdict != "not_run" {
 			t.Errorf("%s still serves the key: %+v", entry, r)
 		}
@@ -56,10 +57,8 @@
 // TestControlGroupFrozen stops all control members without a word: keyed work ends, open routes go on.
 func TestControlGroupFrozen(t *testing.T) {
 	c := newCluster(t, 1)
-	_, stream := c.openStream("entry-1")
-	for _, name := range c.names("control") {
-		c.signal(name, syscall.SIGSTOP)
-	}
+	stream := c.openStream("entry-1")
+	c.signalAll(localcluster.RoleControl, syscall.SIGSTOP)
 	rest, err := io.ReadAll(stream)
 	if err == nil || !strings.Contains(string(rest), `"code":"settings_not_fresh"`) {
 		t.Errorf("stream ended with %v in %s", err, tail(string(rest), 300))
@@ -70,9 +69,7 @@
 	if r := c.request("entry-1", http.MethodPost, "/services/stock", "stock", nil); !r.ok {
 		t.Errorf("open request while frozen: %+v", r)
 	}
-	for _, name := range c.names("control") {
-		c.signal(name, syscall.SIGCONT)
-	}
+	c.signalAll(localcluster.RoleControl, syscall.SIGCONT)
 	c.until("service after the freeze", func() bool { return c.order("entry-1", "thawed", "").ok })
 	if n := c.arrivals("frozen"); n != 0 {
 		t.Errorf("a request refused as not run arrived %d times", n)
@@ -83,7 +80,7 @@
 // other entry until they know the outcome.
 func TestEntriesKilledWithOrders(t *testing.T) {
 	c := newCluster(t, 1)
-	c.service.Inject(service.Fault{Kind: service.Slow, DelayMs: 20})
+	c.Services[0].Inject(service.Fault{Kind: service.Slow, DelayMs: 20})
 	const rounds, perRound = 4, 6
 	for round := range rounds {
 		victim := fmt.Sprintf("entry-%d", 1+round%2)
@@ -106,33 +103,29 @@
 			})
 		}
 		c.until("an arrival", func() bool { return c.arrivals(fmt.Sprintf("order 0 of round %d", round)) > 0 || round%2 == 1 })
-		c.kill(victim)
+		c.Kill(victim)
 		callers.Wait()
-		c.start(victim)
-		c.waitReady(victim)
+		c.restart(victim)
 	}
-	for digest, n := range c.service.Arrivals() {
-		if n > 1 && digest != warmUpDigest {
+	for d, n := range c.Services[0].Arrivals() {
+		if n > 1 && d != digest("warm-up") {
 			t.Errorf("a reservation arrived %d times", n)
 		}
 	}
 }
 
-// warmUpDigest is the SHA-256 of the body that the cluster's start sends more than once.
-const warmUpDigest = "b64f459893b6709b0efefe5a5a61b8a557b80176fe6c6bbf5d554e9f77ec0f0c"
-
 // TestAgentKilled kills an agent in the middle of an answer.
 func TestAgentKilled(t *testing.T) {
 	c := newCluster(t, 1)
-	_, stream := c.openStream("entry-1")
-	c.kill("engine-1")
+	stream := c.openStream("entry-1")
+	c.Kill("engine-1")
 	rest, err := io.ReadAll(stream)
 	if err == nil || strings.Contains(string(rest), "[DONE]") || !strings.Contains(string(rest), "event: error") {
 		t.Errorf("stream ended with %v in %s", err, tail(string(rest), 300))
 	}
-	c.start("engine-1")
+	c.restart("engine-1")
 	c.until("service by the new agent", func() bool { return c.chat("entry-2", 3).ok })
-	c.until("the old agent's work to be cancelled", func() bool { return c.engines["engine-1"].Running() == 0 })
+	c.until("the old agent's work to be cancelled", func() bool { return c.Engines["engine-1"].Running() == 0 })
 }
 
 // TestRollingRestart restarts every process in turn under load; no request fails.
@@ -154,11 +147,12 @@
 			}
 		})
 	}
-	for _, name := range append(append(c.names("entry"), c.names("agent")...), c.names("control")...) {
+	for _, name := range append(append(c.Names(localcluster.RoleEntry), c.Names(localcluster.RoleAgent)...), c.Names(localcluster.RoleControl)...) {
 		before := sent.Load()
-		c.stop(name)
-		c.start(name)
-		c.waitReady(name)
+		if err := c.Stop(name); err != nil {
+			t.Errorf("%v; its log:\n%s", err, c.Log(name))
+		}
+		c.restart(name)
 		c.until("requests after the restart of "+name, func() bool { return sent.Load() > before+4 })
 	}
 	stop.Store(true)
@@ -176,7 +170,7 @@
 		t.Helper()
 		c.until("change "+id, func() bool {
 			patch := fmt.Sprintf(`{"classes":{"fast":{"weight":%d}}}`, 1+len(accepted))
-			r, err := c.admin().PatchOrganisation(ctx, "camurca", patch, adminclient.Options{IfMatch: "*", ChangeID: id})
+			r, err := c.Admin().PatchOrganisation(ctx, "camurca", patch, adminclient.Options{IfMatch: "*", ChangeID: id})
 			if err == nil {
 				accepted[id] = r.Version
 			}
@@ -185,23 +179,23 @@
 	}
 	for round := range 4 {
 		change(fmt.Sprintf("before-%d", round))
-		leader := "control-" + c.leader()
+		leader := c.leader()
 		if round%2 == 0 {
-			c.kill(leader)
+			c.Kill(leader)
 		} else {
-			c.signal(leader, syscall.SIGSTOP)
+			c.must(c.Signal(leader, syscall.SIGSTOP))
 		}
 		change(fmt.Sprintf("during-%d", round))
 		c.chat("entry-1", 5)
 		if round%2 == 0 {
-			c.start(leader)
+			c.restart(leader)
 		} else {
-			c.signal(leader, syscall.SIGCONT)
+			c.must(c.Signal(leader, syscall.SIGCONT))
+			c.must(c.WaitReady(leader))
 		}
-		c.waitReady(leader)
 		change(fmt.Sprintf("after-%d", round))
 	}
-	h, err := c.admin().History(ctx, 1000)
+	h, err := c.Admin().History(ctx, 1000)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -217,20 +211,9 @@
 			t.Errorf("accepted change %s stands %d times in the history", id, times[id])
 		}
 	}
-	reported := len(c.platform.Record().Events)
-	c.until("reports by the last leader", func() bool { return len(c.platform.Record().Events) > reported })
-	if v := c.platform.Record().Violations; len(v) > 0 {
+	reported := len(c.Platform.Record().Events)
+	c.until("reports by the last leader", func() bool { return len(c.Platform.Record().Events) > reported })
+	if v := c.Platform.Record().Violations; len(v) > 0 {
 		t.Errorf("the platform saw: %v", v)
 	}
 }
-
-// leader returns the number of the leading control member.
-func (c *cluster) leader() string {
-	var leader string
-	c.until("a leader", func() bool {
-		st, err := c.admin().Status(context.Background(), "", 0)
-		leader = st.Leader
-		return err == nil && leader != "" && st.Confirmed
-	})
-	return leader
-}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -78,6 +78,7 @@
 		inbox:   make(chan func(time.Time), inboxLength),
 		done:    make(chan struct{}),
 		sched: sched.New(sched.Config{
+			Policy:     cfg.Policy,
 			Slots:      cfg.Backend.Slots,
 			MaxSlots:   cfg.Backend.MaxSlots,
 			QueueLimit: cfg.QueueLimit,
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -20,6 +20,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/guavastack/guavastack/internal/backend"
+	"github.com/guavastack/guavastack/internal/core/sched"
 )
 
 // BackendKind says what a backend server is.
@@ -58,6 +59,7 @@
 	Listener      net.Listener // in place of Listen
 	Backend       BackendConfig
 	QueueLimit    int
+	Policy        sched.Policy  // tiered, unless a measurement wants the baseline
 	BufferBytes   int           // of one answer
 	KeepBytes     int           // of all finished answers
 	KeepFor       time.Duration // that a finished answer can be fetched again
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -58,6 +58,7 @@
 	MaxInFlight    int             `json:"max_in_flight"`
 	DrainDelay     strict.Duration `json:"drain_delay"`
 	FreshnessLimit strict.Duration `json:"freshness_limit"`
+	Routing        string          `json:"routing"` // two_choices, or a baseline: round_robin or least_outstanding
 }
 
 // Agent holds the settings of the agent role.
@@ -65,6 +66,7 @@
 	Listen     string  `json:"listen"`
 	Advertise  string  `json:"advertise"` // address that entries use; empty: listen
 	QueueLimit int     `json:"queue_limit"`
+	Policy     string  `json:"policy"` // tiered, or the baseline fifo
 	Backend    Backend `json:"backend"`
 }
 
@@ -126,6 +128,8 @@
 // Defaults of a file.
 const (
 	DefaultLogLevel   = "info"
+	DefaultRouting    = "two_choices"
+	DefaultPolicy     = "tiered"
 	DefaultQueueLimit = 256
 	DefaultSlots      = 16
 )
@@ -158,9 +162,15 @@
 	if c.Log.Level == "" {
 		c.Log.Level = DefaultLogLevel
 	}
+	if c.Entry != nil && c.Entry.Routing == "" {
+		c.Entry.Routing = DefaultRouting
+	}
 	if c.Agent == nil {
 		return
 	}
+	if c.Agent.Policy == "" {
+		c.Agent.Policy = DefaultPolicy
+	}
 	if c.Agent.QueueLimit == 0 {
 		c.Agent.QueueLimit = DefaultQueueLimit
 	}
@@ -210,6 +220,12 @@
 	c.add(path, "%q; expected one of %s", value, strings.Join(allowed, ", "))
 }
 
+func (c *checker) notNegative(path string, value int) {
+	if value < 0 {
+		c.add(path, "%d is negative", value)
+	}
+}
+
 func (c *checker) tls(path string, t *TLS) {
 	if t == nil {
 		return
@@ -265,15 +281,10 @@
 	}
 	ch.address("entry.listen", c.Entry.Listen)
 	ch.tls("entry.tls", c.Entry.TLS)
-	for path, v := range map[string]int{
-		"entry.max_body_bytes":  c.Entry.MaxBodyBytes,
-		"entry.max_connections": c.Entry.MaxConnections,
-		"entry.max_in_flight":   c.Entry.MaxInFlight,
-	} {
-		if v < 0 {
-			ch.add(path, "%d is negative", v)
-		}
-	}
+	ch.notNegative("entry.max_body_bytes", c.Entry.MaxBodyBytes)
+	ch.notNegative("entry.max_connections", c.Entry.MaxConnections)
+	ch.notNegative("entry.max_in_flight", c.Entry.MaxInFlight)
+	ch.oneOf("entry.routing", c.Entry.Routing, DefaultRouting, "round_robin", "least_outstanding")
 }
 
 func (c *Config) checkAgent(ch *checker) {
@@ -294,6 +305,7 @@
 	if b.Slots < 1 || b.MaxSlots < b.Slots {
 		ch.add("agent.backend.slots", "slots %d, max_slots %d; expected 1 <= slots <= max_slots", b.Slots, b.MaxSlots)
 	}
+	ch.oneOf("agent.policy", c.Agent.Policy, DefaultPolicy, "fifo")
 	if c.Agent.QueueLimit < 1 {
 		ch.add("agent.queue_limit", "%d; expected at least 1", c.Agent.QueueLimit)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/guavastack/guavastack/internal/core/limit"
+	"github.com/guavastack/guavastack/internal/core/route"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/core/state"
 	"github.com/guavastack/guavastack/internal/core/verdict"
@@ -72,6 +73,7 @@
 	ID          string // of the process
 	Incarnation string // of this start of the process
 	Zone        string // availability zone
+	Routing     route.Policy
 
 	MaxBodyBytes   int64
 	MaxHeaderBytes int
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -22,12 +22,12 @@
 	servers map[string]route.Backend
 }
 
-func newFleet(zone string) *fleet {
+func newFleet(zone string, policy route.Policy) *fleet {
 	table := route.NewTable(route.Config{})
 	return &fleet{
 		zone:    zone,
 		table:   table,
-		router:  route.NewRouter(table, route.RouterConfig{}),
+		router:  route.NewRouter(table, route.RouterConfig{Policy: policy}),
 		byAddr:  make(map[string]string),
 		servers: make(map[string]route.Backend),
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -42,7 +42,7 @@
 		cfg:    cfg,
 		dir:    dir,
 		links:  links,
-		fleet:  newFleet(cfg.Zone),
+		fleet:  newFleet(cfg.Zone, cfg.Routing),
 		limits: newLimits(),
 		usage:  newUsageMeter(cfg, dir),
 		active: newActiveSet(cfg.MaxInFlight),
--- /dev/null
+++ b/internal/localcluster/localcluster.go
@@ -0,0 +1,465 @@
+// Package localcluster runs a whole system as real processes on loopback addresses, with the stand-ins for the outside
+// in the calling process. Tests and measurements use it; the product does not.
+package localcluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/adminapi"
+	"github.com/guavastack/guavastack/internal/adminclient"
+	"github.com/guavastack/guavastack/internal/keys"
+	"github.com/guavastack/guavastack/internal/platform"
+	"github.com/guavastack/guavastack/internal/standin/engine"
+	standinplatform "github.com/guavastack/guavastack/internal/standin/platform"
+	"github.com/guavastack/guavastack/internal/standin/service"
+)
+
+// Roles of processes.
+const (
+	RoleControl = "control"
+	RoleAgent   = "agent"
+	RoleEntry   = "entry"
+)
+
+const (
+	linkPort    = 7000
+	callerPort  = 8080
+	adminPort   = 8081
+	statusPort  = 9090
+	firstHost   = 1
+	readyPoll   = 10 * time.Millisecond
+	readyLimit  = 2 * time.Minute
+	statusLimit = time.Second
+)
+
+// Config says what runs. The engines and services serve the model "m" and the service "orders".
+type Config struct {
+	Command   func(args ...string) *exec.Cmd // runs guavastack
+	Dir       string                         // for settings files and data
+	Zones     []string                       // availability zones; processes are spread over them
+	Control   int
+	Entries   int
+	Engines   int
+	Services  int
+	Engine    engine.Config // of every engine; Model is set here
+	Slots     int           // batch size that agents of engines start with
+	Window    time.Duration // length of a billing window
+	Document  string        // settings
+	LogLevel  string        // info where empty
+	DrainTime time.Duration // of entries
+	Policy    string        // of agents and entries: tiered, fifo_round_robin or fifo_least_outstanding
+}
+
+// clusters numbers the clusters of this process, so that each has loopback addresses of its own.
+var clusters atomic.Int32
+
+// Cluster is one running system.
+type Cluster struct {
+	cfg      Config
+	network  string // first three bytes of the processes' addresses
+	token    string
+	procs    map[string]*proc
+	order    []string
+	hosts    int
+	standins []*http.Server
+
+	serviceURLs []string
+
+	Engines  map[string]*engine.Engine // by the name of their agent
+	Services []*service.Service
+	Platform *standinplatform.Standin
+	HTTP     *http.Client // without kept connections
+}
+
+// proc is one process.
+type proc struct {
+	name, role, zone string
+	ip, file         string
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	log *logBuffer
+}
+
+// New writes the settings files and serves the stand-ins. Nothing runs before StartAll.
+func New(cfg Config) (*Cluster, error) {
+	if cfg.LogLevel == "" {
+		cfg.LogLevel = "info"
+	}
+	c := &Cluster{
+		cfg:     cfg,
+		network: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, clusters.Add(1)),
+		token:   keys.NewToken(),
+		procs:   make(map[string]*proc),
+		Engines: make(map[string]*engine.Engine),
+		HTTP:    &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	var zones []platform.Zone
+	for _, z := range cfg.Zones {
+		zones = append(zones, platform.Zone{Name: z, PricePerHour: 1})
+	}
+	c.Platform = standinplatform.New(standinplatform.Config{Zones: zones})
+	if err := c.build(); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) build() error {
+	platformURL, err := c.serve(c.Platform.Handler())
+	if err != nil {
+		return err
+	}
+	for i := range c.cfg.Control {
+		if err := c.add(fmt.Sprintf("control-%d", i+1), RoleControl, i, c.control(i, platformURL)); err != nil {
+			return err
+		}
+	}
+	for i := range c.cfg.Engines {
+		if err := c.addEngine(i); err != nil {
+			return err
+		}
+	}
+	for i := range c.cfg.Services {
+		s := service.New()
+		url, err := c.serve(s)
+		if err != nil {
+			return err
+		}
+		c.Services = append(c.Services, s)
+		c.serviceURLs = append(c.serviceURLs, url)
+		backend := object{"kind": "service", "url": url, "service": "orders", "slots": 32, "max_slots": 32}
+		if err := c.add(fmt.Sprintf("orders-%d", i+1), RoleAgent, i, object{"backend": backend, "policy": c.agentPolicy()}); err != nil {
+			return err
+		}
+	}
+	for i := range c.cfg.Entries {
+		settings := object{"drain_delay": c.cfg.DrainTime.String(), "routing": c.entryPolicy()}
+		if err := c.add(fmt.Sprintf("entry-%d", i+1), RoleEntry, i, settings); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) addEngine(i int) error {
+	name := fmt.Sprintf("engine-%d", i+1)
+	cfg := c.cfg.Engine
+	cfg.Model = "m"
+	e := engine.New(cfg)
+	url, err := c.serve(e)
+	if err != nil {
+		return err
+	}
+	c.Engines[name] = e
+	slots := max(c.cfg.Slots, 1)
+	backend := object{"kind": "engine", "url": url, "model": "m", "slots": slots, "max_slots": 4 * slots}
+	return c.add(name, RoleAgent, i, object{"backend": backend, "policy": c.agentPolicy()})
+}
+
+func (c *Cluster) agentPolicy() string {
+	policy, _, _ := strings.Cut(c.cfg.Policy, "_")
+	return policy
+}
+
+func (c *Cluster) entryPolicy() string {
+	_, policy, _ := strings.Cut(c.cfg.Policy, "_")
+	return policy
+}
+
+// object is a JSON object of a settings file.
+type object map[string]any
+
+func (c *Cluster) control(i int, platformURL string) object {
+	var peers []object
+	for j := range c.cfg.Control {
+		peers = append(peers, object{"id": j + 1, "address": c.address(firstHost+j, linkPort)})
+	}
+	return object{
+		"member": i + 1,
+		"group":  1,
+		"data":   filepath.Join(c.cfg.Dir, fmt.Sprintf("data-%d", i+1)),
+		"peers":  peers,
+		"admin": object{
+			"listen": c.address(firstHost+i, adminPort),
+			"tokens": []object{{"name": "operator", "role": "administer", "sha256": keys.Hash(c.token)}},
+		},
+		"platform": object{"url": platformURL, "window_length": c.cfg.Window.String()},
+	}
+}
+
+func (c *Cluster) address(host, port int) string {
+	return fmt.Sprintf("%s.%d:%d", c.network, host, port)
+}
+
+// add writes the settings file of the next process.
+func (c *Cluster) add(name, role string, index int, settings object) error {
+	host := firstHost + c.hosts
+	c.hosts++
+	p := &proc{
+		name: name, role: role, zone: c.cfg.Zones[index%len(c.cfg.Zones)],
+		ip: fmt.Sprintf("%s.%d", c.network, host), file: filepath.Join(c.cfg.Dir, name+".json"), log: &logBuffer{},
+	}
+	port := linkPort
+	if role == RoleEntry {
+		port = callerPort
+	}
+	settings["listen"] = c.address(host, port)
+	var members []string
+	for j := range c.cfg.Control {
+		members = append(members, c.address(firstHost+j, linkPort))
+	}
+	data, err := json.MarshalIndent(object{
+		"id": name, "zone": p.zone, "log": object{"level": c.cfg.LogLevel},
+		"status_listen": c.address(host, statusPort), "control_members": members, role: settings,
+	}, "", "  ")
+	if err != nil {
+		return errors.Trace(err)
+	}
+	c.procs[name] = p
+	c.order = append(c.order, name)
+	return errors.Trace(os.WriteFile(p.file, data, 0o600))
+}
+
+// serve serves a stand-in in this process.
+func (c *Cluster) serve(h http.Handler) (string, error) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	c.standins = append(c.standins, srv)
+	go func() { _ = srv.Serve(lis) }()
+	return "http://" + lis.Addr().String(), nil
+}
+
+// Names returns the processes of a role, or all, in the order of their start.
+func (c *Cluster) Names(role string) []string {
+	var out []string
+	for _, name := range c.order {
+		if role == "" || c.procs[name].role == role {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// URL returns the base URL of an entry.
+func (c *Cluster) URL(entry string) string {
+	return fmt.Sprintf("http://%s:%d", c.procs[entry].ip, callerPort)
+}
+
+// ServiceURLs returns the base URLs of the stand-in services.
+func (c *Cluster) ServiceURLs() []string { return c.serviceURLs }
+
+// Admin returns a client of a control member that is ready, or else of the first.
+func (c *Cluster) Admin() *adminclient.Client {
+	members := c.Names(RoleControl)
+	chosen := members[0]
+	for _, name := range members {
+		if c.IsReady(name) {
+			chosen = name
+			break
+		}
+	}
+	return adminclient.New(fmt.Sprintf("http://%s:%d", c.procs[chosen].ip, adminPort), c.token, c.HTTP)
+}
+
+// Start starts a process.
+func (c *Cluster) Start(name string) error {
+	p := c.procs[name]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd = c.cfg.Command(p.role, "--config", p.file)
+	p.cmd.Stderr = p.log
+	return errors.Annotate(p.cmd.Start(), name)
+}
+
+// Kill ends a process at once.
+func (c *Cluster) Kill(name string) {
+	p := c.procs[name]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil || p.cmd.Process == nil {
+		return
+	}
+	_ = p.cmd.Process.Kill()
+	_ = p.cmd.Wait()
+	p.cmd = nil
+}
+
+// Stop ends a process gracefully. Another exit code than 0 is an error.
+func (c *Cluster) Stop(name string) error {
+	p := c.procs[name]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return errors.Annotate(err, name)
+	}
+	err := p.cmd.Wait()
+	p.cmd = nil
+	return errors.Annotate(err, name)
+}
+
+// Signal sends a signal to a process.
+func (c *Cluster) Signal(name string, s syscall.Signal) error {
+	p := c.procs[name]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return errors.Annotate(p.cmd.Process.Signal(s), name)
+}
+
+// PID returns the process id, 0 while the process does not run.
+func (c *Cluster) PID(name string) int {
+	p := c.procs[name]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil || p.cmd.Process == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
+// Log returns what a process has logged.
+func (c *Cluster) Log(name string) string { return c.procs[name].log.String() }
+
+// Close ends everything.
+func (c *Cluster) Close() {
+	for _, name := range c.order {
+		if c.PID(name) != 0 {
+			_ = c.Signal(name, syscall.SIGCONT)
+			c.Kill(name)
+		}
+	}
+	for _, srv := range c.standins {
+		_ = srv.Close()
+	}
+}
+
+// IsReady reports whether a process says that it is ready.
+func (c *Cluster) IsReady(name string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), statusLimit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/readyz", c.procs[name].ip, statusPort), nil)
+	if err != nil {
+		return false
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Until waits for a condition, or fails after two minutes.
+func Until(what string, cond func() bool) error {
+	start := time.Now()
+	for !cond() {
+		if time.Since(start) > readyLimit {
+			return errors.Timeoutf("waiting for %s", what)
+		}
+		time.Sleep(readyPoll)
+	}
+	return nil
+}
+
+// WaitReady waits until the processes are ready.
+func (c *Cluster) WaitReady(names ...string) error {
+	for _, name := range names {
+		if err := Until(name, func() bool { return c.IsReady(name) }); err != nil {
+			return errors.Annotatef(err, "log of %s: %s", name, c.Log(name))
+		}
+	}
+	return nil
+}
+
+// StartAll starts all processes, puts the settings in force and waits until every backend server is known.
+func (c *Cluster) StartAll(ctx context.Context) error {
+	for _, name := range c.order {
+		if err := c.Start(name); err != nil {
+			return err
+		}
+	}
+	if err := c.WaitReady(c.Names(RoleControl)...); err != nil {
+		return err
+	}
+	err := Until("settings", func() bool {
+		_, err := c.Admin().PutSettings(ctx, c.cfg.Document, adminclient.Options{IfMatch: "*", ChangeID: "document"})
+		return err == nil
+	})
+	if err != nil {
+		return err
+	}
+	if err := c.WaitReady(c.order...); err != nil {
+		return err
+	}
+	return Until("backend servers", func() bool {
+		list, err := c.Admin().Backends(ctx)
+		if err != nil {
+			return false
+		}
+		ready := 0
+		for _, b := range list.Backends {
+			if b.Lifecycle == "ready" {
+				ready++
+			}
+		}
+		return ready == c.cfg.Engines+c.cfg.Services
+	})
+}
+
+// CreateKey creates a key of an organisation.
+func (c *Cluster) CreateKey(ctx context.Context, organisation string) (adminapi.CreatedKey, error) {
+	var key adminapi.CreatedKey
+	err := Until("key of "+organisation, func() bool {
+		var err error
+		key, err = c.Admin().CreateKey(ctx, organisation, adminapi.NewKey{}, adminclient.Options{})
+		return err == nil
+	})
+	return key, err
+}
+
+// maxLogBytes bounds what is kept of the log of one process.
+const maxLogBytes = 1 << 20
+
+// logBuffer keeps the newest part of a log.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.buf.Len()+len(p) > maxLogBytes {
+		b.buf.Next(min(b.buf.Len(), maxLogBytes/2))
+	}
+	return b.buf.Write(p)
+}
+
+// String returns what is kept.
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -13,6 +13,7 @@
 	"github.com/guavastack/guavastack/internal/agent"
 	"github.com/guavastack/guavastack/internal/config"
 	"github.com/guavastack/guavastack/internal/core/route"
+	"github.com/guavastack/guavastack/internal/core/sched"
 	"github.com/guavastack/guavastack/internal/watch"
 	"github.com/guavastack/guavastack/proto/controlpb"
 )
@@ -25,6 +26,12 @@
 	registrar *watch.Registrar
 }
 
+// policies are the scheduling policies by their names in settings files.
+var policies = map[string]sched.Policy{
+	config.DefaultPolicy: sched.PolicyTiered,
+	"fifo":               sched.PolicyFIFO,
+}
+
 // NewAgent returns the agent role, which listens already.
 func NewAgent(base *Base) (*Agent, error) {
 	c := base.Config.Agent
@@ -42,6 +49,7 @@
 		Advertise:   advertised(c, lis.Addr()),
 		Backend:     backendConfig(c.Backend),
 		QueueLimit:  c.QueueLimit,
+		Policy:      policies[c.Policy],
 		Logger:      base.Logger,
 		Metrics:     registry,
 	})
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -7,6 +7,8 @@
 
 	"github.com/juju/errors"
 
+	"github.com/guavastack/guavastack/internal/config"
+	"github.com/guavastack/guavastack/internal/core/route"
 	"github.com/guavastack/guavastack/internal/entry"
 	"github.com/guavastack/guavastack/internal/link"
 	"github.com/guavastack/guavastack/internal/watch"
@@ -50,6 +52,13 @@
 	})
 }
 
+// routings are the routing policies by their names in settings files.
+var routings = map[string]route.Policy{
+	config.DefaultRouting: route.PolicyTwoChoices,
+	"round_robin":         route.PolicyRoundRobin,
+	"least_outstanding":   route.PolicyLeastOutstanding,
+}
+
 // NewEntry returns the entry role, which listens already.
 func NewEntry(base *Base, client *watch.Client, links *link.Pool) (*Entry, error) {
 	c := base.Config.Entry
@@ -61,6 +70,7 @@
 		ID:             base.Config.ID,
 		Incarnation:    base.Incarnation,
 		Zone:           base.Config.Zone,
+		Routing:        routings[c.Routing],
 		MaxBodyBytes:   int64(c.MaxBodyBytes),
 		MaxConnections: c.MaxConnections,
 		MaxInFlight:    c.MaxInFlight,
