--- a/internal/agent/backend_faults_test.go
+++ b/internal/agent/backend_faults_test.go
@@ -109,8 +109,12 @@
 					r := newRecorder()
 					s := chat("r1", "20")
 					s.DeadlineMs = 60_000
+					start := time.Now()
 					submit(t, c.pool("entry-1"), agentAddr, s, r)
 					o := <-r.done
+					if tt.fault.Kind == engine.Silent && resumable && time.Since(start) > 10*time.Second {
+						t.Errorf("a silent stream was resumed only after %v", time.Since(start))
+					}
 					got := whole
 					switch {
 					case o.refused != nil:
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -242,9 +242,11 @@
 	}
 }
 
-// runningAt returns how many requests e works on.
-func runningAt(e *engine.Engine) int {
+// runningAt returns how many requests of agent-1 e works on.
+func runningAt(e *engine.Engine) int { return runningOf(e, "agent-1/") }
+
+func runningOf(e *engine.Engine, owner string) int {
 	w := httptest.NewRecorder()
-	e.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/running?owner=agent-1/", nil))
+	e.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/running?owner="+owner, nil))
 	return strings.Count(w.Body.String(), `"id"`)
 }
--- a/internal/agent/link_faults_test.go
+++ b/internal/agent/link_faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -179,6 +180,9 @@
 		if kept > 4<<10 {
 			t.Errorf("%d bytes are buffered, the limit is %d", kept, 4<<10)
 		}
+		if n := len(slow.body); n > 300 {
+			t.Errorf("%d bytes came for a credit of 100", n)
+		}
 		slow.call.Grant(1 << 30)
 		if o := <-slow.done; o.end == nil || o.body != wholeOf(chat("slow", "400")) {
 			t.Errorf("slow reader: %d bytes, %v", len(o.body), o.end)
@@ -240,25 +244,69 @@
 	}
 }
 
-// TestForgottenRequestIsNotCalledNotRun checks that an answer dropped before its entry had the end is never called not run.
-func TestForgottenRequestIsNotCalledNotRun(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, Config{KeepFor: time.Second}, engine.New(engine.Config{TokenInterval: 100 * time.Millisecond}))
-		p := link.NewPool(link.Config{
-			EntryID: "entry-1", Incarnation: "1", Dial: c.links.Dial,
-			HeartbeatInterval: 20 * time.Second, SilenceTimeout: 60 * time.Second, // slow to notice
-		})
-		t.Cleanup(p.Close)
-		r := newRecorder()
-		r.onEvent = func(n int) {
-			if n == 3 {
-				c.links.Silence(linktest.Both)
+// TestForgottenRequest checks that a welcome does not claim to be complete once a request that ran is forgotten before
+// its entry had the end.
+func TestForgottenRequest(t *testing.T) {
+	for _, acked := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, Config{KeepFor: time.Second}, engine.New(engine.Config{}))
+			l := c.raw("e", 1)
+			l.send(submitFrame(chat("r1", "4"), 1))
+			l.ended("r1")
+			if acked {
+				l.send(&linkpb.EntryFrame{Ack: &linkpb.Ack{RequestId: "r1"}})
+				synctest.Wait()
+			}
+			c.links.Cut()
+			time.Sleep(5 * time.Second) // virtual
+			if w := c.raw("e", 2).welcome; w.Complete != acked || len(w.Known) > 0 {
+				t.Errorf("acked %v: welcome %v", acked, w)
 			}
+		})
+	}
+}
+
+// TestReplacedLinkIsIgnored sends frames on behalf of a link that a newer one has replaced.
+func TestReplacedLinkIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, Config{}, engine.New(engine.Config{TokenInterval: 100 * time.Millisecond}))
+		c.raw("e", 1)
+		var old *link.Session
+		find := func(time.Time) { old = c.agent.entries[entryKey{"e", "1"}].session }
+		_ = c.agent.ask(context.Background(), find)
+		l := c.raw("e", 2)
+		l.send(submitFrame(chat("r1", "4"), 2))
+		synctest.Wait()
+		c.agent.Frame(old, &linkpb.EntryFrame{Resume: &linkpb.Resume{RequestId: "r1", Organisation: "camurca", Credit: 1 << 20}})
+		c.agent.Frame(old, &linkpb.EntryFrame{Cancel: &linkpb.Cancel{RequestId: "r1"}})
+		if end := l.ended("r1"); end.Stopped {
+			t.Errorf("end %v", end)
 		}
-		submit(t, p, agentAddr, chat("r1", "4"), r)
-		if o := <-r.done; o.verdict == verdict.NotRun {
-			t.Errorf("outcome %v", o)
+	})
+}
+
+// TestEarlierLifeIsCancelled leaves work of an agent that was killed at the engine, beside that of another agent.
+func TestEarlierLifeIsCancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := engine.New(engine.Config{TokenInterval: 100 * time.Millisecond})
+		done := make(chan struct{}, 2)
+		for _, owner := range []string{"agent-1/killed", "agent-10/alive"} {
+			go func() {
+				s := chat(owner, "100")
+				r := httptest.NewRequest(s.Method, s.Path, strings.NewReader(string(s.Body)))
+				r.Header.Set("X-Request-Id", owner)
+				r.Header.Set("X-Request-Owner", owner)
+				h.ServeHTTP(httptest.NewRecorder(), r)
+				done <- struct{}{}
+			}()
+		}
+		synctest.Wait()
+		newCluster(t, Config{ID: "agent-1"}, h)
+		<-done
+		if n, other := runningOf(h, "agent-1/"), runningOf(h, "agent-10/"); n != 0 || other != 1 {
+			t.Errorf("engine runs %d requests of the killed life, want 0, and %d of another agent, want 1", n, other)
 		}
+		<-done
 	})
 }
 
