Fail unsent requests at once, and try longer for those that were sent

Cause: a link that could not be opened four times (under a second) gave up requests whose answers their agent still kept. Change: what never left is not run as soon as a dial fails, so that the entry places it elsewhere; what was sent is resumed for 8 s, within the agent's 10 s for orphans. A request that goes on without its caller ends its call; a newer Resume through the same entry takes over; several events after a gap ask for it once. Tests: a cut with no dial for 5 s, TestResumeReplacesCall, TestCancel.

--- a/internal/agent/link_faults_test.go
+++ b/internal/agent/link_faults_test.go
@@ -36,6 +36,12 @@
 		{name: "silent to the agent", atEvent: 20, fault: silence(linktest.ToListener), whole: true, verdict: verdict.Ran},
 		{name: "silent to the entry", atEvent: 20, fault: silence(linktest.ToDialler), whole: true, verdict: verdict.Ran},
 		{name: "silent both ways", atEvent: 20, fault: silence(linktest.Both), whole: true, verdict: verdict.Ran},
+		{name: "cut, and no dial for 5 s", atEvent: 20, fault: func(n *linktest.Network) {
+			n.Refuse(true)
+			n.Cut()
+			time.Sleep(5 * time.Second) // virtual
+			n.Refuse(false)
+		}, whole: true, verdict: verdict.Ran},
 		{name: "cut for good", atEvent: 20, fault: func(n *linktest.Network) { n.Refuse(true); n.Cut() }, verdict: verdict.MayHaveRun},
 	}
 	for _, tt := range tests {
@@ -310,6 +316,34 @@
 	})
 }
 
+// TestResumeReplacesCall resumes a request through the entry that follows it already: the newer call gets the answer.
+func TestResumeReplacesCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, Config{}, engine.New(engine.Config{TokenInterval: 100 * time.Millisecond}))
+		p := c.pool("entry-1")
+		first, second := newRecorder(), newRecorder()
+		submit(t, p, agentAddr, chat("r1", "40"), first)
+		time.Sleep(time.Second) // virtual
+		resume := &linkpb.Resume{RequestId: "r1", Organisation: "camurca", Credit: 1 << 16, Unattended: true}
+		if _, err := p.Resume(context.Background(), agentAddr, resume, second); verdict.Of(err) != verdict.MayHaveRun || err == nil {
+			t.Errorf("unattended: %v", err)
+		}
+		resume.Unattended = false
+		call, err := p.Resume(context.Background(), agentAddr, resume, second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		second.call = call
+		close(second.ready)
+		if o := <-first.done; o.lost == nil || o.verdict != verdict.MayHaveRun {
+			t.Errorf("first: %v", o)
+		}
+		if o := <-second.done; o.end == nil || o.end.Stopped || o.body != wholeOf(chat("r1", "40")) {
+			t.Errorf("second: %v", o)
+		}
+	})
+}
+
 // TestUndeliveredAnswerIsKept finishes an answer that its caller takes late: neither the bound on kept bytes nor the
 // time may drop it before.
 func TestUndeliveredAnswerIsKept(t *testing.T) {
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -233,14 +233,24 @@
 		return
 	}
 	if m.Reason == linkpb.CancelReason_CANCEL_REASON_CALLER_GONE && r.submit.KeepAnswer {
-		r.session = nil
-		r.orphanedAt = now
-		r.answer.detach()
+		a.leaveCaller(now, r)
 		return
 	}
 	a.stop(now, r, refuse(linkpb.RefuseCode_REFUSE_CODE_CANCELLED, "request was cancelled"))
 }
 
+// leaveCaller goes on with a request whose caller has gone; its answer is kept.
+func (a *Agent) leaveCaller(now time.Time, r *record) {
+	r.answer.detach()
+	if r.session != nil {
+		r.session.Send(a.refusedFrame(r.id, r.submit.Attempt, &refusal{
+			verdict: mayHaveRun, code: linkpb.RefuseCode_REFUSE_CODE_CANCELLED, message: "request goes on without its caller",
+		}))
+	}
+	r.session = nil
+	r.orphanedAt = now
+}
+
 // bury leaves a tombstone for a request that has not come.
 func (a *Agent) bury(now time.Time, e *entry, id string) {
 	if len(a.records) >= maxRecords && !a.evictOldest() {
@@ -281,7 +291,7 @@
 		return
 	}
 	former := r.session
-	attended := former != nil && former != s && r.active()
+	attended := former != nil && former != s && !r.acked
 	if attended && m.Unattended {
 		s.Send(a.refusedFrame(m.RequestId, r.submit.Attempt, &refusal{
 			verdict: mayHaveRun, code: linkpb.RefuseCode_REFUSE_CODE_ATTENDED, message: "another entry follows the request",
--- a/internal/agent/requests_test.go
+++ b/internal/agent/requests_test.go
@@ -248,6 +248,9 @@
 				time.Sleep(time.Second) // virtual
 				r.call.Cancel(tt.reason)
 				if tt.goesOn {
+					if o := <-r.done; o.refused == nil || o.verdict != verdict.MayHaveRun {
+						t.Errorf("outcome %v", o)
+					}
 					<-other.done
 					synctest.Wait()
 					fetched := newRecorder()
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -29,6 +29,7 @@
 	cancelled bool
 	cancelWhy linkpb.CancelReason
 	resumes   int
+	asked     bool // a Resume for a missing event is under way
 
 	attempt atomic.Uint32 // 0: learned from the first message
 	next    atomic.Uint64 // sequence number of the next event
@@ -64,7 +65,8 @@
 const (
 	nothing  reaction = iota
 	progress          // the message was new
-	resume            // something is missing: ask for it again
+	gap               // an event is missing: ask for it, once
+	resume            // the end came without all events: ask for them
 	finished          // the call is over
 )
 
@@ -99,7 +101,7 @@
 	case !c.accepts(m.Attempt), m.Seq+count <= c.next.Load():
 		return nothing
 	case m.Seq != c.next.Load():
-		return resume
+		return gap
 	}
 	c.next.Add(count)
 	c.credit.Add(-int64(len(m.Data)))
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -134,8 +134,11 @@
 func (p *peer) react(c *Call, r reaction) {
 	switch r {
 	case progress:
-		if c.resumes > 0 {
-			c.resumes = 0
+		c.resumes = 0
+		c.asked = false
+	case gap:
+		if !c.asked {
+			p.resume(c)
 		}
 	case resume:
 		p.resume(c)
@@ -151,6 +154,7 @@
 func (p *peer) resume(c *Call) {
 	p.mu.Lock()
 	c.resumes++
+	c.asked = true
 	tooMany := c.resumes > maxResumes
 	if !tooMany {
 		p.push(item{kind: itemResume, call: c})
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -68,11 +68,18 @@
 func (p *peer) add(c *Call) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, ok := p.calls[c.id]; ok {
+	old := p.calls[c.id]
+	switch {
+	case old != nil && c.submit != nil:
 		return verdict.New(verdict.NotRun, "duplicate_request", "request %s is in flight to this agent already", c.id)
+	case old != nil && c.unattended:
+		return verdict.New(verdict.MayHaveRun, "attended", "request %s is followed by another caller", c.id)
 	}
 	kind := itemResume
 	if c.submit != nil {
+		if len(c.submit.Body) > maxBodyBytes {
+			return verdict.New(verdict.NotRun, "body_too_large", "body of %d bytes does not fit a frame", len(c.submit.Body))
+		}
 		if p.waitingBytes+len(c.submit.Body) > maxWaitingBytes {
 			return verdict.New(verdict.NotRun, "link_busy", "too many bytes wait for the link to the agent")
 		}
@@ -91,6 +98,10 @@
 	p.calls[c.id] = c
 	c.inFlight = true
 	p.push(item{kind: kind, call: c})
+	if old != nil {
+		old.inFlight = false
+		go old.lost(verdict.New(verdict.MayHaveRun, "superseded", "the answer to request %s is taken by another caller", c.id))
+	}
 	return nil
 }
 
@@ -180,27 +191,32 @@
 	return p.running
 }
 
-// run opens links while there is work.
+// run opens links while there is work. What never left is given up as soon as a link cannot be opened, so that it can
+// go elsewhere; what was sent is worth trying for longer.
 func (p *peer) run() {
-	failures := 0
+	var downSince time.Time
+	backoff := firstBackoff
 	for {
 		conn, err := p.open()
 		if err == nil {
-			failures = 0
+			downSince, backoff = time.Time{}, firstBackoff
 			err = p.serve(conn)
 		} else {
-			failures++
+			if downSince.IsZero() {
+				downSince = time.Now()
+			}
+			p.giveUp(err, false)
 		}
-		if p.pool.ctx.Err() != nil || failures >= maxDialTries {
-			p.giveUp(err)
-			return
+		if p.pool.ctx.Err() != nil || (!downSince.IsZero() && time.Since(downSince) >= resumeFor) {
+			p.giveUp(err, true)
 		}
 		if p.stopIfIdle() {
 			return
 		}
 		p.pool.cfg.Logger.Info("link is replaced", "agent_address", p.addr, "error", err)
-		if failures > 0 {
-			p.pause(firstBackoff << (failures - 1))
+		if !downSince.IsZero() {
+			p.pause(backoff)
+			backoff = min(2*backoff, maxBackoff)
 		}
 	}
 }
@@ -226,21 +242,24 @@
 	return true
 }
 
-// giveUp ends everything in flight: what never left has not run, the rest may have.
-func (p *peer) giveUp(cause error) {
+// giveUp ends what is in flight: what never left has not run, the rest may have. Without all, what was sent stays.
+func (p *peer) giveUp(cause error, all bool) {
 	p.mu.Lock()
-	calls, fences := p.calls, p.fences
-	p.calls = make(map[string]*Call)
+	var over []*Call
+	for id, c := range p.calls {
+		if all || !c.sent {
+			over = append(over, c)
+			c.inFlight = false
+			delete(p.calls, id)
+		}
+	}
+	fences := p.fences
 	p.fences = make(map[string]*fence)
-	p.queue = nil
+	p.queue = nil // settle queues again what belongs to the calls that stay
 	p.waitingBytes = 0
-	p.running = false
-	for _, c := range calls {
-		c.inFlight = false
-	}
 	p.mu.Unlock()
 
-	for _, c := range calls {
+	for _, c := range over {
 		c.lost(unreachable(c.sent, p.addr, cause))
 	}
 	for _, f := range fences {
@@ -292,6 +311,7 @@
 		}
 		c.resumes++
 		c.grant = 0
+		c.asked = false
 		if c.submit != nil && !known[c.id] {
 			c.sent = false
 			p.waitingBytes += len(c.submit.Body)
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -19,12 +19,16 @@
 	defaultSilenceTimeout    = 1500 * time.Millisecond
 	defaultIdleTimeout       = 60 * time.Second
 
-	// maxDialTries bounds the attempts to open a link before its requests are given up.
-	maxDialTries = 4
+	// resumeFor is how long a new link is tried for requests that were sent. Agents wait longer for their entries.
+	resumeFor = 8 * time.Second
 	// maxResumes bounds the resumes of one request that bring nothing new.
 	maxResumes = 5
 	// firstBackoff is the pause after the first failed attempt; it doubles with each.
 	firstBackoff = 50 * time.Millisecond
+	// maxBackoff bounds the pause.
+	maxBackoff = time.Second
+	// maxBodyBytes bounds the body of a request.
+	maxBodyBytes = MaxFrameBytes - 1<<20
 	// maxWaitingBytes bounds the bodies that wait for a link to one agent.
 	maxWaitingBytes = 64 << 20
 )
