Read engine streams with ssestream, within a bound for each event

Ruled out: a parser of our own. Change: the event-stream decoder of openai-go, behind a reader that fails once an event is longer than its bound; events of several data lines keep their framing, which go-sse's joined text had broken. With the bound switched off TestEvents/endless_line runs into its timeout.

--- a/internal/agent/bench_test.go
+++ b/internal/agent/bench_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"slices"
@@ -227,3 +228,39 @@
 	runtime.ReadMemStats(&m)
 	b.ReportMetric(float64(m.HeapInuse+m.StackInuse)/(1<<20), "MiB")
 }
+
+// BenchmarkResume measures the time from a cut of the TCP connection to the next event of the answer.
+func BenchmarkResume(b *testing.B) {
+	a := startAgent(b, Config{Backend: BackendConfig{
+		Kind: KindEngine, URL: serveHTTP(b, engine.New(engine.Config{TokenInterval: time.Millisecond})),
+	}})
+	conns := make(chan net.Conn, 1)
+	p := newPool(b, "bench", func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		if err == nil {
+			conns <- conn
+		}
+		return conn, err
+	})
+	times := make([]time.Duration, b.N)
+	for i := range times {
+		r := newRecorder()
+		var cutAt time.Time
+		r.onEvent = func(n int) {
+			switch n {
+			case 5:
+				cutAt = time.Now()
+				(<-conns).Close()
+			case 6:
+				times[i] = time.Since(cutAt)
+			}
+		}
+		submit(b, p, a.Addr().String(), chat(fmt.Sprint("r", i), "20"), r)
+		if o := <-r.done; o.end == nil {
+			b.Fatal(o)
+		}
+	}
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Microseconds()), "us-median")
+	b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "us-p99")
+}
--- /dev/null
+++ b/internal/backend/backend_test.go
@@ -0,0 +1,133 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"go.uber.org/goleak"
+
+	"github.com/guavastack/guavastack/internal/core/verdict"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// collector is a sink that keeps all.
+type collector struct {
+	status int
+	body   strings.Builder
+	tokens int
+}
+
+func (c *collector) Head(status int, _ []Header) error { c.status = status; return nil }
+
+func (c *collector) Data(data []byte, tokens int) error {
+	c.body.Write(data)
+	c.tokens += tokens
+	return nil
+}
+
+// engineSending returns a client of an engine that answers with text, again and again where it is endless.
+func engineSending(t *testing.T, text string, endless bool) *Engine {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream; charset=utf-8")
+		for {
+			if _, err := io.WriteString(w, text); err != nil || !endless {
+				return
+			}
+		}
+	}))
+	t.Cleanup(s.Close)
+	e := NewEngine(Config{URL: s.URL, MaxEventBytes: 64 << 10})
+	t.Cleanup(e.Close)
+	return e
+}
+
+// TestEvents gives the client streams in the shapes that engines send, sound and unsound.
+func TestEvents(t *testing.T) {
+	const done = "data: [DONE]\n\n"
+	tests := []struct {
+		name, stream string
+		endless      bool
+		want         string // body; with fails what came before
+		tokens       int
+		fails        bool
+	}{
+		{name: "plain", stream: "data: {\"a\":1}\n\n" + done, want: "data: {\"a\":1}\n\n" + done, tokens: 1},
+		{name: "no space", stream: "data:{\"a\":1}\n\n" + done, want: "data: {\"a\":1}\n\n" + done, tokens: 1},
+		{name: "CRLF", stream: "data: {\"a\":1}\r\n\r\ndata: [DONE]\r\n\r\n", want: "data: {\"a\":1}\n\n" + done, tokens: 1},
+		{name: "comment", stream: ": ping\n\ndata: {}\n\n" + done, want: "data: {}\n\n" + done, tokens: 1},
+		{name: "several lines", stream: "data: {\ndata: }\n\n" + done, want: "data: {\ndata: }\n\n" + done, tokens: 1},
+		{name: "usage only", stream: "data: {\"choices\":[],\"usage\":{\"completion_tokens\":7}}\n\n" + done, want: "data: {\"choices\":[],\"usage\":{\"completion_tokens\":7}}\n\n" + done},
+		{name: "more after the end", stream: "data: {}\n\n" + done + "data: {}\n\n", want: "data: {}\n\n" + done, tokens: 1},
+		{name: "nothing", stream: "", fails: true},
+		{name: "no last event", stream: "data: {}\n\n", want: "data: {}\n\n", tokens: 1, fails: true},
+		{name: "last event cut", stream: "data: {}\n\ndata: [DONE]", want: "data: {}\n\n", tokens: 1, fails: true},
+		{name: "no JSON", stream: "data: oops\n\n" + done, fails: true},
+		{name: "JSON but no object", stream: "data: [1]\n\n" + done, fails: true},
+		{name: "half an object", stream: "data: {\"a\":\n\n" + done, fails: true},
+		{name: "endless line", stream: strings.Repeat("x", 1<<10), endless: true, fails: true},
+		{name: "endless event of short lines", stream: "data: x\n", endless: true, fails: true},
+		{name: "endless comments", stream: ": x\n", endless: true, fails: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var c collector
+			req := &Request{ID: "r1", Method: "POST", Path: "/", Stream: true}
+			_, err := engineSending(t, tt.stream, tt.endless).Do(context.Background(), req, &c)
+			if (err != nil) != tt.fails || (err != nil && verdict.Of(err) != verdict.MayHaveRun) {
+				t.Errorf("error %v", err)
+			}
+			if c.body.String() != tt.want || c.tokens != tt.tokens {
+				t.Errorf("%d tokens in %q, want %d in %q", c.tokens, c.body.String(), tt.tokens, tt.want)
+			}
+		})
+	}
+}
+
+// TestUsage reads the usage of a stream and of an answer in one piece.
+func TestUsage(t *testing.T) {
+	const usage = `"usage": {"prompt_tokens":5,"completion_tokens":7,"prompt_tokens_details":{"cached_tokens":3}}`
+	var c collector
+	stream := "data: {\"choices\":[{}],\"usage\":null}\n\ndata: {\"choices\":[]," + usage + "}\n\ndata: [DONE]\n\n"
+	got, err := engineSending(t, stream, false).Do(context.Background(), &Request{Method: "POST", Path: "/", Stream: true}, &c)
+	if want := (Usage{Prompt: 5, Cached: 3, Output: 7, Reported: true}); err != nil || got != want {
+		t.Errorf("stream: %+v, %v", got, err)
+	}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "{"+usage+"}") }))
+	defer s.Close()
+	e := NewEngine(Config{URL: s.URL})
+	defer e.Close()
+	got, err = e.Do(context.Background(), &Request{Method: "POST", Path: "/"}, &c)
+	if want := (Usage{Prompt: 5, Cached: 3, Output: 7, Reported: true}); err != nil || got != want {
+		t.Errorf("whole: %+v, %v", got, err)
+	}
+}
+
+// TestVerdictOfFailures checks that only a request that never left is called not run.
+func TestVerdictOfFailures(t *testing.T) {
+	closed := httptest.NewServer(http.NotFoundHandler())
+	closed.Close()
+	cuts := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer cuts.Close()
+	tests := []struct {
+		name, url string
+		want      verdict.Verdict
+	}{
+		{"nobody listens", closed.URL, verdict.NotRun},
+		{"closed after reading", cuts.URL, verdict.MayHaveRun},
+	}
+	for _, tt := range tests {
+		for _, b := range []Backend{NewEngine(Config{URL: tt.url}), NewService(Config{URL: tt.url})} {
+			_, err := b.Do(context.Background(), &Request{Method: "POST", Path: "/", Body: []byte("x")}, &collector{})
+			if err == nil || verdict.Of(err) != tt.want {
+				t.Errorf("%s, %T: %v with verdict %v, want %v", tt.name, b, err, verdict.Of(err), tt.want)
+			}
+			b.Close()
+		}
+	}
+}
--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -11,7 +12,7 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/tmaxmax/go-sse"
+	"github.com/openai/openai-go/v3/packages/ssestream"
 
 	"github.com/guavastack/guavastack/internal/core/verdict"
 )
@@ -25,8 +26,6 @@
 	maxStreamResumes = 3
 	// maxControlBytes bounds the answers to small calls.
 	maxControlBytes = 1 << 20
-	// eventPrefix begins the data line of an event.
-	eventPrefix = "data: "
 	// doneMark is the data of the last event of a stream.
 	doneMark = "[DONE]"
 )
@@ -143,7 +142,7 @@
 	}
 	alive := func() { silence.Reset(limit) }
 	if isEventStream(resp) {
-		return s.broken(ctx, s.events(resp.Body, alive))
+		return s.broken(ctx, s.events(resp, alive))
 	}
 	return s.broken(ctx, s.whole(resp, alive))
 }
@@ -177,35 +176,66 @@
 }
 
 // events passes on the events of a stream up to its last one.
-func (s *stream) events(body io.Reader, alive func()) error {
+func (s *stream) events(resp *http.Response, alive func()) error {
 	if s.done {
 		return nil
 	}
+	budget := &budgetReader{ReadCloser: resp.Body, limit: s.engine.cfg.MaxEventBytes}
+	resp.Body = budget
+	decoder := ssestream.NewDecoder(resp)
 	var buf []byte
-	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: s.engine.cfg.MaxEventBytes}) {
-		if err != nil {
-			return failure(true, codeCut, err)
-		}
+	for decoder.Next() {
 		alive()
-		if event.Data == doneMark {
+		budget.used = 0
+		data := bytes.TrimSuffix(decoder.Event().Data, newline)
+		if string(data) == doneMark {
 			s.done = true
 			return s.put([]byte("data: [DONE]\n\n"), 0)
 		}
-		buf = append(buf[:0], eventPrefix...)
-		buf = append(buf, event.Data...)
-		tokens, err := s.inspect(buf[len(eventPrefix):])
+		tokens, err := s.inspect(data)
 		if err != nil {
 			return err
 		}
-		buf = append(buf, "\n\n"...)
+		buf = appendEvent(buf[:0], data)
 		if err := s.put(buf, tokens); err != nil {
 			return err
 		}
 		s.pieces++
 	}
+	if err := decoder.Err(); err != nil {
+		return failure(true, codeCut, err)
+	}
 	return verdict.New(verdict.MayHaveRun, codeCut, "stream of the engine ended without its last event")
 }
 
+var newline = []byte("\n")
+
+// appendEvent appends the event with the given data, which may have several lines.
+func appendEvent(buf, data []byte) []byte {
+	for line := range bytes.SplitSeq(data, newline) {
+		buf = append(buf, "data: "...)
+		buf = append(buf, line...)
+		buf = append(buf, '\n')
+	}
+	return append(buf, '\n')
+}
+
+// budgetReader fails once more than limit bytes were read since used was last reset, so that an event has a bound.
+type budgetReader struct {
+	io.ReadCloser
+	limit, used int
+}
+
+// Read reads on.
+func (r *budgetReader) Read(p []byte) (int, error) {
+	if r.used > r.limit {
+		return 0, errors.Errorf("event of the engine is longer than %d bytes", r.limit)
+	}
+	n, err := r.ReadCloser.Read(p)
+	r.used += n
+	return n, err
+}
+
 func (s *stream) put(data []byte, tokens int) error {
 	if err := s.sink.Data(data, tokens); err != nil {
 		return errors.Wrap(err, ErrSink)
