--- a/internal/core/duty/lease.go
+++ b/internal/core/duty/lease.go
@@ -22,8 +22,8 @@
 
 // Default bounds.
 const (
-	DefaultLease        = 1500 * time.Millisecond
-	DefaultLongestCall  = time.Second
+	DefaultLease        = 500 * time.Millisecond
+	DefaultLongestCall  = 500 * time.Millisecond
 	DefaultShortestCall = 50 * time.Millisecond
 	DefaultDrift        = 100 * time.Millisecond
 )
--- a/internal/operate/faults_test.go
+++ b/internal/operate/faults_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/guavastack/guavastack/internal/core/duty"
+	"github.com/guavastack/guavastack/internal/replica"
 	standin "github.com/guavastack/guavastack/internal/standin/platform"
 )
 
@@ -44,11 +45,10 @@
 		{"no fault", func(*bench) {}},
 		{"leader isolated silently while its orders are on their way", func(b *bench) {
 			b.faults.set(onPut(arriveAtEnd))
-			b.run(4 * time.Second)
+			b.awaitCall()
 			b.isolate(0)
-			b.elect(1)
-			b.run(3 * time.Second)
 			b.faults.set(nil)
+			b.elect(1)
 			b.run(settled)
 			b.heal(0)
 		}},
@@ -64,7 +64,7 @@
 		}},
 		{"lease ends during a call", func(b *bench) {
 			b.faults.set(onPut(loseAnswer))
-			b.run(3 * time.Second)
+			b.awaitCall()
 			b.isolate(0)
 			b.elect(2)
 			b.run(5 * time.Second)
@@ -77,7 +77,7 @@
 			b.heal(0)
 		}},
 		{"process paused shorter than the lease, then elected again", func(b *bench) {
-			b.pauseAfterCheck(0, time.Second)
+			b.pauseAfterCheck(0, duty.DefaultLease/2)
 			b.run(2 * time.Second)
 			b.elect(0)
 		}},
@@ -125,14 +125,14 @@
 		}},
 		{"two leaders in quick succession", func(b *bench) {
 			b.faults.set(onPut(arriveAtEnd))
-			b.run(4 * time.Second)
+			b.awaitCall()
 			b.isolate(0)
 			b.elect(1)
 			b.run(time.Second)
+			b.awaitCall()
 			b.isolate(1)
-			b.elect(2)
-			b.run(3 * time.Second)
 			b.faults.set(nil)
+			b.elect(2)
 			b.run(settled)
 			b.heal(0)
 			b.heal(1)
@@ -177,7 +177,7 @@
 					b := newBench(t, p.cfg)
 					b.elect(0)
 					b.want(2, 1)
-					b.run(2 * time.Second) // still waiting out older leaders
+					b.run(time.Second) // still waiting out older leaders
 					tt.faults(b)
 					b.run(settled)
 					if n := b.started(); n != 3 {
@@ -319,6 +319,14 @@
 	return g.lease, true
 }
 
+// TestTimingFitsTheGroup compares the bounds of the wait with the lease that the control group grants.
+func TestTimingFitsTheGroup(t *testing.T) {
+	timing := duty.DefaultTiming()
+	if timing.Lease < replica.DefaultLeaseDuration || timing.Drift < replica.DefaultMaxClockDrift {
+		t.Errorf("timing %+v for a lease of %v and a drift of %v", timing, replica.DefaultLeaseDuration, replica.DefaultMaxClockDrift)
+	}
+}
+
 func TestCallEndsBeforeLease(t *testing.T) {
 	timing := duty.DefaultTiming()
 	tests := []struct {
--- a/internal/operate/harness_test.go
+++ b/internal/operate/harness_test.go
@@ -307,6 +307,13 @@
 	synctest.Wait()
 }
 
+// awaitCall lets time pass until a call is on its way that will hang.
+func (b *bench) awaitCall() {
+	for b.faults.waiting(0) == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // reachable returns the member that the entry's reports reach, nil during an election.
 func (b *bench) reachable() *fakeMember {
 	b.group.mu.Lock()
@@ -448,6 +455,23 @@
 	handler http.Handler
 	mu      sync.Mutex
 	plan    func(method, path string) fault
+	onWay   int // calls that wait for their deadline
+}
+
+// waiting counts the calls that wait for their deadline.
+func (f *faultyTransport) waiting(change int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.onWay += change
+	return f.onWay
+}
+
+// wait lets a call hang until its deadline.
+func (f *faultyTransport) wait(r *http.Request) error {
+	f.waiting(1)
+	<-r.Context().Done()
+	f.waiting(-1)
+	return r.Context().Err()
 }
 
 func (f *faultyTransport) set(plan func(method, path string) fault) {
@@ -476,16 +500,14 @@
 	}
 	switch f.next(r) {
 	case loseCall:
-		<-r.Context().Done()
-		return nil, r.Context().Err()
+		return nil, f.wait(r)
 	case loseAnswer:
 		f.serve(r, body)
-		<-r.Context().Done()
-		return nil, r.Context().Err()
+		return nil, f.wait(r)
 	case arriveAtEnd:
-		<-r.Context().Done()
+		err := f.wait(r)
 		f.serve(r, body)
-		return nil, r.Context().Err()
+		return nil, err
 	case twice:
 		f.serve(r, body)
 		return f.serve(r, body), nil
