Let operators read, replace and pause the settings of the fleet

Cause: the settings of the fleet could be changed by a command of the log only; no operator could pause it.

--- a/cmd/guavastack/status.go
+++ b/cmd/guavastack/status.go
@@ -24,7 +24,7 @@
 			Flags: append(adminFlags(), &cli.IntFlag{Name: "limit", Value: 10, Usage: "newest windows to print"}),
 		},
 		{Name: "orders", Usage: "print orders to the platform and to engines", Flags: adminFlags(), Action: withClient(orders)},
-		{Name: "fleet", Usage: "print wanted and running backend servers and their cost", Flags: adminFlags(), Action: withClient(fleetStatus)},
+		fleetCommand(),
 		{
 			Name: "backup", Usage: "write a snapshot of the control group's state to a file", ArgsUsage: "FILE",
 			Flags: adminFlags(), Action: withClient(backup),
@@ -95,17 +95,6 @@
 	})
 }
 
-func fleetStatus(ctx context.Context, cmd *cli.Command, client *adminclient.Client) error {
-	f, err := client.Fleet(ctx)
-	if err != nil {
-		return err
-	}
-	return show(cmd, f, func(w io.Writer) {
-		_, _ = fmt.Fprintf(w, "phase\t%s\nin charge\t%s\nfencing\t%d\nservers\t%d\ncost per hour\t%.2f\nopen orders\t%d\nstuck orders\t%v\nlast error\t%s\n",
-			f.Phase, f.Holder, f.Fencing, len(f.Servers), f.CostPerHour, len(f.OpenOrders), f.StuckOrders, f.LastError)
-	})
-}
-
 func backup(ctx context.Context, cmd *cli.Command, client *adminclient.Client) error {
 	file, err := oneArg(cmd, "FILE")
 	if err != nil {
--- a/internal/admin/change.go
+++ b/internal/admin/change.go
@@ -32,20 +32,11 @@
 
 // newChange reads the headers of a change. needsVersion refuses one without If-Match.
 func newChange(req *restful.Request, resp *restful.Response, command settings.Command, needsVersion bool) (change, bool) {
-	id := req.HeaderParameter(adminapi.HeaderChangeID)
-	if len(id) > maxChangeIDLength {
-		fail(resp, http.StatusBadRequest, adminapi.CodeBadRequest, "%s of %d bytes; expected at most %d", adminapi.HeaderChangeID, len(id), maxChangeIDLength)
+	id, match, ok := changeHeaders(req, resp, needsVersion)
+	if !ok {
 		return change{}, false
 	}
-	if id == "" {
-		id = uuid.NewString()
-	}
-	match := strings.Trim(strings.TrimPrefix(req.HeaderParameter(adminapi.HeaderIfMatch), "W/"), `"`)
-	if match == "" && needsVersion {
-		fail(resp, http.StatusPreconditionRequired, adminapi.CodeNeedsVersion, "expected the header If-Match with the version that was read, or * for any")
-		return change{}, false
-	}
-	if match != "" && match != "*" {
+	if match != "" && match != anyVersion {
 		if _, err := settings.ParseVersion(match); err != nil {
 			fail(resp, http.StatusBadRequest, adminapi.CodeBadRequest, "If-Match: %v", err)
 			return change{}, false
@@ -56,6 +47,24 @@
 	return change{id: id, command: command}, true
 }
 
+// changeHeaders returns the id of a change and the version that it was made from.
+func changeHeaders(req *restful.Request, resp *restful.Response, needsVersion bool) (id, match string, ok bool) {
+	id = req.HeaderParameter(adminapi.HeaderChangeID)
+	if len(id) > maxChangeIDLength {
+		fail(resp, http.StatusBadRequest, adminapi.CodeBadRequest, "%s of %d bytes; expected at most %d", adminapi.HeaderChangeID, len(id), maxChangeIDLength)
+		return "", "", false
+	}
+	if id == "" {
+		id = uuid.NewString()
+	}
+	match = strings.Trim(strings.TrimPrefix(req.HeaderParameter(adminapi.HeaderIfMatch), "W/"), `"`)
+	if match == "" && needsVersion {
+		fail(resp, http.StatusPreconditionRequired, adminapi.CodeNeedsVersion, "expected the header If-Match with the version that was read, or * for any")
+		return "", "", false
+	}
+	return id, match, true
+}
+
 // commit brings a change into the log and writes the answer if it wasn't accepted. A lost answer is made up for by
 // sending the change again, which its id makes harmless.
 func (s *Server) commit(req *restful.Request, resp *restful.Response, c change) (settings.Outcome, bool) {
@@ -111,17 +120,24 @@
 	if err != nil {
 		return settings.Outcome{}, errors.Trace(err)
 	}
+	var outcome settings.Outcome
+	err = s.proposeData(ctx, data, &outcome)
+	return outcome, err
+}
+
+// proposeData sends an encoded command until outcome has its outcome or ctx ends.
+func (s *Server) proposeData(ctx context.Context, data []byte, outcome any) error {
 	mayHave := false
 	for {
-		outcome, unknown, err := s.proposeOnce(ctx, data)
+		unknown, err := s.proposeOnce(ctx, data, outcome)
 		if err == nil {
-			return outcome, nil
+			return nil
 		}
 		mayHave = mayHave || unknown
 		select {
 		case <-time.After(retryDelay):
 		case <-ctx.Done():
-			return settings.Outcome{}, changeError(err, mayHave)
+			return changeError(err, mayHave)
 		}
 	}
 }
@@ -136,16 +152,15 @@
 }
 
 // proposeOnce sends a command once. unknown is true with an error that leaves the outcome open.
-func (s *Server) proposeOnce(ctx context.Context, data []byte) (outcome settings.Outcome, unknown bool, err error) {
+func (s *Server) proposeOnce(ctx context.Context, data []byte, outcome any) (unknown bool, err error) {
 	reply, err := s.cfg.Control.Propose(ctx, &controlpb.ProposeRequest{Command: data, TimeoutMs: attemptTimeout.Milliseconds()})
 	if err != nil {
-		return outcome, true, err
+		return true, err
 	}
 	if reply.Error != "" {
-		return outcome, reply.MayHaveCommitted, errors.New(reply.Error)
+		return reply.MayHaveCommitted, errors.New(reply.Error)
 	}
-	err = json.Unmarshal(reply.Result, &outcome)
-	return outcome, true, err
+	return true, json.Unmarshal(reply.Result, outcome)
 }
 
 // accepted writes the answer to an accepted change once it is in force everywhere, or says who is behind.
--- a/internal/admin/routes.go
+++ b/internal/admin/routes.go
@@ -134,5 +134,5 @@
 	ws.Route(reading(ws.GET("/usage").To(s.getUsage).Operation("getUsage").Doc("Billing windows, newest first, with what was counted and reported"), []operate.WindowUsage{}).
 		Param(limitParameter()).Filter(permitRoot))
 	ws.Route(reading(ws.GET("/orders").To(s.getOrders).Operation("getOrders").Doc("Orders to the platform and to engines, newest first"), []duty.Order{}).Filter(permitRoot))
-	ws.Route(reading(ws.GET("/fleet").To(s.getFleet).Operation("getFleet").Doc("Who is in charge, plans, servers and open orders"), operate.FleetStatus{}).Filter(permitRoot))
+	s.addFleet(ws)
 }
--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -2,6 +2,7 @@
 package adminapi
 
 import (
+	"github.com/guavastack/guavastack/internal/core/fleet"
 	"github.com/guavastack/guavastack/internal/core/settings"
 )
 
@@ -55,6 +56,12 @@
 	settings.Globals
 }
 
+// FleetSettings are the settings of the fleet. Their version is apart from that of the tree.
+type FleetSettings struct {
+	Version  string         `json:"version"`
+	Settings fleet.Settings `json:"settings"`
+}
+
 // HistoryChange is one accepted change: who, when and what.
 type HistoryChange struct {
 	Version      string      `json:"version"` // after the change
--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -197,6 +197,16 @@
 	return get[operate.FleetStatus](ctx, c, "/v1/fleet", nil)
 }
 
+// FleetSettings returns the settings of the fleet.
+func (c *Client) FleetSettings(ctx context.Context) (adminapi.FleetSettings, error) {
+	return get[adminapi.FleetSettings](ctx, c, "/v1/fleet/settings", nil)
+}
+
+// PutFleetSettings replaces the settings of the fleet, in JSON with comments.
+func (c *Client) PutFleetSettings(ctx context.Context, document string, o Options) (adminapi.Change, error) {
+	return change[adminapi.Change](ctx, c, http.MethodPut, "/v1/fleet/settings", document, o)
+}
+
 // Backup returns a snapshot of the whole state.
 func (c *Client) Backup(ctx context.Context) ([]byte, error) {
 	_, data, err := c.send(ctx, request{method: http.MethodGet, path: "/v1/backup"})
--- a/internal/core/duty/duty_test.go
+++ b/internal/core/duty/duty_test.go
@@ -69,6 +69,7 @@
 		{"stop after a refused stop", []Command{take(0), intend(1, stop("x", "s")), settle(1, "x", Refused), intend(1, stop("y", "s"))}, CodeOK, 1},
 		{"settings", []Command{change("1", 0, paused)}, CodeOK, 0},
 		{"settings of an older version", []Command{change("1", 0, paused), change("2", 0, paused)}, CodeConflict, 0},
+		{"settings of any version", []Command{change("1", 0, paused), {Change: &Change{ID: "2", AnyVersion: true}}}, CodeOK, 0},
 		{"settings sent again", []Command{change("1", 0, paused), change("2", 1, paused), change("1", 0, paused)}, CodeOK, 0},
 		{"other settings under the change id", []Command{change("1", 0, paused), change("1", 0, fleet.Settings{})}, CodeChangeReuse, 0},
 		{"settings that contradict themselves", []Command{change("1", 0, fleet.Settings{Pools: []fleet.Pool{{}}})}, CodeInvalid, 0},
--- a/internal/core/duty/module.go
+++ b/internal/core/duty/module.go
@@ -62,9 +62,10 @@
 
 // Change replaces the settings of the fleet.
 type Change struct {
-	ID       string         `json:"id"`         // the same id again returns the first outcome
-	IfMatch  uint64         `json:"if_version"` // version that the change was made from
-	Settings fleet.Settings `json:"settings"`
+	ID         string         `json:"id"`                    // the same id again returns the first outcome
+	IfMatch    uint64         `json:"if_version"`            // version that the change was made from
+	AnyVersion bool           `json:"any_version,omitempty"` // made whatever the version is
+	Settings   fleet.Settings `json:"settings"`
 }
 
 // Result is the outcome of a command.
@@ -208,7 +209,7 @@
 }
 
 func (m *Module) changeOnce(c Change) Result {
-	if c.IfMatch != m.s.Version {
+	if c.IfMatch != m.s.Version && !c.AnyVersion {
 		return Result{Code: CodeConflict, Version: m.s.Version}
 	}
 	if err := c.Settings.Validate(); err != nil {
