Stop a server only when it was idle twice, and keep engine orders of unknown outcome open

Cause: an agent that restarts between the look and the stop may have taken new work; an engine order that the agent could not settle in time was recorded as refused; an agent that has learned no fencing number yet ended the spell. Change: two idle answers of one incarnation, a round apart; EngineOrderResult.refused (set by the agent, smallest change there and in internal/backend); a stale answer ends the spell only with a higher number. Broken by hand, each seen to fail: one idle answer, no draining, unknown taken as refused, any stale answer as overtaken.

--- a/internal/agent/lifecycle.go
+++ b/internal/agent/lifecycle.go
@@ -135,6 +135,7 @@
 	result := &linkpb.EngineOrderResult{Accepted: err == nil, Fencing: a.orders.current()}
 	if err != nil {
 		result.Error = err.Error()
+		result.Refused = backend.IsRefusal(err)
 	}
 	return result, nil
 }
--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -133,7 +133,7 @@
 	if resp.StatusCode >= http.StatusInternalServerError || resp.StatusCode == http.StatusTooManyRequests ||
 		(s.headed && resp.StatusCode != http.StatusOK) {
 		s.failed = true
-		return verdict.New(verdict.MayHaveRun, "engine_refused", "engine answered %d", resp.StatusCode)
+		return verdict.New(verdict.MayHaveRun, codeEngineRefused, "engine answered %d", resp.StatusCode)
 	}
 	if !s.headed {
 		if err := s.sink.Head(resp.StatusCode, answerHeaders(resp.Header)); err != nil {
@@ -252,6 +252,15 @@
 	return l, err
 }
 
+// codeEngineRefused is the code of errors that the engine itself answered with.
+const codeEngineRefused = "engine_refused"
+
+// IsRefusal reports whether the engine answered a small call with an error, in place of not answering.
+func IsRefusal(err error) bool {
+	var v *verdict.Error
+	return errors.As(err, &v) && v.Code == codeEngineRefused
+}
+
 // Order gives an order.
 func (e *Engine) Order(ctx context.Context, o Order) error {
 	body, err := json.Marshal(o)
@@ -284,7 +293,7 @@
 		return errors.Trace(err)
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
-		return verdict.New(verdict.MayHaveRun, "engine_refused", "engine answered %d to %s", resp.StatusCode, path)
+		return verdict.New(verdict.MayHaveRun, codeEngineRefused, "engine answered %d to %s", resp.StatusCode, path)
 	}
 	if answer == nil {
 		return nil
--- a/internal/operate/charge.go
+++ b/internal/operate/charge.go
@@ -39,6 +39,7 @@
 	billing   billingState
 
 	mu   sync.Mutex
+	idle map[string]string    // leaving servers seen idle, with the incarnation of their agent
 	sent map[string]time.Time // from when on the effect of each order's last call would show
 }
 
@@ -51,7 +52,7 @@
 	return &charge{
 		op: o, term: term, began: time.Now(), planner: fleet.NewPlanner(),
 		inherited: make(map[string]bool), blocked: make(map[poolZone]time.Time),
-		lastSeen: make(map[string]time.Time), sent: make(map[string]time.Time),
+		lastSeen: make(map[string]time.Time), sent: make(map[string]time.Time), idle: make(map[string]string),
 	}
 }
 
--- a/internal/operate/faults_test.go
+++ b/internal/operate/faults_test.go
@@ -11,6 +11,7 @@
 	"github.com/guavastack/guavastack/internal/core/duty"
 	"github.com/guavastack/guavastack/internal/replica"
 	standin "github.com/guavastack/guavastack/internal/standin/platform"
+	"github.com/guavastack/guavastack/proto/linkpb"
 )
 
 // onPut makes a plan for calls that change something; others are delivered.
@@ -227,6 +228,91 @@
 	})
 }
 
+func TestStopWaitsForANewIncarnationOfTheAgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, standin.Config{})
+		b.elect(0)
+		b.want(1, 0)
+		b.run(10 * time.Second)
+		b.want(0, 0)
+		for i := range 10 { // an agent that restarts before each round may have taken work in between
+			b.incarnation = string(rune('a' + i))
+			b.run(2 * time.Second)
+		}
+		if n := b.servers("a"); n != 1 {
+			t.Errorf("%d servers left while the agent restarts", n)
+		}
+		b.run(10 * time.Second)
+		b.check(0, 0)
+	})
+}
+
+func TestEngineOrders(t *testing.T) {
+	unknown := func(n int) (*linkpb.EngineOrderResult, error) {
+		if n < 3 {
+			return nil, context.DeadlineExceeded
+		}
+		return nil, nil
+	}
+	tests := []struct {
+		name   string
+		answer func(n int) (*linkpb.EngineOrderResult, error)
+		status duty.Status
+		sent   int
+	}{
+		{"accepted", nil, duty.Done, 1},
+		{"answers lost", unknown, duty.Done, 3},
+		{"outcome unknown at the agent", func(n int) (*linkpb.EngineOrderResult, error) {
+			if n < 3 {
+				return &linkpb.EngineOrderResult{Error: "engine did not answer"}, nil
+			}
+			return nil, nil
+		}, duty.Done, 3},
+		{"agent knows no fencing number yet", func(n int) (*linkpb.EngineOrderResult, error) {
+			if n < 3 {
+				return &linkpb.EngineOrderResult{Stale: true, Error: "none known"}, nil
+			}
+			return nil, nil
+		}, duty.Done, 3},
+		{"refused", func(int) (*linkpb.EngineOrderResult, error) {
+			return &linkpb.EngineOrderResult{Refused: true, Error: "no such model"}, nil
+		}, duty.Refused, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, standin.Config{})
+				b.agents.answer = tt.answer
+				b.elect(0)
+				b.want(1, 0)
+				b.run(10 * time.Second)
+				leader := b.group.members[0]
+				server := b.standin.Servers()[0].ID
+				fencing, _ := leader.duty.Fencing()
+				data, err := duty.Encode(duty.Command{Intend: &duty.Intend{Fencing: fencing, Order: duty.Order{
+					ID: "load-1", Kind: duty.LoadModel, Model: "m", Version: "2", Server: server,
+				}}}, "test", 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := leader.Propose(b.ctx, data); err != nil {
+					t.Fatal(err)
+				}
+				b.run(20 * time.Second)
+				orders := leader.operator.Orders()
+				if orders[0].ID != "load-1" || orders[0].Status != tt.status || len(b.agents.orders) != tt.sent {
+					t.Errorf("order %+v, sent %d times", orders[0], len(b.agents.orders))
+				}
+				for _, o := range b.agents.orders {
+					if o.OrderId != "load-1" || o.Fencing != fencing {
+						t.Errorf("sent %+v", o)
+					}
+				}
+			})
+		})
+	}
+}
+
 func TestPausedFleetSendsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, standin.Config{})
--- a/internal/operate/harness_test.go
+++ b/internal/operate/harness_test.go
@@ -142,6 +142,8 @@
 	agents  *fakeAgents
 	entry   *fakeEntry
 	running sync.WaitGroup
+
+	incarnation string // of all agents
 }
 
 // newBench must be called within a synctest bubble.
@@ -151,7 +153,7 @@
 		cfg.Zones = []platform.Zone{{Name: "a", PricePerHour: 2}, {Name: "b", PricePerHour: 2}}
 	}
 	ctx, cancel := context.WithCancel(t.Context())
-	b := &bench{t: t, ctx: ctx, group: &fakeGroup{leader: -1}, standin: standin.New(cfg), agents: newFakeAgents()}
+	b := &bench{t: t, ctx: ctx, group: &fakeGroup{leader: -1}, standin: standin.New(cfg), agents: newFakeAgents(), incarnation: "1"}
 	b.faults = &faultyTransport{handler: b.standin.Handler()}
 	b.entry = &fakeEntry{open: 1, counters: make(map[uint64]uint64)}
 	for i := range 3 {
@@ -199,7 +201,7 @@
 func (b *bench) registry() []*controlpb.BackendServer {
 	var servers []*controlpb.BackendServer
 	for _, s := range b.standin.Servers() {
-		servers = append(servers, &controlpb.BackendServer{Id: s.ID, Model: s.Model, Zone: s.Zone, Slots: 8, Lifecycle: "ready"})
+		servers = append(servers, &controlpb.BackendServer{Id: s.ID, Model: s.Model, Zone: s.Zone, Slots: 8, Lifecycle: "ready", Incarnation: b.incarnation})
 	}
 	return servers
 }
@@ -405,6 +407,7 @@
 	running map[string]uint32
 	orders  []*linkpb.EngineOrder
 	calls   int
+	answer  func(n int) (*linkpb.EngineOrderResult, error) // to the nth engine order; nil: accepted
 }
 
 func newFakeAgents() *fakeAgents {
@@ -430,11 +433,16 @@
 func (a *fakeAgents) Order(_ context.Context, s *controlpb.BackendServer, o *linkpb.EngineOrder) (*linkpb.EngineOrderResult, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.orders = append(a.orders, o)
+	if a.answer != nil {
+		if r, err := a.answer(len(a.orders)); r != nil || err != nil {
+			return r, err
+		}
+	}
 	if o.Fencing < a.fencing[s.Id] {
 		return &linkpb.EngineOrderResult{Stale: true, Fencing: a.fencing[s.Id]}, nil
 	}
 	a.fencing[s.Id] = o.Fencing
-	a.orders = append(a.orders, o)
 	return &linkpb.EngineOrderResult{Accepted: true, Fencing: o.Fencing}, nil
 }
 
--- a/internal/operate/orders.go
+++ b/internal/operate/orders.go
@@ -250,11 +250,28 @@
 	case !reply.Accepted && reply.Fencing > c.fencing:
 		return errOvertaken
 	case !isDrained(reply):
+		c.noteIdle(server, false)
+		return nil
+	case !c.noteIdle(server, true):
 		return nil
 	}
 	return c.send(ctx, order)
 }
 
+// noteIdle remembers that a leaving server was seen idle, and reports whether it was seen so in an earlier round, too,
+// by the same incarnation of its agent. Entries have learned by then that the server takes no new work.
+func (c *charge) noteIdle(server *controlpb.BackendServer, idle bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !idle {
+		delete(c.idle, server.Id)
+		return false
+	}
+	before := c.idle[server.Id] == server.Incarnation && server.Incarnation != ""
+	c.idle[server.Id] = server.Incarnation
+	return before
+}
+
 func isDrained(reply *linkpb.LifecycleReply) bool {
 	leaving := reply.Lifecycle == linkpb.Lifecycle_LIFECYCLE_LEAVING || reply.Lifecycle == linkpb.Lifecycle_LIFECYCLE_GONE
 	return reply.Accepted && leaving && reply.Running == 0 && reply.Waiting == 0
@@ -279,12 +296,15 @@
 	case err != nil:
 		c.op.fail("engine order "+order.ID, err)
 		return nil
-	case result.Stale:
+	case result.Stale && result.Fencing > c.fencing:
 		return errOvertaken
 	case result.Accepted:
 		return c.settle(ctx, order, duty.Done, order.Server, "")
-	default:
+	case result.Refused:
 		return c.settle(ctx, order, duty.Refused, order.Server, result.Error)
+	default: // the agent has not learned the fencing number yet, or the outcome is unknown: the same id goes again
+		c.op.fail("engine order "+order.ID, errors.New(result.Error))
+		return nil
 	}
 }
 
