--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -11,7 +12,7 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/tmaxmax/go-sse"
+	"github.com/openai/openai-go/v3/packages/ssestream"
 
 	"github.com/guavastack/guavastack/internal/core/verdict"
 )
@@ -25,8 +26,6 @@
 	maxStreamResumes = 3
 	// maxControlBytes bounds the answers to small calls.
 	maxControlBytes = 1 << 20
-	// eventPrefix begins the data line of an event.
-	eventPrefix = "data: "
 	// doneMark is the data of the last event of a stream.
 	doneMark = "[DONE]"
 )
@@ -133,7 +132,7 @@
 	if resp.StatusCode >= http.StatusInternalServerError || resp.StatusCode == http.StatusTooManyRequests ||
 		(s.headed && resp.StatusCode != http.StatusOK) {
 		s.failed = true
-		return verdict.New(verdict.MayHaveRun, "engine_refused", "engine answered %d", resp.StatusCode)
+		return verdict.New(verdict.MayHaveRun, codeEngineRefused, "engine answered %d", resp.StatusCode)
 	}
 	if !s.headed {
 		if err := s.sink.Head(resp.StatusCode, answerHeaders(resp.Header)); err != nil {
@@ -143,7 +142,7 @@
 	}
 	alive := func() { silence.Reset(limit) }
 	if isEventStream(resp) {
-		return s.broken(ctx, s.events(resp.Body, alive))
+		return s.broken(ctx, s.events(resp, alive))
 	}
 	return s.broken(ctx, s.whole(resp, alive))
 }
@@ -177,35 +176,66 @@
 }
 
 // events passes on the events of a stream up to its last one.
-func (s *stream) events(body io.Reader, alive func()) error {
+func (s *stream) events(resp *http.Response, alive func()) error {
 	if s.done {
 		return nil
 	}
+	budget := &budgetReader{ReadCloser: resp.Body, limit: s.engine.cfg.MaxEventBytes}
+	resp.Body = budget
+	decoder := ssestream.NewDecoder(resp)
 	var buf []byte
-	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: s.engine.cfg.MaxEventBytes}) {
-		if err != nil {
-			return failure(true, codeCut, err)
-		}
+	for decoder.Next() {
 		alive()
-		if event.Data == doneMark {
+		budget.used = 0
+		data := bytes.TrimSuffix(decoder.Event().Data, newline)
+		if string(data) == doneMark {
 			s.done = true
 			return s.put([]byte("data: [DONE]\n\n"), 0)
 		}
-		buf = append(buf[:0], eventPrefix...)
-		buf = append(buf, event.Data...)
-		tokens, err := s.inspect(buf[len(eventPrefix):])
+		tokens, err := s.inspect(data)
 		if err != nil {
 			return err
 		}
-		buf = append(buf, "\n\n"...)
+		buf = appendEvent(buf[:0], data)
 		if err := s.put(buf, tokens); err != nil {
 			return err
 		}
 		s.pieces++
 	}
+	if err := decoder.Err(); err != nil {
+		return failure(true, codeCut, err)
+	}
 	return verdict.New(verdict.MayHaveRun, codeCut, "stream of the engine ended without its last event")
 }
 
+var newline = []byte("\n")
+
+// appendEvent appends the event with the given data, which may have several lines.
+func appendEvent(buf, data []byte) []byte {
+	for line := range bytes.SplitSeq(data, newline) {
+		buf = append(buf, "data: "...)
+		buf = append(buf, line...)
+		buf = append(buf, '\n')
+	}
+	return append(buf, '\n')
+}
+
+// budgetReader fails once more than limit bytes were read since used was last reset, so that an event has a bound.
+type budgetReader struct {
+	io.ReadCloser
+	limit, used int
+}
+
+// Read reads on.
+func (r *budgetReader) Read(p []byte) (int, error) {
+	if r.used > r.limit {
+		return 0, errors.Errorf("event of the engine is longer than %d bytes", r.limit)
+	}
+	n, err := r.ReadCloser.Read(p)
+	r.used += n
+	return n, err
+}
+
 func (s *stream) put(data []byte, tokens int) error {
 	if err := s.sink.Data(data, tokens); err != nil {
 		return errors.Wrap(err, ErrSink)
@@ -252,6 +282,15 @@
 	return l, err
 }
 
+// codeEngineRefused is the code of errors that the engine itself answered with.
+const codeEngineRefused = "engine_refused"
+
+// IsRefusal reports whether the engine answered a small call with an error, in place of not answering.
+func IsRefusal(err error) bool {
+	var v *verdict.Error
+	return errors.As(err, &v) && v.Code == codeEngineRefused
+}
+
 // Order gives an order.
 func (e *Engine) Order(ctx context.Context, o Order) error {
 	body, err := json.Marshal(o)
@@ -284,7 +323,7 @@
 		return errors.Trace(err)
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
-		return verdict.New(verdict.MayHaveRun, "engine_refused", "engine answered %d to %s", resp.StatusCode, path)
+		return verdict.New(verdict.MayHaveRun, codeEngineRefused, "engine answered %d to %s", resp.StatusCode, path)
 	}
 	if answer == nil {
 		return nil
