Change the control group's members, back it up and restore it by operators' commands

A restore moves the settings to the new epoch as well: raft's epoch alone would have let versions begin below what entries had already applied.

--- /dev/null
+++ b/cmd/guavastack/control.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/guavastack/guavastack/internal/adminapi"
+	"github.com/guavastack/guavastack/internal/adminclient"
+	"github.com/guavastack/guavastack/internal/config"
+	"github.com/guavastack/guavastack/internal/process"
+)
+
+// groupCommand changes the members of the control group.
+func groupCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "group",
+		Usage: "change the members of the control group, and restore it from a backup",
+		Commands: []*cli.Command{
+			{
+				Name: "add", Usage: "add a member that gets the log and has no vote yet (ask the leader)", ArgsUsage: "NUMBER ADDRESS",
+				Flags: adminFlags(), Action: withClient(groupAdd),
+			},
+			{
+				Name: "promote", Usage: "give a member a vote once it has caught up (ask the leader)", ArgsUsage: "NUMBER",
+				Flags: adminFlags(), Action: withClient(groupChange((*adminclient.Client).PromoteMember)),
+			},
+			{
+				Name: "remove", Usage: "take a member out of the group (ask the leader)", ArgsUsage: "NUMBER",
+				Flags: adminFlags(), Action: withClient(groupChange((*adminclient.Client).RemoveMember)),
+			},
+			{
+				Name: "transfer", Usage: "let another member lead (ask the leader)", Flags: adminFlags(),
+				Action: withClient(func(ctx context.Context, _ *cli.Command, client *adminclient.Client) error {
+					return client.TransferLeadership(ctx)
+				}),
+			},
+			{
+				Name: "restore", Usage: "create the blank data folder of a settings file's member from a backup, as the first of a new group",
+				ArgsUsage: "BACKUP", Action: groupRestore,
+				Flags: []cli.Flag{&cli.StringFlag{Name: "config", Required: true, Usage: "settings `FILE` of the control member"}},
+			},
+		},
+	}
+}
+
+func memberNumber(text string) (uint64, error) {
+	id, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || id == 0 {
+		return 0, usagef("%q is not the number of a member", text)
+	}
+	return id, nil
+}
+
+func groupAdd(ctx context.Context, cmd *cli.Command, client *adminclient.Client) error {
+	if cmd.Args().Len() != 2 {
+		return usagef("%s takes NUMBER and ADDRESS", cmd.FullName())
+	}
+	id, err := memberNumber(cmd.Args().Get(0))
+	if err != nil {
+		return err
+	}
+	return client.AddMember(ctx, adminapi.Member{ID: id, Address: cmd.Args().Get(1)})
+}
+
+func groupChange(change func(*adminclient.Client, context.Context, uint64) error) operatorAction {
+	return func(ctx context.Context, cmd *cli.Command, client *adminclient.Client) error {
+		text, err := oneArg(cmd, "NUMBER")
+		if err != nil {
+			return err
+		}
+		id, err := memberNumber(text)
+		if err != nil {
+			return err
+		}
+		return change(client, ctx, id)
+	}
+}
+
+func groupRestore(_ context.Context, cmd *cli.Command) error {
+	file, err := oneArg(cmd, "BACKUP")
+	if err != nil {
+		return err
+	}
+	cfg, err := config.Load(cmd.String("config"))
+	if err != nil {
+		return err
+	}
+	if cfg.Control == nil {
+		return usagef("the settings file has no \"control\" section")
+	}
+	if err := process.Restore(cfg, file); err != nil {
+		return err
+	}
+	fmt.Printf("restored into %s; start this member, then add the others to it\n", cfg.Control.Data)
+	return nil
+}
--- a/cmd/guavastack/main.go
+++ b/cmd/guavastack/main.go
@@ -61,6 +61,7 @@
 			organisationCommand(),
 			keyCommand(),
 			loadCommand(),
+			groupCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		OnUsageError:   onUsageError,
--- a/internal/admin/routes.go
+++ b/internal/admin/routes.go
@@ -128,6 +128,9 @@
 		ws.Route(reading(ws.GET("/backup").To(s.getBackup).Operation("getBackup").Doc("Snapshot of the whole state, for a restore into a new group").Produces("application/octet-stream"), nil).
 			Filter(permit(Administer)).Filter(permitRoot))
 	}
+	if s.cfg.Membership != nil {
+		s.addGroup(ws)
+	}
 	if s.cfg.Operations == nil {
 		return
 	}
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -65,6 +65,7 @@
 	Operations Operations // nil: /v1/usage, /v1/orders and /v1/fleet aren't served
 	Tokens     []Token
 	Replica    func() any                      // status of the replica, in the JSON form; nil: none
+	Membership Membership                      // nil: the members of the group can't be changed here
 	Backup     func() ([]byte, error)          // nil: /v1/backup isn't served
 	Mounts     map[string]http.Handler         // other paths of the same listener, such as /metrics
 	Logger     *slog.Logger                    // nil: none; gets a record of every change
--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -199,3 +199,9 @@
 type Backends struct {
 	Backends []Backend `json:"backends"`
 }
+
+// Member is one member of the control group.
+type Member struct {
+	ID      uint64 `json:"id"`
+	Address string `json:"address,omitempty"`
+}
--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -351,3 +351,29 @@
 	}
 	return e
 }
+
+// AddMember adds a member of the control group that has no vote yet. Only the leader does.
+func (c *Client) AddMember(ctx context.Context, m adminapi.Member) error {
+	_, err := change[adminapi.Member](ctx, c, http.MethodPost, "/v1/control/members", encode(m), Options{})
+	return err
+}
+
+// PromoteMember gives a member a vote once it has caught up. Only the leader does.
+func (c *Client) PromoteMember(ctx context.Context, id uint64) error {
+	_, err := change[adminapi.Member](ctx, c, http.MethodPost, memberPath(id)+"/promote", "", Options{})
+	return err
+}
+
+// RemoveMember takes a member out of the control group. Only the leader does, and it removes others only.
+func (c *Client) RemoveMember(ctx context.Context, id uint64) error {
+	_, err := change[adminapi.Member](ctx, c, http.MethodDelete, memberPath(id), "", Options{})
+	return err
+}
+
+// TransferLeadership lets another member lead. Only the leader does.
+func (c *Client) TransferLeadership(ctx context.Context) error {
+	_, err := change[adminapi.Member](ctx, c, http.MethodPost, "/v1/control/transfer", "", Options{})
+	return err
+}
+
+func memberPath(id uint64) string { return "/v1/control/members/" + strconv.FormatUint(id, 10) }
--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -109,3 +109,21 @@
 	m.applied = s.Applied
 	return nil
 }
+
+// Rewrite returns a snapshot in which the part of one module is replaced.
+func Rewrite(data []byte, module string, rewrite func(json.RawMessage) (json.RawMessage, error)) ([]byte, error) {
+	var s snapshot
+	if err := json.Unmarshal(data, &s); err != nil {
+		return nil, errors.NewNotValid(err, "snapshot")
+	}
+	part, ok := s.Modules[module]
+	if !ok {
+		return nil, errors.NotFoundf("module %q in the snapshot", module)
+	}
+	part, err := rewrite(part)
+	if err != nil {
+		return nil, errors.Annotatef(err, "module %q", module)
+	}
+	s.Modules[module] = part
+	return json.Marshal(s)
+}
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"crypto/tls"
+	"encoding/json"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/juju/errors"
@@ -126,20 +129,22 @@
 
 // buildAdmin makes the operators' API, which listens already.
 func (c *Control) buildAdmin() error {
-	settings := c.base.Config.Control.Admin
+	own := c.base.Config.Control.Admin
 	mux := http.NewServeMux()
 	telemetry.Mount(mux, c.base.Metrics, c.Status)
 	cfg := admin.Config{
-		Control: c.service,
-		Tokens:  tokensOf(settings.Tokens),
-		Replica: func() any { return c.replica.Status() },
-		Mounts:  map[string]http.Handler{"/metrics": mux, "/healthz": mux, "/readyz": mux, "/debug/pprof/": mux},
-		Logger:  c.base.Logger,
+		Control:    c.service,
+		Tokens:     tokensOf(own.Tokens),
+		Replica:    func() any { return c.replica.Status() },
+		Membership: c.replica,
+		Backup:     c.backup,
+		Mounts:     map[string]http.Handler{"/metrics": mux, "/healthz": mux, "/readyz": mux, "/debug/pprof/": mux},
+		Logger:     c.base.Logger,
 	}
 	if c.operator != nil {
 		cfg.Operations = c.operator
 	}
-	cert, err := listenerTLS(settings.TLS)
+	cert, err := listenerTLS(own.TLS)
 	if err != nil {
 		return errors.Annotate(err, "control.admin.tls")
 	}
@@ -149,10 +154,46 @@
 	if c.admin, err = admin.New(cfg); err != nil {
 		return errors.Annotate(err, "control.admin")
 	}
-	c.adminLis, err = net.Listen("tcp", settings.Listen)
+	c.adminLis, err = net.Listen("tcp", own.Listen)
 	return errors.Annotate(err, "control.admin.listen")
 }
 
+// backupTimeout bounds the writing of a backup.
+const backupTimeout = time.Minute
+
+// backup returns a snapshot of the member's state, in the form of replica.Restore.
+func (c *Control) backup() ([]byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), backupTimeout)
+	defer cancel()
+	dir, err := os.MkdirTemp(c.base.Config.Control.Data, "backup-")
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	file := filepath.Join(dir, "backup")
+	if err := c.replica.Backup(ctx, file); err != nil {
+		return nil, err
+	}
+	data, err := os.ReadFile(file)
+	return data, errors.Trace(err)
+}
+
+// Restore creates the data folder of the settings' member from a backup. The versions of the settings begin a new
+// epoch, so that they are above all that the old group may have given out since.
+func Restore(cfg *config.Config, file string) error {
+	c := cfg.Control
+	return replica.Restore(replica.Config{
+		GroupID: c.Group, ID: c.Member, Members: membersOf(c.Peers), DataDir: c.Data,
+	}, file, rebase)
+}
+
+// rebase moves the settings in a snapshot of the state machine to a new epoch.
+func rebase(snapshot []byte, epoch uint64) ([]byte, error) {
+	return state.Rewrite(snapshot, settings.ModuleName, func(part json.RawMessage) (json.RawMessage, error) {
+		return settings.Rebase(part, epoch)
+	})
+}
+
 func tokensOf(tokens []config.Token) []admin.Token {
 	out := make([]admin.Token, len(tokens))
 	for i, t := range tokens {
--- a/internal/replica/backup.go
+++ b/internal/replica/backup.go
@@ -34,7 +34,8 @@
 
 // Restore creates the data folder of cfg from a backup. The folder must be blank. The member named by cfg is then the
 // only one of a new group, whose epoch is higher than that of the old: start it and add the others as learners.
-func Restore(cfg Config, file string) error {
+// rebase, if not nil, moves the state itself to the new epoch.
+func Restore(cfg Config, file string, rebase func(state []byte, epoch uint64) ([]byte, error)) error {
 	cfg = cfg.withDefaults()
 	if err := cfg.validate(); err != nil {
 		return errors.Trace(err)
@@ -57,5 +58,10 @@
 		Epoch:   max(snap.Configuration.Epoch+1, uint64(time.Now().Unix())),
 		Members: []raft.Member{self},
 	}
+	if rebase != nil {
+		if snap.Data, err = rebase(snap.Data, snap.Configuration.Epoch); err != nil {
+			return errors.Annotate(err, "state in the backup")
+		}
+	}
 	return wal.Initialize(cfg.FS, cfg.DataDir, id, *snap)
 }
--- a/internal/replica/fault_test.go
+++ b/internal/replica/fault_test.go
@@ -379,10 +379,10 @@
 
 		c.disks[1] = wal.OS{}
 		cfg := c.config(1)
-		if err := Restore(cfg, file); err != nil {
+		if err := Restore(cfg, file, nil); err != nil {
 			t.Fatal(err)
 		}
-		if err := Restore(cfg, file); err == nil {
+		if err := Restore(cfg, file, nil); err == nil {
 			t.Error("restored over a data folder in use")
 		}
 		c.start(1)
