--- a/internal/localcluster/localcluster.go
+++ b/internal/localcluster/localcluster.go
@@ -279,7 +279,7 @@
 			break
 		}
 	}
-	return adminclient.New(fmt.Sprintf("http://%s:%d", c.procs[chosen].ip, adminPort), c.token, c.HTTP)
+	return c.AdminOf(chosen)
 }
 
 // Start starts a process.
@@ -463,3 +463,43 @@
 	defer b.mu.Unlock()
 	return b.buf.String()
 }
+
+// Configure changes the section of a process's role in its settings file, for its next start.
+func (c *Cluster) Configure(name string, change func(section map[string]any)) error {
+	p := c.procs[name]
+	data, err := os.ReadFile(p.file)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	var file map[string]any
+	if err := json.Unmarshal(data, &file); err != nil {
+		return errors.Trace(err)
+	}
+	section, ok := file[p.role].(map[string]any)
+	if !ok {
+		return errors.NotFoundf("section %q of %s", p.role, name)
+	}
+	change(section)
+	if data, err = json.MarshalIndent(file, "", "  "); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(os.WriteFile(p.file, data, 0o600))
+}
+
+// File returns the settings file of a process.
+func (c *Cluster) File(name string) string { return c.procs[name].file }
+
+// Data returns the data folder of a control member.
+func (c *Cluster) Data(name string) string {
+	return filepath.Join(c.cfg.Dir, "data-"+strings.TrimPrefix(name, "control-"))
+}
+
+// LinkAddress returns the address at which a process takes links.
+func (c *Cluster) LinkAddress(name string) string {
+	return fmt.Sprintf("%s:%d", c.procs[name].ip, linkPort)
+}
+
+// AdminOf returns a client of one control member.
+func (c *Cluster) AdminOf(name string) *adminclient.Client {
+	return adminclient.New(fmt.Sprintf("http://%s:%d", c.procs[name].ip, adminPort), c.token, c.HTTP)
+}
