Wait for the new leader in the hand-over test; append after a cut tail in the damage test

Leaving a torn tail uncut passed all tests; each repaired log takes one more entry and is read again now.

--- a/internal/replica/fault_test.go
+++ b/internal/replica/fault_test.go
@@ -310,6 +310,12 @@
 			t.Error("handed over before the lease ended")
 		}
 		c.propose("b", c.others(old.cfg.ID)...)
+		for range 100 { // the new leader's first heartbeat may be under way
+			if _, ok := old.Leader(); ok {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
 		var notLeader *NotLeaderError
 		if _, err := old.Propose(t.Context(), []byte("c")); !errors.As(err, &notLeader) || notLeader.Address == "" {
 			t.Errorf("proposal at the old leader: %v, want the address of the new one", err)
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -201,17 +201,30 @@
 		t.Run(c.name, func(t *testing.T) {
 			fs, second, end := build()
 			c.damage(fs, second, end)
-			_, state, err := wal.Open(fs, dir)
+			l, state, err := wal.Open(fs, dir)
 			switch {
 			case c.entries < 0 && (!errors.Is(err, wal.ErrDamaged) || !strings.Contains(err.Error(), "learner")):
 				t.Errorf("error %v, want damage and what to do", err)
 			case c.entries >= 0 && (err != nil || len(state.Entries) != c.entries):
 				t.Errorf("%d entries, %v, want %d", len(state.Entries), err, c.entries)
+			case c.entries >= 0:
+				checkAppend(t, fs, l, uint64(c.entries)+1)
 			}
 		})
 	}
 }
 
+// checkAppend appends one more entry and expects it after a reopening.
+func checkAppend(t *testing.T, fs wal.FS, l *wal.Log, index uint64) {
+	t.Helper()
+	if err := l.Append(nil, []raft.Entry{entry(2, index)}); err != nil {
+		t.Fatal(err)
+	}
+	if got := read(t, fs).entries; uint64(len(got)) != index {
+		t.Errorf("%d entries after one more, want %d", len(got), index)
+	}
+}
+
 func TestDamagedSnapshotIsRefused(t *testing.T) {
 	fs := waltest.New()
 	if _, _, err := run(t, fs); err != nil {
