--- a/internal/watch/scenario_test.go
+++ b/internal/watch/scenario_test.go
@@ -87,10 +87,15 @@
 			highest = v
 		})
 		for round := range 12 {
-			lagging := round % 3
-			w.cluster.Hold(lagging, lagging != 0)
+			lagging := 1 + round%2 // the first member leads
+			w.setDown(w.addresses[lagging], true)
+			time.Sleep(2 * time.Second)
+			w.cluster.Hold(lagging, true)
 			w.propose(shop(round))
-			time.Sleep(300 * time.Millisecond)
+			synctest.Wait()
+			if got := c.Tree().Version(); got.Version != uint64(round+1) {
+				t.Fatalf("round %d: version %v before the move", round, got)
+			}
 			for i, address := range w.addresses {
 				w.setDown(address, i != lagging)
 			}
