--- a/internal/operate/charge.go
+++ b/internal/operate/charge.go
@@ -12,6 +12,7 @@
 	"github.com/guavastack/guavastack/internal/core/duty"
 	"github.com/guavastack/guavastack/internal/core/fleet"
 	"github.com/guavastack/guavastack/internal/platform"
+	"github.com/guavastack/guavastack/proto/controlpb"
 )
 
 const (
@@ -28,7 +29,8 @@
 	began   time.Time
 	fencing uint64
 
-	inventory platform.Inventory // newest one
+	inventory platform.Inventory                  // of this round
+	registry  map[string]*controlpb.BackendServer // of this round, by id
 	planner   *fleet.Planner
 	inherited map[string]bool        // open orders of earlier spells that are not settled
 	unsure    []duty.Order           // intents whose proposal has no known outcome
@@ -37,6 +39,7 @@
 	billing   billingState
 
 	mu   sync.Mutex
+	idle map[string]string    // leaving servers seen idle, with the incarnation of their agent
 	sent map[string]time.Time // from when on the effect of each order's last call would show
 }
 
@@ -49,7 +52,7 @@
 	return &charge{
 		op: o, term: term, began: time.Now(), planner: fleet.NewPlanner(),
 		inherited: make(map[string]bool), blocked: make(map[poolZone]time.Time),
-		lastSeen: make(map[string]time.Time), sent: make(map[string]time.Time),
+		lastSeen: make(map[string]time.Time), sent: make(map[string]time.Time), idle: make(map[string]string),
 	}
 }
 
--- a/internal/operate/faults_test.go
+++ b/internal/operate/faults_test.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/guavastack/guavastack/internal/core/duty"
+	"github.com/guavastack/guavastack/internal/replica"
 	standin "github.com/guavastack/guavastack/internal/standin/platform"
+	"github.com/guavastack/guavastack/proto/linkpb"
 )
 
 // onPut makes a plan for calls that change something; others are delivered.
@@ -44,11 +46,10 @@
 		{"no fault", func(*bench) {}},
 		{"leader isolated silently while its orders are on their way", func(b *bench) {
 			b.faults.set(onPut(arriveAtEnd))
-			b.run(4 * time.Second)
+			b.awaitCall()
 			b.isolate(0)
-			b.elect(1)
-			b.run(3 * time.Second)
 			b.faults.set(nil)
+			b.elect(1)
 			b.run(settled)
 			b.heal(0)
 		}},
@@ -64,7 +65,7 @@
 		}},
 		{"lease ends during a call", func(b *bench) {
 			b.faults.set(onPut(loseAnswer))
-			b.run(3 * time.Second)
+			b.awaitCall()
 			b.isolate(0)
 			b.elect(2)
 			b.run(5 * time.Second)
@@ -77,7 +78,7 @@
 			b.heal(0)
 		}},
 		{"process paused shorter than the lease, then elected again", func(b *bench) {
-			b.pauseAfterCheck(0, time.Second)
+			b.pauseAfterCheck(0, duty.DefaultLease/2)
 			b.run(2 * time.Second)
 			b.elect(0)
 		}},
@@ -125,14 +126,14 @@
 		}},
 		{"two leaders in quick succession", func(b *bench) {
 			b.faults.set(onPut(arriveAtEnd))
-			b.run(4 * time.Second)
+			b.awaitCall()
 			b.isolate(0)
 			b.elect(1)
 			b.run(time.Second)
+			b.awaitCall()
 			b.isolate(1)
-			b.elect(2)
-			b.run(3 * time.Second)
 			b.faults.set(nil)
+			b.elect(2)
 			b.run(settled)
 			b.heal(0)
 			b.heal(1)
@@ -177,7 +178,7 @@
 					b := newBench(t, p.cfg)
 					b.elect(0)
 					b.want(2, 1)
-					b.run(2 * time.Second) // still waiting out older leaders
+					b.run(time.Second) // still waiting out older leaders
 					tt.faults(b)
 					b.run(settled)
 					if n := b.started(); n != 3 {
@@ -227,6 +228,91 @@
 	})
 }
 
+func TestStopWaitsForANewIncarnationOfTheAgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, standin.Config{})
+		b.elect(0)
+		b.want(1, 0)
+		b.run(10 * time.Second)
+		b.want(0, 0)
+		for i := range 10 { // an agent that restarts before each round may have taken work in between
+			b.incarnation = string(rune('a' + i))
+			b.run(2 * time.Second)
+		}
+		if n := b.servers("a"); n != 1 {
+			t.Errorf("%d servers left while the agent restarts", n)
+		}
+		b.run(10 * time.Second)
+		b.check(0, 0)
+	})
+}
+
+func TestEngineOrders(t *testing.T) {
+	unknown := func(n int) (*linkpb.EngineOrderResult, error) {
+		if n < 3 {
+			return nil, context.DeadlineExceeded
+		}
+		return nil, nil
+	}
+	tests := []struct {
+		name   string
+		answer func(n int) (*linkpb.EngineOrderResult, error)
+		status duty.Status
+		sent   int
+	}{
+		{"accepted", nil, duty.Done, 1},
+		{"answers lost", unknown, duty.Done, 3},
+		{"outcome unknown at the agent", func(n int) (*linkpb.EngineOrderResult, error) {
+			if n < 3 {
+				return &linkpb.EngineOrderResult{Error: "engine did not answer"}, nil
+			}
+			return nil, nil
+		}, duty.Done, 3},
+		{"agent knows no fencing number yet", func(n int) (*linkpb.EngineOrderResult, error) {
+			if n < 3 {
+				return &linkpb.EngineOrderResult{Stale: true, Error: "none known"}, nil
+			}
+			return nil, nil
+		}, duty.Done, 3},
+		{"refused", func(int) (*linkpb.EngineOrderResult, error) {
+			return &linkpb.EngineOrderResult{Refused: true, Error: "no such model"}, nil
+		}, duty.Refused, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, standin.Config{})
+				b.agents.answer = tt.answer
+				b.elect(0)
+				b.want(1, 0)
+				b.run(10 * time.Second)
+				leader := b.group.members[0]
+				server := b.standin.Servers()[0].ID
+				fencing, _ := leader.duty.Fencing()
+				data, err := duty.Encode(duty.Command{Intend: &duty.Intend{Fencing: fencing, Order: duty.Order{
+					ID: "load-1", Kind: duty.LoadModel, Model: "m", Version: "2", Server: server,
+				}}}, "test", 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := leader.Propose(b.ctx, data); err != nil {
+					t.Fatal(err)
+				}
+				b.run(20 * time.Second)
+				orders := leader.operator.Orders()
+				if orders[0].ID != "load-1" || orders[0].Status != tt.status || len(b.agents.orders) != tt.sent {
+					t.Errorf("order %+v, sent %d times", orders[0], len(b.agents.orders))
+				}
+				for _, o := range b.agents.orders {
+					if o.OrderId != "load-1" || o.Fencing != fencing {
+						t.Errorf("sent %+v", o)
+					}
+				}
+			})
+		})
+	}
+}
+
 func TestPausedFleetSendsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, standin.Config{})
@@ -271,6 +357,20 @@
 	})
 }
 
+func TestWindowsShorterThanTheGraceAreClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, standin.Config{})
+		for _, m := range b.group.members {
+			m.operator.cfg.Window, m.operator.cfg.Grace = 2*time.Second, 4*time.Second
+		}
+		b.elect(0)
+		b.run(30 * time.Second)
+		if _, windows := b.reported(); windows < 10 {
+			t.Errorf("%d windows reported in 30 s", windows)
+		}
+	})
+}
+
 func TestRateLimitKeepsTheOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, standin.Config{})
@@ -305,6 +405,14 @@
 	return g.lease, true
 }
 
+// TestTimingFitsTheGroup compares the bounds of the wait with the lease that the control group grants.
+func TestTimingFitsTheGroup(t *testing.T) {
+	timing := duty.DefaultTiming()
+	if timing.Lease < replica.DefaultLeaseDuration || timing.Drift < replica.DefaultMaxClockDrift {
+		t.Errorf("timing %+v for a lease of %v and a drift of %v", timing, replica.DefaultLeaseDuration, replica.DefaultMaxClockDrift)
+	}
+}
+
 func TestCallEndsBeforeLease(t *testing.T) {
 	timing := duty.DefaultTiming()
 	tests := []struct {
--- a/internal/operate/orders.go
+++ b/internal/operate/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -56,10 +57,13 @@
 	return settings, open
 }
 
-// noteRegistry remembers which servers have an agent. A server first seen counts as seen by its agent just then.
+// noteRegistry takes the registry for this round and remembers which servers have an agent. A server first seen counts
+// as seen by its agent just then.
 func (c *charge) noteRegistry() {
 	now := time.Now()
+	c.registry = make(map[string]*controlpb.BackendServer)
 	for _, server := range c.op.cfg.Registry() {
+		c.registry[server.Id] = server
 		c.lastSeen[server.Id] = now
 	}
 	for _, server := range c.inventory.Servers {
@@ -67,6 +71,16 @@
 			c.lastSeen[server.ID] = now
 		}
 	}
+	c.forgetGone()
+}
+
+// forgetGone drops what is remembered of servers that are neither at the platform nor in the registry.
+func (c *charge) forgetGone() {
+	there := make(map[string]bool, len(c.inventory.Servers))
+	for _, server := range c.inventory.Servers {
+		there[server.ID] = true
+	}
+	maps.DeleteFunc(c.lastSeen, func(id string, _ time.Time) bool { return !there[id] && c.registry[id] == nil })
 }
 
 // settleKnown settles the open orders whose outcome the inventory shows, and returns the others.
@@ -212,7 +226,7 @@
 
 // stopStep drains the server, and stops it once its agent says that nothing runs or waits.
 func (c *charge) stopStep(ctx context.Context, order duty.Order) error {
-	server := c.registered(order.Server)
+	server := c.registry[order.Server]
 	if server == nil {
 		if time.Since(c.lastSeen[order.Server]) < c.op.cfg.AbsentAfter {
 			return nil
@@ -236,28 +250,36 @@
 	case !reply.Accepted && reply.Fencing > c.fencing:
 		return errOvertaken
 	case !isDrained(reply):
+		c.noteIdle(server, false)
+		return nil
+	case !c.noteIdle(server, true):
 		return nil
 	}
 	return c.send(ctx, order)
 }
 
+// noteIdle remembers that a leaving server was seen idle, and reports whether it was seen so in an earlier round, too,
+// by the same incarnation of its agent. Entries have learned by then that the server takes no new work.
+func (c *charge) noteIdle(server *controlpb.BackendServer, idle bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !idle {
+		delete(c.idle, server.Id)
+		return false
+	}
+	before := c.idle[server.Id] == server.Incarnation && server.Incarnation != ""
+	c.idle[server.Id] = server.Incarnation
+	return before
+}
+
 func isDrained(reply *linkpb.LifecycleReply) bool {
 	leaving := reply.Lifecycle == linkpb.Lifecycle_LIFECYCLE_LEAVING || reply.Lifecycle == linkpb.Lifecycle_LIFECYCLE_GONE
 	return reply.Accepted && leaving && reply.Running == 0 && reply.Waiting == 0
 }
 
-func (c *charge) registered(id string) *controlpb.BackendServer {
-	for _, server := range c.op.cfg.Registry() {
-		if server.Id == id {
-			return server
-		}
-	}
-	return nil
-}
-
 // engineStep gives an engine order to the agent.
 func (c *charge) engineStep(ctx context.Context, order duty.Order) error {
-	server := c.registered(order.Server)
+	server := c.registry[order.Server]
 	if server == nil {
 		return nil
 	}
@@ -274,12 +296,15 @@
 	case err != nil:
 		c.op.fail("engine order "+order.ID, err)
 		return nil
-	case result.Stale:
+	case result.Stale && result.Fencing > c.fencing:
 		return errOvertaken
 	case result.Accepted:
 		return c.settle(ctx, order, duty.Done, order.Server, "")
-	default:
+	case result.Refused:
 		return c.settle(ctx, order, duty.Refused, order.Server, result.Error)
+	default: // the agent has not learned the fencing number yet, or the outcome is unknown: the same id goes again
+		c.op.fail("engine order "+order.ID, errors.New(result.Error))
+		return nil
 	}
 }
 
