Let the listener alone decide who may open a link

Cause: the agent checked peers a second time, and without a list of its own it took loopback only: behind peernet, every link from another machine was refused. Change: link and agent lose TLS and AllowedPeers; peernet does both, and dials for the Pool.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -92,13 +92,11 @@
 		return nil, errors.Trace(err)
 	}
 	a.ran = ran
-	if a.server, err = link.NewServer(link.ServerConfig{TLS: cfg.TLS, AllowedPeers: cfg.AllowedPeers, Logger: cfg.Logger}, a); err != nil {
+	if a.server, err = link.NewServer(a, cfg.Logger); err != nil {
 		return nil, err
 	}
-	if a.listener = cfg.Listener; a.listener == nil {
-		if a.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
-			return nil, errors.Annotatef(err, "listen: address %s", cfg.Listen)
-		}
+	if a.listener, err = cfg.listen(); err != nil {
+		return nil, err
 	}
 	a.publish(time.Now())
 	return a, nil
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -8,11 +8,9 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"io"
 	"log/slog"
 	"net"
-	"net/netip"
 	"time"
 
 	"github.com/google/uuid"
@@ -20,6 +18,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/guavastack/guavastack/internal/backend"
+	"github.com/guavastack/guavastack/internal/peernet"
 )
 
 // BackendKind says what a backend server is.
@@ -53,18 +52,16 @@
 	ID            string
 	Incarnation   string // differs for every start; empty: a new one
 	Zone          string
-	Listen        string       // IP and port for the links of entries
+	Listen        string       // IP and port for the links of entries, from loopback only
+	Listener      net.Listener // in place of Listen; it decides who may connect
 	Advertise     string       // address that entries dial; empty: the listener's
-	Listener      net.Listener // in place of Listen
 	Backend       BackendConfig
 	QueueLimit    int
-	BufferBytes   int           // of one answer
-	KeepBytes     int           // of all finished answers
-	KeepFor       time.Duration // that a finished answer can be fetched again
-	OrphanTimeout time.Duration // a request without its entry is cancelled after it
-	LinkSilence   time.Duration // a link that brought nothing for so long while it has requests is closed
-	TLS           *tls.Config
-	AllowedPeers  []netip.Prefix
+	BufferBytes   int                                                               // of one answer
+	KeepBytes     int                                                               // of all finished answers
+	KeepFor       time.Duration                                                     // that a finished answer can be fetched again
+	OrphanTimeout time.Duration                                                     // a request without its entry is cancelled after it
+	LinkSilence   time.Duration                                                     // a link that brought nothing for so long while it has requests is closed
 	Dial          func(ctx context.Context, network, addr string) (net.Conn, error) // to the backend server
 	Logger        *slog.Logger
 	Metrics       metrics.Registry
@@ -121,6 +118,19 @@
 	return nil
 }
 
+// listen returns the listener for the links of entries.
+func (c Config) listen() (net.Listener, error) {
+	if c.Listener != nil {
+		return c.Listener, nil
+	}
+	loopback, err := peernet.New(peernet.Config{})
+	if err != nil {
+		return nil, err
+	}
+	lis, err := loopback.Listen(c.Listen)
+	return lis, errors.Annotatef(err, "listen: address %s", c.Listen)
+}
+
 // newBackend returns the client of the backend server.
 func (c Config) newBackend() backend.Backend {
 	cfg := backend.Config{
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -37,12 +37,8 @@
 	}
 	stop := context.AfterFunc(ctx, func() { raw.Close() })
 	defer stop()
-	secured, err := secure(ctx, raw, cfg.TLS)
-	if err != nil {
-		return nil, err
-	}
 	c := &conn{
-		drpc:  drpcconn.NewWithOptions(secured, drpcconn.Options{Manager: managerOptions()}),
+		drpc:  drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}),
 		epoch: p.pool.epoch.Add(1),
 	}
 	if err := c.hello(p.pool); err != nil {
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"io"
 	"log/slog"
 	"net"
@@ -36,12 +35,11 @@
 // Config holds the settings of a Pool. Zero durations take their defaults.
 type Config struct {
 	EntryID           string
-	Incarnation       string        // differs for every start of the entry
-	HeartbeatInterval time.Duration // between pings while anything is in flight
-	SilenceTimeout    time.Duration // a link that brought nothing for so long is replaced
-	IdleTimeout       time.Duration // a link without requests is closed after it
-	Dial              func(ctx context.Context, network, addr string) (net.Conn, error)
-	TLS               *tls.Config
+	Incarnation       string                                                            // differs for every start of the entry
+	HeartbeatInterval time.Duration                                                     // between pings while anything is in flight
+	SilenceTimeout    time.Duration                                                     // a link that brought nothing for so long is replaced
+	IdleTimeout       time.Duration                                                     // a link without requests is closed after it
+	Dial              func(ctx context.Context, network, addr string) (net.Conn, error) // with TLS where it is wanted
 	Logger            *slog.Logger
 	// OnLoad receives the load in frames that belong to no request; it may be nil and must not block.
 	OnLoad func(addr string, load *linkpb.Load)
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"io"
 	"log/slog"
 	"net"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,82 +39,31 @@
 	SetLifecycle(ctx context.Context, r *linkpb.LifecycleRequest) (*linkpb.LifecycleReply, error)
 }
 
-// ServerConfig holds the settings of a Server.
-type ServerConfig struct {
-	TLS          *tls.Config
-	AllowedPeers []netip.Prefix // where to accept links from without TLS; empty: loopback only
-	Logger       *slog.Logger
-}
-
 // Server accepts the links of entries.
 type Server struct {
-	cfg      ServerConfig
 	acceptor Acceptor
 	drpc     *drpcserver.Server
 }
 
 // NewServer returns a Server that hands its links to a.
-func NewServer(cfg ServerConfig, a Acceptor) (*Server, error) {
-	if cfg.Logger == nil {
-		cfg.Logger = slog.New(slog.NewJSONHandler(io.Discard, nil))
-	}
-	s := &Server{cfg: cfg, acceptor: a}
+func NewServer(a Acceptor, logger *slog.Logger) (*Server, error) {
+	s := &Server{acceptor: a}
 	mux := drpcmux.New()
 	if err := linkpb.DRPCRegisterAgentLink(mux, s); err != nil {
 		return nil, errors.Annotate(err, "register the link service")
 	}
 	s.drpc = drpcserver.NewWithOptions(mux, drpcserver.Options{
 		Manager: managerOptions(),
-		Log:     func(err error) { cfg.Logger.Debug("link ended", "error", err) },
+		Log:     func(err error) { logger.Debug("link ended", "error", err) },
 	})
 	return s, nil
 }
 
-// Serve accepts links on lis until ctx ends; then it closes all of them.
+// Serve accepts links on lis until ctx ends; then it closes all of them. The listener decides who may connect.
 func (s *Server) Serve(ctx context.Context, lis net.Listener) error {
-	lis = &allowListener{Listener: lis, cfg: s.cfg}
-	if s.cfg.TLS != nil {
-		lis = tls.NewListener(lis, s.cfg.TLS)
-	}
 	return errors.Trace(s.drpc.Serve(ctx, lis))
 }
 
-// allowListener closes connections of peers that are not allowed.
-type allowListener struct {
-	net.Listener
-	cfg ServerConfig
-}
-
-// Accept returns the next connection of an allowed peer.
-func (l *allowListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil || l.allowed(conn.RemoteAddr()) {
-			return conn, err
-		}
-		l.cfg.Logger.Warn("link refused: address is not in the list of peers", "peer", conn.RemoteAddr().String())
-		conn.Close()
-	}
-}
-
-// allowed reports whether addr may open a link; with TLS the certificate decides.
-func (l *allowListener) allowed(addr net.Addr) bool {
-	if l.cfg.TLS != nil {
-		return true
-	}
-	ap, err := netip.ParseAddrPort(addr.String())
-	if err != nil {
-		return addr.Network() != "tcp" // in-memory connections of tests
-	}
-	ip := ap.Addr().Unmap()
-	for _, p := range l.cfg.AllowedPeers {
-		if p.Contains(ip) {
-			return true
-		}
-	}
-	return len(l.cfg.AllowedPeers) == 0 && ip.IsLoopback()
-}
-
 // Connect serves one link.
 func (s *Server) Connect(stream linkpb.DRPCAgentLink_ConnectStream) error {
 	session := &Session{stream: stream, wake: make(chan struct{}, 1), done: make(chan struct{})}
--- a/internal/link/transport.go
+++ b/internal/link/transport.go
@@ -1,17 +1,11 @@
 package link
 
 import (
-	"context"
-	"crypto/tls"
-	"net"
-
 	"storj.io/drpc"
 	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
-
-	"github.com/juju/errors"
 )
 
 const (
@@ -34,19 +28,6 @@
 	}
 }
 
-// secure starts TLS on conn as a client, where config asks for it.
-func secure(ctx context.Context, conn net.Conn, config *tls.Config) (net.Conn, error) {
-	if config == nil {
-		return conn, nil
-	}
-	secured := tls.Client(conn, config)
-	if err := secured.HandshakeContext(ctx); err != nil {
-		conn.Close()
-		return nil, errors.Annotate(err, "TLS handshake with the agent")
-	}
-	return secured, nil
-}
-
 // transport returns the connection under s.
 func transport(s drpc.Stream) (drpc.Transport, bool) {
 	return drpcctx.Transport(s.Context())
