Tell the registrar of a lifecycle change instead of polling for it

The process polled the agent 20 times a second, also at rest. Change in internal/process/agent.go: OnLifecycle in place of watchLifecycle. TestShutdown counts the calls.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -224,7 +224,10 @@
 		Lifecycle:       a.lifecycle,
 	}
 	a.load.Store(m)
-	a.view.Store(a.report(m))
+	before := a.view.Swap(a.report(m))
+	if f := a.cfg.OnLifecycle; f != nil && before != nil && before.Lifecycle != lifecycleName(a.lifecycle) {
+		f()
+	}
 }
 
 func counts(list []int) []uint32 {
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -63,6 +63,7 @@
 	OrphanTimeout time.Duration                                                     // a request without its entry is cancelled after it
 	LinkSilence   time.Duration                                                     // a link that brought nothing for so long while it has requests is closed
 	Dial          func(ctx context.Context, network, addr string) (net.Conn, error) // to the backend server
+	OnLifecycle   func()                                                            // called when the lifecycle in Report has changed; must not block
 	Logger        *slog.Logger
 	Metrics       metrics.Registry
 }
--- a/internal/agent/requests_test.go
+++ b/internal/agent/requests_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -300,7 +301,9 @@
 // TestShutdown checks that a planned stop cuts nothing, returns what waits, and refuses what comes.
 func TestShutdown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, Config{Backend: BackendConfig{Slots: 1}}, engine.New(engine.Config{TokenInterval: 100 * time.Millisecond}))
+		var changes atomic.Int32
+		cfg := Config{Backend: BackendConfig{Slots: 1}, OnLifecycle: func() { changes.Add(1) }}
+		c := newCluster(t, cfg, engine.New(engine.Config{TokenInterval: 100 * time.Millisecond}))
 		p := c.pool("entry-1")
 		runs, waits := newRecorder(), newRecorder()
 		submit(t, p, agentAddr, chat("runs", "100"), runs)
@@ -331,6 +334,9 @@
 		if err := <-stopped; err != nil {
 			t.Error(err)
 		}
+		if n := changes.Load(); n != 2 {
+			t.Errorf("%d changes of the lifecycle, want joining to ready to leaving", n)
+		}
 	})
 }
 
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"time"
 
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
@@ -34,6 +33,7 @@
 	}
 	registry := metrics.NewRegistry()
 	base.Metrics.Attach(registry)
+	var registrar *watch.Registrar
 	a, err := agent.New(agent.Config{
 		ID:          base.Config.ID,
 		Incarnation: base.Incarnation,
@@ -44,11 +44,12 @@
 		QueueLimit:  c.QueueLimit,
 		Logger:      base.Logger,
 		Metrics:     registry,
+		OnLifecycle: func() { registrar.Notify() },
 	})
 	if err != nil {
 		return nil, err
 	}
-	registrar := watch.NewRegistrar(watch.Config{
+	registrar = watch.NewRegistrar(watch.Config{
 		ProcessID:   base.Config.ID,
 		Incarnation: base.Incarnation,
 		Role:        roleAgent,
@@ -87,9 +88,6 @@
 	return cfg
 }
 
-// lifecyclePoll is how often a change of the agent's lifecycle is looked for, to register it at once.
-const lifecyclePoll = 50 * time.Millisecond
-
 // Addr returns the address of the agent's links.
 func (a *Agent) Addr() net.Addr { return a.agent.Addr() }
 
@@ -106,10 +104,6 @@
 	var running errgroup.Group
 	running.Go(func() error { return ignoreCancelled(a.agent.Run(serving)) })
 	running.Go(func() error { return ignoreCancelled(a.registrar.Run(serving)) })
-	running.Go(func() error {
-		a.watchLifecycle(serving)
-		return nil
-	})
 	failed := make(chan error, 1)
 	go func() { failed <- running.Wait() }()
 	select {
@@ -122,24 +116,6 @@
 	return errors.Annotate(firstError(err, <-failed), "agent")
 }
 
-// watchLifecycle registers changes of the lifecycle at once.
-func (a *Agent) watchLifecycle(ctx context.Context) {
-	tick := time.NewTicker(lifecyclePoll)
-	defer tick.Stop()
-	last := ""
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			if now := a.agent.Report().Lifecycle; now != last {
-				last = now
-				a.registrar.Notify()
-			}
-		}
-	}
-}
-
 // ignoreCancelled drops the error of a role that ended because it was told to.
 func ignoreCancelled(err error) error {
 	if errors.Is(err, context.Canceled) {
