Refuse a failed resume as an answer, and soak the agent with random faults

Change: only a 200 continues a stream that left on an earlier connection. TestResumeOfUnknownRequest causes it alone. The soak sends 150 requests per seed through two entries under 40 faults (cuts, one-way silence, refused dials, cut backend connections, killed agents, faults of the backend server) in virtual time: a non-repeatable body arrives once at most and never after not run, and an answer that ends is whole.

--- /dev/null
+++ b/internal/agent/soak_test.go
@@ -0,0 +1,189 @@
+package agent
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/verdict"
+	"github.com/guavastack/guavastack/internal/link"
+	"github.com/guavastack/guavastack/internal/link/linktest"
+	"github.com/guavastack/guavastack/internal/standin/engine"
+	"github.com/guavastack/guavastack/internal/standin/service"
+	"github.com/guavastack/guavastack/proto/linkpb"
+)
+
+// soak drives one agent with requests of two entries under random faults of links, backend server and agent.
+type soak struct {
+	t     *testing.T
+	rng   *rand.Rand
+	links *linktest.Network
+	back  *linktest.Network
+	cfg   Config
+	kill  func()
+	pools []*link.Pool
+}
+
+const (
+	soakRequests = 150
+	soakFaults   = 40
+)
+
+func newSoak(t *testing.T, seed uint64, kind BackendKind) *soak {
+	s := &soak{t: t, rng: rand.New(rand.NewPCG(seed, 1)), links: linktest.New(), back: linktest.New()}
+	s.cfg = Config{
+		ID: "agent-1", Dial: s.back.Dial, KeepFor: 5 * time.Second,
+		Backend: BackendConfig{Kind: kind, URL: "http://" + engineAddr, Slots: 4, Resumable: true, StallTimeout: 3 * time.Second},
+	}
+	for i := range 2 {
+		s.pools = append(s.pools, newPool(t, fmt.Sprint("entry-", i), s.links.Dial))
+	}
+	return s
+}
+
+func (s *soak) startAgent() {
+	s.cfg.Listener = s.links.Listen(agentAddr)
+	s.kill = runAgent(s.t, s.cfg)
+}
+
+// fault causes one fault of the links, the connections to the backend server, or the agent.
+func (s *soak) fault(n int) {
+	switch n {
+	case 0:
+		s.links.Cut()
+	case 1:
+		s.links.Silence(linktest.ToListener)
+	case 2:
+		s.links.Silence(linktest.ToDialler)
+	case 3:
+		s.links.Refuse(true)
+		s.links.Cut()
+		time.Sleep(700 * time.Millisecond) // virtual
+		s.links.Refuse(false)
+	case 4:
+		s.back.Cut()
+	case 5:
+		s.kill()
+		s.startAgent()
+	}
+}
+
+// run submits requests and causes faults at random times, and returns the outcomes by request.
+func (s *soak) run(build func(i int) *linkpb.Submit, faults func(n int)) []outcome {
+	s.startAgent()
+	recorders := make([]*recorder, soakRequests)
+	delays := make([]time.Duration, soakRequests)
+	for i := range recorders {
+		recorders[i] = newRecorder()
+		delays[i] = time.Duration(s.rng.IntN(20_000)) * time.Millisecond
+	}
+	for i, r := range recorders {
+		go func() {
+			time.Sleep(delays[i])
+			m := build(i)
+			call, err := s.pools[i%2].Submit(context.Background(), agentAddr, m, r)
+			if err != nil {
+				r.done <- outcome{lost: err, verdict: verdict.Of(err)}
+				return
+			}
+			r.call = call
+			close(r.ready)
+		}()
+	}
+	for range soakFaults {
+		time.Sleep(time.Duration(s.rng.IntN(600)) * time.Millisecond)
+		faults(s.rng.IntN(8))
+	}
+	outcomes := make([]outcome, soakRequests)
+	for i, r := range recorders {
+		select {
+		case outcomes[i] = <-r.done:
+		case <-time.After(5 * time.Minute):
+			s.t.Errorf("request %d has no outcome", i)
+		}
+	}
+	s.kill()
+	return outcomes
+}
+
+// TestSoakService checks at-most-once under random faults: a body arrives once at most, and never after "not run".
+func TestSoakService(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSoak(t, seed, KindService)
+				h := service.New()
+				h.Inject(service.Fault{Kind: service.Slow, DelayMs: 300})
+				serveMemory(t, s.back, h)
+				body := func(i int) string { return fmt.Sprint("order ", i) }
+				outcomes := s.run(func(i int) *linkpb.Submit {
+					return order(fmt.Sprint("r", i), "POST", body(i))
+				}, func(n int) {
+					switch n {
+					case 6:
+						h.Inject(service.Fault{Kind: service.CloseAfterReading, Times: 3})
+					case 7:
+						h.Inject(service.Fault{Kind: service.CloseMidReply, Times: 3})
+					default:
+						s.fault(n)
+					}
+				})
+				counts := make(map[verdict.Verdict]int)
+				arrivals := h.Arrivals()
+				for i, o := range outcomes {
+					sum := sha256.Sum256([]byte(body(i)))
+					n := arrivals[hex.EncodeToString(sum[:])]
+					counts[o.verdict]++
+					switch {
+					case n > 1, n == 1 && o.verdict == verdict.NotRun, n == 0 && o.verdict == verdict.Ran:
+						t.Errorf("order %d arrived %d times: %v", i, n, o)
+					}
+				}
+				t.Logf("%d not run, %d may have run, %d ran", counts[verdict.NotRun], counts[verdict.MayHaveRun], counts[verdict.Ran])
+			})
+		})
+	}
+}
+
+// TestSoakEngine checks under random faults that an answer that ends is whole.
+func TestSoakEngine(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSoak(t, seed, KindEngine)
+				h := engine.New(engine.Config{TokenInterval: 20 * time.Millisecond})
+				serveMemory(t, s.back, h)
+				build := func(i int) *linkpb.Submit { return chat(fmt.Sprint("r", i), fmt.Sprint(5+i%50)) }
+				outcomes := s.run(build, func(n int) {
+					switch n {
+					case 6:
+						h.Inject(engine.Fault{Kind: engine.Cut, After: 3, Times: 3})
+					case 7:
+						h.Inject(engine.Fault{Kind: engine.Silent, After: 3, Times: 3})
+					default:
+						s.fault(n)
+					}
+				})
+				wholes := 0
+				for i, o := range outcomes {
+					if o.end == nil || o.end.Stopped {
+						continue
+					}
+					wholes++
+					if o.body != wholeOf(build(i)) {
+						t.Errorf("answer %d looks whole and is not: %v", i, o)
+					}
+				}
+				if wholes == 0 {
+					t.Error("no answer was whole")
+				}
+				t.Logf("%d of %d whole", wholes, soakRequests)
+			})
+		})
+	}
+}
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -131,3 +131,22 @@
 		}
 	}
 }
+
+// TestResumeOfUnknownRequest cuts the first connection before the answer; the engine then knows nothing to resume. Its
+// 404 is no answer to the request.
+func TestResumeOfUnknownRequest(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			panic(http.ErrAbortHandler)
+		}
+		http.NotFound(w, r)
+	}))
+	defer s.Close()
+	e := NewEngine(Config{URL: s.URL, Resumable: true})
+	defer e.Close()
+	var c collector
+	_, err := e.Do(context.Background(), &Request{ID: "r1", Method: "POST", Path: "/", Stream: true}, &c)
+	if err == nil || verdict.Of(err) != verdict.MayHaveRun || c.status != 0 {
+		t.Errorf("status %d, error %v", c.status, err)
+	}
+}
--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -130,7 +130,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode >= http.StatusInternalServerError || resp.StatusCode == http.StatusTooManyRequests ||
-		(s.headed && resp.StatusCode != http.StatusOK) {
+		(s.resumed && resp.StatusCode != http.StatusOK) {
 		s.failed = true
 		return verdict.New(verdict.MayHaveRun, "engine_refused", "engine answered %d", resp.StatusCode)
 	}
