--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -18,7 +18,11 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/guavastack/guavastack/internal/backend"
+<<<<<<< HEAD
 	"github.com/guavastack/guavastack/internal/peernet"
+=======
+	"github.com/guavastack/guavastack/internal/core/sched"
+>>>>>>> main
 )
 
 // BackendKind says what a backend server is.
@@ -57,11 +61,22 @@
 	Advertise     string       // address that entries dial; empty: the listener's
 	Backend       BackendConfig
 	QueueLimit    int
+<<<<<<< HEAD
 	BufferBytes   int                                                               // of one answer
 	KeepBytes     int                                                               // of all finished answers
 	KeepFor       time.Duration                                                     // that a finished answer can be fetched again
 	OrphanTimeout time.Duration                                                     // a request without its entry is cancelled after it
 	LinkSilence   time.Duration                                                     // a link that brought nothing for so long while it has requests is closed
+=======
+	Policy        sched.Policy  // tiered, unless a measurement wants the baseline
+	BufferBytes   int           // of one answer
+	KeepBytes     int           // of all finished answers
+	KeepFor       time.Duration // that a finished answer can be fetched again
+	OrphanTimeout time.Duration // a request without its entry is cancelled after it
+	LinkSilence   time.Duration // a link that brought nothing for so long while it has requests is closed
+	TLS           *tls.Config
+	AllowedPeers  []netip.Prefix
+>>>>>>> main
 	Dial          func(ctx context.Context, network, addr string) (net.Conn, error) // to the backend server
 	OnLifecycle   func()                                                            // called when the lifecycle in Report has changed; must not block
 	Logger        *slog.Logger
