--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -93,13 +93,11 @@
 		return nil, errors.Trace(err)
 	}
 	a.ran = ran
-	if a.server, err = link.NewServer(link.ServerConfig{TLS: cfg.TLS, AllowedPeers: cfg.AllowedPeers, Logger: cfg.Logger}, a); err != nil {
+	if a.server, err = link.NewServer(a, cfg.Logger); err != nil {
 		return nil, err
 	}
-	if a.listener = cfg.Listener; a.listener == nil {
-		if a.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
-			return nil, errors.Annotatef(err, "listen: address %s", cfg.Listen)
-		}
+	if a.listener, err = cfg.listen(); err != nil {
+		return nil, err
 	}
 	a.publish(time.Now())
 	return a, nil
@@ -227,7 +225,10 @@
 		Lifecycle:       a.lifecycle,
 	}
 	a.load.Store(m)
-	a.view.Store(a.report(m))
+	before := a.view.Swap(a.report(m))
+	if f := a.cfg.OnLifecycle; f != nil && before != nil && before.Lifecycle != lifecycleName(a.lifecycle) {
+		f()
+	}
 }
 
 func counts(list []int) []uint32 {
