--- a/internal/core/raft/raft.go
+++ b/internal/core/raft/raft.go
@@ -44,11 +44,10 @@
 )
 
 const (
-	maxAppendBytes   = 1 << 20 // entries in one message
-	maxInflight      = 4096    // entries sent and not acknowledged, per member
-	maxPromotionLag  = 64      // entries that a learner may lack when it becomes a voter
-	unlimited        = int(^uint(0) >> 1)
-	snapshotRetryMul = 20 // election timeouts before a snapshot is sent again without any sign of loss
+	maxAppendBytes  = 1 << 20 // entries in one message
+	maxInflight     = 4096    // entries sent and not acknowledged, per member
+	maxPromotionLag = 64      // entries that a learner may lack when it becomes a voter
+	unlimited       = int(^uint(0) >> 1)
 )
 
 // Config is fixed for the life of a Node.
--- a/internal/core/raft/replication.go
+++ b/internal/core/raft/replication.go
@@ -133,10 +133,11 @@
 	n.sendAppend(now, m.From, pr)
 }
 
-// detectLoss goes back to what is acknowledged when a later heartbeat was answered and an earlier Append was not.
+// detectLoss goes back to what is acknowledged when a later heartbeat was answered and an earlier Append or snapshot was
+// not: a connection keeps their order, and a second copy does no harm.
 func (n *Node) detectLoss(pr *progress, m Message) {
 	sent, ok := n.rounds.sentAt(m.Context)
-	if !ok || !pr.sentAt.Before(sent) || pr.isInstalling && !n.isInstallOverdue(pr, sent) {
+	if !ok || !pr.sentAt.Before(sent) {
 		return
 	}
 	pr.commitSent = min(pr.commitSent, m.Commit)
@@ -145,10 +146,6 @@
 	}
 }
 
-func (n *Node) isInstallOverdue(pr *progress, now time.Time) bool {
-	return now.Sub(pr.sentAt) > snapshotRetryMul*n.cfg.ElectionTimeout
-}
-
 // answering returns the progress of the sender of an answer, nil when its disk is not the one in the configuration.
 func (n *Node) answering(m Message) *progress {
 	pr := n.peers[m.From]
@@ -156,9 +153,10 @@
 	if n.role != Leader || pr == nil || member.Incarnation != 0 && member.Incarnation != m.FromIncarnation {
 		return nil
 	}
-	if pr.incarnation != m.FromIncarnation {
-		*pr = progress{next: n.log.last() + 1, isProbing: true, incarnation: m.FromIncarnation}
+	if pr.incarnation != 0 && pr.incarnation != m.FromIncarnation {
+		*pr = progress{next: n.log.last() + 1, isProbing: true}
 	}
+	pr.incarnation = m.FromIncarnation
 	return pr
 }
 
@@ -242,8 +240,9 @@
 	case m.Reject && pr.isInstalling:
 		return // the answer to an older message
 	case m.Reject && pr.isProbing && m.Index == pr.next-1:
-		pr.next = max(pr.match+1, min(m.Index, m.Hint+1))
-		pr.isAwaiting = false
+		next := max(pr.match+1, min(m.Index, m.Hint+1))
+		pr.isAwaiting = next == pr.next // it lost what it had acknowledged: heartbeats pace further tries
+		pr.next = next
 	case m.Reject && !pr.isProbing && m.Index > pr.match:
 		pr.next, pr.isProbing, pr.isAwaiting = max(pr.match+1, min(m.Index, m.Hint+1)), true, false
 	case !m.Reject:
--- a/internal/core/raft/rules_test.go
+++ b/internal/core/raft/rules_test.go
@@ -380,3 +380,46 @@
 		t.Errorf("target %+v, %v, want member 3", b.node.transfer, err)
 	}
 }
+
+func TestLostSnapshotIsSentAgain(t *testing.T) {
+	b := newBench(t)
+	b.lead()
+	b.give(650*ms, Message{Kind: AppendReply, From: 2, Term: 2, Index: 2})
+	b.node.Compact(2)
+	rejection := Message{Kind: AppendReply, From: 3, Term: 2, Index: 1, Reject: true}
+	if !has(b.give(660*ms, rejection), InstallSnapshot, false) {
+		t.Fatal("no snapshot for a member whose entries are gone")
+	}
+	if has(b.give(670*ms, Message{Kind: HeartbeatReply, From: 3, Term: 2, Context: 1}), InstallSnapshot, false) {
+		t.Error("the answer to an older heartbeat sends a second snapshot")
+	}
+	b.node.Tick(at(700 * ms))
+	b.flush(700 * ms)
+	if !has(b.give(710*ms, Message{Kind: HeartbeatReply, From: 3, Term: 2, Context: 2}), InstallSnapshot, false) {
+		t.Error("a later heartbeat is answered, the snapshot was not, and it is not sent again")
+	}
+}
+
+// TestMemberThatForgetsIsNotFlooded lets a disk lose what it acknowledged. The leader cannot mend that; it must not
+// exchange messages with the member without pause either.
+func TestMemberThatForgetsIsNotFlooded(t *testing.T) {
+	b := newBench(t)
+	b.lead()
+	b.give(650*ms, Message{Kind: AppendReply, From: 2, Term: 2, Index: 2})
+	if _, err := b.node.Propose([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	b.flush(655 * ms)
+	rejection := Message{Kind: AppendReply, From: 2, Term: 2, Index: 2, Reject: true}
+	for round := uint64(2); round < 5; round++ {
+		now := time.Duration(round+5) * simHeartbeat
+		b.node.Tick(at(now))
+		b.flush(now)
+		if !has(b.give(now+ms, Message{Kind: HeartbeatReply, From: 2, Term: 2, Context: round}), Append, false) {
+			t.Errorf("round %d: no further try", round)
+		}
+		if has(b.give(now+2*ms, rejection), Append, false) {
+			t.Errorf("round %d: the rejection is answered at once", round)
+		}
+	}
+}
--- a/internal/replica/testing_test.go
+++ b/internal/replica/testing_test.go
@@ -142,6 +142,7 @@
 	*Replica
 	sm   *list
 	err  chan error
+	ctx  context.Context
 	stop context.CancelFunc
 }
 
@@ -194,6 +195,15 @@
 
 // start opens and runs a member.
 func (c *cluster) start(id uint64) *process {
+	c.t.Helper()
+	p := c.open(id)
+	c.procs[id] = p
+	c.run(p)
+	return p
+}
+
+// open opens a member that run starts.
+func (c *cluster) open(id uint64) *process {
 	c.t.Helper()
 	sm := &list{}
 	r, err := Open(c.config(id), sm)
@@ -201,11 +211,12 @@
 		c.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &process{Replica: r, sm: sm, err: make(chan error, 1), stop: cancel}
-	c.net.serve(member(id).Address, r.PeerServer())
-	go func() { p.err <- r.Run(ctx) }()
-	c.procs[id] = p
-	return p
+	return &process{Replica: r, sm: sm, err: make(chan error, 1), ctx: ctx, stop: cancel}
+}
+
+func (c *cluster) run(p *process) {
+	c.net.serve(member(p.cfg.ID).Address, p.PeerServer())
+	go func() { p.err <- p.Run(p.ctx) }()
 }
 
 func (c *cluster) startAll() {
