Grant credit and meter tokens in batches; measure the entry

Cause: a profile of an entry under 7,600 tokens/s showed 17% of its time in sending a credit frame for every event, and 3% in moving the write deadline. Change: credit goes back after a quarter of the window (64 KiB), tokens are metered 16 at a time, the deadline moves once a second.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -19,6 +19,13 @@
 // outcomeTimeout is how long a cancelled attempt may take to tell whether it ran.
 const outcomeTimeout = 2 * time.Second
 
+const (
+	// grantBytes is how much of an answer is passed on before the agent gets new credit for it.
+	grantBytes = answerCredit / 4
+	// meterBatch is how many tokens of one answer are metered together. An entry that dies forgets fewer of each.
+	meterBatch = 16
+)
+
 // attempt is one dispatch of an exchange to one backend server.
 type attempt struct {
 	s       *Server
@@ -34,6 +41,9 @@
 	last    time.Time // arrival of the newest event
 	started bool
 
+	ungranted int // bytes passed on for which the agent has no new credit yet
+	unmetered int // output tokens passed on that are not metered yet
+
 	replayed bool        // the answer is fetched again: nothing is billed
 	keep     *keptAnswer // nil: the answer need not be kept
 }
@@ -255,17 +265,33 @@
 	a.last = now
 	a.keep.write(in.data)
 	a.writer.write(in.data)
-	if in.tokens > 0 && !a.writer.gone && !a.replayed {
-		x.deliveredTokens += uint64(in.tokens)
-		s.usage.add(x, delivered{outputTokens: uint64(in.tokens)})
-		s.limits.charge(x.lease, in.tokens)
-		s.demand.tokens(x.organisation, in.tokens)
+	if !a.writer.gone {
+		a.unmetered += in.tokens
+	}
+	if a.unmetered >= meterBatch || in.final() {
+		a.meter()
 	}
-	if len(in.data) > 0 {
-		a.call.Grant(uint32(len(in.data)))
+	a.ungranted += len(in.data)
+	if a.ungranted >= grantBytes {
+		a.call.Grant(uint32(a.ungranted))
+		a.ungranted = 0
 	}
 }
 
+// meter counts the tokens that were passed on.
+func (a *attempt) meter() {
+	n := a.unmetered
+	a.unmetered = 0
+	if n == 0 || a.replayed {
+		return
+	}
+	x := a.x
+	x.deliveredTokens += uint64(n)
+	a.s.usage.add(x, delivered{outputTokens: uint64(n)})
+	a.s.limits.charge(x.lease, n)
+	a.s.demand.tokens(x.organisation, n)
+}
+
 // ended judges the explicit end of an answer.
 func (a *attempt) ended(end *linkpb.End) result {
 	if !end.Stopped {
@@ -393,6 +419,7 @@
 // settle records how the attempt ended.
 func (a *attempt) settle(r result) {
 	s := a.s
+	a.meter()
 	o := route.Outcome{Result: route.OK}
 	switch {
 	case r.complete:
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -60,7 +60,7 @@
 	down     bool // the control group does not answer
 }
 
-func newFakeDirectory(t *testing.T) *fakeDirectory {
+func newFakeDirectory(t testing.TB) *fakeDirectory {
 	t.Helper()
 	d := &fakeDirectory{settings: settings.NewModule(), claims: claim.NewModule(claim.DefaultBounds()), open: 1}
 	d.fresh.Store(true)
@@ -69,7 +69,7 @@
 }
 
 // change applies a change of the settings.
-func (d *fakeDirectory) change(t *testing.T, c settings.Command) {
+func (d *fakeDirectory) change(t testing.TB, c settings.Command) {
 	t.Helper()
 	data, err := d.apply(d.settings, c)
 	if err != nil {
@@ -103,7 +103,7 @@
 }
 
 // key creates a key of the organisation.
-func (d *fakeDirectory) key(t *testing.T, organisation string) keys.Key {
+func (d *fakeDirectory) key(t testing.TB, organisation string) keys.Key {
 	t.Helper()
 	k := keys.New()
 	d.change(t, settings.Command{Op: settings.CreateKey, Path: organisation, KeyID: k.ID, KeyHash: k.Hash})
@@ -162,7 +162,7 @@
 
 // bench is an entry with real links to real agents before stand-ins.
 type bench struct {
-	t       *testing.T
+	t       testing.TB
 	dir     *fakeDirectory
 	entry   *Server
 	url     string
@@ -175,7 +175,7 @@
 	backend []*controlpb.BackendServer
 }
 
-func newBench(t *testing.T) *bench {
+func newBench(t testing.TB) *bench {
 	t.Helper()
 	b := &bench{
 		t:       t,
@@ -205,6 +205,16 @@
 	return srv.URL
 }
 
+// serveRaw serves a stand-in without recording.
+func (b *bench) serveRaw(h http.Handler) string {
+	srv := httptest.NewServer(h)
+	b.t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return srv.URL
+}
+
 // startAgent starts an agent and waits until its backend server is ready.
 func (b *bench) startAgent(id string, backend agent.BackendConfig) *agent.Agent {
 	b.t.Helper()
@@ -260,7 +270,7 @@
 }
 
 // waitFor waits until cond holds; a test that waits for ever is ended by the test runner.
-func waitFor(t *testing.T, cond func() bool) {
+func waitFor(t testing.TB, cond func() bool) {
 	t.Helper()
 	for !cond() {
 		time.Sleep(time.Millisecond)
@@ -342,6 +352,6 @@
 }
 
 // agentFor describes an engine of the bench's model.
-func agentFor(b *bench, e *engine.Engine) agent.BackendConfig {
+func agentFor(b *bench, e http.Handler) agent.BackendConfig {
 	return agent.BackendConfig{Kind: agent.KindEngine, URL: b.serve(e), Model: "m", Slots: 4}
 }
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -14,6 +14,9 @@
 // streamEnd is the last event of a streamed answer of the OpenAI API.
 var streamEnd = []byte("data: [DONE]\n\n")
 
+// deadlineSlack is by how much a write may take longer than the write timeout.
+const deadlineSlack = time.Second
+
 // answerWriter sends one answer to its caller.
 //
 // The end of a stream is held back until the answer is known to be whole: a caller never sees a short answer that
@@ -28,6 +31,8 @@
 	held    bool // streamEnd waits
 	gone    bool
 	bytes   int64
+
+	deadline time.Time // set for writes
 }
 
 func newAnswerWriter(w http.ResponseWriter, writeTimeout time.Duration) *answerWriter {
@@ -76,7 +81,7 @@
 	if len(data) == 0 {
 		return
 	}
-	_ = a.control.SetWriteDeadline(time.Now().Add(a.writeTimeout))
+	a.extendDeadline()
 	n, err := a.w.Write(data)
 	a.bytes += int64(n)
 	if err != nil {
@@ -84,6 +89,16 @@
 	}
 }
 
+// extendDeadline gives the next write at least the write timeout. It moves the deadline now and then only.
+func (a *answerWriter) extendDeadline() {
+	now := time.Now()
+	if a.deadline.Sub(now) >= a.writeTimeout {
+		return
+	}
+	a.deadline = now.Add(a.writeTimeout + deadlineSlack)
+	_ = a.control.SetWriteDeadline(a.deadline)
+}
+
 func (a *answerWriter) flush() {
 	if a.control.Flush() != nil {
 		a.gone = true
