--- a/bench/deploy/main.go
+++ b/bench/deploy/main.go
@@ -45,6 +45,9 @@
 	overload float64
 	seed     uint64
 	faults   bool
+	engines  int
+	services int
+	rest     bool
 	out      string
 }
 
@@ -61,6 +64,9 @@
 	flag.Float64Var(&o.overload, "overload", 3, "rate of the burst, as a multiple of the capacity")
 	flag.Uint64Var(&o.seed, "seed", 1, "of the scenario")
 	flag.BoolVar(&o.faults, "faults", false, "kill, freeze and restart processes during the run")
+	flag.IntVar(&o.engines, "engines", 0, "engines in place of the fleet's")
+	flag.IntVar(&o.services, "services", 0, "services in place of the fleet's")
+	flag.BoolVar(&o.rest, "rest", false, "send no load: measure what processes use at rest")
 	flag.StringVar(&o.out, "out", "", "file for the result in JSON")
 	flag.Parse()
 	if err := run(o); err != nil {
@@ -83,6 +89,9 @@
 	if !ok {
 		return fmt.Errorf("unknown fleet %q", o.fleet)
 	}
+	if o.engines > 0 {
+		f.engines, f.services = o.engines, max(o.services, 1)
+	}
 	dir, err := os.MkdirTemp("", "deploy-")
 	if err != nil {
 		return err
@@ -103,6 +112,9 @@
 	if err := c.StartAll(ctx); err != nil {
 		return err
 	}
+	if o.rest {
+		return rest(c, o.duration)
+	}
 	s, err := scenario(ctx, c, o, f)
 	if err != nil {
 		return err
@@ -129,10 +141,7 @@
 	if err := loadgen.WriteReport(os.Stdout, []string{r.Fleet + " " + r.Policy}, []*loadgen.Result{r.Load}); err != nil {
 		return err
 	}
-	fmt.Printf("\n%-8s %9s %12s %12s\n", "role", "processes", "cores each", "MiB each")
-	for _, u := range r.Roles {
-		fmt.Printf("%-8s %9d %12.3f %12.1f\n", u.Role, u.Processes, u.CoresEach, u.MiBEach)
-	}
+	printRoles(r.Roles)
 	for _, f := range r.Faults {
 		fmt.Println(f)
 	}
@@ -148,3 +157,10 @@
 	}
 	return os.WriteFile(out, append(data, '\n'), 0o644)
 }
+
+func printRoles(roles []roleUse) {
+	fmt.Printf("\n%-8s %9s %12s %12s\n", "role", "processes", "cores each", "MiB each")
+	for _, u := range roles {
+		fmt.Printf("%-8s %9d %12.4f %12.1f\n", u.Role, u.Processes, u.CoresEach, u.MiBEach)
+	}
+}
--- a/bench/deploy/use.go
+++ b/bench/deploy/use.go
@@ -79,3 +79,34 @@
 	}
 	return out
 }
+
+// settleTime is how long a deployment settles before it is measured at rest.
+const settleTime = 5 * time.Second
+
+// rest measures what processes use without load, and what goes over the loopback interface meanwhile.
+func rest(c *localcluster.Cluster, duration time.Duration) error {
+	time.Sleep(settleTime)
+	before, bytesBefore := measure(c), loopbackBytes()
+	started := time.Now()
+	time.Sleep(duration)
+	took := time.Since(started)
+	after, bytesAfter := measure(c), loopbackBytes()
+	printRoles(use(before, after, took))
+	fmt.Printf("loopback: %.0f bytes/s in all\n", float64(bytesAfter-bytesBefore)/took.Seconds())
+	return nil
+}
+
+// loopbackBytes returns the bytes that the loopback interface has received.
+func loopbackBytes() uint64 {
+	data, err := os.ReadFile("/proc/net/dev")
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(data), "\n") {
+		if rest, ok := strings.CutPrefix(strings.TrimSpace(line), "lo:"); ok {
+			n, _ := strconv.ParseUint(strings.Fields(rest)[0], 10, 64)
+			return n
+		}
+	}
+	return 0
+}
