control: versions in force are passed between members at once

An accepted change was in force everywhere within a few milliseconds, but a member learned of the entries of the other members only with the next digest: 60 changes on three real members and two entries took a median of 454 ms (maximum 518) until the answer said so. A process with another version now sends the digest after 30 ms: median 53 ms, maximum 58, of which 50 were the polling of the answer, which is 10 ms now.

--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -79,14 +79,15 @@
 	return ack, nil
 }
 
-// exchangeWith sends digests to one other member: at once after a change, and at intervals.
+// exchangeWith sends digests to one other member: at once after a change in the registry, soon after a process has
+// another version, and at intervals.
 func (s *Service) exchangeWith(ctx context.Context, peer string) {
 	var sent uint64 // registry version that the peer has
 	var incarnation string
 	tick := time.NewTicker(exchangeInterval)
 	defer tick.Stop()
 	for {
-		changed := s.soft.changedChannel()
+		changed, news := s.soft.changedChannel(), s.soft.newsChannel()
 		digest, version := s.digest(sent, time.Now())
 		ack, err := s.sendDigest(ctx, peer, digest)
 		switch {
@@ -103,6 +104,8 @@
 			return
 		case <-tick.C:
 		case <-changed:
+		case <-news:
+			pause(ctx, newsDelay)
 		}
 	}
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -29,12 +29,13 @@
 	confirmTimeout         = 2 * time.Second         // of one quorum round
 	confirmSpacing         = 20 * time.Millisecond   // between quorum rounds, so that questions gather
 	exchangeInterval       = 500 * time.Millisecond  // between digests to another member
+	newsDelay              = 30 * time.Millisecond   // in which versions of processes gather for a digest
 	exchangeTimeout        = 1500 * time.Millisecond // of one digest
 	housekeepingInterval   = 500 * time.Millisecond
 	processMemory          = 2           // freshness limits for which a silent process counts as behind
 	loadUpdateInterval     = time.Second // least time between updates of load alone
 	claimExpiryInterval    = time.Minute
-	inForcePollInterval    = 50 * time.Millisecond
+	inForcePollInterval    = 10 * time.Millisecond
 	maxCommandBytes        = 8 << 20
 	maxDemandOrganisations = 10_000 // per watcher
 )
--- a/internal/control/soft.go
+++ b/internal/control/soft.go
@@ -19,6 +19,7 @@
 	registry  *member.Registry[*controlpb.BackendServer]
 	processes *member.Processes
 	changed   chan struct{}
+	news      chan struct{}        // closed when a process that watches this member has another version
 	lastLoad  map[string]time.Time // when watchers last learned a backend server's load
 }
 
@@ -28,6 +29,7 @@
 		registry:  member.NewRegistry[*controlpb.BackendServer](cfg.RegistryTTL, now),
 		processes: member.NewProcesses(processMemory*cfg.FreshnessLimit, limit.ShareLifetime),
 		changed:   make(chan struct{}),
+		news:      make(chan struct{}),
 		lastLoad:  make(map[string]time.Time),
 	}
 }
@@ -138,7 +140,16 @@
 func (s *softState) putProcess(p member.Process) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.processes.Put(p)
+	if s.processes.Put(p) && p.First {
+		close(s.news)
+		s.news = make(chan struct{})
+	}
+}
+
+func (s *softState) newsChannel() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.news
 }
 
 func (s *softState) allProcesses() []member.Process {
--- a/internal/core/member/processes.go
+++ b/internal/core/member/processes.go
@@ -40,16 +40,18 @@
 	return &Processes{stale: stale, memory: max(stale, memory), byID: make(map[string]Process)}
 }
 
-// Put takes news of a process. Older news than what is known is dropped, except for a version: it never falls.
-func (p *Processes) Put(news Process) {
+// Put takes news of a process and reports whether its version is another one. Older news than what is known is
+// dropped, and a version never falls within an incarnation.
+func (p *Processes) Put(news Process) bool {
 	old, ok := p.byID[news.ID]
 	if ok && old.Heard.After(news.Heard) {
-		return
+		return false
 	}
 	if ok && old.Incarnation == news.Incarnation && news.Version.Less(old.Version) {
 		news.Version = old.Version
 	}
 	p.byID[news.ID] = news
+	return !ok || old.Version != news.Version
 }
 
 // Expire forgets silent processes.
