--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -54,9 +54,9 @@
 	ran       *lru.Cache[string, struct{}] // non-repeatable requests that started and left the table
 	ranForgot bool                         // an id has left ran
 	lostEntry bool                         // an entry with unfinished business has left the table
-	active    int
-	released  []*record // finished and delivered or without a link, oldest first
-	keptBytes int       // of all finished answers
+	active    map[*record]struct{}         // those that wait or run
+	released  []*record                    // finished and delivered or without a link, oldest first
+	keptBytes int                          // of all finished answers
 	lifecycle linkpb.Lifecycle
 	up        bool // the backend server answers
 	probing   bool
@@ -85,6 +85,7 @@
 		}),
 		records:   make(map[string]*record),
 		entries:   make(map[entryKey]*entry),
+		active:    make(map[*record]struct{}),
 		lifecycle: linkpb.Lifecycle_LIFECYCLE_JOINING,
 		meters:    newMeters(cfg.Metrics),
 	}
@@ -162,12 +163,12 @@
 
 // armTick sets the timer while there is anything that time changes.
 func (a *Agent) armTick(timer *time.Timer) {
-	if !a.tickAt.IsZero() && (a.active == 0 || time.Until(a.tickAt) <= busyTick) {
+	if !a.tickAt.IsZero() && (len(a.active) == 0 || time.Until(a.tickAt) <= busyTick) {
 		return
 	}
 	pause := keepTick
 	switch {
-	case a.active > 0:
+	case len(a.active) > 0:
 		pause = busyTick
 	case len(a.records)+len(a.entries) == 0:
 		return
--- a/internal/agent/bench_test.go
+++ b/internal/agent/bench_test.go
@@ -162,6 +162,13 @@
 	relay(b, a.Addr().String(), streams, tokens, func(id string) *linkpb.Submit { return chat(id, "1") })
 }
 
+// BenchmarkShortRequests measures requests of one token: a token is a request here.
+func BenchmarkShortRequests(b *testing.B) {
+	const streams = 64
+	a := startAgent(b, Config{Backend: BackendConfig{Kind: KindEngine, URL: serveHTTP(b, cannedEngine(1)), Slots: streams}})
+	relay(b, a.Addr().String(), streams, 1, func(id string) *linkpb.Submit { return chat(id, "1") })
+}
+
 // BenchmarkFirstToken compares the time to the first event through link and agent with a direct call of the engine, at
 // 200 requests a second.
 func BenchmarkFirstToken(b *testing.B) {
--- a/internal/agent/keep.go
+++ b/internal/agent/keep.go
@@ -8,10 +8,8 @@
 
 // tick does what time brings.
 func (a *Agent) tick(now time.Time) {
-	for _, r := range a.records {
-		if r.active() {
-			a.tickRecord(now, r)
-		}
+	for r := range a.active {
+		a.tickRecord(now, r)
 	}
 	a.act(now, a.sched.Tick(now))
 	if now.Before(a.sweepAt) {
--- a/internal/agent/lifecycle.go
+++ b/internal/agent/lifecycle.go
@@ -64,7 +64,7 @@
 
 // inProgress reports whether a request is active, or its end is on its way to an entry.
 func (a *Agent) inProgress() bool {
-	if a.active > 0 {
+	if len(a.active) > 0 {
 		return true
 	}
 	for _, r := range a.records {
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -64,7 +64,7 @@
 	})
 	_ = r.answer.attach(s, 0, m.Credit) // an empty answer has its beginning
 	a.records[r.id] = r
-	a.active++
+	a.active[r] = struct{}{}
 	a.act(now, a.sched.Submit(now, r.schedRequest(a.backend.Resumable())))
 }
 
@@ -214,7 +214,7 @@
 	r.state = finished
 	r.verdict = v
 	r.finishedAt = now
-	a.active--
+	delete(a.active, r)
 	a.publish(now)
 	r.answer.finish(last)
 	r.kept = r.answer.size()
--- a/internal/agent/requests_test.go
+++ b/internal/agent/requests_test.go
@@ -278,6 +278,45 @@
 	}
 }
 
+// TestDeadline lets requests miss their deadlines where they stand.
+func TestDeadline(t *testing.T) {
+	tests := []struct {
+		name    string
+		slots   int
+		verdict verdict.Verdict
+	}{
+		{"waiting", 1, verdict.NotRun},
+		{"running", 2, verdict.Ran},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := engine.New(engine.Config{TokenInterval: 100 * time.Millisecond})
+				c := newCluster(t, Config{Backend: BackendConfig{Slots: tt.slots}}, h)
+				p := c.pool("entry-1")
+				other, r := newRecorder(), newRecorder()
+				submit(t, p, agentAddr, chat("r0", "100"), other)
+				synctest.Wait()
+				s := chat("r1", "100")
+				s.DeadlineMs, s.FloorShare = 3000, -1
+				start := time.Now()
+				submit(t, p, agentAddr, s, r)
+				o := <-r.done
+				if late := time.Since(start); late > 3500*time.Millisecond {
+					t.Errorf("ended only after %v", late)
+				}
+				if o.verdict != tt.verdict || (o.end != nil && !o.end.Stopped) {
+					t.Errorf("outcome %v", o)
+				}
+				if n := runningAt(h); n != 1 {
+					t.Errorf("engine runs %d requests, want the other one only", n)
+				}
+				<-other.done
+			})
+		})
+	}
+}
+
 // TestEntryDies checks that a request without its entry is cancelled after a bounded time, and not before.
 func TestEntryDies(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
