Send credit once half of the window is used

Cause: BenchmarkRelayPaced (64 streams, a token each 10 ms) took 17.6 allocations a token and 19,862 tokens a core-second: half of it was a Credit frame for each event. Change: credit waits until the agent has used half of the window; it is looked at on each grant and each event. After: 5.2 allocations, 43,193 tokens a core-second. With the look on events removed TestCreditInAdvance ends stopped at its deadline.

--- a/internal/agent/bench_test.go
+++ b/internal/agent/bench_test.go
@@ -30,6 +30,7 @@
 	backend.Backend
 	pieces int
 	piece  []byte
+	pause  time.Duration // between pieces
 }
 
 func (f *fountain) Do(_ context.Context, _ *backend.Request, sink backend.Sink) (backend.Usage, error) {
@@ -37,6 +38,9 @@
 		return backend.Usage{}, err
 	}
 	for range f.pieces {
+		if f.pause > 0 {
+			time.Sleep(f.pause)
+		}
 		if err := sink.Data(f.piece, 1); err != nil {
 			return backend.Usage{}, err
 		}
@@ -118,20 +122,30 @@
 	for _, streams := range []int{1, 16, 256} {
 		b.Run(fmt.Sprint(streams), func(b *testing.B) {
 			const tokens = 1000
-			a, err := New(Config{
-				ID: "a", Listen: "127.0.0.1:0",
-				Backend: BackendConfig{Kind: KindEngine, URL: serveHTTP(b, engine.New(engine.Config{})), Slots: streams},
-			})
-			if err != nil {
-				b.Fatal(err)
-			}
-			a.backend = &fountain{Backend: a.backend, pieces: tokens, piece: make([]byte, pieceBytes)}
-			serveAgent(b, a)
-			relay(b, a.Addr().String(), streams, tokens, func(id string) *linkpb.Submit { return chat(id, "1") })
+			relayFountain(b, streams, &fountain{pieces: tokens, piece: make([]byte, pieceBytes)})
 		})
 	}
 }
 
+// BenchmarkRelayPaced measures streams whose tokens come one at a time, so that few are joined.
+func BenchmarkRelayPaced(b *testing.B) {
+	relayFountain(b, 64, &fountain{pieces: 300, piece: make([]byte, pieceBytes), pause: 10 * time.Millisecond})
+}
+
+func relayFountain(b *testing.B, streams int, f *fountain) {
+	a, err := New(Config{
+		ID: "a", Listen: "127.0.0.1:0",
+		Backend: BackendConfig{Kind: KindEngine, URL: serveHTTP(b, engine.New(engine.Config{})), Slots: streams},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	f.Backend = a.backend
+	a.backend = f
+	serveAgent(b, a)
+	relay(b, a.Addr().String(), streams, f.pieces, func(id string) *linkpb.Submit { return chat(id, "1") })
+}
+
 // BenchmarkRelayEngine measures the same with the stand-in engine over HTTP in the same process.
 func BenchmarkRelayEngine(b *testing.B) {
 	const streams, tokens = 64, 1000
--- a/internal/agent/link_faults_test.go
+++ b/internal/agent/link_faults_test.go
@@ -196,6 +196,23 @@
 	})
 }
 
+// TestCreditInAdvance grants all before the first event came, and nothing later.
+func TestCreditInAdvance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, Config{}, engine.New(engine.Config{TokenInterval: 10 * time.Millisecond}))
+		r := newRecorder()
+		r.hold = true
+		s := chat("r1", "40")
+		s.Credit, s.DeadlineMs = 1000, 60_000
+		submit(t, c.pool("entry-1"), agentAddr, s, r)
+		<-r.started
+		r.call.Grant(1 << 20)
+		if o := <-r.done; o.end == nil || o.body != wholeOf(chat("r1", "40")) {
+			t.Errorf("outcome %v", o)
+		}
+	})
+}
+
 // TestAgentKilled kills the agent at each step and starts another one in its place.
 func TestAgentKilled(t *testing.T) {
 	tests := []struct {
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -25,6 +25,8 @@
 	queuedAt  time.Time
 	deadline  int64  // milliseconds from queuedAt; 0: none
 	grant     uint32 // credit that waits to be sent
+	granting  bool   // a Credit is queued
+	window    int64  // credit at the start
 	inFlight  bool   // the call stands in peer.calls
 	cancelled bool
 	cancelWhy linkpb.CancelReason
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -132,6 +132,9 @@
 	case progress:
 		c.resumes = 0
 		c.asked = false
+		p.mu.Lock()
+		p.sendCredit(c)
+		p.mu.Unlock()
 	case gap:
 		if !c.asked {
 			p.resume(c)
@@ -278,6 +281,7 @@
 	case itemCancel:
 		return &linkpb.EntryFrame{Cancel: &linkpb.Cancel{RequestId: it.call.id, Reason: it.call.cancelWhy}}
 	case itemCredit:
+		it.call.granting = false
 		bytes := it.call.grant
 		it.call.grant = 0
 		if bytes == 0 || !it.call.sent {
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -157,17 +157,25 @@
 	p.push(item{kind: itemCancel, call: c})
 }
 
+// grant counts up credit.
 func (p *peer) grant(c *Call, bytes uint32) {
 	c.credit.Add(int64(bytes))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !c.inFlight {
-		return
+	if c.inFlight {
+		c.grant += bytes
+		p.sendCredit(c)
 	}
-	if c.grant == 0 {
+}
+
+// sendCredit queues the credit that waits once the agent has used half of the window, so that few frames carry it.
+// The caller holds p.mu.
+func (p *peer) sendCredit(c *Call) {
+	atAgent := c.credit.Load() - int64(c.grant)
+	if c.grant > 0 && !c.granting && atAgent <= c.window/2 {
+		c.granting = true
 		p.push(item{kind: itemCredit, call: c})
 	}
-	c.grant += bytes
 }
 
 // busy reports whether anything is in flight. The caller holds p.mu.
@@ -311,6 +319,7 @@
 		}
 		c.resumes++
 		c.grant = 0
+		c.granting = false
 		c.asked = false
 		if c.submit != nil && !known[c.id] {
 			c.sent = false
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -117,6 +117,7 @@
 	}
 	c.attempt.Store(s.Attempt)
 	c.credit.Store(int64(s.Credit))
+	c.window = int64(s.Credit)
 	return c, p.add(ctx, addr, c)
 }
 
@@ -132,6 +133,7 @@
 	}
 	c.next.Store(r.NextSeq)
 	c.credit.Store(int64(r.Credit))
+	c.window = int64(r.Credit)
 	return c, p.add(ctx, addr, c)
 }
 
