Use the memory of received events again

Change: vtprotobuf's pool for AgentFrames, AgentFrame and Event (tools/genproto); an Event is valid only during the handler's call, and the entry copies it already.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -87,11 +87,22 @@
 	return err
 }
 
+// receiver is the part of the generated stream that decodes into a message which is used again.
+type receiver interface {
+	RecvMsg(m *linkpb.AgentFrames) error
+}
+
 // read delivers frames until the link ends.
 func (p *peer) read(c *conn) error {
+	stream, ok := c.stream.(receiver)
+	if !ok {
+		return errors.NotSupportedf("receiving by %T", c.stream)
+	}
+	m := linkpb.AgentFramesFromVTPool()
+	defer m.ReturnToVTPool()
 	for {
-		m, err := c.stream.Recv()
-		if err != nil {
+		m.ResetVT() // what its events held is used again
+		if err := stream.RecvMsg(m); err != nil {
 			return errors.Trace(err)
 		}
 		c.lastRecv.Store(time.Now().UnixNano())
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -65,7 +65,8 @@
 }
 
 // Handler receives what happens to one request. Its methods are called in order and never at the same time, and
-// must not block; they own the messages that they get. End, Refused and Lost are final: exactly one of them comes,
+// must not block. An Event and its data are valid only during the call; the other messages, and the head of an event,
+// are the handler's own. End, Refused and Lost are final: exactly one of them comes,
 // and nothing after it but Load.
 type Handler interface {
 	Started(*linkpb.Started)
--- a/tools/genproto/main.go
+++ b/tools/genproto/main.go
@@ -26,9 +26,14 @@
 	parameter string
 }
 
+// pooled are the messages whose memory is used again: those that carry each token.
+const pooled = ",pool=github.com/guavastack/guavastack/proto/linkpb.AgentFrames" +
+	",pool=github.com/guavastack/guavastack/proto/linkpb.AgentFrame" +
+	",pool=github.com/guavastack/guavastack/proto/linkpb.Event"
+
 var plugins = []plugin{
 	{"protoc-gen-go", "paths=source_relative"},
-	{"protoc-gen-go-vtproto", "paths=source_relative,features=marshal+unmarshal+size"},
+	{"protoc-gen-go-vtproto", "paths=source_relative,features=marshal+unmarshal+size+pool" + pooled},
 	{"protoc-gen-go-drpc", "paths=source_relative,protolib=github.com/guavastack/guavastack/internal/link/linkenc,json=false"},
 }
 
