--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -87,11 +87,22 @@
 	return err
 }
 
+// receiver is the part of the generated stream that decodes into a message which is used again.
+type receiver interface {
+	RecvMsg(m *linkpb.AgentFrames) error
+}
+
 // read delivers frames until the link ends.
 func (p *peer) read(c *conn) error {
+	stream, ok := c.stream.(receiver)
+	if !ok {
+		return errors.NotSupportedf("receiving by %T", c.stream)
+	}
+	m := linkpb.AgentFramesFromVTPool()
+	defer m.ReturnToVTPool()
 	for {
-		m, err := c.stream.Recv()
-		if err != nil {
+		m.ResetVT() // what its events held is used again
+		if err := stream.RecvMsg(m); err != nil {
 			return errors.Trace(err)
 		}
 		c.lastRecv.Store(time.Now().UnixNano())
@@ -132,6 +143,9 @@
 	case progress:
 		c.resumes = 0
 		c.asked = false
+		p.mu.Lock()
+		p.sendCredit(c)
+		p.mu.Unlock()
 	case gap:
 		if !c.asked {
 			p.resume(c)
@@ -278,6 +292,7 @@
 	case itemCancel:
 		return &linkpb.EntryFrame{Cancel: &linkpb.Cancel{RequestId: it.call.id, Reason: it.call.cancelWhy}}
 	case itemCredit:
+		it.call.granting = false
 		bytes := it.call.grant
 		it.call.grant = 0
 		if bytes == 0 || !it.call.sent {
