--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -101,6 +101,13 @@
 	s.cfg.Quota = quota
 }
 
+// Adopt adds a server that runs already.
+func (s *Standin) Adopt(server platform.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers = append(s.servers, server)
+}
+
 // order carries out an order and records it.
 func (s *Standin) order(o platform.Order) (platform.Outcome, string) {
 	s.mu.Lock()
