Never report a window for which the platform holds figures of an older life of the group

Cause: a group restored from a backup opens window numbers again that the lost group had reported, and would have sent other figures for them. Change: the platform is asked before a close; such a window is skipped, and its usage becomes a correction.

--- a/internal/core/billing/billing_test.go
+++ b/internal/core/billing/billing_test.go
@@ -235,6 +235,11 @@
 			"record":  func(*rapid.T) { record() },
 			"advance": func(*rapid.T) { advance() },
 			"close":   func(*rapid.T) { closeOne() },
+			"skip": func(*rapid.T) {
+				if window, due := m.Due(); due {
+					apply(t, Command{Skip: &Skip{Window: window}}, m, replica)
+				}
+			},
 			"leader lost": func(*rapid.T) {
 				data, err := replica.Snapshot()
 				if err != nil {
@@ -271,6 +276,9 @@
 		}
 		billed := uint64(0)
 		for _, w := range m.Windows() {
+			if w.Status == Skipped {
+				continue
+			}
 			r, err := ParseReport(w.Report)
 			if err != nil {
 				t.Fatalf("report: %v", err)
--- a/internal/core/billing/module.go
+++ b/internal/core/billing/module.go
@@ -35,6 +35,9 @@
 	Closed Status = "closed"
 	// Reported windows are confirmed by the platform.
 	Reported Status = "reported"
+	// Skipped windows have figures at the platform that this log never committed, as after a restore from a backup. Nothing
+	// is reported for them; what was counted goes into the next report as a correction.
+	Skipped Status = "skipped"
 	// Disputed windows have other figures at the platform; an operator must look at them.
 	Disputed Status = "disputed"
 )
@@ -44,6 +47,7 @@
 	Advance *Advance `json:"advance,omitempty"`
 	Record  *Record  `json:"record,omitempty"`
 	Close   *Close   `json:"close,omitempty"`
+	Skip    *Skip    `json:"skip,omitempty"`
 	Confirm *Confirm `json:"confirm,omitempty"`
 }
 
@@ -65,6 +69,12 @@
 	Report []byte `json:"report"`
 }
 
+// Skip ends a window without a report.
+type Skip struct {
+	Window uint64 `json:"window"`
+	Reason string `json:"reason"`
+}
+
 // Confirm records what the platform answered to the report of a window.
 type Confirm struct {
 	Window uint64 `json:"window"`
@@ -85,7 +95,7 @@
 	Reason      string `json:"reason,omitempty"`
 	ClosedMS    int64  `json:"closed_ms"`
 	ConfirmedMS int64  `json:"confirmed_ms,omitempty"`
-	Report      []byte `json:"report"` // the committed bytes
+	Report      []byte `json:"report,omitempty"` // the committed bytes; none of a skipped window
 }
 
 // count is a counter with the part of it that reports contain already.
@@ -139,6 +149,8 @@
 		return m.record(*c.Record), nil
 	case c.Close != nil:
 		return m.close(*c.Close)
+	case c.Skip != nil:
+		return m.skip(atMS, *c.Skip), nil
 	case c.Confirm != nil:
 		return m.confirm(atMS, *c.Confirm), nil
 	default:
@@ -198,13 +210,26 @@
 			known.Billed = known.Figures
 		}
 	}
-	m.s.Closed = c.Window
+	m.end(Window{Window: c.Window, Status: Closed, ClosedMS: report.ClosedMS, Report: c.Report})
+	return CodeOK, nil
+}
+
+// skip ends a window without billing what was counted in it.
+func (m *Module) skip(atMS int64, c Skip) string {
+	if c.Window != m.s.Closed+1 || c.Window >= m.s.Open {
+		return CodeMismatch
+	}
+	m.s.Revision++
+	m.end(Window{Window: c.Window, Status: Skipped, Reason: c.Reason, ClosedMS: atMS})
+	return CodeOK
+}
+
+// end adds a window to those that take usage as corrections only.
+func (m *Module) end(w Window) {
+	m.s.Closed = w.Window
 	m.s.Opened = m.s.Opened[1:]
-	m.s.Windows = append(m.s.Windows, Window{
-		Window: c.Window, Status: Closed, ClosedMS: report.ClosedMS, Report: c.Report,
-	})
+	m.s.Windows = append(m.s.Windows, w)
 	m.prune()
-	return CodeOK, nil
 }
 
 func (m *Module) confirm(atMS int64, c Confirm) string {
@@ -214,7 +239,7 @@
 	}
 	m.s.Revision++
 	w := &m.s.Windows[i]
-	if w.Status == Reported {
+	if w.Status == Reported || w.Status == Skipped {
 		return CodeOK
 	}
 	w.Status = c.Status
@@ -232,7 +257,7 @@
 	}
 	surplus := len(m.s.Windows) - keptReports
 	m.s.Windows = slices.DeleteFunc(m.s.Windows, func(w Window) bool {
-		if surplus <= 0 || w.Status != Reported {
+		if surplus <= 0 || w.Status != Reported && w.Status != Skipped {
 			return false
 		}
 		surplus--
--- a/internal/operate/billing.go
+++ b/internal/operate/billing.go
@@ -197,8 +197,33 @@
 	return err
 }
 
+// isForeign reports whether the platform holds figures of a window that this group has not closed yet.
+func (c *charge) isForeign(ctx context.Context, window uint64) (bool, error) {
+	err := c.call(ctx, func(ctx context.Context) error {
+		_, err := c.op.cfg.Platform.ReportedUsage(ctx, window)
+		return err
+	})
+	if errors.Is(err, errors.NotFound) {
+		return false, nil
+	}
+	return err == nil, errors.Annotatef(err, "window %d at the platform", window)
+}
+
+// skipWindow ends a window without a report.
+func (c *charge) skipWindow(ctx context.Context, window uint64) error {
+	const reason = "the platform holds figures that this group never committed"
+	_, err := c.proposeBilling(ctx, billing.Command{Skip: &billing.Skip{Window: window, Reason: reason}})
+	c.op.cfg.Logger.Error("billing window skipped", "window", window, "reason", reason)
+	return err
+}
+
 // closeWindow commits the figures of a window, with every counter that has come in.
 func (c *charge) closeWindow(ctx context.Context, window uint64) error {
+	if foreign, err := c.isForeign(ctx, window); err != nil {
+		return err
+	} else if foreign {
+		return c.skipWindow(ctx, window)
+	}
 	if err := c.record(ctx); err != nil {
 		return err
 	}
--- a/internal/operate/faults_test.go
+++ b/internal/operate/faults_test.go
@@ -8,7 +8,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/guavastack/guavastack/internal/core/billing"
 	"github.com/guavastack/guavastack/internal/core/duty"
+	"github.com/guavastack/guavastack/internal/platform"
 	"github.com/guavastack/guavastack/internal/replica"
 	standin "github.com/guavastack/guavastack/internal/standin/platform"
 	"github.com/guavastack/guavastack/proto/linkpb"
@@ -371,6 +373,38 @@
 	})
 }
 
+// TestRestoredGroupSkipsWindowsOfTheOldOne starts from an empty log, as a restore from an old backup does, while the
+// platform holds figures of the first windows.
+func TestRestoredGroupSkipsWindowsOfTheOldOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, standin.Config{})
+		client, err := platform.NewClient(platform.Config{URL: "http://platform.test", Transport: b.faults})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for window := range uint64(2) {
+			r := platform.UsageReport{Sender: platform.Sender{Holder: "old", Fencing: 40}, Window: window + 1, Body: []byte(`{"window":0}`)}
+			if err := client.ReportUsage(t.Context(), r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		b.elect(0)
+		b.want(1, 0)
+		b.run(settled)
+		b.check(1, 0)
+		windows, err := b.group.members[0].operator.Windows(100)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, w := range windows[len(windows)-3:] {
+			want := []string{"reported", "skipped", "skipped"}[i]
+			if w.Status != want || w.Status != "reported" && w.Difference != (billing.Figures{}) {
+				t.Errorf("window %d is %s, difference %+v; want %s", w.Window, w.Status, w.Difference, want)
+			}
+		}
+	})
+}
+
 func TestRateLimitKeepsTheOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, standin.Config{})
--- a/internal/operate/status.go
+++ b/internal/operate/status.go
@@ -79,7 +79,7 @@
 // WindowUsage is one billing window with its report and what the counters say now.
 type WindowUsage struct {
 	Window      uint64               `json:"window"`
-	Status      string               `json:"status"` // open, closing, closed, reported or disputed
+	Status      string               `json:"status"` // open, closing, closed, reported, disputed or skipped
 	Reason      string               `json:"reason,omitempty"`
 	OpenedMS    int64                `json:"opened_ms,omitempty"`
 	ClosedMS    int64                `json:"closed_ms,omitempty"`
@@ -104,7 +104,7 @@
 	closed := m.Windows()
 	corrected := make(map[uint64][]billing.Line)
 	for _, w := range slices.Backward(closed) {
-		report, err := billing.ParseReport(w.Report)
+		report, err := reportOf(w)
 		if err != nil {
 			return nil, err
 		}
@@ -119,6 +119,14 @@
 	return usage[:min(limit, len(usage))], nil
 }
 
+// reportOf returns the report of a window, an empty one where none was made.
+func reportOf(w billing.Window) (billing.Report, error) {
+	if w.Status == billing.Skipped {
+		return billing.Report{Window: w.Window, ClosedMS: w.ClosedMS}, nil
+	}
+	return billing.ParseReport(w.Report)
+}
+
 func openWindows(m *billing.Module) []WindowUsage {
 	var usage []WindowUsage
 	due, _ := m.Due()
