Show cost, servers, orders and late reports as metrics; keep to the zones' price ceilings

Cause: the cost beside the service could be read from the API only, and price ceilings of zones were accepted without effect. Change: internal/operate/meters.go; a zone dearer than its ceiling counts as without supply; process/control.go passes the registry of metrics and the tree's ceilings. Broken by hand: without the ceiling TestZoneIsAvoided failed.

--- a/internal/core/billing/module.go
+++ b/internal/core/billing/module.go
@@ -313,6 +313,17 @@
 	return m.s.Windows[i], true
 }
 
+// Unreported counts the closed windows that the platform has not confirmed.
+func (m *Module) Unreported() int {
+	n := 0
+	for _, w := range m.s.Windows {
+		if w.Status == Closed {
+			n++
+		}
+	}
+	return n
+}
+
 // Windows returns the closed windows, oldest first.
 func (m *Module) Windows() []Window { return slices.Clone(m.s.Windows) }
 
--- a/internal/operate/billing.go
+++ b/internal/operate/billing.go
@@ -246,6 +246,7 @@
 
 // report sends the committed bytes of the oldest window that the platform has not confirmed.
 func (c *charge) report(ctx context.Context) error {
+	c.showReports()
 	var window billing.Window
 	var ok bool
 	c.op.cfg.Group.View(func() { window, ok = c.op.cfg.Billing.NextReport() })
@@ -260,23 +261,25 @@
 	c.billing.reportedAt = time.Now()
 	switch {
 	case err == nil:
-		return c.confirm(ctx, window.Window, billing.Reported, "")
+		return c.confirm(ctx, window, billing.Reported, "")
 	case errors.Is(err, platform.ErrStaleFencing):
 		return errOvertaken
 	case errors.Is(err, platform.ErrDifferentFigures), errors.Is(err, platform.ErrInvalid):
-		return c.confirm(ctx, window.Window, billing.Disputed, err.Error())
+		return c.confirm(ctx, window, billing.Disputed, err.Error())
 	default:
 		c.billing.failed = window.Window
 		return err // the same bytes go out again
 	}
 }
 
-func (c *charge) confirm(ctx context.Context, window uint64, status billing.Status, reason string) error {
+// confirm commits the platform's answer to the report of a window.
+func (c *charge) confirm(ctx context.Context, window billing.Window, status billing.Status, reason string) error {
+	c.op.showConfirmed(window, status)
 	_, err := c.proposeBilling(ctx, billing.Command{Confirm: &billing.Confirm{
-		Window: window, Status: status, Reason: reason,
+		Window: window.Window, Status: status, Reason: reason,
 	}})
 	if err == nil {
-		c.op.cfg.Logger.Info("usage reported", "window", window, "status", status, "reason", reason)
+		c.op.cfg.Logger.Info("usage reported", "window", window.Window, "status", status, "reason", reason)
 	}
 	return err
 }
--- a/internal/operate/faults_test.go
+++ b/internal/operate/faults_test.go
@@ -337,26 +337,41 @@
 	})
 }
 
-func TestZoneWithoutSupply(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, standin.Config{})
-		b.standin.SetSupply("a", false)
-		b.elect(0)
-		leader := b.group.members[0]
-		settings := pausedSettings()
-		settings.Paused = false
-		settings.Pools[0].Manual = nil
-		settings.Broadcasts = burst(4)
-		data, err := duty.Encode(duty.Command{Change: &duty.Change{ID: "p", Settings: settings}}, "test", 0)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if _, err := leader.Propose(b.ctx, data); err != nil {
-			t.Fatal(err)
-		}
-		b.run(30 * time.Second)
-		b.check(0, 4)
-	})
+// TestZoneIsAvoided needs four servers where one of two zones cannot be used.
+func TestZoneIsAvoided(t *testing.T) {
+	tests := []struct {
+		name  string
+		avoid func(*bench)
+	}{
+		{"without supply", func(b *bench) { b.standin.SetSupply("a", false) }},
+		{"dearer than its ceiling", func(b *bench) {
+			for _, m := range b.group.members {
+				m.operator.cfg.ZoneCeiling = func(zone string) (float64, bool) { return 1, zone == "a" }
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, standin.Config{})
+				tt.avoid(b)
+				b.elect(0)
+				settings := pausedSettings()
+				settings.Paused = false
+				settings.Pools[0].Manual = nil
+				settings.Broadcasts = burst(4)
+				data, err := duty.Encode(duty.Command{Change: &duty.Change{ID: "p", Settings: settings}}, "test", 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := b.group.members[0].Propose(b.ctx, data); err != nil {
+					t.Fatal(err)
+				}
+				b.run(30 * time.Second)
+				b.check(0, 4)
+			})
+		})
+	}
 }
 
 func TestWindowsShorterThanTheGraceAreClosed(t *testing.T) {
--- a/internal/operate/fleet.go
+++ b/internal/operate/fleet.go
@@ -18,6 +18,7 @@
 func (c *charge) plan(settings fleet.Settings, open []duty.Order) ([]fleet.Plan, []fleet.Observation) {
 	observed := c.observe(settings, open)
 	plans := c.planner.Plan(time.Now(), settings, observed)
+	c.showFleet(plans, observed, open)
 	c.op.mu.Lock()
 	defer c.op.mu.Unlock()
 	c.op.status.plans = plans
@@ -49,6 +50,9 @@
 			state.PricePerHour = z.PricePerHour
 		}
 	}
+	if ceiling, ok := c.op.cfg.ZoneCeiling(zone); ok && state.PricePerHour > ceiling {
+		state.NoSupply = true // too dear counts as none to have
+	}
 	for _, server := range c.inventory.Servers {
 		if server.Model == pool.Model && server.Zone == zone && !isStopping(open, server.ID) && !c.isBroken(pool, server.ID) {
 			state.Servers++
--- /dev/null
+++ b/internal/operate/meters.go
@@ -0,0 +1,75 @@
+package operate
+
+import (
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/billing"
+	"github.com/guavastack/guavastack/internal/core/duty"
+	"github.com/guavastack/guavastack/internal/core/fleet"
+	"github.com/guavastack/guavastack/internal/telemetry"
+)
+
+// Names of the metrics. Gauges of the fleet are current in the member in charge only.
+const (
+	meterInCharge    = "in_charge"
+	meterCost        = "fleet_cost_per_hour_milli" // thousandths of the currency
+	meterServers     = "fleet_servers"
+	meterWanted      = "fleet_servers_wanted"
+	meterOpenOrders  = "fleet_orders_open"
+	meterOrders      = "fleet_orders_settled"
+	meterUnreported  = "usage_windows_unreported"
+	meterReportDelay = "usage_report_delay"
+)
+
+// showPhase shows whether this member is in charge.
+func (o *Operator) showPhase(p Phase) {
+	value := int64(0)
+	if p == InCharge {
+		value = 1
+	}
+	o.cfg.Metrics.Gauge(meterInCharge).Update(value)
+}
+
+// showFleet shows what the fleet costs, what runs and what is wanted.
+func (c *charge) showFleet(plans []fleet.Plan, observed []fleet.Observation, open []duty.Order) {
+	m := c.op.cfg.Metrics
+	cost := 0.0
+	for _, server := range c.inventory.Servers {
+		cost += server.PricePerHour
+	}
+	m.Gauge(meterCost).Update(int64(1000 * cost))
+	m.Gauge(meterOpenOrders).Update(int64(len(open)))
+	for _, o := range observed {
+		for _, z := range o.Zones {
+			m.Gauge(meterServers, zoneLabels(o.Model, z.Zone)...).Update(int64(z.Servers))
+		}
+	}
+	for _, p := range plans {
+		for zone, n := range p.Wanted {
+			m.Gauge(meterWanted, zoneLabels(p.Model, zone)...).Update(int64(n))
+		}
+	}
+}
+
+func zoneLabels(model, zone string) []telemetry.Label {
+	return []telemetry.Label{{Name: "model", Value: model}, {Name: "zone", Value: zone}}
+}
+
+// showSettled counts a settled order.
+func (o *Operator) showSettled(kind duty.Kind, status duty.Status) {
+	o.cfg.Metrics.Counter(meterOrders,
+		telemetry.Label{Name: "kind", Value: string(kind)}, telemetry.Label{Name: "status", Value: string(status)}).Inc(1)
+}
+
+// showReports shows how many closed windows the platform has not confirmed.
+func (c *charge) showReports() {
+	unreported := 0
+	c.op.cfg.Group.View(func() { unreported = c.op.cfg.Billing.Unreported() })
+	c.op.cfg.Metrics.Gauge(meterUnreported).Update(int64(unreported))
+}
+
+// showConfirmed measures the time from the closing of a window to the platform's answer.
+func (o *Operator) showConfirmed(w billing.Window, status billing.Status) {
+	o.cfg.Metrics.Observe(meterReportDelay, time.Since(time.UnixMilli(w.ClosedMS)),
+		telemetry.Label{Name: "status", Value: string(status)})
+}
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -20,6 +20,7 @@
 	"github.com/guavastack/guavastack/internal/core/duty"
 	"github.com/guavastack/guavastack/internal/core/fleet"
 	"github.com/guavastack/guavastack/internal/platform"
+	"github.com/guavastack/guavastack/internal/telemetry"
 	"github.com/guavastack/guavastack/proto/controlpb"
 	"github.com/guavastack/guavastack/proto/linkpb"
 )
@@ -65,7 +66,10 @@
 	Registry func() []*controlpb.BackendServer
 	// Attainment returns the part of first-token targets met for a model of late, negative where unknown. May be nil.
 	Attainment func(model string) float64
-	Logger     *slog.Logger
+	// ZoneCeiling returns the highest price per hour at which a server is ordered in a zone. May be nil.
+	ZoneCeiling func(zone string) (float64, bool)
+	Logger      *slog.Logger
+	Metrics     *telemetry.Registry
 
 	Timing        duty.Timing
 	Poll          time.Duration // between looks at the lease
@@ -113,6 +117,12 @@
 	if cfg.Attainment == nil {
 		cfg.Attainment = func(string) float64 { return -1 }
 	}
+	if cfg.ZoneCeiling == nil {
+		cfg.ZoneCeiling = func(string) (float64, bool) { return 0, false }
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = telemetry.NewRegistry(telemetry.DefaultMaxSeries)
+	}
 	if cfg.Timing == (duty.Timing{}) {
 		cfg.Timing = duty.DefaultTiming()
 	}
@@ -176,6 +186,7 @@
 }
 
 func (o *Operator) setPhase(p Phase) {
+	o.showPhase(p)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.status.phase = p
--- a/internal/operate/orders.go
+++ b/internal/operate/orders.go
@@ -127,6 +127,7 @@
 	if err != nil {
 		return err
 	}
+	c.op.showSettled(order.Kind, status)
 	c.op.cfg.Logger.Info("order settled", "id", order.ID, "kind", order.Kind, "status", status, "server", server, "reason", reason)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -103,7 +103,10 @@
 		Logger:      base.Logger,
 	}
 	if c.Platform != nil {
-		operator, err := newOperator(base, s, r, func() []*controlpb.BackendServer { return ctl.service.Backends() })
+		operator, err := newOperator(base, s, r, fleetView{
+			backends: func() []*controlpb.BackendServer { return ctl.service.Backends() },
+			ceiling:  func(zone string) (float64, bool) { return ctl.service.Tree().PriceCeiling(zone) },
+		})
 		if err != nil {
 			return nil, errors.Annotate(err, "control.platform")
 		}
@@ -212,7 +215,13 @@
 	return out
 }
 
-func newOperator(base *Base, s *State, r *replica.Replica, registry func() []*controlpb.BackendServer) (*operate.Operator, error) {
+// fleetView is what the operator of the platform sees of the fleet.
+type fleetView struct {
+	backends func() []*controlpb.BackendServer
+	ceiling  func(zone string) (float64, bool)
+}
+
+func newOperator(base *Base, s *State, r *replica.Replica, view fleetView) (*operate.Operator, error) {
 	c := base.Config.Control.Platform
 	client, err := platform.NewClient(platform.Config{URL: c.URL})
 	if err != nil {
@@ -225,9 +234,12 @@
 		Agents:   operate.AgentClient{},
 		Duty:     s.Duty,
 		Billing:  s.Billing,
-		Registry: registry,
-		Window:   time.Duration(c.WindowLength),
-		Logger:   base.Logger,
+		Registry: view.backends,
+		Metrics:  base.Metrics,
+
+		ZoneCeiling: view.ceiling,
+		Window:      time.Duration(c.WindowLength),
+		Logger:      base.Logger,
 	})
 }
 
