--- a/internal/operate/billing.go
+++ b/internal/operate/billing.go
@@ -197,8 +197,33 @@
 	return err
 }
 
+// isForeign reports whether the platform holds figures of a window that this group has not closed yet.
+func (c *charge) isForeign(ctx context.Context, window uint64) (bool, error) {
+	err := c.call(ctx, func(ctx context.Context) error {
+		_, err := c.op.cfg.Platform.ReportedUsage(ctx, window)
+		return err
+	})
+	if errors.Is(err, errors.NotFound) {
+		return false, nil
+	}
+	return err == nil, errors.Annotatef(err, "window %d at the platform", window)
+}
+
+// skipWindow ends a window without a report.
+func (c *charge) skipWindow(ctx context.Context, window uint64) error {
+	const reason = "the platform holds figures that this group never committed"
+	_, err := c.proposeBilling(ctx, billing.Command{Skip: &billing.Skip{Window: window, Reason: reason}})
+	c.op.cfg.Logger.Error("billing window skipped", "window", window, "reason", reason)
+	return err
+}
+
 // closeWindow commits the figures of a window, with every counter that has come in.
 func (c *charge) closeWindow(ctx context.Context, window uint64) error {
+	if foreign, err := c.isForeign(ctx, window); err != nil {
+		return err
+	} else if foreign {
+		return c.skipWindow(ctx, window)
+	}
 	if err := c.record(ctx); err != nil {
 		return err
 	}
@@ -221,6 +246,7 @@
 
 // report sends the committed bytes of the oldest window that the platform has not confirmed.
 func (c *charge) report(ctx context.Context) error {
+	c.showReports()
 	var window billing.Window
 	var ok bool
 	c.op.cfg.Group.View(func() { window, ok = c.op.cfg.Billing.NextReport() })
@@ -235,23 +261,25 @@
 	c.billing.reportedAt = time.Now()
 	switch {
 	case err == nil:
-		return c.confirm(ctx, window.Window, billing.Reported, "")
+		return c.confirm(ctx, window, billing.Reported, "")
 	case errors.Is(err, platform.ErrStaleFencing):
 		return errOvertaken
 	case errors.Is(err, platform.ErrDifferentFigures), errors.Is(err, platform.ErrInvalid):
-		return c.confirm(ctx, window.Window, billing.Disputed, err.Error())
+		return c.confirm(ctx, window, billing.Disputed, err.Error())
 	default:
 		c.billing.failed = window.Window
 		return err // the same bytes go out again
 	}
 }
 
-func (c *charge) confirm(ctx context.Context, window uint64, status billing.Status, reason string) error {
+// confirm commits the platform's answer to the report of a window.
+func (c *charge) confirm(ctx context.Context, window billing.Window, status billing.Status, reason string) error {
+	c.op.showConfirmed(window, status)
 	_, err := c.proposeBilling(ctx, billing.Command{Confirm: &billing.Confirm{
-		Window: window, Status: status, Reason: reason,
+		Window: window.Window, Status: status, Reason: reason,
 	}})
 	if err == nil {
-		c.op.cfg.Logger.Info("usage reported", "window", window, "status", status, "reason", reason)
+		c.op.cfg.Logger.Info("usage reported", "window", window.Window, "status", status, "reason", reason)
 	}
 	return err
 }
