--- a/internal/operate/faults_test.go
+++ b/internal/operate/faults_test.go
@@ -8,7 +8,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/guavastack/guavastack/internal/core/billing"
 	"github.com/guavastack/guavastack/internal/core/duty"
+	"github.com/guavastack/guavastack/internal/platform"
 	"github.com/guavastack/guavastack/internal/replica"
 	standin "github.com/guavastack/guavastack/internal/standin/platform"
 	"github.com/guavastack/guavastack/proto/linkpb"
@@ -335,26 +337,41 @@
 	})
 }
 
-func TestZoneWithoutSupply(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, standin.Config{})
-		b.standin.SetSupply("a", false)
-		b.elect(0)
-		leader := b.group.members[0]
-		settings := pausedSettings()
-		settings.Paused = false
-		settings.Pools[0].Manual = nil
-		settings.Broadcasts = burst(4)
-		data, err := duty.Encode(duty.Command{Change: &duty.Change{ID: "p", Settings: settings}}, "test", 0)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if _, err := leader.Propose(b.ctx, data); err != nil {
-			t.Fatal(err)
-		}
-		b.run(30 * time.Second)
-		b.check(0, 4)
-	})
+// TestZoneIsAvoided needs four servers where one of two zones cannot be used.
+func TestZoneIsAvoided(t *testing.T) {
+	tests := []struct {
+		name  string
+		avoid func(*bench)
+	}{
+		{"without supply", func(b *bench) { b.standin.SetSupply("a", false) }},
+		{"dearer than its ceiling", func(b *bench) {
+			for _, m := range b.group.members {
+				m.operator.cfg.ZoneCeiling = func(zone string) (float64, bool) { return 1, zone == "a" }
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, standin.Config{})
+				tt.avoid(b)
+				b.elect(0)
+				settings := pausedSettings()
+				settings.Paused = false
+				settings.Pools[0].Manual = nil
+				settings.Broadcasts = burst(4)
+				data, err := duty.Encode(duty.Command{Change: &duty.Change{ID: "p", Settings: settings}}, "test", 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := b.group.members[0].Propose(b.ctx, data); err != nil {
+					t.Fatal(err)
+				}
+				b.run(30 * time.Second)
+				b.check(0, 4)
+			})
+		})
+	}
 }
 
 func TestWindowsShorterThanTheGraceAreClosed(t *testing.T) {
@@ -371,6 +388,38 @@
 	})
 }
 
+// TestRestoredGroupSkipsWindowsOfTheOldOne starts from an empty log, as a restore from an old backup does, while the
+// platform holds figures of the first windows.
+func TestRestoredGroupSkipsWindowsOfTheOldOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, standin.Config{})
+		client, err := platform.NewClient(platform.Config{URL: "http://platform.test", Transport: b.faults})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for window := range uint64(2) {
+			r := platform.UsageReport{Sender: platform.Sender{Holder: "old", Fencing: 40}, Window: window + 1, Body: []byte(`{"window":0}`)}
+			if err := client.ReportUsage(t.Context(), r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		b.elect(0)
+		b.want(1, 0)
+		b.run(settled)
+		b.check(1, 0)
+		windows, err := b.group.members[0].operator.Windows(100)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, w := range windows[len(windows)-3:] {
+			want := []string{"reported", "skipped", "skipped"}[i]
+			if w.Status != want || w.Status != "reported" && w.Difference != (billing.Figures{}) {
+				t.Errorf("window %d is %s, difference %+v; want %s", w.Window, w.Status, w.Difference, want)
+			}
+		}
+	})
+}
+
 func TestRateLimitKeepsTheOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, standin.Config{})
