Refuse a data folder that lacks a part

Seen: TestFolderWithoutAPart and TestLogThatFollowsAMissingSnapshotIsRefused; the second fails without the check.

--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -231,3 +231,22 @@
 	b.ReportMetric(float64(bytes.Load()-sent)/seconds, "payload-bytes/s/member")
 	b.ReportMetric(100*(cpuTime(b)-cpu).Seconds()/seconds, "%core/member")
 }
+
+// BenchmarkGroupRestart reports the time from the start of all members, after all were killed, to a committed command.
+func BenchmarkGroupRestart(b *testing.B) {
+	g := newTCPGroup(b, 3)
+	for range b.N {
+		b.StopTimer()
+		g.leader()
+		for i := range g.procs {
+			g.kill(i)
+		}
+		b.StartTimer()
+		for i := range g.procs {
+			g.start(i)
+		}
+		if _, err := g.procs[g.leader()].Propose(context.Background(), []byte("x")); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/wal/bench_test.go
+++ b/internal/wal/bench_test.go
@@ -7,12 +7,22 @@
 	"github.com/guavastack/guavastack/internal/wal"
 )
 
-// BenchmarkAppend reports one synced entry of 512 bytes on the disk of the machine.
-func BenchmarkAppend(b *testing.B) {
-	l, _, err := wal.Open(wal.OS{}, b.TempDir())
+// openDisk opens a log on the disk of the machine.
+func openDisk(b *testing.B) *wal.Log {
+	folder := b.TempDir()
+	if _, _, err := wal.LoadIdentity(wal.OS{}, folder, wal.Identity{Group: 1, ID: 1, Incarnation: 1}); err != nil {
+		b.Fatal(err)
+	}
+	l, _, err := wal.Open(wal.OS{}, folder)
 	if err != nil {
 		b.Fatal(err)
 	}
+	return l
+}
+
+// BenchmarkAppend reports one synced entry of 512 bytes on the disk of the machine.
+func BenchmarkAppend(b *testing.B) {
+	l := openDisk(b)
 	data := make([]byte, 512)
 	var index uint64
 	for b.Loop() {
@@ -27,10 +37,7 @@
 // BenchmarkSnapshot reports a snapshot of 16 MiB: the time for which the member's loop stands still, besides the
 // state machine's own part.
 func BenchmarkSnapshot(b *testing.B) {
-	l, _, err := wal.Open(wal.OS{}, b.TempDir())
-	if err != nil {
-		b.Fatal(err)
-	}
+	l := openDisk(b)
 	snap := raft.Snapshot{Term: 1, Data: make([]byte, 16<<20)}
 	for b.Loop() {
 		snap.Index++
--- a/internal/wal/identity.go
+++ b/internal/wal/identity.go
@@ -6,6 +6,8 @@
 	"path/filepath"
 
 	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/core/raft"
 )
 
 const identityFile = "identity.json"
@@ -40,18 +42,38 @@
 	return id, false, nil
 }
 
-// createIdentity writes the identity of a blank folder. A folder that holds a log but no identity is damaged.
+// createIdentity makes a blank folder the data folder of id. The identity is written last: beside it a log must exist,
+// or somebody removed it.
 func createIdentity(fsys FS, dir string, id Identity) (Identity, bool, error) {
+	if err := createLog(fsys, dir); err != nil {
+		return id, false, err
+	}
+	return id, true, writeIdentity(fsys, dir, id)
+}
+
+// createLog begins the log of a blank folder. An earlier call may have come as far as that; a log that holds anything
+// is not the log of a blank folder.
+func createLog(fsys FS, dir string) error {
 	names, err := fsys.List(dir)
 	if err != nil {
-		return id, false, errors.Trace(err)
+		return errors.Annotate(err, "data folder")
 	}
-	for _, name := range names {
-		if isLogName(name) || isSnapshotName(name) {
-			return id, false, errors.Annotatef(ErrDamaged, "%s is missing beside %s; %s", identityFile, name, repairAdvice)
+	l := &Log{fs: fsys, dir: dir}
+	snaps, logs := l.sortNames(names)
+	if len(snaps)+len(logs) == 0 {
+		if err := l.create(1, 0, raft.HardState{}, nil); err != nil {
+			return err
 		}
+		return errors.Trace(l.Close())
 	}
-	return id, true, writeIdentity(fsys, dir, id)
+	state, err := l.load()
+	if err != nil {
+		return err
+	}
+	if state.Snapshot != nil || len(state.Entries) > 0 || state.HardState != (raft.HardState{}) {
+		return errors.Annotatef(ErrDamaged, "%q holds a log and no %s; %s", dir, identityFile, repairAdvice)
+	}
+	return errors.Trace(l.Close())
 }
 
 func writeIdentity(fsys FS, dir string, id Identity) error {
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -42,7 +42,8 @@
 	buf    []byte
 }
 
-// Open reads the data folder and opens its log for appending. A torn last record is cut.
+// Open reads the data folder, which LoadIdentity has prepared, and opens its log for appending. A torn last record is
+// cut.
 func Open(fsys FS, dir string) (*Log, raft.State, error) {
 	l := &Log{fs: fsys, dir: dir}
 	state, err := l.load()
@@ -65,10 +66,7 @@
 		}
 	}
 	if len(logs) == 0 {
-		if state.Snapshot != nil {
-			return state, errors.Annotatef(ErrDamaged, "%q holds a snapshot and no log; %s", l.dir, repairAdvice)
-		}
-		return state, l.create(1, raft.HardState{}, nil)
+		return state, errors.Annotatef(ErrDamaged, "%q holds no log; %s", l.dir, repairAdvice)
 	}
 	l.seq = logs[len(logs)-1]
 	if err := l.read(&state); err != nil {
@@ -162,6 +160,9 @@
 	if err := rec.UnmarshalVT(payload); err != nil {
 		return errors.Annotatef(ErrDamaged, "%v", err)
 	}
+	if rec.Snapshot > 0 && (state.Snapshot == nil || state.Snapshot.Index < rec.Snapshot) {
+		return errors.Annotatef(ErrDamaged, "the snapshot at entry %d is missing", rec.Snapshot)
+	}
 	if rec.HasState {
 		state.HardState = raft.HardState{Term: rec.Term, Vote: rec.Vote}
 	}
@@ -209,7 +210,7 @@
 	if l.failed != nil {
 		return l.failed
 	}
-	payload, err := encodeRecord(hs, entries)
+	payload, err := encodeRecord(0, hs, entries)
 	if err != nil {
 		return err
 	}
@@ -226,8 +227,8 @@
 	return nil
 }
 
-func encodeRecord(hs *raft.HardState, entries []raft.Entry) ([]byte, error) {
-	rec := &peerpb.Record{}
+func encodeRecord(base uint64, hs *raft.HardState, entries []raft.Entry) ([]byte, error) {
+	rec := &peerpb.Record{Snapshot: base}
 	if hs != nil {
 		rec.HasState, rec.Term, rec.Vote = true, hs.Term, hs.Vote
 	}
@@ -250,7 +251,7 @@
 	if err := writeFile(l.fs, l.dir, snapshotName(snap.Index), appendRecord(nil, data)); err != nil {
 		return l.noteSync(errors.Annotate(err, "snapshot"))
 	}
-	if err := l.create(l.seq+1, hs, entries); err != nil {
+	if err := l.create(l.seq+1, snap.Index, hs, entries); err != nil {
 		return err
 	}
 	names, err := l.fs.List(l.dir)
@@ -262,9 +263,9 @@
 	return nil
 }
 
-// create begins a new log file and makes it the current one.
-func (l *Log) create(seq uint64, hs raft.HardState, entries []raft.Entry) error {
-	payload, err := encodeRecord(&hs, entries)
+// create begins a new log file, which follows the snapshot at entry base, and makes it the current one.
+func (l *Log) create(seq, base uint64, hs raft.HardState, entries []raft.Entry) error {
+	payload, err := encodeRecord(base, &hs, entries)
 	if err != nil {
 		return err
 	}
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -80,6 +80,19 @@
 	return after, after, l.Close()
 }
 
+// openBlank prepares a blank folder and opens its log.
+func openBlank(t testing.TB, fs wal.FS) *wal.Log {
+	t.Helper()
+	if _, _, err := wal.LoadIdentity(fs, dir, wal.Identity{Group: 1, ID: 1, Incarnation: 9}); err != nil {
+		t.Fatal(err)
+	}
+	l, _, err := wal.Open(fs, dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
 func read(t *testing.T, fs wal.FS) model {
 	t.Helper()
 	l, state, err := wal.Open(fs, dir)
@@ -148,10 +161,7 @@
 
 func TestNothingIsWrittenAfterAFailedSync(t *testing.T) {
 	fs := waltest.New()
-	l, _, err := wal.Open(fs, dir)
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := openBlank(t, fs)
 	fs.FailAt(2)
 	if err := l.Append(hard(1), nil); !errors.Is(err, wal.ErrSync) {
 		t.Fatalf("error %v, want %v", err, wal.ErrSync)
@@ -165,10 +175,7 @@
 func TestDamage(t *testing.T) {
 	build := func() (*waltest.FS, int, int) {
 		fs := waltest.New()
-		l, _, err := wal.Open(fs, dir)
-		if err != nil {
-			t.Fatal(err)
-		}
+		l := openBlank(t, fs)
 		var sizes []int
 		for i := uint64(1); i <= 3; i++ {
 			if err := l.Append(nil, []raft.Entry{entry(1, i)}); err != nil {
@@ -236,12 +243,39 @@
 	}
 }
 
-func TestLogWithoutIdentityIsRefused(t *testing.T) {
+// TestFolderWithoutAPart removes one file of a folder that holds something. A member that starts as if it were blank
+// could vote twice, so each is refused.
+func TestFolderWithoutAPart(t *testing.T) {
+	for _, name := range []string{"identity.json", "log-00000000000000000003.wal", "snapshot-00000000000000000009.snap"} {
+		t.Run(name, func(t *testing.T) {
+			fs := waltest.New()
+			if _, _, err := run(t, fs); err != nil {
+				t.Fatal(err)
+			}
+			if err := fs.Remove(filepath.Join(dir, name)); err != nil {
+				t.Fatal(err)
+			}
+			_, _, err := wal.LoadIdentity(fs, dir, wal.Identity{Group: 1, ID: 1, Incarnation: 10})
+			if err == nil {
+				_, _, err = wal.Open(fs, dir)
+			}
+			if !errors.Is(err, wal.ErrDamaged) {
+				t.Errorf("error %v, want %v", err, wal.ErrDamaged)
+			}
+		})
+	}
+}
+
+func TestLogThatFollowsAMissingSnapshotIsRefused(t *testing.T) {
 	fs := waltest.New()
-	if _, _, err := wal.Open(fs, dir); err != nil {
+	l := openBlank(t, fs)
+	if err := l.SaveSnapshot(raft.Snapshot{Index: 2, Term: 1}, *hard(1), nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := fs.Remove(filepath.Join(dir, "snapshot-00000000000000000002.snap")); err != nil {
 		t.Fatal(err)
 	}
-	if _, _, err := wal.LoadIdentity(fs, dir, wal.Identity{Group: 1, ID: 1, Incarnation: 3}); !errors.Is(err, wal.ErrDamaged) {
+	if _, _, err := wal.Open(fs, dir); !errors.Is(err, wal.ErrDamaged) {
 		t.Errorf("error %v, want %v", err, wal.ErrDamaged)
 	}
 }
@@ -250,10 +284,7 @@
 // disagree with the snapshot are dropped.
 func TestReceivedSnapshotBesideOldLog(t *testing.T) {
 	fs := waltest.New()
-	l, _, err := wal.Open(fs, dir)
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := openBlank(t, fs)
 	if err := l.Append(hard(1), []raft.Entry{entry(1, 1), entry(1, 2), entry(1, 3)}); err != nil {
 		t.Fatal(err)
 	}
@@ -269,10 +300,7 @@
 
 func FuzzOpen(f *testing.F) {
 	fs := waltest.New()
-	l, _, err := wal.Open(fs, dir)
-	if err != nil {
-		f.Fatal(err)
-	}
+	l := openBlank(f, fs)
 	if err := l.Append(hard(3), []raft.Entry{entry(1, 1), entry(3, 2)}); err != nil {
 		f.Fatal(err)
 	}
