End links in order when an agent stops

Cause: between the end of draining and the close of its links, an agent could receive Submits that it never answered. Their entries tried for 8 s and then told may_have_run: a planned stop failed requests. Change: Bye names what may have run; the rest is not run; the entry closes the link. A link's writer also starts with what waits, for the wake-up may have gone to the link before.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -63,6 +63,8 @@
 	runCtx    context.Context
 	tickAt    time.Time
 	drained   []chan struct{} // closed once nothing is in progress
+	closing   bool            // links have been told to end: no more are opened, and no Submit is taken
+	closed    chan struct{}   // closed once no link is open
 	sweepAt   time.Time
 }
 
@@ -145,6 +147,7 @@
 		}
 		a.publish(time.Now())
 		a.checkDrained()
+		a.checkClosed()
 		a.armTick(timer)
 	}
 }
--- a/internal/agent/lifecycle.go
+++ b/internal/agent/lifecycle.go
@@ -43,7 +43,7 @@
 	}
 	select {
 	case <-drained:
-		return nil
+		return a.sayBye(ctx)
 	case <-a.done:
 		return nil
 	case <-ctx.Done():
@@ -51,6 +51,50 @@
 	}
 }
 
+// byeTimeout bounds the wait for entries to close their links.
+const byeTimeout = 2 * time.Second
+
+// sayBye ends all links in order, so that a Submit which comes too late is known not to run. It returns once the
+// entries have closed them.
+func (a *Agent) sayBye(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, byeTimeout)
+	defer cancel()
+	closed := make(chan struct{})
+	err := a.ask(ctx, func(time.Time) {
+		a.closing = true
+		a.closed = closed
+		for _, e := range a.entries {
+			if e.session != nil {
+				e.session.Send(&linkpb.AgentFrame{Bye: &linkpb.Bye{Known: a.known(e)}})
+			}
+		}
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case <-closed:
+	case <-a.done:
+	case <-ctx.Done():
+		a.cfg.Logger.Warn("entries have not closed their links", "backend_server", a.cfg.ID)
+	}
+	return nil
+}
+
+// checkClosed lets sayBye return when no link is open.
+func (a *Agent) checkClosed() {
+	if a.closed == nil {
+		return
+	}
+	for _, e := range a.entries {
+		if e.session != nil {
+			return
+		}
+	}
+	close(a.closed)
+	a.closed = nil
+}
+
 // checkDrained lets Shutdown return when nothing is in progress.
 func (a *Agent) checkDrained() {
 	if len(a.drained) == 0 || a.inProgress() {
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -27,6 +27,9 @@
 }
 
 func (a *Agent) open(now time.Time, s *link.Session, hello *linkpb.Hello) *linkpb.Welcome {
+	if a.closing {
+		return nil
+	}
 	key := entryKey{hello.EntryId, hello.Incarnation}
 	e := a.entries[key]
 	if e == nil {
@@ -97,6 +100,9 @@
 }
 
 func (a *Agent) frame(now time.Time, s *link.Session, f *linkpb.EntryFrame) {
+	if a.closing {
+		return // the farewell has said so
+	}
 	e := a.entryOf(s)
 	current := e != nil && e.session == s
 	if f.Submit != nil {
--- a/internal/agent/requests_test.go
+++ b/internal/agent/requests_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -379,6 +380,62 @@
 	})
 }
 
+// TestStopUnderLoad stops agents over real sockets while two entries go on sending. Each request ends whole or not run.
+func TestStopUnderLoad(t *testing.T) {
+	s := service.New()
+	url := serveHTTP(t, s)
+	for round := range 20 {
+		a, err := New(Config{ID: "agent-1", Listen: "127.0.0.1:0", Backend: BackendConfig{Kind: KindService, URL: url}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		stopped := make(chan error, 1)
+		go func() { stopped <- a.Run(ctx) }()
+		waitUp(t, a)
+		outcomes := make(chan outcome)
+		served := make(chan struct{}, 1)
+		for i := range 2 {
+			p := newPool(t, fmt.Sprintf("entry-%d-%d", i, round), nil)
+			go func() {
+				for k := 0; ; k++ {
+					r := newRecorder()
+					id := fmt.Sprintf("r%d-%d-%d", round, i, k)
+					submit(t, p, a.Addr().String(), order(id, "POST", id), r)
+					o := <-r.done
+					outcomes <- o
+					if o.lost != nil {
+						return
+					}
+					select {
+					case served <- struct{}{}:
+					default:
+					}
+				}
+			}()
+		}
+		go func() {
+			<-served
+			if err := a.Shutdown(context.Background()); err != nil {
+				t.Error(err)
+			}
+			cancel()
+		}()
+		for lost := 0; lost < 2; {
+			o := <-outcomes
+			if o.verdict == verdict.MayHaveRun || (o.end != nil && o.end.Stopped) {
+				t.Errorf("round %d: %v", round, o)
+			}
+			if o.lost != nil {
+				lost++
+			}
+		}
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // TestPreemption lets a request of a higher tier take the slot; the lower one goes on afterwards and is whole.
 func TestPreemption(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/link/call_test.go
+++ b/internal/link/call_test.go
@@ -158,6 +158,31 @@
 	}
 }
 
+// TestFarewell ends calls by what an agent that stops says.
+func TestFarewell(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		sent  bool
+		known []string
+		want  string
+	}{
+		{"sent and not taken", true, nil, "lost not_run"},
+		{"sent and known", true, []string{"r"}, ""},
+		{"not sent", false, nil, ""},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			j := &journal{}
+			c := &Call{id: "r", submit: &linkpb.Submit{}, handler: j}
+			p := testPeer(c)
+			c.sent = tt.sent
+			p.farewell(&conn{}, &linkpb.Bye{Known: tt.known})
+			if got := strings.Join(j.lines, " "); got != tt.want {
+				t.Errorf("delivered %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
 // FuzzFrames decodes arbitrary bytes as frames of both directions: what decodes survives a round trip, and a call
 // never delivers more than a whole answer.
 func FuzzFrames(f *testing.F) {
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,9 @@
 // ErrSilent says that a link brought nothing for the silence timeout.
 var ErrSilent = errors.New("link is silent")
 
+// errLeft says that the agent has ended the link in order.
+var errLeft = errors.New("agent has left")
+
 // conn is one open link.
 type conn struct {
 	drpc     *drpcconn.Conn
@@ -24,6 +28,7 @@
 	epoch    uint64
 	lastRecv atomic.Int64 // unix nanoseconds
 	silent   atomic.Bool
+	left     bool // the agent has said farewell: nothing more is sent; guarded by peer.mu
 }
 
 // open dials the agent and exchanges Hello and Welcome within the silence timeout.
@@ -107,11 +112,33 @@
 		}
 		c.lastRecv.Store(time.Now().UnixNano())
 		for _, frame := range m.Frames {
+			if frame.Bye != nil {
+				p.farewell(c, frame.Bye)
+				return errLeft
+			}
 			p.deliver(frame)
 		}
 	}
 }
 
+// farewell ends the requests that an agent which stops has not taken.
+func (p *peer) farewell(c *conn, m *linkpb.Bye) {
+	p.mu.Lock()
+	c.left = true
+	var over []*Call
+	for id, call := range p.calls {
+		if call.sent && call.submit != nil && !slices.Contains(m.Known, id) {
+			over = append(over, call)
+			call.inFlight = false
+			delete(p.calls, id)
+		}
+	}
+	p.mu.Unlock()
+	for _, call := range over {
+		call.lost(verdict.New(verdict.NotRun, "agent_left", "agent stopped before it took request %s", call.id))
+	}
+}
+
 // deliver gives a frame to the call or fence that it belongs to; frames of unknown requests are dropped.
 func (p *peer) deliver(f *linkpb.AgentFrame) {
 	if f.Fenced != nil {
@@ -223,11 +250,6 @@
 // write sends what waits in the queue, as many frames in one message as wait.
 func (p *peer) write(c *conn, done <-chan struct{}) {
 	for {
-		select {
-		case <-done:
-			return
-		case <-p.wake:
-		}
 		for {
 			m := p.batch(c)
 			if len(m.Frames) == 0 {
@@ -238,6 +260,11 @@
 				return
 			}
 		}
+		select {
+		case <-done:
+			return
+		case <-p.wake:
+		}
 	}
 }
 
@@ -260,7 +287,7 @@
 // next takes one item off the queue and returns its frame, nil where there is nothing to send for it any more.
 func (p *peer) next(c *conn) (*linkpb.EntryFrame, bool) {
 	p.mu.Lock()
-	if len(p.queue) == 0 {
+	if len(p.queue) == 0 || c.left {
 		p.mu.Unlock()
 		return nil, false
 	}
