settings: bounds on nesting, organisations and keys

A document nested 10,000 deep, 240 KB, took 7.0 s to read at every replica; found while looking into a fuzz run that stood still for seconds. Text nested more than 64 deep is refused before the parser descends.

--- a/internal/core/settings/document.go
+++ b/internal/core/settings/document.go
@@ -98,7 +98,9 @@
 	MaxDepth        = 8 // nodes from the root to a leaf
 	MaxNameLength   = 64
 	MaxClasses      = 32 // per organisation
-	maxListedChoice = 8  // names shown in a message
+	MaxNodes        = 20_000
+	MaxKeys         = 1000 // per organisation
+	maxListedChoice = 8    // names shown in a message
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]*$`)
--- a/internal/core/settings/keyring.go
+++ b/internal/core/settings/keyring.go
@@ -1,9 +1,14 @@
 package settings
 
+import "time"
+
 // MaxWithdrawnKeys is how many withdrawn keys of an organisation are remembered. The oldest ones go first; a
 // forgotten key is as unknown as one that never existed.
 const MaxWithdrawnKeys = 16
 
+// expiredKeyMemory is how long an expired key is remembered.
+const expiredKeyMemory = 7 * 24 * time.Hour
+
 // keyring finds keys by hash, by id and by organisation.
 type keyring struct {
 	byHash         *shards[Key]      // key: the 32 bytes of the hash
@@ -66,3 +71,15 @@
 	}
 	return withdrawn[:len(withdrawn)-MaxWithdrawnKeys+1]
 }
+
+// longExpired returns the ids of keys of an organisation that expired long before a time, in milliseconds since 1970.
+func (t *Tree) longExpired(organisation string, atMS int64) []string {
+	limit := time.UnixMilli(atMS).Add(-expiredKeyMemory)
+	var ids []string
+	for _, k := range t.Keys(organisation) {
+		if !k.Expires.IsZero() && k.Expires.Before(limit) {
+			ids = append(ids, k.ID)
+		}
+	}
+	return ids
+}
--- a/internal/core/settings/module.go
+++ b/internal/core/settings/module.go
@@ -133,7 +133,7 @@
 	if c.IfMatch != "" && c.IfMatch != m.tree.Version().String() {
 		return m.refuse(CodeConflict, "the current version is %s, not %s", m.tree.Version(), c.IfMatch)
 	}
-	delta, refusal := m.plan(c)
+	delta, refusal := m.plan(c, cmd.AtMS)
 	if refusal != nil {
 		return *refusal
 	}
@@ -201,7 +201,7 @@
 }
 
 // plan works out what a command changes.
-func (m *Module) plan(c Command) (Delta, *Outcome) {
+func (m *Module) plan(c Command, atMS int64) (Delta, *Outcome) {
 	switch c.Op {
 	case PutNode:
 		return m.planPut(c)
@@ -216,11 +216,11 @@
 		problems = append(problems, checkGlobals(*globals)...)
 		return Delta{Globals: globals}, m.refusal(problems)
 	case CreateKey:
-		return m.planCreateKey(c)
+		return m.planCreateKey(c, atMS)
 	case WithdrawKey, ExpireKey:
 		return m.planChangeKey(c)
 	case RotateKey:
-		return m.planRotateKey(c)
+		return m.planRotateKey(c, atMS)
 	case Rollback:
 		return m.planRollback(c)
 	default:
@@ -315,13 +315,13 @@
 	return delta, nil
 }
 
-func (m *Module) planCreateKey(c Command) (Delta, *Outcome) {
+func (m *Module) planCreateKey(c Command, atMS int64) (Delta, *Outcome) {
 	if !m.tree.HasOrganisation(c.Path) || c.Path == "" {
 		return m.notFound("there is no organisation %q", c.Path)
 	}
 	key, refusal := m.newKey(c.KeyID, c.KeyHash, c.Path)
 	key.Expires = expiry(c.ExpiresMS)
-	return Delta{Keys: []Key{key}}, refusal
+	return Delta{Keys: []Key{key}, RemovedKeys: m.tree.longExpired(c.Path, atMS)}, refusal
 }
 
 func (m *Module) newKey(id, hash, organisation string) (Key, *Outcome) {
@@ -329,6 +329,9 @@
 	if err != nil || id == "" {
 		return Key{}, m.refusal(Problems{problem("key_hash", "expected an id and a SHA-256 in hexadecimal")})
 	}
+	if n := len(m.tree.Keys(organisation)); n >= MaxKeys {
+		return Key{}, m.refusal(Problems{problem(fieldPath(organisation), "%d keys; expected at most %d", n, MaxKeys)})
+	}
 	_, idTaken := m.tree.Key(id)
 	_, hashTaken := m.tree.KeyByHash(h)
 	if idTaken || hashTaken {
@@ -357,7 +360,7 @@
 }
 
 // planRotateKey adds a new key and lets the old one end after the overlap.
-func (m *Module) planRotateKey(c Command) (Delta, *Outcome) {
+func (m *Module) planRotateKey(c Command, atMS int64) (Delta, *Outcome) {
 	old, ok := m.tree.Key(c.KeyID)
 	if !ok || old.Withdrawn || (c.Path != "" && old.Organisation != c.Path) {
 		return m.notFound("there is no key %q in use", c.KeyID)
@@ -368,7 +371,7 @@
 	if old.Expires.IsZero() || end.Before(old.Expires) {
 		old.Expires = end
 	}
-	return Delta{Keys: []Key{old, key}}, refusal
+	return Delta{Keys: []Key{old, key}, RemovedKeys: without(m.tree.longExpired(old.Organisation, atMS), old.ID)}, refusal
 }
 
 // planRollback undoes the changes after version To, newest first, as one new change.
--- a/internal/core/settings/patch.go
+++ b/internal/core/settings/patch.go
@@ -5,6 +5,8 @@
 
 	"github.com/juju/errors"
 	"github.com/tailscale/hujson"
+
+	"github.com/guavastack/guavastack/internal/core/strict"
 )
 
 // mergePatch returns node after an RFC 7396 merge patch: null removes, objects merge, all else replaces.
@@ -13,6 +15,9 @@
 	if err != nil {
 		return "", err
 	}
+	if problems := strict.CheckNesting(patch); len(problems) > 0 {
+		return "", problems
+	}
 	plain, err := hujson.Standardize([]byte(patch))
 	if err != nil {
 		return "", err
--- a/internal/core/settings/settings_test.go
+++ b/internal/core/settings/settings_test.go
@@ -60,12 +60,17 @@
 }
 
 func apply(t testing.TB, m *settings.Module, c settings.Command) settings.Outcome {
+	t.Helper()
+	return applyAt(t, m, 1000, c)
+}
+
+func applyAt(t testing.TB, m *settings.Module, atMS int64, c settings.Command) settings.Outcome {
 	t.Helper()
 	body, err := json.Marshal(c)
 	if err != nil {
 		t.Fatal(err)
 	}
-	result, err := m.Apply(1, state.Command{Module: settings.ModuleName, AtMS: 1000, Actor: "ana", Body: body})
+	result, err := m.Apply(1, state.Command{Module: settings.ModuleName, AtMS: atMS, Actor: "ana", Body: body})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -297,6 +302,61 @@
 	}
 }
 
+func TestLongExpiredKeysAreForgotten(t *testing.T) {
+	m := load(t)
+	apply(t, m, settings.Command{Op: settings.CreateKey, Path: "camurca", KeyID: "old", KeyHash: hash(1), ExpiresMS: 2000})
+	week := (7 * 24 * time.Hour).Milliseconds()
+	for i, atMS := range []int64{2000 + week, 2001 + week} {
+		applyAt(t, m, atMS, settings.Command{Op: settings.CreateKey, Path: "camurca", KeyID: fmt.Sprint("k", i), KeyHash: hash(byte(2 + i))})
+		if _, ok := m.Tree().Key("old"); ok != (i == 0) {
+			t.Errorf("at %d: remembered %v", atMS, ok)
+		}
+	}
+}
+
+func TestBoundsOfTheTree(t *testing.T) {
+	m := load(t)
+	var members []string
+	for i := range settings.MaxNodes {
+		members = append(members, fmt.Sprintf(`"o%d": {}`, i))
+	}
+	document := `{"organisations": {` + strings.Join(members, ",") + `}}`
+	if o := apply(t, m, settings.Command{Op: settings.PutDocument, Document: document}); o.Code != settings.CodeInvalid {
+		t.Errorf("too many organisations: %+v", o)
+	}
+	for i := range settings.MaxKeys + 1 {
+		o := apply(t, m, settings.Command{Op: settings.CreateKey, Path: "camurca", KeyID: fmt.Sprint(i), KeyHash: fmt.Sprintf("%064x", i+1)})
+		if o.Accepted != (i < settings.MaxKeys) {
+			t.Fatalf("key %d: %+v", i, o)
+		}
+	}
+}
+
+// TestDeepNestingIsRefused keeps text that would cost a replica its stack out of every reader.
+func TestDeepNestingIsRefused(t *testing.T) {
+	m := load(t)
+	for name, opening := range map[string]string{
+		"lists": "", "objects": `{"organisations": `, "after a quote in a comment": `// "` + "\n", "after a block comment": `/* " */`,
+	} {
+		deep := opening + strings.Repeat("[", 1000)
+		for _, c := range []settings.Command{
+			{Op: settings.PutDocument, Document: deep},
+			{Op: settings.PutNode, Path: "x", Node: deep},
+			{Op: settings.PatchNode, Path: "camurca", Node: deep},
+			{Op: settings.PutGlobals, Globals: deep},
+		} {
+			o := apply(t, m, c)
+			if o.Code != settings.CodeInvalid || !strings.Contains(o.Problems.Error(), "nested more than 64 deep") {
+				t.Errorf("%s, %s: %+v", name, c.Op, o)
+			}
+		}
+	}
+	shallow := `{"models": ["` + strings.Repeat("[", 100) + `"], /* ` + strings.Repeat("{", 100) + " */ // " + strings.Repeat("[", 100) + "\n}"
+	if _, problems := settings.Parse("f", []byte(shallow)); len(problems) > 0 {
+		t.Errorf("brackets in strings and comments count: %v", problems)
+	}
+}
+
 func TestRollbackIsANewVersionAndKeepsKeys(t *testing.T) {
 	m := load(t)
 	good := m.Tree().Version()
--- a/internal/core/settings/tree.go
+++ b/internal/core/settings/tree.go
@@ -226,6 +226,7 @@
 type builder struct {
 	nodes    *editor[*node]
 	children *editor[[]string]
+	added    map[string][]string // names of new nodes, by their parent
 	problems Problems
 }
 
@@ -235,7 +236,7 @@
 	next.version = delta.Version
 	next.keys = t.keys.apply(delta.Keys, delta.RemovedKeys)
 	if len(delta.Nodes) > 0 {
-		b := &builder{nodes: t.nodes.edit(), children: t.children.edit()}
+		b := &builder{nodes: t.nodes.edit(), children: t.children.edit(), added: make(map[string][]string)}
 		b.change(delta.Nodes)
 		next.nodes, next.children = b.nodes.next, b.children.next
 		if len(b.problems) > 0 {
@@ -262,6 +263,11 @@
 		changed[c.Path] = true
 		b.place(c.Path, *c.Node)
 	}
+	b.placeChildren()
+	if b.nodes.next.size > MaxNodes {
+		b.problems = append(b.problems, problem("organisations", "%d organisations; expected at most %d", b.nodes.next.size, MaxNodes))
+		return
+	}
 	for _, path := range sortedKeys(changed) {
 		if !hasChangedAncestor(changed, path) {
 			b.resolve(path)
@@ -293,19 +299,21 @@
 }
 
 func (b *builder) place(path string, spec Node) {
-	b.nodes.set(path, &node{spec: spec})
-	if path == "" {
-		return
+	if _, ok := b.nodes.next.get(path); !ok && path != "" {
+		parent := parentPath(path)
+		b.added[parent] = append(b.added[parent], path[strings.LastIndexByte(path, '/')+1:])
 	}
-	parent, name := parentPath(path), path[strings.LastIndexByte(path, '/')+1:]
-	names, _ := b.children.next.get(parent)
-	i := sort.SearchStrings(names, name)
-	if i < len(names) && names[i] == name {
-		return
+	b.nodes.set(path, &node{spec: spec})
+}
+
+// placeChildren enters the names of added nodes at their parents.
+func (b *builder) placeChildren() {
+	for _, parent := range sortedKeys(b.added) {
+		names, _ := b.children.next.get(parent)
+		all := slices.Concat(names, b.added[parent])
+		sort.Strings(all)
+		b.children.set(parent, slices.Compact(all))
 	}
-	grown := make([]string, 0, len(names)+1)
-	grown = append(append(append(grown, names[:i]...), name), names[i:]...)
-	b.children.set(parent, grown)
 }
 
 // resolve works out the effective settings of the node at path and all below it.
--- a/internal/core/strict/strict.go
+++ b/internal/core/strict/strict.go
@@ -5,6 +5,7 @@
 package strict
 
 import (
+	"bytes"
 	"fmt"
 	"reflect"
 	"sort"
@@ -15,6 +16,10 @@
 	"github.com/tailscale/hujson"
 )
 
+// MaxNesting is how deep objects and lists may be nested. Readers descend once per level, so that deeper text would cost
+// them their stack.
+const MaxNesting = 64
+
 // Problem is one mistake in a settings file.
 type Problem struct {
 	File    string `json:"file,omitempty"`
@@ -107,6 +112,10 @@
 // Decode fills dst, a pointer to a struct, from JSON with comments. file stands in the problems.
 func Decode(file string, data []byte, dst any) (*Source, Problems) {
 	source := &Source{file: file, lines: map[string]int{"": 1}}
+	if offset, ok := tooDeep(data); ok {
+		line := newLineIndex(data).line(offset)
+		return source, Problems{{File: file, Line: line, Message: fmt.Sprintf("nested more than %d deep", MaxNesting)}}
+	}
 	root, err := hujson.Parse(data)
 	if err != nil {
 		p := Problem{File: file, Line: 1, Message: err.Error()}
@@ -122,6 +131,67 @@
 	return source, source.Locate(d.problems)
 }
 
+// CheckNesting returns a problem for text that is nested too deep to be read.
+func CheckNesting(text string) Problems {
+	if _, ok := tooDeep([]byte(text)); ok {
+		return Problems{{Message: fmt.Sprintf("nested more than %d deep", MaxNesting)}}
+	}
+	return nil
+}
+
+// tooDeep returns where the nesting exceeds MaxNesting. Brackets in strings and comments don't count.
+func tooDeep(data []byte) (offset int, ok bool) {
+	depth := 0
+	for i := 0; i < len(data); i++ {
+		switch data[i] {
+		case '[', '{':
+			if depth++; depth > MaxNesting {
+				return i, true
+			}
+		case ']', '}':
+			depth--
+		case '"':
+			i = endOfString(data, i)
+		case '/':
+			i = endOfComment(data, i)
+		}
+	}
+	return 0, false
+}
+
+// endOfString returns the offset of the quote that ends the string at start.
+func endOfString(data []byte, start int) int {
+	for i := start + 1; i < len(data); i++ {
+		switch data[i] {
+		case '\\':
+			i++
+		case '"':
+			return i
+		}
+	}
+	return len(data)
+}
+
+// endOfComment returns the offset of the last byte of the comment at start, and start where there is none.
+func endOfComment(data []byte, start int) int {
+	rest := data[start:]
+	end := ""
+	switch {
+	case bytes.HasPrefix(rest, []byte("//")):
+		end = "\n"
+	case bytes.HasPrefix(rest, []byte("/*")):
+		end = "*/"
+	default:
+		return start
+	}
+	const opening = 2 // bytes
+	i := bytes.Index(rest[opening:], []byte(end))
+	if i < 0 {
+		return len(data)
+	}
+	return start + opening + i + len(end) - 1
+}
+
 type decoder struct {
 	source   *Source
 	lines    lineIndex
