entry: a share that stays the same doesn't grow old

The entry told its limiter of a share only when it changed, so that 30 s later the limiter took the share for too old and fell to its floor: half of every limit on two entries. The watch client already lets a share that isn't confirmed shrink, so the entry sets it with each request.

--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -16,12 +16,11 @@
 type limits struct {
 	mu       sync.Mutex
 	limiter  *limit.Limiter
-	shares   map[string]limit.Share // last set
 	nextTidy time.Time
 }
 
 func newLimits() *limits {
-	return &limits{limiter: limit.NewLimiter(), shares: make(map[string]limit.Share)}
+	return &limits{limiter: limit.NewLimiter()}
 }
 
 // acquire admits x or refuses it with the limit that stands in the way.
@@ -31,7 +30,7 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	l.tidy(now)
-	l.setShare(now, x.organisation, share)
+	l.limiter.SetShare(now, x.organisation, share) // each time: a share that isn't set again grows too old
 	lease, refused := l.limiter.Acquire(now, limit.Request{
 		Organisation: x.organisation,
 		Scopes:       scopes,
@@ -46,14 +45,6 @@
 	return nil, ref
 }
 
-func (l *limits) setShare(now time.Time, organisation string, share limit.Share) {
-	if l.shares[organisation] == share {
-		return
-	}
-	l.shares[organisation] = share
-	l.limiter.SetShare(now, organisation, share)
-}
-
 // scopesOf lists what the limits of x belong to: its class, its organisation and the organisations above.
 func scopesOf(x *exchange, caps []settings.Cap) []limit.Scope {
 	scopes := make([]limit.Scope, 0, len(caps)+1)
