--- a/internal/watch/scenario_test.go
+++ b/internal/watch/scenario_test.go
@@ -385,3 +385,29 @@
 		}
 	})
 }
+
+// TestLeaderForgetsOldClaims lets a claim grow older than its retention.
+func TestLeaderForgetsOldClaims(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		body := json.RawMessage(`{"op": "claim", "key": {"organisation": "o", "key": "k"}, "request_id": "r"}`)
+		data, err := json.Marshal(state.Command{Module: claim.ModuleName, AtMS: 1 << 50, Body: body}) // a clock that is far ahead
+		if err != nil {
+			t.Fatal(err)
+		}
+		if reply, err := w.services[0].Propose(w.ctx, &controlpb.ProposeRequest{Command: data}); err != nil || reply.Error != "" {
+			t.Fatalf("%+v, %v", reply, err)
+		}
+		claims := w.cluster.Members[0].Claims
+		for _, tt := range []struct {
+			after time.Duration
+			want  int
+		}{{claim.DefaultBounds().Retention - time.Minute, 1}, {2 * time.Minute, 0}} {
+			time.Sleep(tt.after)
+			w.cluster.Members[0].View(func() {
+				if claims.Len() != tt.want {
+					t.Errorf("%v later: %d claims", tt.after, claims.Len())
+				}
+			})
+		}
+	})
+}
