process: news of applied commands outlive a burst

The subscription behind the watch pushes held one command and was never taken up again once the replica had closed it, which it does when a second one waits. After the first burst changes and withdrawn keys then reached the entries only with the next freshness question, up to a second later. It is taken up again now. The test gets no news within 5 s without the change.

--- a/internal/process/group.go
+++ b/internal/process/group.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -47,30 +48,43 @@
 // Self implements control.Group.
 func (g controlGroup) Self() control.Member { return memberOf(g.self) }
 
+// Bounds of the subscription behind Applied. A lost subscription costs a look at the state.
+const (
+	appliedBuffer    = 256 // commands
+	resubscribeDelay = 20 * time.Millisecond
+)
+
 // Applied implements control.Group.
 func (g controlGroup) Applied() (events <-chan struct{}, cancel func()) {
-	applied, stop := g.Subscribe(1)
 	out := make(chan struct{}, 1)
-	done := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
-		for {
-			select {
-			case <-done:
-				return
-			case _, ok := <-applied:
-				if !ok {
-					return
-				}
-			}
+		for ctx.Err() == nil {
+			g.follow(ctx, out)
 			select {
-			case out <- struct{}{}:
-			default:
+			case <-ctx.Done():
+			case <-time.After(resubscribeDelay):
 			}
 		}
 	}()
-	return out, func() {
-		stop()
-		close(done)
+	return out, cancel
+}
+
+// follow passes on that commands were applied until ctx ends or the subscription is lost: to a burst that overran it, or
+// to a snapshot.
+func (g controlGroup) follow(ctx context.Context, out chan<- struct{}) {
+	applied, stop := g.Subscribe(appliedBuffer)
+	defer stop()
+	for ok := true; ok; {
+		select {
+		case out <- struct{}{}: // also at the start: something may have been applied before
+		default:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case _, ok = <-applied:
+		}
 	}
 }
 
