--- a/internal/replica/fault_test.go
+++ b/internal/replica/fault_test.go
@@ -262,6 +262,36 @@
 	}
 }
 
+// TestHungDiskOfTheLeader lets a sync of the leader hang. The others take over, and once the disk goes on the old leader
+// follows.
+func TestHungDiskOfTheLeader(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		c.startAll()
+		c.propose("a", 1, 2, 3)
+		old := c.leader(1, 2, 3)
+		release := c.disks[old.cfg.ID].(*waltest.FS).Hang()
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		if _, err := old.Propose(ctx, []byte("b")); !errors.Is(err, ErrUnknownOutcome) {
+			t.Errorf("proposal: %v, want %v", err, ErrUnknownOutcome)
+		}
+		c.propose("c", c.others(old.cfg.ID)...)
+		if lease, ok := old.Lease(); ok && time.Now().Before(lease.Expires) {
+			t.Error("two leases")
+		}
+		release()
+		time.Sleep(5 * time.Second)
+		if old.Status().Role == raft.Leader {
+			t.Error("the old leader still leads")
+		}
+		want := c.leader(c.others(old.cfg.ID)...).commands()
+		if !slices.Contains(want, "c") {
+			t.Errorf("commands %v lack an accepted one", want)
+		}
+		c.expect(old.cfg.ID, want)
+	})
+}
+
 func TestFailedSyncIsFatal(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, c *cluster) {
 		c.startAll()
--- a/internal/wal/waltest/fs.go
+++ b/internal/wal/waltest/fs.go
@@ -30,6 +30,7 @@
 	calls   int
 	failAt  int // call that fails, 0: none
 	free    uint64
+	hang    chan struct{} // syncs wait until it is closed; nil: they do not
 }
 
 var _ wal.FS = (*FS)(nil)
@@ -54,6 +55,25 @@
 	return f.calls
 }
 
+// Hang lets every sync wait until release is called.
+func (f *FS) Hang() (release func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	hang := make(chan struct{})
+	f.hang = hang
+	return func() { close(hang) }
+}
+
+// wait returns once syncs do not hang.
+func (f *FS) wait() {
+	f.mu.Lock()
+	hang := f.hang
+	f.mu.Unlock()
+	if hang != nil {
+		<-hang
+	}
+}
+
 // SetFree sets what Free returns.
 func (f *FS) SetFree(bytes uint64) {
 	f.mu.Lock()
@@ -225,6 +245,7 @@
 
 // Sync makes the content durable.
 func (h *handle) Sync() error {
+	h.fs.wait()
 	h.fs.mu.Lock()
 	defer h.fs.mu.Unlock()
 	if err := h.fs.change(); err != nil {
