member: a process counts as behind for as long as it may act on its view

An entry whose freshness limit is set above the default could act on an old version after it had stopped counting as behind. Entries now say their limit with each question.

--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -74,6 +74,7 @@
 			ID: p.Id, Incarnation: p.Incarnation, Role: p.Role, Zone: p.Zone,
 			Version: settings.Version{Epoch: p.Epoch, Version: p.Version},
 			Heard:   now.Add(-time.Duration(p.AgeMs) * time.Millisecond), Demand: demandOf(p.Demand),
+			Freshness: time.Duration(p.FreshnessMs) * time.Millisecond,
 		})
 	}
 	return ack, nil
@@ -158,6 +159,7 @@
 	m := &controlpb.Process{
 		Id: p.ID, Incarnation: p.Incarnation, Role: p.Role, Zone: p.Zone,
 		Epoch: p.Version.Epoch, Version: p.Version.Version, AgeMs: now.Sub(p.Heard).Milliseconds(),
+		FreshnessMs: p.Freshness.Milliseconds(),
 	}
 	for _, d := range p.Demand {
 		m.Demand = append(m.Demand, &controlpb.Demand{Organisation: d.Organisation, Requests: d.Requests, Tokens: d.Tokens, Running: d.Running})
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -166,6 +166,11 @@
 	if got := ids(10001); len(got) != 0 {
 		t.Errorf("a process that can't serve keyed routes any more counts: %v", got)
 	}
+	p.Put(member.Process{ID: "patient", Incarnation: "1", Version: v(4), Heard: at(0), Freshness: 20 * time.Second})
+	if got := ids(39999); len(got) != 1 || got[0] != "patient" {
+		t.Errorf("a process that acts on its view for longer: %v", got)
+	}
+	p.Put(member.Process{ID: "patient", Incarnation: "1", Version: v(5), Heard: at(1)})
 	p.Put(member.Process{ID: "a", Incarnation: "2", Version: v(0), Heard: at(2)})
 	if got := ids(3); len(got) != 2 {
 		t.Errorf("a restarted process that knows nothing: %v", got)
--- a/internal/core/member/processes.go
+++ b/internal/core/member/processes.go
@@ -17,6 +17,7 @@
 	Heard       time.Time        `json:"heard"`
 	First       bool             `json:"-"` // it watches this member, rather than another one
 	Demand      []Demand         `json:"-"`
+	Freshness   time.Duration    `json:"-"` // how long it acts on a confirmed view
 }
 
 // Demand is what one organisation asked of one process lately.
@@ -34,8 +35,8 @@
 	byID   map[string]Process
 }
 
-// NewProcesses returns an empty set. A process that is silent for stale no longer counts as behind; stale must be above
-// the freshness limit, so that such a process serves no keyed route. After memory it is forgotten.
+// NewProcesses returns an empty set. A process that is silent for stale, and for twice its own freshness limit, no longer
+// counts as behind: it serves no keyed route any more. After memory it is forgotten.
 func NewProcesses(stale, memory time.Duration) *Processes {
 	return &Processes{stale: stale, memory: max(stale, memory), byID: make(map[string]Process)}
 }
@@ -54,10 +55,13 @@
 	return !ok || old.Version != news.Version
 }
 
+// staleAfter returns the silence after which a process surely acts on its view no more.
+func (p *Processes) staleAfter(proc Process) time.Duration { return max(p.stale, 2*proc.Freshness) }
+
 // Expire forgets silent processes.
 func (p *Processes) Expire(now time.Time) {
 	for id, proc := range p.byID {
-		if now.Sub(proc.Heard) >= p.memory {
+		if now.Sub(proc.Heard) >= max(p.memory, p.staleAfter(proc)) {
 			delete(p.byID, id)
 		}
 	}
@@ -77,7 +81,7 @@
 func (p *Processes) Behind(v settings.Version, now time.Time) []Process {
 	var out []Process
 	for _, proc := range p.All() {
-		if proc.Version.Less(v) && now.Sub(proc.Heard) < p.stale {
+		if proc.Version.Less(v) && now.Sub(proc.Heard) < p.staleAfter(proc) {
 			out = append(out, proc)
 		}
 	}
--- a/internal/watch/session.go
+++ b/internal/watch/session.go
@@ -136,7 +136,7 @@
 	q := &controlpb.WatchRequest{
 		ProcessId: cfg.ProcessID, Incarnation: cfg.Incarnation, Role: cfg.Role, Zone: cfg.Zone,
 		HaveEpoch: have.Epoch, HaveVersion: have.Version,
-		Query: s.view.Ask(time.Now()),
+		Query: s.view.Ask(time.Now()), FreshnessMs: cfg.FreshnessLimit.Milliseconds(),
 	}
 	if f := s.client.demand.Load(); f != nil {
 		q.Demand = (*f)()
