--- a/internal/process/group.go
+++ b/internal/process/group.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 	"strconv"
-	"time"
+	"sync"
 
 	"github.com/juju/errors"
 
@@ -48,44 +48,25 @@
 // Self implements control.Group.
 func (g controlGroup) Self() control.Member { return memberOf(g.self) }
 
-// Bounds of the subscription behind Applied. A lost subscription costs a look at the state.
-const (
-	appliedBuffer    = 256 // commands
-	resubscribeDelay = 20 * time.Millisecond
-)
-
 // Applied implements control.Group.
 func (g controlGroup) Applied() (events <-chan struct{}, cancel func()) {
 	out := make(chan struct{}, 1)
-	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
 	go func() {
-		for ctx.Err() == nil {
-			g.follow(ctx, out)
+		for {
+			moved := g.Moved()
 			select {
-			case <-ctx.Done():
-			case <-time.After(resubscribeDelay):
+			case out <- struct{}{}:
+			default:
+			}
+			select {
+			case <-done:
+				return
+			case <-moved:
 			}
 		}
 	}()
-	return out, cancel
-}
-
-// follow passes on that commands were applied until ctx ends or the subscription is lost: to a burst that overran it, or
-// to a snapshot.
-func (g controlGroup) follow(ctx context.Context, out chan<- struct{}) {
-	applied, stop := g.Subscribe(appliedBuffer)
-	defer stop()
-	for ok := true; ok; {
-		select {
-		case out <- struct{}{}: // also at the start: something may have been applied before
-		default:
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case _, ok = <-applied:
-		}
-	}
+	return out, sync.OnceFunc(func() { close(done) })
 }
 
 // operateGroup shows a replica to the operator of the platform.
--- a/internal/process/group_test.go
+++ b/internal/process/group_test.go
@@ -45,7 +45,8 @@
 		}
 	}
 	var burst sync.WaitGroup
-	for range 4 * appliedBuffer {
+	const commands = 256 // more than any subscription holds
+	for range commands {
 		burst.Go(propose)
 	}
 	burst.Wait()
