--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -54,13 +54,17 @@
 	ran       *lru.Cache[string, struct{}] // non-repeatable requests that started and left the table
 	ranForgot bool                         // an id has left ran
 	lostEntry bool                         // an entry with unfinished business has left the table
-	active    int
+	active    map[*record]struct{}         // those that wait or run
+	released  []*record                    // finished and delivered or without a link, oldest first
+	keptBytes int                          // of all finished answers
 	lifecycle linkpb.Lifecycle
 	up        bool // the backend server answers
 	probing   bool
 	runCtx    context.Context
 	tickAt    time.Time
 	drained   []chan struct{} // closed once nothing is in progress
+	closing   bool            // links have been told to end: no more are opened, and no Submit is taken
+	closed    chan struct{}   // closed once no link is open
 	sweepAt   time.Time
 }
 
@@ -76,12 +80,14 @@
 		inbox:   make(chan func(time.Time), inboxLength),
 		done:    make(chan struct{}),
 		sched: sched.New(sched.Config{
+			Policy:     cfg.Policy,
 			Slots:      cfg.Backend.Slots,
 			MaxSlots:   cfg.Backend.MaxSlots,
 			QueueLimit: cfg.QueueLimit,
 		}),
 		records:   make(map[string]*record),
 		entries:   make(map[entryKey]*entry),
+		active:    make(map[*record]struct{}),
 		lifecycle: linkpb.Lifecycle_LIFECYCLE_JOINING,
 		meters:    newMeters(cfg.Metrics),
 	}
@@ -90,13 +96,11 @@
 		return nil, errors.Trace(err)
 	}
 	a.ran = ran
-	if a.server, err = link.NewServer(link.ServerConfig{TLS: cfg.TLS, AllowedPeers: cfg.AllowedPeers, Logger: cfg.Logger}, a); err != nil {
+	if a.server, err = link.NewServer(a, cfg.Logger); err != nil {
 		return nil, err
 	}
-	if a.listener = cfg.Listener; a.listener == nil {
-		if a.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
-			return nil, errors.Annotatef(err, "listen: address %s", cfg.Listen)
-		}
+	if a.listener, err = cfg.listen(); err != nil {
+		return nil, err
 	}
 	a.publish(time.Now())
 	return a, nil
@@ -143,6 +147,7 @@
 		}
 		a.publish(time.Now())
 		a.checkDrained()
+		a.checkClosed()
 		a.armTick(timer)
 	}
 }
@@ -161,12 +166,12 @@
 
 // armTick sets the timer while there is anything that time changes.
 func (a *Agent) armTick(timer *time.Timer) {
-	if !a.tickAt.IsZero() && (a.active == 0 || time.Until(a.tickAt) <= busyTick) {
+	if !a.tickAt.IsZero() && (len(a.active) == 0 || time.Until(a.tickAt) <= busyTick) {
 		return
 	}
 	pause := keepTick
 	switch {
-	case a.active > 0:
+	case len(a.active) > 0:
 		pause = busyTick
 	case len(a.records)+len(a.entries) == 0:
 		return
@@ -224,7 +229,10 @@
 		Lifecycle:       a.lifecycle,
 	}
 	a.load.Store(m)
-	a.view.Store(a.report(m))
+	before := a.view.Swap(a.report(m))
+	if f := a.cfg.OnLifecycle; f != nil && before != nil && before.Lifecycle != lifecycleName(a.lifecycle) {
+		f()
+	}
 }
 
 func counts(list []int) []uint32 {
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -27,6 +27,9 @@
 }
 
 func (a *Agent) open(now time.Time, s *link.Session, hello *linkpb.Hello) *linkpb.Welcome {
+	if a.closing {
+		return nil
+	}
 	key := entryKey{hello.EntryId, hello.Incarnation}
 	e := a.entries[key]
 	if e == nil {
@@ -86,6 +89,7 @@
 			if r.answer != nil {
 				r.answer.detach()
 			}
+			a.release(now, r)
 		}
 	}
 }
@@ -96,6 +100,9 @@
 }
 
 func (a *Agent) frame(now time.Time, s *link.Session, f *linkpb.EntryFrame) {
+	if a.closing {
+		return // the farewell has said so
+	}
 	e := a.entryOf(s)
 	current := e != nil && e.session == s
 	if f.Submit != nil {
@@ -120,6 +127,7 @@
 	case f.Ack != nil:
 		if r := a.records[f.Ack.RequestId]; r != nil && (r.entry == e || r.session == s) {
 			r.acked = true
+			a.release(now, r)
 		}
 	}
 }
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -17,6 +17,9 @@
 	ran        = linkpb.Verdict_VERDICT_RAN
 )
 
+// undeliveredFactor times KeepBytes is the most that finished answers may hold that their callers have not taken yet.
+const undeliveredFactor = 8
+
 // refusal says why an attempt ends without an answer.
 type refusal struct {
 	verdict    linkpb.Verdict
@@ -47,7 +50,8 @@
 func (a *Agent) submit(now time.Time, s *link.Session, e *entry, current bool, m *linkpb.Submit) {
 	old := a.records[m.RequestId]
 	if old != nil && old.submit != nil && old.submit.Attempt == m.Attempt && current {
-		return // a duplicate: the first one answers
+		a.repeatOutcome(s, old, m)
+		return
 	}
 	if why := a.refuseArrival(e, current, m, old); why != nil {
 		a.meters.refused.Inc(1)
@@ -60,10 +64,24 @@
 	})
 	_ = r.answer.attach(s, 0, m.Credit) // an empty answer has its beginning
 	a.records[r.id] = r
-	a.active++
+	a.active[r] = struct{}{}
 	a.act(now, a.sched.Submit(now, r.schedRequest(a.backend.Resumable())))
 }
 
+// repeatOutcome answers a duplicate of a request that has ended; one that is in progress answers by itself.
+func (a *Agent) repeatOutcome(s *link.Session, r *record, m *linkpb.Submit) {
+	if r.active() {
+		return
+	}
+	if err := r.answer.attach(s, 0, m.Credit); err != nil {
+		s.Send(a.refusedFrame(r.id, m.Attempt, &refusal{
+			verdict: mayHaveRun, code: linkpb.RefuseCode_REFUSE_CODE_INVALID, message: "request has run before",
+		}))
+		return
+	}
+	r.session = s
+}
+
 // refuseArrival says why a Submit is not taken; nil: it is.
 func (a *Agent) refuseArrival(e *entry, current bool, m *linkpb.Submit, old *record) *refusal {
 	switch {
@@ -87,6 +105,8 @@
 		return refuse(linkpb.RefuseCode_REFUSE_CODE_UNKNOWN_MODEL, "model "+m.Model+" is not served here")
 	case len(a.records) >= maxRecords && !a.evictOldest():
 		return refuse(linkpb.RefuseCode_REFUSE_CODE_QUEUE_FULL, "too many requests")
+	case a.keptBytes > undeliveredFactor*a.cfg.KeepBytes:
+		return refuse(linkpb.RefuseCode_REFUSE_CODE_QUEUE_FULL, "too many answers wait for their callers")
 	}
 	return nil
 }
@@ -194,9 +214,12 @@
 	r.state = finished
 	r.verdict = v
 	r.finishedAt = now
-	a.active--
+	delete(a.active, r)
 	a.publish(now)
 	r.answer.finish(last)
+	r.kept = r.answer.size()
+	a.keptBytes += r.kept
+	a.release(now, r)
 }
 
 // cancelRequest ends a request. One that has not come yet leaves a tombstone, so that it never runs.
@@ -210,20 +233,32 @@
 		return
 	}
 	if m.Reason == linkpb.CancelReason_CANCEL_REASON_CALLER_GONE && r.submit.KeepAnswer {
-		r.session = nil
-		r.orphanedAt = now
-		r.answer.detach()
+		a.leaveCaller(now, r)
 		return
 	}
 	a.stop(now, r, refuse(linkpb.RefuseCode_REFUSE_CODE_CANCELLED, "request was cancelled"))
 }
 
+// leaveCaller goes on with a request whose caller has gone; its answer is kept.
+func (a *Agent) leaveCaller(now time.Time, r *record) {
+	r.answer.detach()
+	if r.session != nil {
+		r.session.Send(a.refusedFrame(r.id, r.submit.Attempt, &refusal{
+			verdict: mayHaveRun, code: linkpb.RefuseCode_REFUSE_CODE_CANCELLED, message: "request goes on without its caller",
+		}))
+	}
+	r.session = nil
+	r.orphanedAt = now
+}
+
 // bury leaves a tombstone for a request that has not come.
 func (a *Agent) bury(now time.Time, e *entry, id string) {
 	if len(a.records) >= maxRecords && !a.evictOldest() {
 		return
 	}
-	a.records[id] = &record{id: id, entry: e, state: finished, verdict: notRun, arrived: now, finishedAt: now}
+	r := &record{id: id, entry: e, state: finished, verdict: notRun, arrived: now, finishedAt: now}
+	a.records[id] = r
+	a.release(now, r)
 }
 
 // stop ends an active request: at once where it waits, when its run has ended otherwise.
@@ -256,12 +291,19 @@
 		return
 	}
 	former := r.session
+	attended := former != nil && former != s && !r.acked
+	if attended && m.Unattended {
+		s.Send(a.refusedFrame(m.RequestId, r.submit.Attempt, &refusal{
+			verdict: mayHaveRun, code: linkpb.RefuseCode_REFUSE_CODE_ATTENDED, message: "another entry follows the request",
+		}))
+		return
+	}
 	if err := r.answer.attach(s, m.NextSeq, m.Credit); err != nil {
 		unknown.message = errors.Annotate(err, "part of the answer is not kept").Error()
 		s.Send(a.refusedFrame(m.RequestId, r.submit.Attempt, unknown))
 		return
 	}
-	if former != nil && former != s && r.active() {
+	if attended {
 		former.Send(a.refusedFrame(r.id, r.submit.Attempt, &refusal{
 			verdict: mayHaveRun, code: linkpb.RefuseCode_REFUSE_CODE_CANCELLED, message: "answer is taken by another entry",
 		}))
--- a/internal/core/raft/raft.go
+++ b/internal/core/raft/raft.go
@@ -27,6 +27,9 @@
 	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
 }
 
+// MarshalText returns the form of String, for JSON.
+func (r Role) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
+
 const (
 	// ErrNotLeader answers a proposal at a member that does not lead.
 	ErrNotLeader = errors.ConstError("not the leader")
@@ -41,11 +44,10 @@
 )
 
 const (
-	maxAppendBytes   = 1 << 20 // entries in one message
-	maxInflight      = 4096    // entries sent and not acknowledged, per member
-	maxPromotionLag  = 64      // entries that a learner may lack when it becomes a voter
-	unlimited        = int(^uint(0) >> 1)
-	snapshotRetryMul = 20 // election timeouts before a snapshot is sent again without any sign of loss
+	maxAppendBytes  = 1 << 20 // entries in one message
+	maxInflight     = 4096    // entries sent and not acknowledged, per member
+	maxPromotionLag = 64      // entries that a learner may lack when it becomes a voter
+	unlimited       = int(^uint(0) >> 1)
 )
 
 // Config is fixed for the life of a Node.
--- a/internal/core/raft/replication.go
+++ b/internal/core/raft/replication.go
@@ -118,7 +118,7 @@
 
 func (n *Node) handleHeartbeat(m Message) {
 	n.commit = max(n.commit, min(m.Commit, n.log.last()))
-	n.replySynced(m, Message{Kind: HeartbeatReply, Context: m.Context})
+	n.replySynced(m, Message{Kind: HeartbeatReply, Context: m.Context, Commit: n.commit})
 }
 
 func (n *Node) handleHeartbeatReply(now time.Time, m Message) {
@@ -129,25 +129,23 @@
 	pr.ackedRound = max(pr.ackedRound, m.Context)
 	n.extendLease()
 	n.answerReads()
-	n.detectLoss(pr, m.Context)
+	n.detectLoss(pr, m)
 	n.sendAppend(now, m.From, pr)
 }
 
-// detectLoss goes back to what is acknowledged when a later heartbeat was answered and an earlier Append was not.
-func (n *Node) detectLoss(pr *progress, round uint64) {
-	sent, ok := n.rounds.sentAt(round)
-	if !ok || !pr.sentAt.Before(sent) || pr.isInstalling && !n.isInstallOverdue(pr, sent) {
+// detectLoss goes back to what is acknowledged when a later heartbeat was answered and an earlier Append or snapshot was
+// not: a connection keeps their order, and a second copy does no harm.
+func (n *Node) detectLoss(pr *progress, m Message) {
+	sent, ok := n.rounds.sentAt(m.Context)
+	if !ok || !pr.sentAt.Before(sent) {
 		return
 	}
+	pr.commitSent = min(pr.commitSent, m.Commit)
 	if pr.isAwaiting || pr.match+1 < pr.next {
 		pr.next, pr.isProbing, pr.isAwaiting, pr.isInstalling = pr.match+1, true, false, false
 	}
 }
 
-func (n *Node) isInstallOverdue(pr *progress, now time.Time) bool {
-	return now.Sub(pr.sentAt) > snapshotRetryMul*n.cfg.ElectionTimeout
-}
-
 // answering returns the progress of the sender of an answer, nil when its disk is not the one in the configuration.
 func (n *Node) answering(m Message) *progress {
 	pr := n.peers[m.From]
@@ -155,9 +153,10 @@
 	if n.role != Leader || pr == nil || member.Incarnation != 0 && member.Incarnation != m.FromIncarnation {
 		return nil
 	}
-	if pr.incarnation != m.FromIncarnation {
-		*pr = progress{next: n.log.last() + 1, isProbing: true, incarnation: m.FromIncarnation}
+	if pr.incarnation != 0 && pr.incarnation != m.FromIncarnation {
+		*pr = progress{next: n.log.last() + 1, isProbing: true}
 	}
+	pr.incarnation = m.FromIncarnation
 	return pr
 }
 
@@ -241,8 +240,9 @@
 	case m.Reject && pr.isInstalling:
 		return // the answer to an older message
 	case m.Reject && pr.isProbing && m.Index == pr.next-1:
-		pr.next = max(pr.match+1, min(m.Index, m.Hint+1))
-		pr.isAwaiting = false
+		next := max(pr.match+1, min(m.Index, m.Hint+1))
+		pr.isAwaiting = next == pr.next // it lost what it had acknowledged: heartbeats pace further tries
+		pr.next = next
 	case m.Reject && !pr.isProbing && m.Index > pr.match:
 		pr.next, pr.isProbing, pr.isAwaiting = max(pr.match+1, min(m.Index, m.Hint+1)), true, false
 	case !m.Reject:
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -20,15 +20,18 @@
 	handler Handler
 
 	// Guarded by peer.mu.
-	sent       bool   // the Submit was handed to a connection
-	sentTo     string // incarnation of the agent that it was sent to
-	queuedAt   time.Time
-	grant      uint32 // credit that waits to be sent
-	inFlight   bool   // the call stands in peer.calls
-	cancelled  bool
-	cancelWhy  linkpb.CancelReason
-	cancelSent bool
-	resumes    int
+	sent      bool   // the Submit was handed to a connection
+	sentTo    string // incarnation of the agent that it was sent to
+	queuedAt  time.Time
+	deadline  int64  // milliseconds from queuedAt; 0: none
+	grant     uint32 // credit that waits to be sent
+	granting  bool   // a Credit is queued
+	window    int64  // credit at the start
+	inFlight  bool   // the call stands in peer.calls
+	cancelled bool
+	cancelWhy linkpb.CancelReason
+	resumes   int
+	asked     bool // a Resume for a missing event is under way
 
 	attempt atomic.Uint32 // 0: learned from the first message
 	next    atomic.Uint64 // sequence number of the next event
@@ -38,6 +41,7 @@
 	mu         sync.Mutex // serialises the handler and guards what follows
 	done       bool
 	anyAttempt bool // learn the attempt from the first message
+	unattended bool // until the first message, attach only where no other entry follows the request
 	partial    bool // the answer does not begin at its first event
 	digest     xxhash.Digest
 	digesting  bool
@@ -63,7 +67,8 @@
 const (
 	nothing  reaction = iota
 	progress          // the message was new
-	resume            // something is missing: ask for it again
+	gap               // an event is missing: ask for it, once
+	resume            // the end came without all events: ask for them
 	finished          // the call is over
 )
 
@@ -98,7 +103,7 @@
 	case !c.accepts(m.Attempt), m.Seq+count <= c.next.Load():
 		return nothing
 	case m.Seq != c.next.Load():
-		return resume
+		return gap
 	}
 	c.next.Add(count)
 	c.credit.Add(-int64(len(m.Data)))
@@ -175,6 +180,7 @@
 		RequestId:    c.id,
 		Attempt:      c.attempt.Load(),
 		Organisation: c.org,
+		Unattended:   c.unattended && c.anyAttempt,
 		NextSeq:      c.next.Load(),
 		Credit:       c.openCredit(),
 	}}
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,9 @@
 // ErrSilent says that a link brought nothing for the silence timeout.
 var ErrSilent = errors.New("link is silent")
 
+// errLeft says that the agent has ended the link in order.
+var errLeft = errors.New("agent has left")
+
 // conn is one open link.
 type conn struct {
 	drpc     *drpcconn.Conn
@@ -24,6 +28,7 @@
 	epoch    uint64
 	lastRecv atomic.Int64 // unix nanoseconds
 	silent   atomic.Bool
+	left     bool // the agent has said farewell: nothing more is sent; guarded by peer.mu
 }
 
 // open dials the agent and exchanges Hello and Welcome within the silence timeout.
@@ -37,12 +42,8 @@
 	}
 	stop := context.AfterFunc(ctx, func() { raw.Close() })
 	defer stop()
-	secured, err := secure(ctx, raw, cfg.TLS)
-	if err != nil {
-		return nil, err
-	}
 	c := &conn{
-		drpc:  drpcconn.NewWithOptions(secured, drpcconn.Options{Manager: managerOptions()}),
+		drpc:  drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}),
 		epoch: p.pool.epoch.Add(1),
 	}
 	if err := c.hello(p.pool); err != nil {
@@ -60,20 +61,17 @@
 	}
 	c.stream = stream
 	hello := &linkpb.Hello{EntryId: pool.cfg.EntryID, Incarnation: pool.cfg.Incarnation, Epoch: c.epoch}
-	if err := stream.Send(&linkpb.EntryFrame{Hello: hello}); err != nil {
-		return errors.Trace(err)
-	}
-	if err := flush(stream); err != nil {
+	if err := stream.Send(&linkpb.EntryFrames{Frames: []*linkpb.EntryFrame{{Hello: hello}}}); err != nil {
 		return errors.Trace(err)
 	}
-	frame, err := stream.Recv()
+	m, err := stream.Recv()
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if frame.Welcome == nil {
+	if len(m.Frames) != 1 || m.Frames[0].Welcome == nil {
 		return errors.NotValidf("first frame of the agent")
 	}
-	c.welcome = frame.Welcome
+	c.welcome = m.Frames[0].Welcome
 	return nil
 }
 
@@ -94,15 +92,50 @@
 	return err
 }
 
+// receiver is the part of the generated stream that decodes into a message which is used again.
+type receiver interface {
+	RecvMsg(m *linkpb.AgentFrames) error
+}
+
 // read delivers frames until the link ends.
 func (p *peer) read(c *conn) error {
+	stream, ok := c.stream.(receiver)
+	if !ok {
+		return errors.NotSupportedf("receiving by %T", c.stream)
+	}
+	m := linkpb.AgentFramesFromVTPool()
+	defer m.ReturnToVTPool()
 	for {
-		frame, err := c.stream.Recv()
-		if err != nil {
+		m.ResetVT() // what its events held is used again
+		if err := stream.RecvMsg(m); err != nil {
 			return errors.Trace(err)
 		}
 		c.lastRecv.Store(time.Now().UnixNano())
-		p.deliver(frame)
+		for _, frame := range m.Frames {
+			if frame.Bye != nil {
+				p.farewell(c, frame.Bye)
+				return errLeft
+			}
+			p.deliver(frame)
+		}
+	}
+}
+
+// farewell ends the requests that an agent which stops has not taken.
+func (p *peer) farewell(c *conn, m *linkpb.Bye) {
+	p.mu.Lock()
+	c.left = true
+	var over []*Call
+	for id, call := range p.calls {
+		if call.sent && call.submit != nil && !slices.Contains(m.Known, id) {
+			over = append(over, call)
+			call.inFlight = false
+			delete(p.calls, id)
+		}
+	}
+	p.mu.Unlock()
+	for _, call := range over {
+		call.lost(verdict.New(verdict.NotRun, "agent_left", "agent stopped before it took request %s", call.id))
 	}
 }
 
@@ -135,8 +168,14 @@
 func (p *peer) react(c *Call, r reaction) {
 	switch r {
 	case progress:
-		if c.resumes > 0 {
-			c.resumes = 0
+		c.resumes = 0
+		c.asked = false
+		p.mu.Lock()
+		p.sendCredit(c)
+		p.mu.Unlock()
+	case gap:
+		if !c.asked {
+			p.resume(c)
 		}
 	case resume:
 		p.resume(c)
@@ -152,6 +191,7 @@
 func (p *peer) resume(c *Call) {
 	p.mu.Lock()
 	c.resumes++
+	c.asked = true
 	tooMany := c.resumes > maxResumes
 	if !tooMany {
 		p.push(item{kind: itemResume, call: c})
@@ -207,38 +247,47 @@
 	return ""
 }
 
-// write sends what waits in the queue, and flushes when nothing more does.
+// write sends what waits in the queue, as many frames in one message as wait.
 func (p *peer) write(c *conn, done <-chan struct{}) {
 	for {
-		select {
-		case <-done:
-			return
-		case <-p.wake:
-		}
 		for {
-			frame, ok := p.next(c)
-			if !ok {
+			m := p.batch(c)
+			if len(m.Frames) == 0 {
 				break
 			}
-			if frame == nil {
-				continue
-			}
-			if err := c.stream.Send(frame); err != nil {
+			if err := c.stream.Send(m); err != nil {
 				c.drpc.Close()
 				return
 			}
 		}
-		if err := flush(c.stream); err != nil {
-			c.drpc.Close()
+		select {
+		case <-done:
 			return
+		case <-p.wake:
+		}
+	}
+}
+
+// batch takes items off the queue up to about batchBytes.
+func (p *peer) batch(c *conn) *linkpb.EntryFrames {
+	m := &linkpb.EntryFrames{}
+	for size := 0; size < batchBytes; {
+		frame, ok := p.next(c)
+		if !ok {
+			break
+		}
+		if frame != nil {
+			m.Frames = append(m.Frames, frame)
+			size += frame.SizeVT()
 		}
 	}
+	return m
 }
 
 // next takes one item off the queue and returns its frame, nil where there is nothing to send for it any more.
 func (p *peer) next(c *conn) (*linkpb.EntryFrame, bool) {
 	p.mu.Lock()
-	if len(p.queue) == 0 {
+	if len(p.queue) == 0 || c.left {
 		p.mu.Unlock()
 		return nil, false
 	}
@@ -270,6 +319,7 @@
 	case itemCancel:
 		return &linkpb.EntryFrame{Cancel: &linkpb.Cancel{RequestId: it.call.id, Reason: it.call.cancelWhy}}
 	case itemCredit:
+		it.call.granting = false
 		bytes := it.call.grant
 		it.call.grant = 0
 		if bytes == 0 || !it.call.sent {
@@ -289,8 +339,8 @@
 func (c *Call) submitFrame(conn *conn) *linkpb.EntryFrame {
 	s := c.submit
 	s.Epoch = conn.epoch
-	if s.DeadlineMs > 0 {
-		s.DeadlineMs = max(s.DeadlineMs-time.Since(c.queuedAt).Milliseconds(), 1)
+	if c.deadline > 0 {
+		s.DeadlineMs = max(c.deadline-time.Since(c.queuedAt).Milliseconds(), 1)
 	}
 	if s.AgentIncarnation == "" {
 		s.AgentIncarnation = conn.welcome.Incarnation
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -68,11 +68,18 @@
 func (p *peer) add(c *Call) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, ok := p.calls[c.id]; ok {
+	old := p.calls[c.id]
+	switch {
+	case old != nil && c.submit != nil:
 		return verdict.New(verdict.NotRun, "duplicate_request", "request %s is in flight to this agent already", c.id)
+	case old != nil && c.unattended:
+		return verdict.New(verdict.MayHaveRun, "attended", "request %s is followed by another caller", c.id)
 	}
 	kind := itemResume
 	if c.submit != nil {
+		if len(c.submit.Body) > maxBodyBytes {
+			return verdict.New(verdict.NotRun, "body_too_large", "body of %d bytes does not fit a frame", len(c.submit.Body))
+		}
 		if p.waitingBytes+len(c.submit.Body) > maxWaitingBytes {
 			return verdict.New(verdict.NotRun, "link_busy", "too many bytes wait for the link to the agent")
 		}
@@ -91,6 +98,10 @@
 	p.calls[c.id] = c
 	c.inFlight = true
 	p.push(item{kind: kind, call: c})
+	if old != nil {
+		old.inFlight = false
+		go old.lost(verdict.New(verdict.MayHaveRun, "superseded", "the answer to request %s is taken by another caller", c.id))
+	}
 	return nil
 }
 
@@ -146,17 +157,25 @@
 	p.push(item{kind: itemCancel, call: c})
 }
 
+// grant counts up credit.
 func (p *peer) grant(c *Call, bytes uint32) {
 	c.credit.Add(int64(bytes))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !c.inFlight {
-		return
+	if c.inFlight {
+		c.grant += bytes
+		p.sendCredit(c)
 	}
-	if c.grant == 0 {
+}
+
+// sendCredit queues the credit that waits once the agent has used half of the window, so that few frames carry it.
+// The caller holds p.mu.
+func (p *peer) sendCredit(c *Call) {
+	atAgent := c.credit.Load() - int64(c.grant)
+	if c.grant > 0 && !c.granting && atAgent <= c.window/2 {
+		c.granting = true
 		p.push(item{kind: itemCredit, call: c})
 	}
-	c.grant += bytes
 }
 
 // busy reports whether anything is in flight. The caller holds p.mu.
@@ -180,27 +199,32 @@
 	return p.running
 }
 
-// run opens links while there is work.
+// run opens links while there is work. What never left is given up as soon as a link cannot be opened, so that it can
+// go elsewhere; what was sent is worth trying for longer.
 func (p *peer) run() {
-	failures := 0
+	var downSince time.Time
+	backoff := firstBackoff
 	for {
 		conn, err := p.open()
 		if err == nil {
-			failures = 0
+			downSince, backoff = time.Time{}, firstBackoff
 			err = p.serve(conn)
 		} else {
-			failures++
+			if downSince.IsZero() {
+				downSince = time.Now()
+			}
+			p.giveUp(err, false)
 		}
-		if p.pool.ctx.Err() != nil || failures >= maxDialTries {
-			p.giveUp(err)
-			return
+		if p.pool.ctx.Err() != nil || (!downSince.IsZero() && time.Since(downSince) >= resumeFor) {
+			p.giveUp(err, true)
 		}
 		if p.stopIfIdle() {
 			return
 		}
 		p.pool.cfg.Logger.Info("link is replaced", "agent_address", p.addr, "error", err)
-		if failures > 0 {
-			p.pause(firstBackoff << (failures - 1))
+		if !downSince.IsZero() {
+			p.pause(backoff)
+			backoff = min(2*backoff, maxBackoff)
 		}
 	}
 }
@@ -226,21 +250,24 @@
 	return true
 }
 
-// giveUp ends everything in flight: what never left has not run, the rest may have.
-func (p *peer) giveUp(cause error) {
+// giveUp ends what is in flight: what never left has not run, the rest may have. Without all, what was sent stays.
+func (p *peer) giveUp(cause error, all bool) {
 	p.mu.Lock()
-	calls, fences := p.calls, p.fences
-	p.calls = make(map[string]*Call)
+	var over []*Call
+	for id, c := range p.calls {
+		if all || !c.sent {
+			over = append(over, c)
+			c.inFlight = false
+			delete(p.calls, id)
+		}
+	}
+	fences := p.fences
 	p.fences = make(map[string]*fence)
-	p.queue = nil
+	p.queue = nil // settle queues again what belongs to the calls that stay
 	p.waitingBytes = 0
-	p.running = false
-	for _, c := range calls {
-		c.inFlight = false
-	}
 	p.mu.Unlock()
 
-	for _, c := range calls {
+	for _, c := range over {
 		c.lost(unreachable(c.sent, p.addr, cause))
 	}
 	for _, f := range fences {
@@ -292,6 +319,14 @@
 		}
 		c.resumes++
 		c.grant = 0
+		c.granting = false
+		c.asked = false
+		if c.submit != nil && !known[c.id] {
+			c.sent = false
+			p.waitingBytes += len(c.submit.Body)
+			p.push(item{kind: itemSubmit, call: c})
+			continue
+		}
 		p.push(item{kind: itemResume, call: c})
 		if c.cancelled {
 			p.push(item{kind: itemCancel, call: c})
@@ -327,10 +362,8 @@
 		return nil // the agent answers the Resume itself
 	case w.Incarnation != c.sentTo:
 		return verdict.New(verdict.MayHaveRun, "agent_restarted", "agent restarted while request %s was in flight", c.id)
-	case known:
-		return nil
-	case w.Complete:
-		return verdict.New(verdict.NotRun, "link_lost", "request %s did not reach its agent", c.id)
+	case known, w.Complete:
+		return nil // it is resumed, or sent again: the agent refuses the older epoch's Submit
 	default:
 		return verdict.New(verdict.MayHaveRun, "agent_forgot", "agent no longer knows whether request %s started", c.id)
 	}
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"io"
 	"log/slog"
 	"net"
@@ -19,12 +18,16 @@
 	defaultSilenceTimeout    = 1500 * time.Millisecond
 	defaultIdleTimeout       = 60 * time.Second
 
-	// maxDialTries bounds the attempts to open a link before its requests are given up.
-	maxDialTries = 4
+	// resumeFor is how long a new link is tried for requests that were sent. Agents wait longer for their entries.
+	resumeFor = 8 * time.Second
 	// maxResumes bounds the resumes of one request that bring nothing new.
 	maxResumes = 5
 	// firstBackoff is the pause after the first failed attempt; it doubles with each.
 	firstBackoff = 50 * time.Millisecond
+	// maxBackoff bounds the pause.
+	maxBackoff = time.Second
+	// maxBodyBytes bounds the body of a request.
+	maxBodyBytes = MaxFrameBytes - 1<<20
 	// maxWaitingBytes bounds the bodies that wait for a link to one agent.
 	maxWaitingBytes = 64 << 20
 )
@@ -32,12 +35,11 @@
 // Config holds the settings of a Pool. Zero durations take their defaults.
 type Config struct {
 	EntryID           string
-	Incarnation       string        // differs for every start of the entry
-	HeartbeatInterval time.Duration // between pings while anything is in flight
-	SilenceTimeout    time.Duration // a link that brought nothing for so long is replaced
-	IdleTimeout       time.Duration // a link without requests is closed after it
-	Dial              func(ctx context.Context, network, addr string) (net.Conn, error)
-	TLS               *tls.Config
+	Incarnation       string                                                            // differs for every start of the entry
+	HeartbeatInterval time.Duration                                                     // between pings while anything is in flight
+	SilenceTimeout    time.Duration                                                     // a link that brought nothing for so long is replaced
+	IdleTimeout       time.Duration                                                     // a link without requests is closed after it
+	Dial              func(ctx context.Context, network, addr string) (net.Conn, error) // with TLS where it is wanted
 	Logger            *slog.Logger
 	// OnLoad receives the load in frames that belong to no request; it may be nil and must not block.
 	OnLoad func(addr string, load *linkpb.Load)
@@ -63,7 +65,8 @@
 }
 
 // Handler receives what happens to one request. Its methods are called in order and never at the same time, and
-// must not block; they own the messages that they get. End, Refused and Lost are final: exactly one of them comes,
+// must not block. An Event and its data are valid only during the call; the other messages, and the head of an event,
+// are the handler's own. End, Refused and Lost are final: exactly one of them comes,
 // and nothing after it but Load.
 type Handler interface {
 	Started(*linkpb.Started)
@@ -107,13 +110,15 @@
 // Submit hands one attempt of a request to the link to addr. An error means that h is never called.
 func (p *Pool) Submit(ctx context.Context, addr string, s *linkpb.Submit, h Handler) (*Call, error) {
 	c := &Call{
-		id:      s.RequestId,
-		org:     s.Organisation,
-		submit:  s,
-		handler: h,
+		id:       s.RequestId,
+		deadline: s.DeadlineMs,
+		org:      s.Organisation,
+		submit:   s,
+		handler:  h,
 	}
 	c.attempt.Store(s.Attempt)
 	c.credit.Store(int64(s.Credit))
+	c.window = int64(s.Credit)
 	return c, p.add(ctx, addr, c)
 }
 
@@ -124,10 +129,12 @@
 		org:        r.Organisation,
 		handler:    h,
 		anyAttempt: true,
+		unattended: r.Unattended,
 		partial:    r.NextSeq > 0,
 	}
 	c.next.Store(r.NextSeq)
 	c.credit.Store(int64(r.Credit))
+	c.window = int64(r.Credit)
 	return c, p.add(ctx, addr, c)
 }
 
--- a/internal/operate/billing.go
+++ b/internal/operate/billing.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -26,22 +28,25 @@
 
 	mu        sync.Mutex
 	collector *billing.Collector
-	entries   map[string]entryTotals // by entry and incarnation
+	recent    map[recentKey]uint64 // output tokens, cumulative, of the newest two windows
+	open      uint64               // newest of them
 }
 
-// entryTotals are the output tokens of one entry incarnation by model and organisation.
-type entryTotals map[modelOrganisation]uint64
-
-type modelOrganisation struct {
-	model, organisation string
+// recentKey names one counter of recent usage.
+type recentKey struct {
+	entry  string // with its incarnation
+	window uint64
+	billing.Key
 }
 
 func newUsage(cfg Config) *Usage {
-	return &Usage{group: cfg.Group, module: cfg.Billing, collector: billing.NewCollector(cfg.Billing)}
+	u := &Usage{group: cfg.Group, module: cfg.Billing}
+	u.reset()
+	return u
 }
 
-// Report takes the cumulative counters of one entry incarnation. Reporting them again is harmless; an entry reports
-// every counter again until the acknowledgement settles its window.
+// Report takes cumulative counters of one entry incarnation: all that have changed since this session took them.
+// Reporting them again is harmless.
 func (u *Usage) Report(report *controlpb.UsageReport) billing.Ack {
 	counters := make([]billing.Counter, 0, len(report.Counters))
 	for _, c := range report.Counters {
@@ -66,36 +71,32 @@
 
 // noteRecent keeps the usage of the newest two windows for the shares of the organisations.
 func (u *Usage) noteRecent(entry string, counters []billing.Counter, open uint64) {
-	if u.entries == nil {
-		u.entries = make(map[string]entryTotals)
-	}
-	totals := make(entryTotals)
 	for _, c := range counters {
-		if c.Window+1 >= open {
-			totals[modelOrganisation{c.Model, c.Organisation}] += c.OutputTokens
-		}
+		u.recent[recentKey{entry, c.Window, c.Key}] = c.OutputTokens
+	}
+	if open != u.open {
+		u.open = open
+		maps.DeleteFunc(u.recent, func(k recentKey, _ uint64) bool { return k.window+1 < open })
 	}
-	u.entries[entry] = totals
 }
 
 // shares returns each organisation's part of the recent usage of a model.
 func (u *Usage) shares(model string) map[string]float64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	sums := make(map[string]float64)
-	total := 0.0
-	for _, totals := range u.entries {
-		for k, tokens := range totals {
-			if k.model == model && tokens > 0 {
-				sums[k.organisation] += float64(tokens)
-				total += float64(tokens)
-			}
+	sums := make(map[string]uint64)
+	total := uint64(0)
+	for k, tokens := range u.recent {
+		if k.Model == model && tokens > 0 {
+			sums[k.Organisation] += tokens
+			total += tokens
 		}
 	}
-	for organisation := range sums {
-		sums[organisation] /= total
+	shares := make(map[string]float64, len(sums))
+	for organisation, tokens := range sums {
+		shares[organisation] = float64(tokens) / float64(total)
 	}
-	return sums
+	return shares
 }
 
 // pending returns counters that are to be committed.
@@ -107,11 +108,12 @@
 	return counters
 }
 
+// reset begins a new session.
 func (u *Usage) reset() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.collector.Reset()
-	u.entries = nil
+	u.collector = billing.NewCollector(u.module, rand.Uint64())
+	u.recent = make(map[recentKey]uint64)
 }
 
 // OpenWindow returns the number of the open window as far as this member has applied the log.
@@ -123,41 +125,53 @@
 
 // billingState is what one spell in charge remembers of billing.
 type billingState struct {
-	opened     time.Time // when this spell saw the open window first
-	window     uint64    // the open window
+	opened     map[uint64]time.Time // when this spell saw each window open first
+	window     uint64               // the open window
+	began      time.Time            // when this spell saw its first window
 	recorded   time.Time
 	reportedAt time.Time // of the last attempt
 	failed     uint64    // window whose last attempt has no known outcome
 }
 
+// noteWindow notices a window that is new to this spell.
+func (b *billingState) noteWindow(open uint64, now time.Time) {
+	if b.opened == nil {
+		b.opened = make(map[uint64]time.Time)
+		b.began = now
+	}
+	if open != b.window {
+		b.window = open
+		b.opened[open] = now
+	}
+}
+
+// left returns when the window after the given one was opened, as far as this spell knows.
+func (b *billingState) left(window uint64) time.Time {
+	if at, ok := b.opened[window+1]; ok {
+		return at
+	}
+	return b.began
+}
+
 // billingRound does whatever is due: commit counters, open the next window, close the one before, report one window.
 func (c *charge) billingRound(ctx context.Context) error {
-	c.noteWindow()
-	now := time.Now()
 	b := &c.billing
+	now := time.Now()
+	b.noteWindow(c.op.usage.OpenWindow(), now)
 	if now.Sub(b.recorded) >= c.op.cfg.Record {
 		if err := c.record(ctx); err != nil {
 			return err
 		}
 	}
-	if now.Sub(b.opened) >= c.op.cfg.Window {
+	if now.Sub(b.opened[b.window]) >= c.op.cfg.Window {
 		return c.advance(ctx)
 	}
-	if window, due := c.dueWindow(); due && now.Sub(b.opened) >= c.op.cfg.Grace {
+	if window, due := c.dueWindow(); due && now.Sub(b.left(window)) >= c.op.cfg.Grace {
 		return c.closeWindow(ctx, window)
 	}
 	return c.report(ctx)
 }
 
-// noteWindow notices a window that is new to this spell.
-func (c *charge) noteWindow() {
-	open := c.op.usage.OpenWindow()
-	if open != c.billing.window {
-		c.billing.window = open
-		c.billing.opened = time.Now()
-	}
-}
-
 func (c *charge) dueWindow() (window uint64, due bool) {
 	c.op.cfg.Group.View(func() { window, due = c.op.cfg.Billing.Due() })
 	return window, due
@@ -183,8 +197,33 @@
 	return err
 }
 
+// isForeign reports whether the platform holds figures of a window that this group has not closed yet.
+func (c *charge) isForeign(ctx context.Context, window uint64) (bool, error) {
+	err := c.call(ctx, func(ctx context.Context) error {
+		_, err := c.op.cfg.Platform.ReportedUsage(ctx, window)
+		return err
+	})
+	if errors.Is(err, errors.NotFound) {
+		return false, nil
+	}
+	return err == nil, errors.Annotatef(err, "window %d at the platform", window)
+}
+
+// skipWindow ends a window without a report.
+func (c *charge) skipWindow(ctx context.Context, window uint64) error {
+	const reason = "the platform holds figures that this group never committed"
+	_, err := c.proposeBilling(ctx, billing.Command{Skip: &billing.Skip{Window: window, Reason: reason}})
+	c.op.cfg.Logger.Error("billing window skipped", "window", window, "reason", reason)
+	return err
+}
+
 // closeWindow commits the figures of a window, with every counter that has come in.
 func (c *charge) closeWindow(ctx context.Context, window uint64) error {
+	if foreign, err := c.isForeign(ctx, window); err != nil {
+		return err
+	} else if foreign {
+		return c.skipWindow(ctx, window)
+	}
 	if err := c.record(ctx); err != nil {
 		return err
 	}
@@ -198,12 +237,16 @@
 	if err != nil {
 		return err
 	}
+	if result.Code == billing.CodeOK {
+		delete(c.billing.opened, window)
+	}
 	c.op.cfg.Logger.Info("billing window closed", "window", window, "code", result.Code)
 	return nil
 }
 
 // report sends the committed bytes of the oldest window that the platform has not confirmed.
 func (c *charge) report(ctx context.Context) error {
+	c.showReports()
 	var window billing.Window
 	var ok bool
 	c.op.cfg.Group.View(func() { window, ok = c.op.cfg.Billing.NextReport() })
@@ -218,23 +261,25 @@
 	c.billing.reportedAt = time.Now()
 	switch {
 	case err == nil:
-		return c.confirm(ctx, window.Window, billing.Reported, "")
+		return c.confirm(ctx, window, billing.Reported, "")
 	case errors.Is(err, platform.ErrStaleFencing):
 		return errOvertaken
 	case errors.Is(err, platform.ErrDifferentFigures), errors.Is(err, platform.ErrInvalid):
-		return c.confirm(ctx, window.Window, billing.Disputed, err.Error())
+		return c.confirm(ctx, window, billing.Disputed, err.Error())
 	default:
 		c.billing.failed = window.Window
 		return err // the same bytes go out again
 	}
 }
 
-func (c *charge) confirm(ctx context.Context, window uint64, status billing.Status, reason string) error {
+// confirm commits the platform's answer to the report of a window.
+func (c *charge) confirm(ctx context.Context, window billing.Window, status billing.Status, reason string) error {
+	c.op.showConfirmed(window, status)
 	_, err := c.proposeBilling(ctx, billing.Command{Confirm: &billing.Confirm{
-		Window: window, Status: status, Reason: reason,
+		Window: window.Window, Status: status, Reason: reason,
 	}})
 	if err == nil {
-		c.op.cfg.Logger.Info("usage reported", "window", window, "status", status, "reason", reason)
+		c.op.cfg.Logger.Info("usage reported", "window", window.Window, "status", status, "reason", reason)
 	}
 	return err
 }
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -20,6 +20,7 @@
 	"github.com/guavastack/guavastack/internal/core/duty"
 	"github.com/guavastack/guavastack/internal/core/fleet"
 	"github.com/guavastack/guavastack/internal/platform"
+	"github.com/guavastack/guavastack/internal/telemetry"
 	"github.com/guavastack/guavastack/proto/controlpb"
 	"github.com/guavastack/guavastack/proto/linkpb"
 )
@@ -65,13 +66,16 @@
 	Registry func() []*controlpb.BackendServer
 	// Attainment returns the part of first-token targets met for a model of late, negative where unknown. May be nil.
 	Attainment func(model string) float64
-	Logger     *slog.Logger
+	// ZoneCeiling returns the highest price per hour at which a server is ordered in a zone. May be nil.
+	ZoneCeiling func(zone string) (float64, bool)
+	Logger      *slog.Logger
+	Metrics     *telemetry.Registry
 
 	Timing        duty.Timing
 	Poll          time.Duration // between looks at the lease
 	OrderInterval time.Duration // between rounds of orders
 	Window        time.Duration // length of a billing window
-	Grace         time.Duration // from the end of a window to its closing, for late counters
+	Grace         time.Duration // from the end of a window to its closing, for late counters; at most a window by default
 	Record        time.Duration // between commits of counters
 	NoSupplyHold  time.Duration // after a refusal of a zone, before it is asked again
 	AbsentAfter   time.Duration // a server whose agent was silent so long has no request left; above every deadline
@@ -113,13 +117,19 @@
 	if cfg.Attainment == nil {
 		cfg.Attainment = func(string) float64 { return -1 }
 	}
+	if cfg.ZoneCeiling == nil {
+		cfg.ZoneCeiling = func(string) (float64, bool) { return 0, false }
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = telemetry.NewRegistry(telemetry.DefaultMaxSeries)
+	}
 	if cfg.Timing == (duty.Timing{}) {
 		cfg.Timing = duty.DefaultTiming()
 	}
 	setDefault(&cfg.Poll, defaultPoll)
 	setDefault(&cfg.OrderInterval, defaultOrderInterval)
 	setDefault(&cfg.Window, defaultWindow)
-	setDefault(&cfg.Grace, defaultGrace)
+	setDefault(&cfg.Grace, min(defaultGrace, cfg.Window))
 	setDefault(&cfg.Record, defaultRecord)
 	setDefault(&cfg.NoSupplyHold, defaultNoSupplyHold)
 	setDefault(&cfg.AbsentAfter, defaultAbsentAfter)
@@ -176,6 +186,7 @@
 }
 
 func (o *Operator) setPhase(p Phase) {
+	o.showPhase(p)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.status.phase = p
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"net"
+	"net/http"
+	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/juju/errors"
@@ -11,6 +15,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/guavastack/guavastack/internal/admin"
 	"github.com/guavastack/guavastack/internal/config"
 	"github.com/guavastack/guavastack/internal/control"
 	"github.com/guavastack/guavastack/internal/core/billing"
@@ -22,6 +27,7 @@
 	"github.com/guavastack/guavastack/internal/platform"
 	"github.com/guavastack/guavastack/internal/replica"
 	"github.com/guavastack/guavastack/internal/rpcpool"
+	"github.com/guavastack/guavastack/internal/telemetry"
 	"github.com/guavastack/guavastack/proto/controlpb"
 	"github.com/guavastack/guavastack/proto/peerpb"
 )
@@ -78,7 +84,9 @@
 	replica  *replica.Replica
 	service  *control.Service
 	operator *operate.Operator // nil without a platform
+	admin    *admin.Server     // nil where the settings name no address for it
 	listener net.Listener
+	adminLis net.Listener
 }
 
 // NewControl returns the control role, which listens already.
@@ -95,7 +103,10 @@
 		Logger:      base.Logger,
 	}
 	if c.Platform != nil {
-		operator, err := newOperator(base, s, r, func() []*controlpb.BackendServer { return ctl.service.Backends() })
+		operator, err := newOperator(base, s, r, fleetView{
+			backends: func() []*controlpb.BackendServer { return ctl.service.Backends() },
+			ceiling:  func(zone string) (float64, bool) { return ctl.service.Tree().PriceCeiling(zone) },
+		})
 		if err != nil {
 			return nil, errors.Annotate(err, "control.platform")
 		}
@@ -109,11 +120,91 @@
 		return n
 	}
 	ctl.service = control.New(cfg)
+	if c.Admin.Listen != "" {
+		if err := ctl.buildAdmin(); err != nil {
+			return nil, err
+		}
+	}
 	var err error
 	ctl.listener, err = base.Network.Listen(c.Listen)
 	return ctl, errors.Annotate(err, "control.listen")
 }
 
+// buildAdmin makes the operators' API, which listens already.
+func (c *Control) buildAdmin() error {
+	own := c.base.Config.Control.Admin
+	mux := http.NewServeMux()
+	telemetry.Mount(mux, c.base.Metrics, c.Status)
+	cfg := admin.Config{
+		Control:    c.service,
+		Tokens:     tokensOf(own.Tokens),
+		Replica:    func() any { return c.replica.Status() },
+		Membership: c.replica,
+		Backup:     c.backup,
+		Mounts:     map[string]http.Handler{"/metrics": mux, "/healthz": mux, "/readyz": mux, "/debug/pprof/": mux},
+		Logger:     c.base.Logger,
+	}
+	if c.operator != nil {
+		cfg.Operations = c.operator
+	}
+	cert, err := listenerTLS(own.TLS)
+	if err != nil {
+		return errors.Annotate(err, "control.admin.tls")
+	}
+	if cert != nil {
+		cfg.TLS = func(lis net.Listener) net.Listener { return tls.NewListener(lis, cert.Server()) }
+	}
+	if c.admin, err = admin.New(cfg); err != nil {
+		return errors.Annotate(err, "control.admin")
+	}
+	c.adminLis, err = net.Listen("tcp", own.Listen)
+	return errors.Annotate(err, "control.admin.listen")
+}
+
+// backupTimeout bounds the writing of a backup.
+const backupTimeout = time.Minute
+
+// backup returns a snapshot of the member's state, in the form of replica.Restore.
+func (c *Control) backup() ([]byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), backupTimeout)
+	defer cancel()
+	dir, err := os.MkdirTemp(c.base.Config.Control.Data, "backup-")
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	file := filepath.Join(dir, "backup")
+	if err := c.replica.Backup(ctx, file); err != nil {
+		return nil, err
+	}
+	data, err := os.ReadFile(file)
+	return data, errors.Trace(err)
+}
+
+// Restore creates the data folder of the settings' member from a backup. The versions of the settings begin a new
+// epoch, so that they are above all that the old group may have given out since.
+func Restore(cfg *config.Config, file string) error {
+	c := cfg.Control
+	return replica.Restore(replica.Config{
+		GroupID: c.Group, ID: c.Member, Members: membersOf(c.Peers), DataDir: c.Data,
+	}, file, rebase)
+}
+
+// rebase moves the settings in a snapshot of the state machine to a new epoch.
+func rebase(snapshot []byte, epoch uint64) ([]byte, error) {
+	return state.Rewrite(snapshot, settings.ModuleName, func(part json.RawMessage) (json.RawMessage, error) {
+		return settings.Rebase(part, epoch)
+	})
+}
+
+func tokensOf(tokens []config.Token) []admin.Token {
+	out := make([]admin.Token, len(tokens))
+	for i, t := range tokens {
+		out[i] = admin.Token{Name: t.Name, SHA256: t.SHA256, Role: admin.Role(t.Role), Organisation: t.Organisation}
+	}
+	return out
+}
+
 func otherPeers(c *config.Control) []string {
 	var out []string
 	for _, p := range c.Peers {
@@ -124,7 +215,13 @@
 	return out
 }
 
-func newOperator(base *Base, s *State, r *replica.Replica, registry func() []*controlpb.BackendServer) (*operate.Operator, error) {
+// fleetView is what the operator of the platform sees of the fleet.
+type fleetView struct {
+	backends func() []*controlpb.BackendServer
+	ceiling  func(zone string) (float64, bool)
+}
+
+func newOperator(base *Base, s *State, r *replica.Replica, view fleetView) (*operate.Operator, error) {
 	c := base.Config.Control.Platform
 	client, err := platform.NewClient(platform.Config{URL: c.URL})
 	if err != nil {
@@ -137,9 +234,12 @@
 		Agents:   operate.AgentClient{},
 		Duty:     s.Duty,
 		Billing:  s.Billing,
-		Registry: registry,
-		Window:   time.Duration(c.WindowLength),
-		Logger:   base.Logger,
+		Registry: view.backends,
+		Metrics:  base.Metrics,
+
+		ZoneCeiling: view.ceiling,
+		Window:      time.Duration(c.WindowLength),
+		Logger:      base.Logger,
 	})
 }
 
@@ -147,13 +247,7 @@
 func (c *Control) Addr() net.Addr { return c.listener.Addr() }
 
 // AdminAddr returns the address of the operators' API.
-func (c *Control) AdminAddr() string { return c.base.Config.Control.Admin.Listen }
-
-// Propose commits one command, if this member leads.
-func (c *Control) Propose(ctx context.Context, data []byte) (json.RawMessage, error) {
-	out, err := c.replica.Propose(ctx, data)
-	return out.Result, err
-}
+func (c *Control) AdminAddr() net.Addr { return c.adminLis.Addr() }
 
 // Status implements Role.
 func (c *Control) Status() (ready bool, reason string) {
@@ -183,6 +277,9 @@
 	if c.operator != nil {
 		start(c.operator.Run)
 	}
+	if c.admin != nil {
+		start(func(ctx context.Context) error { return c.admin.Serve(ctx, c.adminLis) })
+	}
 	select {
 	case <-ctx.Done():
 		c.handOver()
