--- a/internal/policybench/policy_test.go
+++ b/internal/policybench/policy_test.go
@@ -114,7 +114,7 @@
 				b.ReportMetric(r.WastedShare(), "wasted")
 				b.ReportMetric(r.WorstShare(), "worstshare")
 				b.ReportMetric(float64(r.LeastStarts()), "leaststarts")
-				b.Log("\n" + r.String())
+				b.Log(r.String())
 			})
 		}
 	}
