--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -172,9 +172,15 @@
 	key     keys.Key          // of camurca
 	client  *http.Client
 	stop    func() // ends the entry and waits
-	backend []*controlpb.BackendServer
+
+	configure func(*Config) // changes the settings of entries that start later; may be nil
+	backend   []*controlpb.BackendServer
+	agents    map[string]*agent.Agent
 }
 
+// waiting returns the number of requests that wait at an agent.
+func (b *bench) waiting(id string) int { return int(b.agents[id].Load().Waiting) }
+
 func newBench(t testing.TB) *bench {
 	t.Helper()
 	b := &bench{
@@ -183,6 +189,7 @@
 		engine:  engine.New(engine.Config{Model: "m", TokenInterval: time.Millisecond}),
 		service: service.New(),
 		bytes:   &standin.Recorder{},
+		agents:  make(map[string]*agent.Agent),
 	}
 	b.key = b.dir.key(t, "camurca")
 	b.startAgent("engine-1", agent.BackendConfig{Kind: agent.KindEngine, URL: b.serve(b.engine), Model: "m", Slots: 4})
@@ -233,6 +240,7 @@
 		<-done
 	})
 	waitFor(b.t, func() bool { return a.Report().Lifecycle == route.LifecycleReady })
+	b.agents[id] = a
 	b.backend = append(b.backend, a.Report())
 	b.dir.setBackends(b.backend)
 	return a
@@ -242,10 +250,14 @@
 func (b *bench) startEntry(id string) (url string, stop func()) {
 	b.t.Helper()
 	links := link.NewPool(link.Config{EntryID: id, Incarnation: id + "-1"})
-	s := New(Config{
+	cfg := Config{
 		ID: id, Incarnation: id + "-1", Zone: "a",
 		MaxBodyBytes: 64 << 10, DrainDelay: time.Millisecond, UsageInterval: 10 * time.Millisecond,
-	}, b.dir, links)
+	}
+	if b.configure != nil {
+		b.configure(&cfg)
+	}
+	s := New(cfg, b.dir, links)
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.t.Fatal(err)
