--- a/internal/core/settings/tree.go
+++ b/internal/core/settings/tree.go
@@ -91,14 +91,14 @@
 func (t *Tree) Version() Version { return t.version }
 
 // Class returns the effective settings of a class of an organisation.
-func (t *Tree) Class(organisation, name string) (Class, error) {
+func (t *Tree) Class(organisation, name string) (c Class, err error) {
 	n, ok := t.nodes.get(organisation)
 	if !ok {
 		return Class{}, errors.NotFoundf("organisation %q", organisation)
 	}
 	for i, known := range n.names {
 		if known == name {
-			c := n.classes[i].Class
+			c = n.classes[i].Class
 			c.Organisation = organisation
 			return c, nil
 		}
