--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -226,8 +226,8 @@
 	})
 }
 
-// runAgent serves cfg and returns what kills the agent.
-func runAgent(t *testing.T, cfg Config) (kill func()) {
+// runAgent serves cfg and returns the agent and what kills it.
+func runAgent(t *testing.T, cfg Config) (a *Agent, kill func()) {
 	a, err := New(cfg)
 	if err != nil {
 		t.Fatal(err)
@@ -236,7 +236,7 @@
 	stopped := make(chan error, 1)
 	go func() { stopped <- a.Run(ctx) }()
 	waitUp(t, a)
-	return func() {
+	return a, func() {
 		cancel()
 		<-stopped
 	}
--- a/internal/agent/link_faults_test.go
+++ b/internal/agent/link_faults_test.go
@@ -234,7 +234,7 @@
 					ID: "agent-1", Listener: links.Listen(agentAddr), Dial: engines.Dial,
 					Backend: BackendConfig{Kind: KindEngine, URL: "http://" + engineAddr, Slots: tt.slots},
 				}
-				kill := runAgent(t, cfg)
+				_, kill := runAgent(t, cfg)
 				p := newPool(t, "entry-1", links.Dial)
 				if tt.slots == 1 {
 					submit(t, p, agentAddr, chat("r0", "1000"), newRecorder())
--- a/internal/agent/soak_test.go
+++ b/internal/agent/soak_test.go
@@ -28,6 +28,7 @@
 	links *linktest.Network
 	back  *linktest.Network
 	cfg   Config
+	agent *Agent
 	kill  func()
 	pools []*link.Pool
 }
@@ -51,7 +52,16 @@
 
 func (s *soak) startAgent() {
 	s.cfg.Listener = s.links.Listen(agentAddr)
-	s.kill = runAgent(s.t, s.cfg)
+	s.agent, s.kill = runAgent(s.t, s.cfg)
+}
+
+// restart stops the agent in order and starts it again.
+func (s *soak) restart() {
+	if err := s.agent.Shutdown(context.Background()); err != nil {
+		s.t.Error(err)
+	}
+	s.kill()
+	s.startAgent()
 }
 
 // fault causes one fault of the links, the connections to the backend server, or the agent.
@@ -190,3 +200,43 @@
 		})
 	}
 }
+
+// TestPlannedRestarts restarts the agent again and again under load: each request ends whole, or provably did not run.
+func TestPlannedRestarts(t *testing.T) {
+	for _, kind := range []BackendKind{KindEngine, KindService} {
+		t.Run(string(kind), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSoak(t, 1, kind)
+				build := func(i int) *linkpb.Submit { return chat(fmt.Sprint("r", i), fmt.Sprint(5+i%50)) }
+				if kind == KindService {
+					build = func(i int) *linkpb.Submit { return order(fmt.Sprint("r", i), "POST", fmt.Sprint("order ", i)) }
+					h := service.New()
+					h.Inject(service.Fault{Kind: service.Slow, DelayMs: 300})
+					serveMemory(t, s.back, h)
+				} else {
+					serveMemory(t, s.back, engine.New(engine.Config{TokenInterval: 20 * time.Millisecond}))
+				}
+				restarts := 0
+				outcomes := s.run(build, func(n int) {
+					if n%3 == 0 {
+						s.restart()
+						restarts++
+					}
+				})
+				wholes := 0
+				for i, o := range outcomes {
+					switch {
+					case o.end != nil && !o.end.Stopped:
+						wholes++
+					case o.verdict != verdict.NotRun:
+						t.Errorf("request %d: %v", i, o)
+					}
+				}
+				if wholes == 0 || restarts == 0 {
+					t.Errorf("%d whole answers, %d restarts", wholes, restarts)
+				}
+				t.Logf("%d restarts, %d whole, %d not run", restarts, wholes, len(outcomes)-wholes)
+			})
+		})
+	}
+}
