--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -207,7 +207,7 @@
 	s.closed = true
 	close(s.done)
 	if t, ok := transport(s.stream); ok {
-		t.Close()
+		go t.Close() // TLS may write for seconds first, and the agent's loop must not wait
 	}
 }
 
