Let a link without requests sleep

Change: the watch sleeps until a request begins or the idle timeout has passed; heartbeats start with the first request. TestIdleLink and TestLinkFaults pass as before.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -358,12 +358,12 @@
 	c.lost(verdict.New(verdict.NotRun, "cancelled", "request %s was cancelled before it was sent", c.id))
 }
 
-// watch sends heartbeats while anything is in flight, and closes the link when it is silent or idle.
+// watch sends heartbeats while anything is in flight, and closes the link when it is silent or idle. Without requests it
+// sleeps until the first comes or the idle timeout has passed.
 func (p *peer) watch(c *conn, done <-chan struct{}) {
-	cfg := p.pool.cfg
-	ticker := time.NewTicker(cfg.HeartbeatInterval)
-	defer ticker.Stop()
-	idleSince := time.Now()
+	timer := time.NewTimer(p.pool.cfg.HeartbeatInterval)
+	defer timer.Stop()
+	idle := false
 	for nonce := uint64(1); ; nonce++ {
 		select {
 		case <-done:
@@ -371,27 +371,42 @@
 		case <-p.pool.ctx.Done():
 			c.drpc.Close()
 			return
-		case <-ticker.C:
-		}
-		now := time.Now()
-		if since, busy := p.beat(nonce); busy {
-			idleSince = now
-			last := time.Unix(0, c.lastRecv.Load())
-			if since.After(last) {
-				last = since
-			}
-			if now.Sub(last) >= cfg.SilenceTimeout {
-				c.silent.Store(true)
-				c.drpc.Close()
-				return
+		case <-p.began:
+			if idle {
+				idle = false
+				timer.Reset(p.pool.cfg.HeartbeatInterval)
 			}
-		} else if now.Sub(idleSince) >= cfg.IdleTimeout {
+			continue
+		case <-timer.C:
+		}
+		since, busy := p.beat(nonce)
+		switch {
+		case busy && c.isSilent(since, p.pool.cfg.SilenceTimeout):
+			c.silent.Store(true)
 			c.drpc.Close()
 			return
+		case busy:
+			idle = false
+			timer.Reset(p.pool.cfg.HeartbeatInterval)
+		case idle:
+			c.drpc.Close()
+			return
+		default:
+			idle = true
+			timer.Reset(p.pool.cfg.IdleTimeout)
 		}
 	}
 }
 
+// isSilent reports whether nothing came for the timeout, while requests have been in flight since the given time.
+func (c *conn) isSilent(since time.Time, timeout time.Duration) bool {
+	last := time.Unix(0, c.lastRecv.Load())
+	if since.After(last) {
+		last = since
+	}
+	return time.Since(last) >= timeout
+}
+
 // beat queues a ping while anything is in flight, and returns since when that is so.
 func (p *peer) beat(nonce uint64) (time.Time, bool) {
 	p.mu.Lock()
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -51,7 +51,8 @@
 	waitingBytes int
 	wake         chan struct{} // holds one token while queue has items
 	running      bool
-	busySince    time.Time // when the first request after a pause came
+	busySince    time.Time     // when the first request after a pause came
+	began        chan struct{} // holds one token when it has come
 }
 
 func newPeer(pool *Pool, addr string) *peer {
@@ -61,6 +62,7 @@
 		calls:  make(map[string]*Call),
 		fences: make(map[string]*fence),
 		wake:   make(chan struct{}, 1),
+		began:  make(chan struct{}, 1),
 	}
 }
 
@@ -92,9 +94,7 @@
 		return verdict.New(verdict.NotRun, "link_closed", "links are closed")
 	}
 	c.queuedAt = time.Now()
-	if !p.busy() {
-		p.busySince = c.queuedAt
-	}
+	p.begin(c.queuedAt)
 	p.calls[c.id] = c
 	c.inFlight = true
 	p.push(item{kind: kind, call: c})
@@ -132,9 +132,7 @@
 	if !p.ensureRunning() {
 		return verdict.New(verdict.MayHaveRun, "link_closed", "links are closed")
 	}
-	if !p.busy() {
-		p.busySince = time.Now()
-	}
+	p.begin(time.Now())
 	p.fences[f.message.RequestId] = f
 	p.push(item{kind: itemFence, fence: f})
 	return nil
@@ -178,6 +176,18 @@
 	}
 }
 
+// begin starts the heartbeats where nothing was in flight. The caller holds p.mu.
+func (p *peer) begin(now time.Time) {
+	if p.busy() {
+		return
+	}
+	p.busySince = now
+	select {
+	case p.began <- struct{}{}:
+	default:
+	}
+}
+
 // busy reports whether anything is in flight. The caller holds p.mu.
 func (p *peer) busy() bool { return len(p.calls) > 0 || len(p.fences) > 0 }
 
