--- a/internal/agent/link_faults_test.go
+++ b/internal/agent/link_faults_test.go
@@ -54,6 +54,7 @@
 					r := newRecorder()
 					submit(t, p, agentAddr, chat("r0", "1"), r)
 					<-r.done
+					time.Sleep(5 * time.Second) // virtual: the link sleeps
 				}
 				if tt.before != nil {
 					tt.before(c.links)
@@ -64,8 +65,12 @@
 						go tt.fault(c.links)
 					}
 				}
+				start := time.Now()
 				submit(t, p, agentAddr, chat("r1", "40"), r)
 				o := <-r.done
+				if d := time.Since(start); d > 15*time.Second {
+					t.Errorf("it took %v", d)
+				}
 				if o.verdict != tt.verdict {
 					t.Errorf("verdict %v, want %v: %v", o.verdict, tt.verdict, o)
 				}
@@ -234,7 +239,7 @@
 					ID: "agent-1", Listener: links.Listen(agentAddr), Dial: engines.Dial,
 					Backend: BackendConfig{Kind: KindEngine, URL: "http://" + engineAddr, Slots: tt.slots},
 				}
-				kill := runAgent(t, cfg)
+				_, kill := runAgent(t, cfg)
 				p := newPool(t, "entry-1", links.Dial)
 				if tt.slots == 1 {
 					submit(t, p, agentAddr, chat("r0", "1000"), newRecorder())
