Judge attainment by what agents expect, and bound what it adds

Cause: nothing measured attainment in the control role, so that rule never applied; where every server is too slow it would have added servers for ever. Change: the part of a pool's servers whose agents expect the first token within first_token_target_ms; at most twice the need by demand. Broken by hand: without the bound 148 servers where demand needs 4 (TestLowAttainmentIsBounded); attainment unknown, TestSlowServersGetHelp failed.

--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -214,6 +214,13 @@
 	}
 }
 
+func TestLowAttainmentIsBounded(t *testing.T) {
+	totals := simulate(onePool(), 15*time.Minute, func(time.Duration) float64 { return 20 }, func(time.Duration) float64 { return 0 })
+	if last := totals[len(totals)-1]; last != 8 {
+		t.Errorf("%d servers where demand needs 4 and nothing helps", last)
+	}
+}
+
 func TestBroadcastIsReadyWhenItBegins(t *testing.T) {
 	s := onePool()
 	s.Broadcasts = []Broadcast{{
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -17,6 +17,9 @@
 	scaleDownStep = 0.25
 	// attainmentStep is the part of a pool's servers added while attainment stays below its target.
 	attainmentStep = 0.25
+	// attainmentLimit bounds what low attainment adds, as a multiple of the need by demand: more servers do not help
+	// where each of them is too slow.
+	attainmentLimit = 2
 )
 
 // ZoneState is what is known of one pool in one availability zone.
@@ -32,7 +35,7 @@
 	Model                string
 	SlotsPerServer       float64            // 0: no server has reported
 	DemandByOrganisation map[string]float64 // slots in use and waited for
-	Attainment           float64            // of the first-token targets, 0..1; negative: unknown
+	Attainment           float64            // part of the servers within their first-token target, 0..1; negative: unknown
 	Zones                []ZoneState
 }
 
@@ -229,20 +232,20 @@
 	if st, ok := pl.pools[pool.Model]; ok {
 		return st
 	}
-	servers := existing(o)
-	if pool.SurviveZoneLoss && len(pool.Zones) > 1 {
-		servers = servers * (len(pool.Zones) - 1) / len(pool.Zones)
-	}
-	st := &poolState{since: now, level: servers}
+	st := &poolState{since: now, level: carried(pool, o)}
 	pl.pools[pool.Model] = st
 	return st
 }
 
-func existing(o Observation) int {
+// carried returns the need that the existing servers carry, spare ones for the loss of a zone left out.
+func carried(pool Pool, o Observation) int {
 	total := 0
 	for _, z := range o.Zones {
 		total += z.Servers
 	}
+	if pool.SurviveZoneLoss && len(pool.Zones) > 1 {
+		return total * (len(pool.Zones) - 1) / len(pool.Zones)
+	}
 	return total
 }
 
@@ -257,15 +260,16 @@
 
 // attainmentNeed raises the need once per start time while attainment is below its target.
 func (st *poolState) attainmentNeed(now time.Time, pool Pool, o Observation, need int) int {
-	if o.Attainment < 0 || o.Attainment >= pool.TargetAttainment {
+	if need == 0 || o.Attainment < 0 || o.Attainment >= pool.TargetAttainment {
 		return 0
 	}
 	if !st.raisedAt.IsZero() && now.Sub(st.raisedAt) < startTime(pool) {
 		return st.level
 	}
 	st.raisedAt = now
-	need = max(need, st.level)
-	return need + int(math.Ceil(float64(need)*attainmentStep))
+	raised := max(need, st.level, carried(pool, o))
+	raised += int(math.Ceil(float64(raised) * attainmentStep))
+	return min(raised, attainmentLimit*need)
 }
 
 // adjust raises the level at once, and lowers it by steps to the highest need of the hold.
--- a/internal/core/fleet/settings.go
+++ b/internal/core/fleet/settings.go
@@ -30,17 +30,18 @@
 
 // Pool is the set of backend servers that serve one model.
 type Pool struct {
-	Model             string         `json:"model"`
-	Zones             []string       `json:"zones"`
-	MinPerZone        int            `json:"min_per_zone,omitempty"`
-	Max               int            `json:"max,omitempty"`                // of all zones; 0: no bound
-	SurviveZoneLoss   bool           `json:"survive_zone_loss,omitempty"`  // the other zones can carry the need of a lost one
-	TargetUtilisation float64        `json:"target_utilisation,omitempty"` // of slots, 0..1
-	TargetAttainment  float64        `json:"target_attainment,omitempty"`  // 0..1
-	ScaleDownHoldS    int            `json:"scale_down_hold_s,omitempty"`  // the need must have been lower for so long
-	StartTimeS        int            `json:"start_time_s,omitempty"`       // from the order to a ready server
-	SlotsPerServer    int            `json:"slots_per_server,omitempty"`   // while no server has reported its own
-	Manual            map[string]int `json:"manual,omitempty"`             // counts by zone, in place of the plan
+	Model              string         `json:"model"`
+	Zones              []string       `json:"zones"`
+	MinPerZone         int            `json:"min_per_zone,omitempty"`
+	Max                int            `json:"max,omitempty"`                   // of all zones; 0: no bound
+	SurviveZoneLoss    bool           `json:"survive_zone_loss,omitempty"`     // the other zones can carry the need of a lost one
+	TargetUtilisation  float64        `json:"target_utilisation,omitempty"`    // of slots, 0..1
+	FirstTokenTargetMS float64        `json:"first_token_target_ms,omitempty"` // a server expecting more misses its target; 0: not judged
+	TargetAttainment   float64        `json:"target_attainment,omitempty"`     // part of the servers within it, 0..1
+	ScaleDownHoldS     int            `json:"scale_down_hold_s,omitempty"`     // the need must have been lower for so long
+	StartTimeS         int            `json:"start_time_s,omitempty"`          // from the order to a ready server
+	SlotsPerServer     int            `json:"slots_per_server,omitempty"`      // while no server has reported its own
+	Manual             map[string]int `json:"manual,omitempty"`                // counts by zone, in place of the plan
 }
 
 // Broadcast announces a burst. Servers are ready when it begins.
@@ -93,6 +94,8 @@
 		return errors.NotValidf("target_utilisation %v", p.TargetUtilisation)
 	case p.TargetAttainment < 0 || p.TargetAttainment > 1:
 		return errors.NotValidf("target_attainment %v", p.TargetAttainment)
+	case p.FirstTokenTargetMS < 0:
+		return errors.NotValidf("first_token_target_ms %v", p.FirstTokenTargetMS)
 	case p.ScaleDownHoldS < 0 || p.StartTimeS < 0 || p.SlotsPerServer < 0:
 		return errors.NotValidf("negative duration or slots")
 	}
--- a/internal/operate/faults_test.go
+++ b/internal/operate/faults_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/guavastack/guavastack/internal/core/billing"
 	"github.com/guavastack/guavastack/internal/core/duty"
+	"github.com/guavastack/guavastack/internal/core/fleet"
 	"github.com/guavastack/guavastack/internal/platform"
 	"github.com/guavastack/guavastack/internal/replica"
 	standin "github.com/guavastack/guavastack/internal/standin/platform"
@@ -337,6 +338,33 @@
 	})
 }
 
+// TestSlowServersGetHelp lets every server expect its first token after the target.
+func TestSlowServersGetHelp(t *testing.T) {
+	for _, tt := range []struct {
+		firstToken time.Duration
+		more       bool
+	}{{400 * time.Millisecond, false}, {800 * time.Millisecond, true}} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench(t, standin.Config{})
+			b.firstToken, b.runningEach = tt.firstToken, 5
+			b.elect(0)
+			data, err := duty.Encode(duty.Command{Change: &duty.Change{ID: "p", Settings: fleet.Settings{Pools: []fleet.Pool{{
+				Model: "m", Zones: []string{"a", "b"}, MinPerZone: 1, FirstTokenTargetMS: 500, StartTimeS: 10,
+			}}}}}, "test", 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := b.group.members[0].Propose(b.ctx, data); err != nil {
+				t.Fatal(err)
+			}
+			b.run(time.Minute)
+			if n := len(b.standin.Servers()); (n > 2) != tt.more {
+				t.Errorf("%d servers where the first token takes %v", n, tt.firstToken)
+			}
+		})
+	}
+}
+
 // TestZoneIsAvoided needs four servers where one of two zones cannot be used.
 func TestZoneIsAvoided(t *testing.T) {
 	tests := []struct {
--- a/internal/operate/fleet.go
+++ b/internal/operate/fleet.go
@@ -31,7 +31,7 @@
 	observed := make([]fleet.Observation, 0, len(settings.Pools))
 	for _, pool := range settings.Pools {
 		o := fleet.Observation{
-			Model: pool.Model, Attainment: c.op.cfg.Attainment(pool.Model),
+			Model: pool.Model, Attainment: c.attainment(pool),
 			DemandByOrganisation: c.demand(pool.Model),
 			SlotsPerServer:       c.meanSlots(pool.Model),
 		}
@@ -94,6 +94,25 @@
 	return shares
 }
 
+// attainment returns the part of a pool's servers that expect to answer within the first-token target, negative where
+// that is not known.
+func (c *charge) attainment(pool fleet.Pool) float64 {
+	within, n := 0.0, 0.0
+	for _, server := range c.registry {
+		if server.Model != pool.Model || server.FirstTokenUs <= 0 {
+			continue
+		}
+		n++
+		if time.Duration(server.FirstTokenUs)*time.Microsecond <= time.Duration(pool.FirstTokenTargetMS*float64(time.Millisecond)) {
+			within++
+		}
+	}
+	if n == 0 || pool.FirstTokenTargetMS == 0 {
+		return -1
+	}
+	return within / n
+}
+
 // meanSlots returns the mean slots of the servers of a model, 0 while none has reported.
 func (c *charge) meanSlots(model string) float64 {
 	sum, n := 0.0, 0.0
--- a/internal/operate/harness_test.go
+++ b/internal/operate/harness_test.go
@@ -143,7 +143,9 @@
 	entry   *fakeEntry
 	running sync.WaitGroup
 
-	incarnation string // of all agents
+	incarnation string        // of all agents
+	firstToken  time.Duration // that all agents expect
+	runningEach uint32        // requests at each agent
 }
 
 // newBench must be called within a synctest bubble.
@@ -201,7 +203,7 @@
 func (b *bench) registry() []*controlpb.BackendServer {
 	var servers []*controlpb.BackendServer
 	for _, s := range b.standin.Servers() {
-		servers = append(servers, &controlpb.BackendServer{Id: s.ID, Model: s.Model, Zone: s.Zone, Slots: 8, Lifecycle: "ready", Incarnation: b.incarnation})
+		servers = append(servers, &controlpb.BackendServer{Id: s.ID, Model: s.Model, Zone: s.Zone, Slots: 8, Lifecycle: "ready", Incarnation: b.incarnation, Running: b.runningEach, FirstTokenUs: b.firstToken.Microseconds()})
 	}
 	return servers
 }
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -64,8 +64,6 @@
 	Duty     *duty.Module
 	Billing  *billing.Module
 	Registry func() []*controlpb.BackendServer
-	// Attainment returns the part of first-token targets met for a model of late, negative where unknown. May be nil.
-	Attainment func(model string) float64
 	// ZoneCeiling returns the highest price per hour at which a server is ordered in a zone. May be nil.
 	ZoneCeiling func(zone string) (float64, bool)
 	Logger      *slog.Logger
@@ -114,9 +112,6 @@
 	if cfg.Registry == nil {
 		cfg.Registry = func() []*controlpb.BackendServer { return nil }
 	}
-	if cfg.Attainment == nil {
-		cfg.Attainment = func(string) float64 { return -1 }
-	}
 	if cfg.ZoneCeiling == nil {
 		cfg.ZoneCeiling = func(string) (float64, bool) { return 0, false }
 	}
