--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -74,19 +74,21 @@
 			ID: p.Id, Incarnation: p.Incarnation, Role: p.Role, Zone: p.Zone,
 			Version: settings.Version{Epoch: p.Epoch, Version: p.Version},
 			Heard:   now.Add(-time.Duration(p.AgeMs) * time.Millisecond), Demand: demandOf(p.Demand),
+			Freshness: time.Duration(p.FreshnessMs) * time.Millisecond,
 		})
 	}
 	return ack, nil
 }
 
-// exchangeWith sends digests to one other member: at once after a change, and at intervals.
+// exchangeWith sends digests to one other member: at once after a change in the registry, soon after a process has
+// another version, and at intervals.
 func (s *Service) exchangeWith(ctx context.Context, peer string) {
 	var sent uint64 // registry version that the peer has
 	var incarnation string
 	tick := time.NewTicker(exchangeInterval)
 	defer tick.Stop()
 	for {
-		changed := s.soft.changedChannel()
+		changed, news := s.soft.changedChannel(), s.soft.newsChannel()
 		digest, version := s.digest(sent, time.Now())
 		ack, err := s.sendDigest(ctx, peer, digest)
 		switch {
@@ -103,6 +105,8 @@
 			return
 		case <-tick.C:
 		case <-changed:
+		case <-news:
+			pause(ctx, newsDelay)
 		}
 	}
 }
@@ -155,6 +159,7 @@
 	m := &controlpb.Process{
 		Id: p.ID, Incarnation: p.Incarnation, Role: p.Role, Zone: p.Zone,
 		Epoch: p.Version.Epoch, Version: p.Version.Version, AgeMs: now.Sub(p.Heard).Milliseconds(),
+		FreshnessMs: p.Freshness.Milliseconds(),
 	}
 	for _, d := range p.Demand {
 		m.Demand = append(m.Demand, &controlpb.Demand{Organisation: d.Organisation, Requests: d.Requests, Tokens: d.Tokens, Running: d.Running})
