Give each class with a floor four places in the queue

Cause: a floor lane held one request. Change: four places on top of the queue limit. The property that nothing lower is kept while a higher one is shed now excepts four places of a class instead of one, since nobody competes for them; it fails with two more than stated, and TestFloorWindow fails without any.

--- a/internal/core/sched/queue.go
+++ b/internal/core/sched/queue.go
@@ -295,12 +295,16 @@
 	}
 }
 
-// displaceable is the number of waiting requests that a higher tier may displace: all but the lane's own place and
+// floorPlaces is the number of places in the queue of a class with a floor share, on top of the queue limit. With a
+// single one, whose request waits when a start is due depends on its length rather than on its organisation's share.
+const floorPlaces = 4
+
+// displaceable is the number of waiting requests that a higher tier may displace: all but the lane's own places and
 // those that began before.
 func (l *lane) displaceable() int {
 	own := 0
 	if l.floor > 0 {
-		own = 1
+		own = floorPlaces
 	}
 	return max(0, l.waiting-l.resident-own)
 }
--- a/internal/core/sched/scheduler.go
+++ b/internal/core/sched/scheduler.go
@@ -36,7 +36,7 @@
 	Policy     Policy
 	Slots      int     // batch size at the start, at least 1
 	MaxSlots   int     // upper bound of the learned batch size; 0: Slots, so that nothing is learned
-	QueueLimit int     // waiting requests, not counting one place for each class with a floor share
+	QueueLimit int     // waiting requests, not counting a few places for each class with a floor share
 	FloorShare float64 // of classes that state none; 0: DefaultFloorShare, negative: none
 }
 
