Tell the router the tiers of a load report and the time without the queue

Cause: the entry dropped waiting and running counts by tier, which the agent sends, so that the router took servers full of preemptible work for full ones; and the first-token time it reported included the queue's wait, which sets servers aside that merely hold more of the lower tiers. Ruled out: a field for the number of a report; the link keeps the order of its frames.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -28,18 +28,19 @@
 
 // attempt is one dispatch of an exchange to one backend server.
 type attempt struct {
-	s       *Server
-	x       *exchange
-	id      requestID
-	number  int
-	server  route.Backend
-	relay   *relay
-	call    *link.Call
-	writer  *answerWriter
-	began   time.Time
-	first   time.Time // arrival of the first event
-	last    time.Time // arrival of the newest event
-	started bool
+	s         *Server
+	x         *exchange
+	id        requestID
+	number    int
+	server    route.Backend
+	relay     *relay
+	call      *link.Call
+	writer    *answerWriter
+	began     time.Time
+	queueWait time.Duration // at the agent
+	first     time.Time     // arrival of the first event
+	last      time.Time     // arrival of the newest event
+	started   bool
 
 	ungranted int // bytes passed on for which the agent has no new credit yet
 	unmetered int // output tokens passed on that are not metered yet
@@ -229,6 +230,7 @@
 	if in.started && !a.started {
 		a.started = true
 		a.s.active.started(a.x)
+		a.queueWait = in.queueWait
 		a.s.observe("queue_wait_us", in.queueWait, a.x)
 	}
 	if in.events > 0 {
@@ -431,7 +433,7 @@
 		o.Result = route.Failed
 	}
 	if !a.first.IsZero() {
-		o.FirstToken = a.first.Sub(a.began)
+		o.FirstToken = max(0, a.first.Sub(a.began)-a.queueWait) // the queue's wait follows from the tier
 	}
 	s.fleet.ended(a.server.ID, o)
 	if !r.complete {
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -111,9 +111,19 @@
 		LowestTier:      int(l.LowestTier),
 		TokenInterval:   time.Duration(l.TokenIntervalUs) * time.Microsecond,
 		FirstToken:      time.Duration(l.FirstTokenUs) * time.Microsecond,
+		WaitingByTier:   byTier(l.WaitingByTier),
+		RunningByTier:   byTier(l.RunningByTier),
 	})
 }
 
+// byTier converts counts by tier; tiers that the router does not tell apart count as its last.
+func byTier(counts []uint32) (out [route.MaxTiers]int) {
+	for tier, n := range counts {
+		out[min(tier, route.MaxTiers-1)] += int(n)
+	}
+	return out
+}
+
 func (f *fleet) began(id string, x *exchange) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
