--- a/internal/localcluster/localcluster.go
+++ b/internal/localcluster/localcluster.go
@@ -170,7 +170,7 @@
 	}
 	c.Engines[name] = e
 	slots := max(c.cfg.Slots, 1)
-	backend := object{"kind": "engine", "url": url, "model": "m", "slots": slots, "max_slots": 4 * slots}
+	backend := object{"kind": "engine", "url": url, "model": "m", "slots": slots, "max_slots": 4 * slots, "resumable": true}
 	return c.add(name, RoleAgent, i, object{"backend": backend, "policy": c.agentPolicy()})
 }
 
