Count answers on their way as running while an agent drains

Cause: the leader stops a server once its agent reports that nothing runs; the report counted what the engine runs, so that an answer that the engine had finished and a slow caller was still reading could be cut by a planned stop. Found by reading; seen to fail in TestAnswerOnItsWayCountsAsRunning (0 running), passes with the change.

--- a/internal/agent/lifecycle.go
+++ b/internal/agent/lifecycle.go
@@ -108,15 +108,7 @@
 
 // inProgress reports whether a request is active, or its end is on its way to an entry.
 func (a *Agent) inProgress() bool {
-	if len(a.active) > 0 {
-		return true
-	}
-	for _, r := range a.records {
-		if r.isDelivering() {
-			return true
-		}
-	}
-	return false
+	return len(a.active) > 0 || a.delivering() > 0
 }
 
 // orderGate lets through what carries a fencing number that is not older than the newest seen.
@@ -187,18 +179,33 @@
 // SetLifecycle starts or ends the draining by the control leader's word.
 func (a *Agent) SetLifecycle(ctx context.Context, m *linkpb.LifecycleRequest) (*linkpb.LifecycleReply, error) {
 	accepted := a.orders.admit(m.Fencing)
-	if accepted {
-		leaving := m.Lifecycle == linkpb.Lifecycle_LIFECYCLE_LEAVING
-		if err := a.ask(ctx, func(now time.Time) { a.setLeaving(now, leaving) }); err != nil {
-			return nil, err
+	delivering := 0
+	err := a.ask(ctx, func(now time.Time) {
+		if accepted {
+			a.setLeaving(now, m.Lifecycle == linkpb.Lifecycle_LIFECYCLE_LEAVING)
 		}
+		delivering = a.delivering()
+	})
+	if err != nil {
+		return nil, err
 	}
 	l := a.Load()
 	return &linkpb.LifecycleReply{
 		Accepted:  accepted,
 		Fencing:   a.orders.current(),
 		Lifecycle: l.Lifecycle,
-		Running:   l.Running,
+		Running:   l.Running + uint32(delivering),
 		Waiting:   l.Waiting,
 	}, nil
 }
+
+// delivering returns the number of answers that the backend server has finished and an entry has not seen whole.
+func (a *Agent) delivering() int {
+	n := 0
+	for _, r := range a.records {
+		if !r.active() && r.isDelivering() {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/agent/requests_test.go
+++ b/internal/agent/requests_test.go
@@ -493,3 +493,31 @@
 		}
 	})
 }
+
+// TestAnswerOnItsWayCountsAsRunning drains an agent whose engine has finished while a slow caller still reads: the
+// leader, which stops the server once nothing runs, must not be told that it may.
+func TestAnswerOnItsWayCountsAsRunning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, Config{}, engine.New(engine.Config{}))
+		r := newRecorder()
+		r.hold = true
+		s := chat("r1", "40")
+		s.Credit = 100
+		submit(t, c.pool("entry-1"), agentAddr, s, r)
+		time.Sleep(time.Second) // the engine finishes
+		c.agent.LearnFencing(1)
+		leave := &linkpb.LifecycleRequest{Fencing: 1, Lifecycle: linkpb.Lifecycle_LIFECYCLE_LEAVING}
+		reply, err := c.agent.SetLifecycle(context.Background(), leave)
+		if err != nil || reply.Running != 1 {
+			t.Errorf("while the caller reads: %v, %v; want 1 running", reply, err)
+		}
+		r.call.Grant(1 << 20)
+		if o := <-r.done; o.end == nil {
+			t.Errorf("outcome %v", o)
+		}
+		time.Sleep(time.Second) // the entry says that it has seen the end
+		if reply, err = c.agent.SetLifecycle(context.Background(), leave); err != nil || reply.Running != 0 {
+			t.Errorf("afterwards: %v, %v; want none running", reply, err)
+		}
+	})
+}
