Keep load updates within a budget of each entry's link to the control group

Cause: at the size to design for an entry hears of some 257 backend servers of its region, and an update of 110 bytes a second for each is 28 KB/s, where 2 KB/s are allowed. Ruled out: deltas of registry entries at rest, of which a log of all updates showed none. Change: the least time between two updates of a server grows with their number. Conclusion: answers carry what routing needs.

--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -32,8 +32,7 @@
 	newsDelay              = 30 * time.Millisecond   // in which versions of processes gather for a digest
 	exchangeTimeout        = 1500 * time.Millisecond // of one digest
 	housekeepingInterval   = 500 * time.Millisecond
-	processMemory          = 2           // freshness limits for which a silent process counts as behind
-	loadUpdateInterval     = time.Second // least time between updates of load alone
+	processMemory          = 2 // freshness limits for which a silent process counts as behind
 	claimExpiryInterval    = time.Minute
 	inForcePollInterval    = 10 * time.Millisecond
 	maxCommandBytes        = 8 << 20
--- a/internal/control/soft.go
+++ b/internal/control/soft.go
@@ -95,7 +95,7 @@
 // loadIsDue reports whether a change of load alone is to be passed on: answers bring load sooner anyway.
 func (s *softState) loadIsDue(old, b *controlpb.BackendServer, now time.Time) bool {
 	same := old.Running == b.Running && old.Waiting == b.Waiting
-	return !same && now.Sub(s.lastLoad[b.Id]) >= loadUpdateInterval
+	return !same && now.Sub(s.lastLoad[b.Id]) >= member.LoadInterval(s.registry.Len())
 }
 
 // renew takes another member's word that an agent was heard. It returns false where the report itself is needed.
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -73,6 +73,9 @@
 // Version rises with each change that watchers must learn.
 func (r *Registry[T]) Version() uint64 { return r.version }
 
+// Len returns the number of registered backend servers.
+func (r *Registry[T]) Len() int { return len(r.entries) }
+
 // Complete reports whether every agent had the time to report since the start. Until then a backend server that is
 // missing here may well be there.
 func (r *Registry[T]) Complete(now time.Time) bool { return now.Sub(r.started) >= 2*r.ttl }
