--- /dev/null
+++ b/internal/process/bootstrap_test.go
@@ -0,0 +1,85 @@
+package process
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/config"
+)
+
+// startControl runs a group of one member on the given folder until the returned function is called.
+func startControl(t *testing.T, dir, bootstrap string) (*Control, func()) {
+	t.Helper()
+	cfg := &config.Config{ID: "control-1", Zone: "a", Control: &config.Control{
+		Member: 1, Group: 1, Listen: "127.0.0.1:0", Data: dir, Bootstrap: bootstrap,
+		Peers: []config.Peer{{ID: 1, Address: "127.0.0.1:0"}},
+	}}
+	base, err := NewBase(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := BuildControl(base)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = c.Run(ctx)
+	}()
+	return c, func() {
+		cancel()
+		<-done
+	}
+}
+
+func writeDocument(t *testing.T, text string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// TestBootstrapOnceOnly puts the first document in force in an empty group, and changes nothing in one that has settings.
+func TestBootstrapOnceOnly(t *testing.T) {
+	dir := t.TempDir()
+	c, stop := startControl(t, dir, writeDocument(t, `{"organisations": {"first": {}}}`))
+	for !c.hasSettings() {
+		time.Sleep(time.Millisecond)
+	}
+	if !c.state.Settings.Tree().HasOrganisation("first") {
+		t.Error("the document is not in force")
+	}
+	stop()
+
+	c, stop = startControl(t, dir, writeDocument(t, `{"organisations": {"second": {}}}`))
+	for !c.hasSettings() {
+		time.Sleep(time.Millisecond)
+	}
+	if err := c.putBootstrap(t.Context()); err != nil {
+		t.Error(err)
+	}
+	tree := c.service.Tree()
+	if tree.HasOrganisation("second") || !tree.HasOrganisation("first") {
+		t.Errorf("a second document replaced the first: %v", tree.Organisations())
+	}
+	stop()
+}
+
+func TestBootstrapMistakesShowAtTheStart(t *testing.T) {
+	for name, file := range map[string]string{
+		"missing": filepath.Join(t.TempDir(), "none.json"),
+		"invalid": writeDocument(t, `{"classes": {"chat": {"teir": 0}}}`),
+	} {
+		if err := checkBootstrap(file); err == nil {
+			t.Errorf("%s document: no error", name)
+		}
+	}
+}
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -93,6 +93,9 @@
 func NewControl(base *Base, s *State, r *replica.Replica) (*Control, error) {
 	c := base.Config.Control
 	ctl := &Control{base: base, state: s, replica: r}
+	if err := checkBootstrap(c.Bootstrap); err != nil {
+		return nil, errors.Annotate(err, "control.bootstrap")
+	}
 	group := controlGroup{Replica: r, self: replica.Member{ID: c.Member, Address: c.Listen}}
 	cfg := control.Config{
 		Group:       group,
@@ -274,6 +277,12 @@
 	start(c.replica.Run)
 	start(c.service.Run)
 	start(c.serveLinks)
+	if c.base.Config.Control.Bootstrap != "" {
+		running.Go(func() error {
+			c.bootstrap(serving)
+			return nil
+		})
+	}
 	if c.operator != nil {
 		start(c.operator.Run)
 	}
