Let the demonstration's engines make tokens at the pace of a real one

Cause: a newcomer could not withdraw a key during a stream, since 5,000 tokens were there within a second.

--- a/internal/up/up.go
+++ b/internal/up/up.go
@@ -38,6 +38,16 @@
 	readyPoll   = 20 * time.Millisecond
 )
 
+// engineConfig describes the stand-in engines: about as fast as a small model on one accelerator.
+var engineConfig = engine.Config{
+	Model:          Model,
+	Slots:          4 * config.DefaultSlots,
+	TokenInterval:  10 * time.Millisecond,
+	BatchSlowdown:  0.02,
+	PrefillPerTok:  50 * time.Microsecond,
+	DefaultMaxToks: 64,
+}
+
 // Classes of the demonstration, highest tier first.
 var Classes = []string{"interactive", "standard", "batch"}
 
@@ -115,7 +125,7 @@
 		return err
 	}
 	for i := range s.opts.Backends {
-		url, err := s.serve(engine.New(engine.Config{Model: Model}))
+		url, err := s.serve(engine.New(engineConfig))
 		if err != nil {
 			return err
 		}
