--- a/internal/admin/fleet.go
+++ b/internal/admin/fleet.go
@@ -20,7 +20,7 @@
 const anyVersion = "*"
 
 func (s *Server) addFleet(ws *restful.WebService) {
-	ws.Route(reading(ws.GET("/fleet").To(s.getFleet).Operation("getFleet").Doc("Who is in charge, plans, servers and open orders"), operate.FleetStatus{}).Filter(permitRoot))
+	ws.Route(reading(ws.GET("/fleet").To(s.getFleet).Operation("getFleet").Doc("Who leads, plans, servers and open orders"), operate.FleetStatus{}).Filter(permitRoot))
 	ws.Route(reading(ws.GET("/fleet/settings").To(s.getFleetSettings).Operation("getFleetSettings").Doc("Pools, broadcasts, price ceilings of organisations, pause and dry run"), adminapi.FleetSettings{}).
 		Filter(permitRoot))
 	ws.Route(needsVersion(changing(ws.PUT("/fleet/settings").To(s.putFleetSettings).Operation("putFleetSettings").
@@ -75,7 +75,7 @@
 	answerFleetChange(resp, id, result)
 }
 
-// answerFleetChange writes the outcome of a change. The member in charge works by it at once, so it is in force.
+// answerFleetChange writes the outcome of a change. The leading member works by it at once, so it is in force.
 func answerFleetChange(resp *restful.Response, id string, result duty.Result) {
 	version := strconv.FormatUint(result.Version, 10)
 	if result.Code == duty.CodeOK {
--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -192,7 +192,7 @@
 	return get[[]duty.Order](ctx, c, "/v1/orders", nil)
 }
 
-// Fleet returns who is in charge, plans, servers and open orders.
+// Fleet returns who leads, plans, servers and open orders.
 func (c *Client) Fleet(ctx context.Context) (operate.FleetStatus, error) {
 	return get[operate.FleetStatus](ctx, c, "/v1/fleet", nil)
 }
--- a/internal/core/duty/duty_test.go
+++ b/internal/core/duty/duty_test.go
@@ -40,7 +40,7 @@
 // TestCommands applies the steps of each case to one module and compares the code of the last.
 func TestCommands(t *testing.T) {
 	take := func(above uint64) Command {
-		return Command{TakeCharge: &TakeCharge{Holder: "c", Term: 1, Above: above}}
+		return Command{TakeOver: &TakeOver{Holder: "c", Term: 1, Above: above}}
 	}
 	intend := func(fencing uint64, o Order) Command { return Command{Intend: &Intend{Fencing: fencing, Order: o}} }
 	settle := func(fencing uint64, id string, s Status) Command {
@@ -90,7 +90,7 @@
 
 func TestOutcomeIsKept(t *testing.T) {
 	m := NewModule()
-	apply(t, m, Command{TakeCharge: &TakeCharge{}})
+	apply(t, m, Command{TakeOver: &TakeOver{}})
 	apply(t, m, Command{Intend: &Intend{Fencing: 1, Order: start("x", "a")}})
 	apply(t, m, Command{Settle: &Settle{Fencing: 1, ID: "x", Status: Done, Server: "s"}})
 	apply(t, m, Command{Settle: &Settle{Fencing: 1, ID: "x", Status: Refused}})
@@ -101,7 +101,7 @@
 
 func TestPruneKeepsOpenOrders(t *testing.T) {
 	m := NewModule()
-	apply(t, m, Command{TakeCharge: &TakeCharge{}})
+	apply(t, m, Command{TakeOver: &TakeOver{}})
 	apply(t, m, Command{Intend: &Intend{Fencing: 1, Order: start("open", "a")}})
 	for i := range keptOrders + 5 {
 		id := string(rune('A' + i))
@@ -115,7 +115,7 @@
 
 func TestSnapshot(t *testing.T) {
 	m := NewModule()
-	apply(t, m, Command{TakeCharge: &TakeCharge{Above: 4}})
+	apply(t, m, Command{TakeOver: &TakeOver{Above: 4}})
 	apply(t, m, Command{Intend: &Intend{Fencing: 5, Order: start("x", "a")}})
 	apply(t, m, Command{Change: &Change{ID: "1", Settings: fleet.Settings{DryRun: true}}})
 	data, err := m.Snapshot()
@@ -130,7 +130,7 @@
 	if err != nil || !bytes.Equal(data, again) {
 		t.Errorf("snapshot %s, after restore %s, %v", data, again, err)
 	}
-	if r := apply(t, restored, Command{TakeCharge: &TakeCharge{}}); r.Fencing != 6 {
+	if r := apply(t, restored, Command{TakeOver: &TakeOver{}}); r.Fencing != 6 {
 		t.Errorf("fencing number %d after the restore", r.Fencing)
 	}
 }
--- a/internal/core/duty/module.go
+++ b/internal/core/duty/module.go
@@ -32,14 +32,14 @@
 
 // Command is the body of a state command of this module; exactly one field is set.
 type Command struct {
-	TakeCharge *TakeCharge `json:"take_charge,omitempty"`
-	Intend     *Intend     `json:"intend,omitempty"`
-	Settle     *Settle     `json:"settle,omitempty"`
-	Change     *Change     `json:"change,omitempty"`
+	TakeOver *TakeOver `json:"take_over,omitempty"`
+	Intend   *Intend   `json:"intend,omitempty"`
+	Settle   *Settle   `json:"settle,omitempty"`
+	Change   *Change   `json:"change,omitempty"`
 }
 
-// TakeCharge makes a new fencing number, above every older one and above Above.
-type TakeCharge struct {
+// TakeOver makes a new fencing number, above every older one and above Above.
+type TakeOver struct {
 	Holder string `json:"holder"`
 	Term   uint64 `json:"term"`
 	Above  uint64 `json:"above,omitempty"` // newest number that the platform or an agent is known to have seen
@@ -121,8 +121,8 @@
 
 func (m *Module) apply(index uint64, atMS int64, c Command) (Result, error) {
 	switch {
-	case c.TakeCharge != nil:
-		return m.takeCharge(*c.TakeCharge), nil
+	case c.TakeOver != nil:
+		return m.takeOver(*c.TakeOver), nil
 	case c.Intend != nil:
 		return m.intend(index, atMS, *c.Intend), nil
 	case c.Settle != nil:
@@ -134,7 +134,7 @@
 	}
 }
 
-func (m *Module) takeCharge(c TakeCharge) Result {
+func (m *Module) takeOver(c TakeOver) Result {
 	m.s.Fencing = max(m.s.Fencing, c.Above) + 1
 	m.s.Holder = c.Holder
 	m.s.Term = c.Term
--- a/internal/operate/billing.go
+++ b/internal/operate/billing.go
@@ -123,17 +123,17 @@
 	return open
 }
 
-// billingState is what one spell in charge remembers of billing.
+// billingState is what one tenure remembers of billing.
 type billingState struct {
-	opened     map[uint64]time.Time // when this spell saw each window open first
+	opened     map[uint64]time.Time // when this tenure saw each window open first
 	window     uint64               // the open window
-	began      time.Time            // when this spell saw its first window
+	began      time.Time            // when this tenure saw its first window
 	recorded   time.Time
 	reportedAt time.Time // of the last attempt
 	failed     uint64    // window whose last attempt has no known outcome
 }
 
-// noteWindow notices a window that is new to this spell.
+// noteWindow notices a window that is new to this tenure.
 func (b *billingState) noteWindow(open uint64, now time.Time) {
 	if b.opened == nil {
 		b.opened = make(map[uint64]time.Time)
@@ -145,7 +145,7 @@
 	}
 }
 
-// left returns when the window after the given one was opened, as far as this spell knows.
+// left returns when the window after the given one was opened, as far as this tenure knows.
 func (b *billingState) left(window uint64) time.Time {
 	if at, ok := b.opened[window+1]; ok {
 		return at
@@ -154,7 +154,7 @@
 }
 
 // billingRound does whatever is due: commit counters, open the next window, close the one before, report one window.
-func (c *charge) billingRound(ctx context.Context) error {
+func (c *tenure) billingRound(ctx context.Context) error {
 	b := &c.billing
 	now := time.Now()
 	b.noteWindow(c.op.usage.OpenWindow(), now)
@@ -172,13 +172,13 @@
 	return c.report(ctx)
 }
 
-func (c *charge) dueWindow() (window uint64, due bool) {
+func (c *tenure) dueWindow() (window uint64, due bool) {
 	c.op.cfg.Group.View(func() { window, due = c.op.cfg.Billing.Due() })
 	return window, due
 }
 
 // record commits the counters that are not committed yet.
-func (c *charge) record(ctx context.Context) error {
+func (c *tenure) record(ctx context.Context) error {
 	c.billing.recorded = time.Now()
 	for {
 		counters := c.op.usage.pending()
@@ -191,14 +191,14 @@
 	}
 }
 
-func (c *charge) advance(ctx context.Context) error {
+func (c *tenure) advance(ctx context.Context) error {
 	window := c.billing.window
 	_, err := c.proposeBilling(ctx, billing.Command{Advance: &billing.Advance{Window: window}})
 	return err
 }
 
 // isForeign reports whether the platform holds figures of a window that this group has not closed yet.
-func (c *charge) isForeign(ctx context.Context, window uint64) (bool, error) {
+func (c *tenure) isForeign(ctx context.Context, window uint64) (bool, error) {
 	err := c.call(ctx, func(ctx context.Context) error {
 		_, err := c.op.cfg.Platform.ReportedUsage(ctx, window)
 		return err
@@ -210,7 +210,7 @@
 }
 
 // skipWindow ends a window without a report.
-func (c *charge) skipWindow(ctx context.Context, window uint64) error {
+func (c *tenure) skipWindow(ctx context.Context, window uint64) error {
 	const reason = "the platform holds figures that this group never committed"
 	_, err := c.proposeBilling(ctx, billing.Command{Skip: &billing.Skip{Window: window, Reason: reason}})
 	c.op.cfg.Logger.Error("billing window skipped", "window", window, "reason", reason)
@@ -218,7 +218,7 @@
 }
 
 // closeWindow commits the figures of a window, with every counter that has come in.
-func (c *charge) closeWindow(ctx context.Context, window uint64) error {
+func (c *tenure) closeWindow(ctx context.Context, window uint64) error {
 	if foreign, err := c.isForeign(ctx, window); err != nil {
 		return err
 	} else if foreign {
@@ -245,7 +245,7 @@
 }
 
 // report sends the committed bytes of the oldest window that the platform has not confirmed.
-func (c *charge) report(ctx context.Context) error {
+func (c *tenure) report(ctx context.Context) error {
 	c.showReports()
 	var window billing.Window
 	var ok bool
@@ -273,7 +273,7 @@
 }
 
 // confirm commits the platform's answer to the report of a window.
-func (c *charge) confirm(ctx context.Context, window billing.Window, status billing.Status, reason string) error {
+func (c *tenure) confirm(ctx context.Context, window billing.Window, status billing.Status, reason string) error {
 	c.op.showConfirmed(window, status)
 	_, err := c.proposeBilling(ctx, billing.Command{Confirm: &billing.Confirm{
 		Window: window.Window, Status: status, Reason: reason,
--- a/internal/operate/faults_test.go
+++ b/internal/operate/faults_test.go
@@ -44,7 +44,7 @@
 func TestFaults(t *testing.T) {
 	tests := []struct {
 		name   string
-		faults func(b *bench) // begins with control-0 in charge and three servers wanted
+		faults func(b *bench) // begins with control-0 leading and three servers wanted
 	}{
 		{"no fault", func(*bench) {}},
 		{"leader isolated silently while its orders are on their way", func(b *bench) {
@@ -512,7 +512,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				expires := time.Now().Add(tt.remaining)
 				group := &pausingGroup{lease: duty.Lease{Term: tt.term, Expires: expires}, pause: tt.pause}
-				c := &charge{op: &Operator{cfg: Config{Group: group, Timing: timing}}, term: 1}
+				c := &tenure{op: &Operator{cfg: Config{Group: group, Timing: timing}}, term: 1}
 				called := false
 				err := c.call(t.Context(), func(ctx context.Context) error {
 					called = true
--- a/internal/operate/fleet.go
+++ b/internal/operate/fleet.go
@@ -15,7 +15,7 @@
 const unregisteredStarts = 3
 
 // plan observes the fleet, plans it and keeps the plans for the status.
-func (c *charge) plan(settings fleet.Settings, open []duty.Order) ([]fleet.Plan, []fleet.Observation) {
+func (c *tenure) plan(settings fleet.Settings, open []duty.Order) ([]fleet.Plan, []fleet.Observation) {
 	observed := c.observe(settings, open)
 	plans := c.planner.Plan(time.Now(), settings, observed)
 	c.showFleet(plans, observed, open)
@@ -27,7 +27,7 @@
 }
 
 // observe returns what is known of each pool.
-func (c *charge) observe(settings fleet.Settings, open []duty.Order) []fleet.Observation {
+func (c *tenure) observe(settings fleet.Settings, open []duty.Order) []fleet.Observation {
 	observed := make([]fleet.Observation, 0, len(settings.Pools))
 	for _, pool := range settings.Pools {
 		o := fleet.Observation{
@@ -43,7 +43,7 @@
 	return observed
 }
 
-func (c *charge) observeZone(pool fleet.Pool, zone string, open []duty.Order) fleet.ZoneState {
+func (c *tenure) observeZone(pool fleet.Pool, zone string, open []duty.Order) fleet.ZoneState {
 	state := fleet.ZoneState{Zone: zone, NoSupply: time.Now().Before(c.blocked[poolZone{pool.Model, zone}])}
 	for _, z := range c.inventory.Zones {
 		if z.Name == zone {
@@ -71,13 +71,13 @@
 }
 
 // isBroken reports whether the agent of a server has been absent for too long.
-func (c *charge) isBroken(pool fleet.Pool, server string) bool {
+func (c *tenure) isBroken(pool fleet.Pool, server string) bool {
 	start := time.Duration(cmp.Or(pool.StartTimeS, fleet.DefaultStartTimeS)) * time.Second
 	return time.Since(c.lastSeen[server]) > unregisteredStarts*start
 }
 
 // demand shares the requests that run and wait for a model among the organisations, by their recent usage of it.
-func (c *charge) demand(model string) map[string]float64 {
+func (c *tenure) demand(model string) map[string]float64 {
 	requests := 0.0
 	for _, server := range c.registry {
 		if server.Model == model {
@@ -96,7 +96,7 @@
 
 // attainment returns the part of a pool's servers that expect to answer within the first-token target, negative where
 // that is not known.
-func (c *charge) attainment(pool fleet.Pool) float64 {
+func (c *tenure) attainment(pool fleet.Pool) float64 {
 	within, n := 0.0, 0.0
 	for _, server := range c.registry {
 		if server.Model != pool.Model || server.FirstTokenUs <= 0 {
@@ -114,7 +114,7 @@
 }
 
 // meanSlots returns the mean slots of the servers of a model, 0 while none has reported.
-func (c *charge) meanSlots(model string) float64 {
+func (c *tenure) meanSlots(model string) float64 {
 	sum, n := 0.0, 0.0
 	for _, server := range c.registry {
 		if server.Model == model && server.Slots > 0 {
@@ -129,7 +129,7 @@
 }
 
 // intendNew commits the orders by which the fleet comes nearer to its plans.
-func (c *charge) intendNew(ctx context.Context, settings fleet.Settings, plans []fleet.Plan, observed []fleet.Observation) error {
+func (c *tenure) intendNew(ctx context.Context, settings fleet.Settings, plans []fleet.Plan, observed []fleet.Observation) error {
 	for i, plan := range plans {
 		o := observed[slices.IndexFunc(observed, func(o fleet.Observation) bool { return o.Model == plan.Model })]
 		pool := settings.Pools[slices.IndexFunc(settings.Pools, func(p fleet.Pool) bool { return p.Model == plan.Model })]
@@ -144,7 +144,7 @@
 	return nil
 }
 
-func (c *charge) intendStarts(ctx context.Context, plan fleet.Plan, o fleet.Observation) (started int, err error) {
+func (c *tenure) intendStarts(ctx context.Context, plan fleet.Plan, o fleet.Observation) (started int, err error) {
 	for _, zone := range o.Zones {
 		if zone.NoSupply {
 			continue
@@ -162,7 +162,7 @@
 
 // intendStops gives back broken servers, and those beyond the plan once no start of the pool is under way: their
 // replacements serve by then.
-func (c *charge) intendStops(ctx context.Context, pool fleet.Pool, plan fleet.Plan, o fleet.Observation, started int) error {
+func (c *tenure) intendStops(ctx context.Context, pool fleet.Pool, plan fleet.Plan, o fleet.Observation, started int) error {
 	_, open := c.view()
 	starting := started > 0 || slices.ContainsFunc(open, func(d duty.Order) bool {
 		return d.Kind == duty.StartServer && d.Model == plan.Model
@@ -190,14 +190,14 @@
 }
 
 // isSomeBooting reports whether a server of the pool has no registered agent yet and is not broken.
-func (c *charge) isSomeBooting(pool fleet.Pool) bool {
+func (c *tenure) isSomeBooting(pool fleet.Pool) bool {
 	return slices.ContainsFunc(c.inventory.Servers, func(s platform.Server) bool {
 		return s.Model == pool.Model && c.registry[s.ID] == nil && !c.isBroken(pool, s.ID)
 	})
 }
 
 // stopCandidates returns the servers of a zone that have no stop order, the one with the least to drain first.
-func (c *charge) stopCandidates(pool fleet.Pool, zone string, open []duty.Order) []platform.Server {
+func (c *tenure) stopCandidates(pool fleet.Pool, zone string, open []duty.Order) []platform.Server {
 	servers := slices.DeleteFunc(slices.Clone(c.inventory.Servers), func(s platform.Server) bool {
 		return s.Model != pool.Model || s.Zone != zone || isStopping(open, s.ID)
 	})
@@ -207,7 +207,7 @@
 	return servers
 }
 
-func (c *charge) toDrain(id string) uint32 {
+func (c *tenure) toDrain(id string) uint32 {
 	server := c.registry[id]
 	if server == nil {
 		return 0
--- a/internal/operate/meters.go
+++ b/internal/operate/meters.go
@@ -9,9 +9,9 @@
 	"github.com/guavastack/guavastack/internal/telemetry"
 )
 
-// Names of the metrics. Gauges of the fleet are current in the member in charge only.
+// Names of the metrics. Gauges of the fleet are current in the leading member only.
 const (
-	meterInCharge    = "in_charge"
+	meterLeading    = "leading"
 	meterCost        = "fleet_cost_per_hour_milli" // thousandths of the currency
 	meterServers     = "fleet_servers"
 	meterWanted      = "fleet_servers_wanted"
@@ -21,17 +21,17 @@
 	meterReportDelay = "usage_report_delay"
 )
 
-// showPhase shows whether this member is in charge.
+// showPhase shows whether this member leads.
 func (o *Operator) showPhase(p Phase) {
 	value := int64(0)
-	if p == InCharge {
+	if p == Leading {
 		value = 1
 	}
-	o.cfg.Metrics.Gauge(meterInCharge).Update(value)
+	o.cfg.Metrics.Gauge(meterLeading).Update(value)
 }
 
 // showFleet shows what the fleet costs, what runs and what is wanted.
-func (c *charge) showFleet(plans []fleet.Plan, observed []fleet.Observation, open []duty.Order) {
+func (c *tenure) showFleet(plans []fleet.Plan, observed []fleet.Observation, open []duty.Order) {
 	m := c.op.cfg.Metrics
 	cost := 0.0
 	for _, server := range c.inventory.Servers {
@@ -62,7 +62,7 @@
 }
 
 // showReports shows how many closed windows the platform has not confirmed.
-func (c *charge) showReports() {
+func (c *tenure) showReports() {
 	unreported := 0
 	c.op.cfg.Group.View(func() { unreported = c.op.cfg.Billing.Unreported() })
 	c.op.cfg.Metrics.Gauge(meterUnreported).Update(int64(unreported))
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -2,7 +2,7 @@
 // billing windows and usage reports.
 //
 // An Operator runs in every control member and does nothing while the member does not hold the quorum lease. One
-// spell in charge begins with waiting out every older lease, then makes a fencing number, settles the orders whose
+// tenure begins with waiting out every older lease, then makes a fencing number, settles the orders whose
 // outcome is unknown, and only then orders anything new.
 package operate
 
@@ -79,17 +79,17 @@
 	AbsentAfter   time.Duration // a server whose agent was silent so long has no request left; above every deadline
 }
 
-// Operator carries out duty, fleet and billing while its member is in charge.
+// Operator carries out duty, fleet and billing while its member leads.
 type Operator struct {
 	cfg   Config
 	usage *Usage
 
 	mu     sync.Mutex
-	status spellStatus
+	status tenureStatus
 }
 
-// spellStatus is what the current spell in charge knows beyond the replicated state.
-type spellStatus struct {
+// tenureStatus is what the current tenure knows beyond the replicated state.
+type tenureStatus struct {
 	phase     Phase
 	plans     []fleet.Plan
 	inventory platform.Inventory
@@ -102,7 +102,7 @@
 		return nil, errors.NotValidf("operator without group, platform, agents or state")
 	}
 	cfg = withDefaults(cfg)
-	return &Operator{cfg: cfg, usage: newUsage(cfg), status: spellStatus{phase: Following}}, nil
+	return &Operator{cfg: cfg, usage: newUsage(cfg), status: tenureStatus{phase: Following}}, nil
 }
 
 func withDefaults(cfg Config) Config {
@@ -144,7 +144,7 @@
 func (o *Operator) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if lease, ok := o.lease(); ok {
-			o.spell(ctx, lease.Term)
+			o.tenure(ctx, lease.Term)
 			o.setPhase(Following)
 			o.usage.reset()
 		}
@@ -159,24 +159,24 @@
 	return lease, ok && time.Now().Before(lease.Expires)
 }
 
-// spell is one time in charge; it returns when the lease is lost or the fencing number was overtaken.
-func (o *Operator) spell(ctx context.Context, term uint64) {
+// tenure works as the leader; it returns when the lease is lost or the fencing number was overtaken.
+func (o *Operator) tenure(ctx context.Context, term uint64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c := newCharge(o, term)
+	c := newTenure(o, term)
 	o.setPhase(TakingOver)
 	if err := c.takeOver(ctx); err != nil {
 		o.fail("take over", err)
 		return
 	}
-	o.setPhase(InCharge)
-	o.cfg.Logger.Info("in charge", "term", term, "fencing", c.fencing)
+	o.setPhase(Leading)
+	o.cfg.Logger.Info("leading", "term", term, "fencing", c.fencing)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return c.repeat(ctx, o.cfg.OrderInterval, c.orderRound) })
 	g.Go(func() error { return c.repeat(ctx, o.cfg.Poll, c.billingRound) })
 	g.Go(func() error { return c.watchLease(ctx) })
 	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
-		o.fail("in charge", err)
+		o.fail("leading", err)
 	}
 }
 
--- a/internal/operate/orders.go
+++ b/internal/operate/orders.go
@@ -21,7 +21,7 @@
 const parallelOrders = 8
 
 // orderRound settles what the inventory shows, carries on with open orders, and then makes new ones.
-func (c *charge) orderRound(ctx context.Context) error {
+func (c *tenure) orderRound(ctx context.Context) error {
 	inventory, err := c.askInventory(ctx)
 	if err != nil {
 		return err
@@ -49,7 +49,7 @@
 }
 
 // view returns the settings and the open orders of the replicated state.
-func (c *charge) view() (settings fleet.Settings, open []duty.Order) {
+func (c *tenure) view() (settings fleet.Settings, open []duty.Order) {
 	c.op.cfg.Group.View(func() {
 		settings, _ = c.op.cfg.Duty.Settings()
 		open = c.op.cfg.Duty.Open()
@@ -59,7 +59,7 @@
 
 // noteRegistry takes the registry for this round and remembers which servers have an agent. A server first seen counts
 // as seen by its agent just then.
-func (c *charge) noteRegistry() {
+func (c *tenure) noteRegistry() {
 	now := time.Now()
 	c.registry = make(map[string]*controlpb.BackendServer)
 	for _, server := range c.op.cfg.Registry() {
@@ -75,7 +75,7 @@
 }
 
 // forgetGone drops what is remembered of servers that are neither at the platform nor in the registry.
-func (c *charge) forgetGone() {
+func (c *tenure) forgetGone() {
 	there := make(map[string]bool, len(c.inventory.Servers))
 	for _, server := range c.inventory.Servers {
 		there[server.ID] = true
@@ -84,7 +84,7 @@
 }
 
 // settleKnown settles the open orders whose outcome the inventory shows, and returns the others.
-func (c *charge) settleKnown(ctx context.Context, open []duty.Order) ([]duty.Order, error) {
+func (c *tenure) settleKnown(ctx context.Context, open []duty.Order) ([]duty.Order, error) {
 	var rest []duty.Order
 	for _, order := range open {
 		server, known := c.shown(order)
@@ -100,7 +100,7 @@
 }
 
 // shown returns the outcome of an order where the inventory shows it.
-func (c *charge) shown(order duty.Order) (server string, known bool) {
+func (c *tenure) shown(order duty.Order) (server string, known bool) {
 	switch order.Kind {
 	case duty.StartServer:
 		for _, s := range c.inventory.Servers {
@@ -120,7 +120,7 @@
 	return "", false
 }
 
-func (c *charge) settle(ctx context.Context, order duty.Order, status duty.Status, server, reason string) error {
+func (c *tenure) settle(ctx context.Context, order duty.Order, status duty.Status, server, reason string) error {
 	_, err := c.proposeDuty(ctx, duty.Command{Settle: &duty.Settle{
 		Fencing: c.fencing, ID: order.ID, Status: status, Server: server, Reason: reason,
 	}})
@@ -137,7 +137,7 @@
 }
 
 // carryOn sends the open orders that are due, several at once.
-func (c *charge) carryOn(ctx context.Context, open []duty.Order) error {
+func (c *tenure) carryOn(ctx context.Context, open []duty.Order) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(parallelOrders)
 	for _, order := range open {
@@ -149,9 +149,9 @@
 	return g.Wait()
 }
 
-// isDue reports whether an order may be sent: it never was in this spell, or so long ago that the inventory of this
+// isDue reports whether an order may be sent: it never was in this tenure, or so long ago that the inventory of this
 // round, asked after that call had ended, would show its effect.
-func (c *charge) isDue(order duty.Order) bool {
+func (c *tenure) isDue(order duty.Order) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	at, ok := c.sent[order.ID]
@@ -159,7 +159,7 @@
 	return !ok || time.Since(at) >= 2*timing.LongestCall+timing.Drift
 }
 
-func (c *charge) step(ctx context.Context, order duty.Order) error {
+func (c *tenure) step(ctx context.Context, order duty.Order) error {
 	switch {
 	case order.Kind == duty.StartServer:
 		return c.send(ctx, order)
@@ -171,7 +171,7 @@
 }
 
 // send carries a server order to the platform once and settles it where the answer proves its outcome.
-func (c *charge) send(ctx context.Context, order duty.Order) error {
+func (c *tenure) send(ctx context.Context, order duty.Order) error {
 	var out platform.Outcome
 	err := c.call(ctx, func(ctx context.Context) error {
 		var err error
@@ -189,7 +189,7 @@
 		return c.settle(ctx, order, duty.Refused, "", err.Error())
 	case errors.Is(err, platform.ErrInvalid):
 		return c.settle(ctx, order, duty.Refused, "", err.Error())
-	case errors.Is(err, errNotInCharge):
+	case errors.Is(err, errNotLeading):
 		return err
 	default:
 		c.op.fail("order "+order.ID, err) // the outcome is unknown; the inventory will show it
@@ -197,7 +197,7 @@
 	}
 }
 
-func (c *charge) platformOrder(order duty.Order) platform.Order {
+func (c *tenure) platformOrder(order duty.Order) platform.Order {
 	kind := platform.KindStart
 	if order.Kind == duty.StopServer {
 		kind = platform.KindStop
@@ -208,7 +208,7 @@
 }
 
 // noteSent remembers when an order was sent, and keeps to the time that a rate limit asks for.
-func (c *charge) noteSent(id string, err error) {
+func (c *tenure) noteSent(id string, err error) {
 	at := time.Now()
 	var limited *platform.RateLimitError
 	if errors.As(err, &limited) {
@@ -219,14 +219,14 @@
 	c.sent[id] = at
 }
 
-func (c *charge) block(order duty.Order) {
+func (c *tenure) block(order duty.Order) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.blocked[poolZone{order.Model, order.Zone}] = time.Now().Add(c.op.cfg.NoSupplyHold)
 }
 
 // stopStep drains the server, and stops it once its agent says that nothing runs or waits.
-func (c *charge) stopStep(ctx context.Context, order duty.Order) error {
+func (c *tenure) stopStep(ctx context.Context, order duty.Order) error {
 	server := c.registry[order.Server]
 	if server == nil {
 		if time.Since(c.lastSeen[order.Server]) < c.op.cfg.AbsentAfter {
@@ -243,7 +243,7 @@
 		return err
 	})
 	switch {
-	case errors.Is(err, errNotInCharge):
+	case errors.Is(err, errNotLeading):
 		return err
 	case err != nil:
 		c.op.fail("drain "+order.Server, err)
@@ -261,7 +261,7 @@
 
 // noteIdle remembers that a leaving server was seen idle, and reports whether it was seen so in an earlier round, too,
 // by the same incarnation of its agent. Entries have learned by then that the server takes no new work.
-func (c *charge) noteIdle(server *controlpb.BackendServer, idle bool) bool {
+func (c *tenure) noteIdle(server *controlpb.BackendServer, idle bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !idle {
@@ -279,7 +279,7 @@
 }
 
 // engineStep gives an engine order to the agent.
-func (c *charge) engineStep(ctx context.Context, order duty.Order) error {
+func (c *tenure) engineStep(ctx context.Context, order duty.Order) error {
 	server := c.registry[order.Server]
 	if server == nil {
 		return nil
@@ -292,7 +292,7 @@
 	})
 	c.noteSent(order.ID, err)
 	switch {
-	case errors.Is(err, errNotInCharge):
+	case errors.Is(err, errNotLeading):
 		return err
 	case err != nil:
 		c.op.fail("engine order "+order.ID, err)
@@ -309,7 +309,7 @@
 	}
 }
 
-func (c *charge) engineOrder(ctx context.Context, order duty.Order) *linkpb.EngineOrder {
+func (c *tenure) engineOrder(ctx context.Context, order duty.Order) *linkpb.EngineOrder {
 	deadline, _ := ctx.Deadline()
 	return &linkpb.EngineOrder{
 		OrderId: order.ID, Fencing: c.fencing, Kind: engineKind(order.Kind), Model: order.Model,
@@ -335,7 +335,7 @@
 
 // intend commits an order. Where the outcome of the proposal is unknown, the same intent is proposed again before any
 // other, so that one need never becomes two orders.
-func (c *charge) intend(ctx context.Context, order duty.Order) error {
+func (c *tenure) intend(ctx context.Context, order duty.Order) error {
 	if order.ID == "" {
 		order.ID = uuid.NewString()
 	}
@@ -350,7 +350,7 @@
 }
 
 // intendAgain proposes the intents of unknown outcome again, under their ids.
-func (c *charge) intendAgain(ctx context.Context) error {
+func (c *tenure) intendAgain(ctx context.Context) error {
 	again := c.unsure
 	c.unsure = nil
 	for i, order := range again {
--- a/internal/operate/status.go
+++ b/internal/operate/status.go
@@ -18,17 +18,17 @@
 	Following Phase = "following"
 	// TakingOver members wait until no older leader can be sending.
 	TakingOver Phase = "taking_over"
-	// InCharge members order and report.
-	InCharge Phase = "in_charge"
+	// Leading members order and report.
+	Leading Phase = "leading"
 )
 
 // stuckAfter is how long an order may be open before it counts as stuck.
 const stuckAfter = 5 * time.Minute
 
-// FleetStatus is the fleet as this member sees it. Plans and servers are known to the member in charge only.
+// FleetStatus is the fleet as this member sees it. Plans and servers are known to the leading member only.
 type FleetStatus struct {
 	Phase       Phase             `json:"phase"`
-	Holder      string            `json:"holder"` // process in charge, by the log
+	Holder      string            `json:"holder"` // leading process, by the log
 	Fencing     uint64            `json:"fencing"`
 	Version     uint64            `json:"settings_version"`
 	Settings    fleet.Settings    `json:"settings"`
@@ -57,7 +57,7 @@
 	defer o.mu.Unlock()
 	s.Phase = o.status.phase
 	s.LastError = o.status.lastError
-	if s.Phase != InCharge {
+	if s.Phase != Leading {
 		return s
 	}
 	s.Plans = o.status.plans
--- a/internal/operate/charge.go
+++ b/internal/operate/tenure.go
@@ -16,14 +16,14 @@
 )
 
 const (
-	// errNotInCharge ends a spell: the lease is lost, or too short for a call.
-	errNotInCharge = errors.ConstError("not in charge")
-	// errOvertaken ends a spell: another fencing number is the current one.
+	// errNotLeading ends a tenure: the lease is lost, or too short for a call.
+	errNotLeading = errors.ConstError("not leading")
+	// errOvertaken ends a tenure: another fencing number is the current one.
 	errOvertaken = errors.ConstError("fencing number overtaken")
 )
 
-// charge is one spell in charge.
-type charge struct {
+// tenure is the time during which one member leads.
+type tenure struct {
 	op      *Operator
 	term    uint64
 	began   time.Time
@@ -48,36 +48,36 @@
 	model, zone string
 }
 
-func newCharge(o *Operator, term uint64) *charge {
-	return &charge{
+func newTenure(o *Operator, term uint64) *tenure {
+	return &tenure{
 		op: o, term: term, began: time.Now(), planner: fleet.NewPlanner(),
 		inherited: make(map[string]bool), blocked: make(map[poolZone]time.Time),
 		lastSeen: make(map[string]time.Time), sent: make(map[string]time.Time), idle: make(map[string]string),
 	}
 }
 
-// holds reports whether the lease of this spell's term holds.
-func (c *charge) holds() bool {
+// holds reports whether the lease of this tenure's term holds.
+func (c *tenure) holds() bool {
 	lease, ok := c.op.lease()
 	return ok && lease.Term == c.term
 }
 
 // watchLease returns once the lease is lost.
-func (c *charge) watchLease(ctx context.Context) error {
+func (c *tenure) watchLease(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if !c.holds() {
-			return errNotInCharge
+			return errNotLeading
 		}
 		pause(ctx, c.op.cfg.Poll)
 	}
 	return ctx.Err()
 }
 
-// repeat runs round at an interval until it says that the spell is over. Other errors are tried again.
-func (c *charge) repeat(ctx context.Context, interval time.Duration, round func(context.Context) error) error {
+// repeat runs round at an interval until it says that the tenure is over. Other errors are tried again.
+func (c *tenure) repeat(ctx context.Context, interval time.Duration, round func(context.Context) error) error {
 	for ctx.Err() == nil {
 		err := round(ctx)
-		if errors.Is(err, errNotInCharge) || errors.Is(err, errOvertaken) {
+		if errors.Is(err, errNotLeading) || errors.Is(err, errOvertaken) {
 			return err
 		}
 		if err != nil && ctx.Err() == nil {
@@ -90,7 +90,7 @@
 
 // takeOver waits until no older leader can be sending, makes a fencing number above all that are known, and notes
 // the orders whose outcome is unknown.
-func (c *charge) takeOver(ctx context.Context) error {
+func (c *tenure) takeOver(ctx context.Context) error {
 	if err := c.waitOut(ctx); err != nil {
 		return err
 	}
@@ -102,7 +102,7 @@
 	for _, server := range c.op.cfg.Registry() {
 		above = max(above, server.Fencing)
 	}
-	result, err := c.proposeDuty(ctx, duty.Command{TakeCharge: &duty.TakeCharge{
+	result, err := c.proposeDuty(ctx, duty.Command{TakeOver: &duty.TakeOver{
 		Holder: c.op.cfg.ID, Term: c.term, Above: above,
 	}})
 	if err != nil {
@@ -121,11 +121,11 @@
 }
 
 // waitOut waits until every lease and call of an older leader has ended.
-func (c *charge) waitOut(ctx context.Context) error {
+func (c *tenure) waitOut(ctx context.Context) error {
 	end := c.began.Add(c.op.cfg.Timing.TakeoverWait())
 	for time.Now().Before(end) {
 		if !c.holds() {
-			return errNotInCharge
+			return errNotLeading
 		}
 		pause(ctx, min(c.op.cfg.Poll, time.Until(end)))
 		if ctx.Err() != nil {
@@ -136,26 +136,26 @@
 }
 
 // call runs f with a deadline before the end of the lease. It is the only way to the platform and the agents.
-func (c *charge) call(ctx context.Context, f func(context.Context) error) error {
+func (c *tenure) call(ctx context.Context, f func(context.Context) error) error {
 	lease, ok := c.op.cfg.Group.Lease()
 	if !ok || lease.Term != c.term {
-		return errNotInCharge
+		return errNotLeading
 	}
 	deadline, ok := c.op.cfg.Timing.CallDeadline(time.Now(), lease)
 	if !ok {
-		return errNotInCharge
+		return errNotLeading
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	return f(ctx)
 }
 
-// sender names this spell to the platform.
-func (c *charge) sender() platform.Sender {
+// sender names this tenure to the platform.
+func (c *tenure) sender() platform.Sender {
 	return platform.Sender{Holder: c.op.cfg.ID, Fencing: c.fencing}
 }
 
-func (c *charge) askInventory(ctx context.Context) (platform.Inventory, error) {
+func (c *tenure) askInventory(ctx context.Context) (platform.Inventory, error) {
 	var inventory platform.Inventory
 	err := c.call(ctx, func(ctx context.Context) error {
 		var err error
@@ -165,8 +165,8 @@
 	return inventory, errors.Annotate(err, "inventory")
 }
 
-// proposeDuty commits a command of the duty module; a superseded fencing number ends the spell.
-func (c *charge) proposeDuty(ctx context.Context, cmd duty.Command) (duty.Result, error) {
+// proposeDuty commits a command of the duty module; a superseded fencing number ends the tenure.
+func (c *tenure) proposeDuty(ctx context.Context, cmd duty.Command) (duty.Result, error) {
 	data, err := duty.Encode(cmd, c.op.cfg.ID, time.Now().UnixMilli())
 	if err != nil {
 		return duty.Result{}, err
@@ -182,7 +182,7 @@
 }
 
 // proposeBilling commits a command of the billing module.
-func (c *charge) proposeBilling(ctx context.Context, cmd billing.Command) (billing.Result, error) {
+func (c *tenure) proposeBilling(ctx context.Context, cmd billing.Command) (billing.Result, error) {
 	data, err := billing.Encode(cmd, c.op.cfg.ID, time.Now().UnixMilli())
 	if err != nil {
 		return billing.Result{}, err
@@ -192,7 +192,7 @@
 	return result, err
 }
 
-func (c *charge) propose(ctx context.Context, data []byte, result any) error {
+func (c *tenure) propose(ctx context.Context, data []byte, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	outcome, err := c.op.cfg.Group.Propose(ctx, data)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -11,8 +11,8 @@
 	"github.com/juju/errors"
 )
 
-// Platform is what the process in charge asks of the platform. No implementation repeats a call by itself: the caller
-// decides, because only the caller knows whether it is still in charge.
+// Platform is what the leading process asks of the platform. No implementation repeats a call by itself: the caller
+// decides, because only the caller knows whether it is still the leader.
 type Platform interface {
 	// Order carries out one order. The same id again returns the first outcome.
 	Order(ctx context.Context, order Order) (Outcome, error)
@@ -28,7 +28,7 @@
 
 // Sender says who sends an order or a report.
 type Sender struct {
-	Holder  string `json:"holder"`  // process in charge
+	Holder  string `json:"holder"`  // leading process
 	Fencing uint64 `json:"fencing"` // its fencing number
 }
 
--- a/test/leadership/leadership_test.go
+++ b/test/leadership/leadership_test.go
@@ -1,4 +1,4 @@
-// Package leadership_test runs control members as processes of their own, and kills and stops the one in charge.
+// Package leadership_test runs control members as processes of their own, and kills and stops the leading one.
 package leadership_test
 
 import (
@@ -54,7 +54,7 @@
 	answered  int // member that answered last
 }
 
-// TestProcessesKilledAndPaused kills and stops the process in charge again and again while orders and reports flow.
+// TestProcessesKilledAndPaused kills and stops the leading process again and again while orders and reports flow.
 func TestProcessesKilledAndPaused(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts processes")
@@ -204,7 +204,7 @@
 func (c *cluster) awaitHolder(not string) string {
 	c.t.Helper()
 	holder := ""
-	c.await("a process in charge", func() bool {
+	c.await("a leading process", func() bool {
 		if len(c.standin.Servers()) >= c.wanted {
 			c.wantMore()
 		}
