--- a/internal/operate/meters.go
+++ b/internal/operate/meters.go
@@ -11,7 +11,7 @@
 
 // Names of the metrics. Gauges of the fleet are current in the leading member only.
 const (
-	meterLeading    = "leading"
+	meterLeading     = "leading"
 	meterCost        = "fleet_cost_per_hour_milli" // thousandths of the currency
 	meterServers     = "fleet_servers"
 	meterWanted      = "fleet_servers_wanted"
