Wait for a time or the end of a context in one place

Cause: the same wait stood five times, in adminclient, watch, operate, control and entry. Change: internal/wait serves all; the jitter of the watch stays there. Left as they are: setDefault in five packages, three lines each, and the encoding of commands in core/billing and core/duty.

--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -19,6 +19,7 @@
 	"github.com/guavastack/guavastack/internal/adminapi"
 	"github.com/guavastack/guavastack/internal/core/duty"
 	"github.com/guavastack/guavastack/internal/operate"
+	"github.com/guavastack/guavastack/internal/wait"
 )
 
 const (
@@ -255,7 +256,7 @@
 	var out T
 	var err error
 	for attempt := range attempts {
-		if attempt > 0 && !pause(ctx, retryDelay) {
+		if attempt > 0 && !wait.For(ctx, retryDelay) {
 			break
 		}
 		err = c.once(ctx, request{method: method, path: path, body: body, options: &o}, &out)
@@ -267,17 +268,6 @@
 	return out, errors.Annotatef(err, "change %s", o.ChangeID)
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // once makes one call and reads a JSON answer into out.
 func (c *Client) once(ctx context.Context, r request, out any) error {
 	status, data, err := c.send(ctx, r)
--- a/internal/control/confirm.go
+++ b/internal/control/confirm.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/wait"
 )
 
 // confirmer answers freshness questions. All questions that wait share one quorum round.
@@ -41,20 +41,11 @@
 			return
 		case <-c.wake:
 			c.round(ctx)
-			pause(ctx, confirmSpacing)
+			wait.For(ctx, confirmSpacing)
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // round answers the questions that were asked before it. A failed round drops them: watchers ask again.
 func (c *confirmer) round(ctx context.Context) {
 	c.mu.Lock()
--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -6,6 +6,7 @@
 
 	"github.com/guavastack/guavastack/internal/core/member"
 	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/wait"
 	"github.com/guavastack/guavastack/proto/controlpb"
 )
 
@@ -106,7 +107,7 @@
 		case <-tick.C:
 		case <-changed:
 		case <-news:
-			pause(ctx, newsDelay)
+			wait.For(ctx, newsDelay)
 		}
 	}
 }
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -15,6 +15,7 @@
 	"github.com/guavastack/guavastack/internal/core/state"
 	"github.com/guavastack/guavastack/internal/core/verdict"
 	"github.com/guavastack/guavastack/internal/telemetry"
+	"github.com/guavastack/guavastack/internal/wait"
 	"github.com/guavastack/guavastack/proto/linkpb"
 )
 
@@ -191,7 +192,7 @@
 		return result{}, false
 	}
 	r := a.s.fetch(ctx, a.x, id, server, a.writer, true)
-	for r.code == linkpb.RefuseCode_REFUSE_CODE_ATTENDED && sleep(ctx, attachInterval) {
+	for r.code == linkpb.RefuseCode_REFUSE_CODE_ATTENDED && wait.For(ctx, attachInterval) {
 		r = a.s.fetch(ctx, a.x, id, server, a.writer, true)
 	}
 	if r.code == linkpb.RefuseCode_REFUSE_CODE_UNKNOWN_REQUEST {
@@ -202,18 +203,6 @@
 	return r, true
 }
 
-// sleep waits for d and reports false when ctx ended before.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // fetch relays the answer of an earlier request from the agent that keeps it. With unattended it is refused while
 // another entry follows the request.
 func (s *Server) fetch(ctx context.Context, x *exchange, id requestID, server route.Backend, w *answerWriter, unattended bool) result {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/guavastack/guavastack/internal/core/verdict"
 	"github.com/guavastack/guavastack/internal/link"
 	"github.com/guavastack/guavastack/internal/telemetry"
+	"github.com/guavastack/guavastack/internal/wait"
 	"github.com/guavastack/guavastack/proto/linkpb"
 )
 
@@ -119,7 +120,7 @@
 		return true
 	}
 	s.count("retries", x)
-	return sleep(ctx, d.After)
+	return wait.For(ctx, d.After)
 }
 
 // isCapacity reports whether an agent refused for want of room or because it leaves.
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -21,6 +21,7 @@
 	"github.com/guavastack/guavastack/internal/core/fleet"
 	"github.com/guavastack/guavastack/internal/platform"
 	"github.com/guavastack/guavastack/internal/telemetry"
+	"github.com/guavastack/guavastack/internal/wait"
 	"github.com/guavastack/guavastack/proto/controlpb"
 	"github.com/guavastack/guavastack/proto/linkpb"
 )
@@ -148,7 +149,7 @@
 			o.setPhase(Following)
 			o.usage.reset()
 		}
-		pause(ctx, o.cfg.Poll)
+		wait.For(ctx, o.cfg.Poll)
 	}
 	return ctx.Err()
 }
@@ -193,13 +194,3 @@
 	defer o.mu.Unlock()
 	o.status.lastError = doing + ": " + err.Error()
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/operate/tenure.go
+++ b/internal/operate/tenure.go
@@ -12,6 +12,7 @@
 	"github.com/guavastack/guavastack/internal/core/duty"
 	"github.com/guavastack/guavastack/internal/core/fleet"
 	"github.com/guavastack/guavastack/internal/platform"
+	"github.com/guavastack/guavastack/internal/wait"
 	"github.com/guavastack/guavastack/proto/controlpb"
 )
 
@@ -68,7 +69,7 @@
 		if !c.holds() {
 			return errNotLeading
 		}
-		pause(ctx, c.op.cfg.Poll)
+		wait.For(ctx, c.op.cfg.Poll)
 	}
 	return ctx.Err()
 }
@@ -83,7 +84,7 @@
 		if err != nil && ctx.Err() == nil {
 			c.op.fail("round", err)
 		}
-		pause(ctx, interval)
+		wait.For(ctx, interval)
 	}
 	return ctx.Err()
 }
@@ -127,7 +128,7 @@
 		if !c.holds() {
 			return errNotLeading
 		}
-		pause(ctx, min(c.op.cfg.Poll, time.Until(end)))
+		wait.For(ctx, min(c.op.cfg.Poll, time.Until(end)))
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
--- a/internal/watch/client.go
+++ b/internal/watch/client.go
@@ -16,6 +16,7 @@
 	"github.com/guavastack/guavastack/internal/core/member"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/rpcpool"
+	"github.com/guavastack/guavastack/internal/wait"
 	"github.com/guavastack/guavastack/proto/controlpb"
 	"github.com/juju/errors"
 )
@@ -206,14 +207,7 @@
 
 // pause waits for d with jitter; it returns false when ctx ends first.
 func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d/2 + rand.N(d))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, d/2+rand.N(d))
 }
 
 // storeBackends keeps the known backend servers in order.
