--- a/cmd/guavastack/adapter.go
+++ b/cmd/guavastack/adapter.go
@@ -13,6 +13,7 @@
 		Dialect:      platform.Dialect{},
 		ParseCatalog: platform.ParseConfiguration,
 		Operators:    platform.NewOperators,
+		Platform:     platform.NewClient,
 	}
 }
 
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -43,5 +43,12 @@
 	}
 }
 
+// anchor is the time of day at the start of the process, with the steady time of that moment.
+var anchor = Now()
+
+// Wall returns the time of day as the process found it at its start, carried on by the steady clock: later jumps of the
+// machine's time of day don't move it.
+func Wall() time.Time { return anchor.Round(0).Add(Now().Sub(anchor)) }
+
 // granularity hides the moment between the readings of the two clocks.
 const granularity = 5 * time.Millisecond
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -70,6 +70,7 @@
 	ReadinessListen string          `json:"readiness_listen"`
 	FreshnessLimit  strict.Duration `json:"freshness_limit"` // how long a confirmed view of keys may be acted on
 	GracePeriod     strict.Duration `json:"grace_period"`    // between the signal to stop and the end of the process
+	UsageWindow     strict.Duration `json:"usage_window"`    // length of a billing window by the time of day; 0: no usage
 	RetryRatio      float64         `json:"retry_ratio"`     // further sends of a service as a share of its requests
 	Routing         string          `json:"routing"`         // like entry.routing
 }
@@ -140,6 +141,10 @@
 	URL            string          `json:"url"`
 	WindowLength   strict.Duration `json:"window_length"`
 	ReportInterval strict.Duration `json:"report_interval"`
+	ClockWindows   bool            `json:"clock_windows"`  // windows are numbered by the time of day
+	WindowGrace    strict.Duration `json:"window_grace"`   // from the end of a window to its closing; 0: the default
+	HolderSpacing  strict.Duration `json:"holder_spacing"` // between the calls of one leader and those of the next
+	UseAdapter     bool            `json:"use_adapter"`    // speak the deployment's protocol instead of the product's own
 }
 
 // Defaults of a file.
--- a/internal/core/billing/module.go
+++ b/internal/core/billing/module.go
@@ -44,6 +44,7 @@
 
 // Command is the body of a state command of this module; exactly one field is set.
 type Command struct {
+	Begin   *Begin   `json:"begin,omitempty"`
 	Advance *Advance `json:"advance,omitempty"`
 	Record  *Record  `json:"record,omitempty"`
 	Close   *Close   `json:"close,omitempty"`
@@ -51,6 +52,11 @@
 	Confirm *Confirm `json:"confirm,omitempty"`
 }
 
+// Begin opens the first window under another number than 1. It holds only before anything was counted.
+type Begin struct {
+	Window uint64 `json:"window"`
+}
+
 // Advance opens the window after Window, which stays to be closed once late counters are in.
 type Advance struct {
 	Window uint64 `json:"window"`
@@ -143,6 +149,8 @@
 
 func (m *Module) apply(atMS int64, c Command) (string, error) {
 	switch {
+	case c.Begin != nil:
+		return m.begin(atMS, *c.Begin), nil
 	case c.Advance != nil:
 		return m.advance(atMS, *c.Advance), nil
 	case c.Record != nil:
@@ -158,6 +166,19 @@
 	}
 }
 
+// IsNew reports whether no window was opened or closed yet but the first.
+func (m *Module) IsNew() bool { return m.s.Revision == 0 }
+
+func (m *Module) begin(atMS int64, c Begin) string {
+	if !m.IsNew() || c.Window == 0 {
+		return CodeMismatch
+	}
+	m.s.Revision++
+	m.s.Open, m.s.Closed = c.Window, c.Window-1
+	m.s.Opened = []int64{atMS}
+	return CodeOK
+}
+
 func (m *Module) advance(atMS int64, c Advance) string {
 	if c.Window != m.s.Open {
 		return CodeMismatch
--- a/internal/core/duty/lease.go
+++ b/internal/core/duty/lease.go
@@ -18,6 +18,7 @@
 	LongestCall  time.Duration // longest call to the platform, an agent or the usage interface
 	ShortestCall time.Duration // calls that cannot have at least this long are not begun
 	Drift        time.Duration // bound on the drift between two clocks over one lease and one call
+	Spacing      time.Duration // least time between the calls of one holder and those of the next; 0: none
 }
 
 // Default bounds.
@@ -51,5 +52,5 @@
 // TakeoverWait is how long a new leader waits before its first order: every lease that an older leader may hold has
 // ended by then, and every call begun under it.
 func (t Timing) TakeoverWait() time.Duration {
-	return t.Lease + t.LongestCall + t.Drift
+	return max(t.Lease+t.LongestCall+t.Drift, t.Spacing+t.Drift)
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/guavastack/guavastack/internal/core/route"
 	"github.com/guavastack/guavastack/internal/core/verdict"
 	"github.com/guavastack/guavastack/internal/link"
+	"github.com/guavastack/guavastack/internal/meter"
 	"github.com/guavastack/guavastack/internal/telemetry"
 	"github.com/guavastack/guavastack/internal/wait"
 	"github.com/guavastack/guavastack/proto/linkpb"
@@ -290,7 +291,7 @@
 	}
 	x := a.x
 	x.deliveredTokens += uint64(n)
-	a.s.usage.add(x, delivered{outputTokens: uint64(n)})
+	a.s.usage.Add(x.meterKey(), meter.Amounts{OutputTokens: uint64(n)})
 	a.s.limits.charge(x.lease, n)
 	a.s.demand.tokens(x.organisation, n)
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/guavastack/guavastack/internal/core/limit"
 	"github.com/guavastack/guavastack/internal/core/route"
 	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/meter"
 	"github.com/guavastack/guavastack/proto/linkpb"
 )
 
@@ -47,6 +48,11 @@
 // detached reports whether the request goes on when its caller goes away.
 func (x *exchange) detached() bool { return x.class.KeepAnswer || x.idempotencyKey != "" }
 
+// meterKey names the counter of x in the open billing window.
+func (x *exchange) meterKey() meter.Key {
+	return meter.Key{Organisation: x.organisation, Class: x.class.Name, Model: x.model}
+}
+
 // routeRequest is what the router must know of x.
 func (x *exchange) routeRequest(exclude []string) route.Request {
 	return route.Request{
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/guavastack/guavastack/internal/core/claim"
 	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/meter"
 	"github.com/guavastack/guavastack/internal/standin/engine"
 	"github.com/guavastack/guavastack/internal/standin/service"
 	"github.com/guavastack/guavastack/proto/controlpb"
@@ -294,10 +295,10 @@
 	b.stop()
 	b.dir.mu.Lock()
 	defer b.dir.mu.Unlock()
-	newest := make(map[usageKey]*controlpb.UsageCounter)
+	newest := make(map[meter.Key]*controlpb.UsageCounter)
 	for _, r := range b.dir.usage {
 		for _, c := range r.Counters {
-			k := usageKey{c.Window, c.Organisation, c.Class, c.Model}
+			k := meter.Key{Window: c.Window, Organisation: c.Organisation, Class: c.Class, Model: c.Model}
 			if old := newest[k]; old != nil && (c.OutputTokens < old.OutputTokens || c.Requests < old.Requests) {
 				t.Errorf("counter fell from %v to %v", old, c)
 			}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/guavastack/guavastack/internal/core/verdict"
+	"github.com/guavastack/guavastack/internal/meter"
 	"github.com/guavastack/guavastack/internal/telemetry"
 )
 
@@ -125,16 +126,16 @@
 // record meters and logs the outcome of x.
 func (s *Server) record(x *exchange, w *answerWriter, r result) {
 	if (r.complete || w.bytes > 0) && !r.replayed {
-		d := delivered{requests: 1}
+		d := meter.Amounts{Requests: 1}
 		if r.usage != nil {
-			d.promptTokens = r.usage.PromptTokens
-			d.cachedTokens = r.usage.CachedTokens
+			d.PromptTokens = r.usage.PromptTokens
+			d.CachedTokens = r.usage.CachedTokens
 		}
 		if r.complete && r.usage != nil && r.usage.OutputTokens > x.deliveredTokens {
 			// An answer in one piece tells its tokens only at its end.
-			d.outputTokens = r.usage.OutputTokens - x.deliveredTokens
+			d.OutputTokens = r.usage.OutputTokens - x.deliveredTokens
 		}
-		s.usage.add(x, d)
+		s.usage.Add(x.meterKey(), d)
 	}
 	code := "ok"
 	if r.err != nil {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -14,6 +14,7 @@
 	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/core/retry"
 	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/meter"
 	"github.com/guavastack/guavastack/internal/serverset"
 	"github.com/guavastack/guavastack/internal/telemetry"
 )
@@ -25,7 +26,7 @@
 	links   Links
 	fleet   *serverset.Set
 	limits  *limits
-	usage   *usageMeter
+	usage   *meter.Meter
 	active  *activeSet
 	demand  *demandMeter
 	handler http.Handler
@@ -46,7 +47,7 @@
 		links:  links,
 		fleet:  serverset.New(cfg.Zone, cfg.Routing),
 		limits: newLimits(),
-		usage:  newUsageMeter(cfg, dir),
+		usage:  meter.New(meter.Config{ID: cfg.ID, Incarnation: cfg.Incarnation, Interval: cfg.UsageInterval, Logger: cfg.Logger}, dir),
 		active: newActiveSet(cfg.MaxInFlight),
 		demand: newDemandMeter(),
 		budget: retry.NewBudget(),
@@ -104,7 +105,7 @@
 	defer stop()
 	var helpers sync.WaitGroup
 	helpers.Go(func() { s.watchFreshness(background) })
-	helpers.Go(func() { s.usage.run(background) })
+	helpers.Go(func() { s.usage.Run(background) })
 
 	served := make(chan error, 1)
 	go func() {
@@ -122,7 +123,7 @@
 	err := s.drain(background, srv)
 	stop()
 	helpers.Wait()
-	s.usage.flush(context.WithoutCancel(ctx))
+	s.usage.Flush(context.WithoutCancel(ctx))
 	return err
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -151,7 +151,11 @@
 	answer, err := s.client.Do(ctx, server.Address, s.request(x, server, t))
 	if err != nil {
 		s.ended(ctx, server, route.Outcome{Result: route.Failed})
-		return s.failed(ctx, x, server, err)
+		o := s.failed(ctx, x, server, err)
+		if o.ran && !x.isStream() {
+			s.meter(x, began)
+		}
+		return o
 	}
 	defer answer.Close()
 	reply := s.cfg.Dialect.Reply(answer.Status, answer.Header)
@@ -163,8 +167,11 @@
 	}
 	isStream := answer.Status/100 == 2 && x.isStream()
 	var o outcome
+	if !isStream {
+		s.meter(x, began)
+	}
 	if isStream {
-		o = s.passStream(ctx, answer, reply, t)
+		o = s.passStream(ctx, x, answer, reply, t)
 	} else {
 		o = s.passWhole(ctx, x, answer, reply, t)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/guavastack/guavastack/internal/core/catalog"
 	"github.com/guavastack/guavastack/internal/core/retry"
 	"github.com/guavastack/guavastack/internal/core/route"
+	"github.com/guavastack/guavastack/internal/meter"
 	"github.com/guavastack/guavastack/internal/serverset"
 	"github.com/guavastack/guavastack/internal/telemetry"
 	"github.com/guavastack/guavastack/internal/upstream"
@@ -41,6 +42,8 @@
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes bounds the head of a request.
 	maxHeaderBytes = 64 << 10
+	// usageInterval is the time between reports of usage.
+	usageInterval = 500 * time.Millisecond
 	// housekeepingInterval is the time between looks at unused connections.
 	housekeepingInterval = 2 * time.Second
 )
@@ -53,16 +56,20 @@
 	Fresh(now time.Time) bool
 	// Backends returns the registered backend servers.
 	Backends() []*controlpb.BackendServer
+	meter.Sink
 	// OnChange calls f after each change of the catalog or the registry.
 	OnChange(f func())
 }
 
 // Config is what a Server works with.
 type Config struct {
+	ID          string // of the process
+	Incarnation string
 	Zone        string
 	Routing     route.Policy
 	RetryRatio  float64 // further sends of a service as a share of its requests
 	GracePeriod time.Duration
+	UsageWindow time.Duration // length of a billing window by the time of day; 0: usage is not counted
 	Dialect     Dialect
 	Logger      *slog.Logger
 	Metrics     *telemetry.Registry
@@ -74,6 +81,7 @@
 	dir     Directory
 	servers *serverset.Set
 	client  *upstream.Client
+	usage   *meter.Meter
 
 	budgetMu sync.Mutex
 	budgets  map[string]*retry.ShareBudget // by service
@@ -93,6 +101,9 @@
 		dir:     dir,
 		servers: serverset.New(cfg.Zone, cfg.Routing),
 		client:  upstream.New(),
+		usage: meter.New(meter.Config{
+			ID: cfg.ID, Incarnation: cfg.Incarnation, Interval: usageInterval, Logger: cfg.Logger,
+		}, dir),
 		budgets: make(map[string]*retry.ShareBudget),
 	}
 	s.addresses.Store(&map[string]bool{})
@@ -158,14 +169,17 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go s.housekeep(background)
+	go s.usage.Run(background)
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(lis) }()
 	select {
 	case err := <-served:
 		return errors.Annotate(err, "callers' listener")
 	case <-ctx.Done():
-		return s.drain(srv)
 	}
+	err := s.drain(srv)
+	s.usage.Flush(context.WithoutCancel(ctx))
+	return err
 }
 
 // drain ends accepting and waits for the requests in progress.
@@ -207,6 +221,17 @@
 	return s.budget(service).Take(clock.Now())
 }
 
+// meter counts x once, in the billing window in which a backend server began to run it.
+func (s *Server) meter(x *exchange, began time.Time) {
+	if s.cfg.UsageWindow <= 0 || x.metered || x.organisation == "" {
+		return
+	}
+	x.metered = true
+	at := clock.Wall().Add(-time.Since(began))
+	window := uint64(at.UnixNano()) / uint64(s.cfg.UsageWindow)
+	s.usage.Add(meter.Key{Window: window, Organisation: x.organisation}, meter.Amounts{Requests: 1})
+}
+
 // budget is called with budgetMu locked.
 func (s *Server) budget(service string) *retry.ShareBudget {
 	b := s.budgets[service]
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -96,7 +97,7 @@
 }
 
 // passStream passes the events of a stream on as they arrive.
-func (s *Server) passStream(ctx context.Context, answer *upstream.Answer, reply Reply, t *tries) outcome {
+func (s *Server) passStream(ctx context.Context, x *exchange, answer *upstream.Answer, reply Reply, t *tries) outcome {
 	if !reply.Genuine {
 		return outcome{sent: true, ran: true, final: brokenAnswer(ctx)}
 	}
@@ -106,6 +107,7 @@
 	for {
 		n, err := answer.Read(buffer[:])
 		if n > 0 {
+			s.meter(x, time.Now())
 			t.stream.write(buffer[:n])
 		}
 		switch {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -40,6 +40,7 @@
 	arrived      time.Time
 	deadline     time.Time
 	prefix       []uint64
+	metered      bool // it was counted for billing
 
 	method string
 	target string // path and query as they came
--- /dev/null
+++ b/internal/meter/meter.go
@@ -0,0 +1,221 @@
+// Package meter counts what organisations received, cumulatively per billing window, and reports it to the control group.
+//
+// Counters of one incarnation only grow, so that a report may be sent again. A counter is kept until the control group has
+// committed it, and reported when it has changed or another session of the control group's collector needs it.
+package meter
+
+import (
+	"context"
+	"log/slog"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/telemetry"
+	"github.com/guavastack/guavastack/proto/controlpb"
+)
+
+// flushTimeout bounds the last report of a process that shuts down.
+const flushTimeout = 5 * time.Second
+
+// Key names one counter.
+type Key struct {
+	Window       uint64 // 0: the open one
+	Organisation string
+	Class        string
+	Model        string
+}
+
+// Amounts is what one request received.
+type Amounts struct {
+	Requests     uint64
+	PromptTokens uint64
+	CachedTokens uint64
+	OutputTokens uint64
+}
+
+func (a *Amounts) add(b Amounts) {
+	a.Requests += b.Requests
+	a.PromptTokens += b.PromptTokens
+	a.CachedTokens += b.CachedTokens
+	a.OutputTokens += b.OutputTokens
+}
+
+// Sink takes the reports.
+type Sink interface {
+	// OpenWindow returns the number of the open billing window, 0 while it isn't known.
+	OpenWindow() uint64
+	// ReportUsage sends cumulative counters. Sending them again is harmless.
+	ReportUsage(ctx context.Context, report *controlpb.UsageReport) (*controlpb.UsageAck, error)
+}
+
+// Config says whose usage is counted.
+type Config struct {
+	ID          string // of the process
+	Incarnation string
+	Interval    time.Duration // between reports
+	Logger      *slog.Logger
+}
+
+// counter is a counter with what the control group has of it.
+type counter struct {
+	Amounts
+	taken   Amounts // by the session
+	session uint64
+}
+
+// Meter counts. It is safe for concurrent use.
+type Meter struct {
+	cfg  Config
+	sink Sink
+
+	mu       sync.Mutex
+	counters map[Key]*counter
+	session  uint64 // that took the last report
+	open     uint64 // newest open window that an acknowledgement named; settled windows are below it
+}
+
+// New returns a meter that reports once Run is called.
+func New(cfg Config, sink Sink) *Meter {
+	return &Meter{cfg: cfg, sink: sink, counters: make(map[Key]*counter)}
+}
+
+// Add counts amounts.
+func (m *Meter) Add(key Key, a Amounts) {
+	known := m.sink.OpenWindow()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if key.Window == 0 {
+		key.Window = max(known, m.open)
+	}
+	c := m.counters[key]
+	if c == nil {
+		c = &counter{}
+		m.counters[key] = c
+	}
+	c.add(a)
+}
+
+// Run reports until ctx is done.
+func (m *Meter) Run(ctx context.Context) {
+	tick := time.NewTicker(m.cfg.Interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			m.report(ctx)
+		}
+	}
+}
+
+// Flush reports what is left when the process shuts down.
+func (m *Meter) Flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	m.report(ctx)
+}
+
+// report sends the counters that the control group needs. While any is kept, an empty report asks what is settled.
+func (m *Meter) report(ctx context.Context) {
+	r := m.snapshot(m.sink.OpenWindow())
+	if r == nil {
+		return
+	}
+	ack, err := m.sink.ReportUsage(ctx, r)
+	if err != nil {
+		if ctx.Err() == nil {
+			m.cfg.Logger.Warn("usage report failed; it will be sent again", telemetry.KeyError, err.Error())
+		}
+		return
+	}
+	if !ack.Accepted {
+		m.cfg.Logger.Error("usage came too late to be billed", "open_window", ack.OpenWindow)
+	}
+	m.acknowledge(r, ack)
+}
+
+// snapshot returns the report to send, nil when there is none.
+func (m *Meter) snapshot(open uint64) *controlpb.UsageReport {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if open == 0 {
+		return nil
+	}
+	m.assign(open)
+	if len(m.counters) == 0 {
+		return nil
+	}
+	r := &controlpb.UsageReport{EntryId: m.cfg.ID, Incarnation: m.cfg.Incarnation}
+	for k, c := range m.counters {
+		if k.Window > max(open, m.open) {
+			continue // ahead of the control group's clock
+		}
+		if c.session == m.session && c.taken == c.Amounts {
+			continue
+		}
+		r.Counters = append(r.Counters, &controlpb.UsageCounter{
+			Window:       k.Window,
+			Organisation: k.Organisation,
+			Class:        k.Class,
+			Model:        k.Model,
+			Requests:     c.Requests,
+			PromptTokens: c.PromptTokens,
+			CachedTokens: c.CachedTokens,
+			OutputTokens: c.OutputTokens,
+		})
+	}
+	sort.Slice(r.Counters, func(i, j int) bool {
+		a, b := r.Counters[i], r.Counters[j]
+		if a.Window != b.Window {
+			return a.Window < b.Window
+		}
+		if a.Organisation != b.Organisation {
+			return a.Organisation < b.Organisation
+		}
+		if a.Class != b.Class {
+			return a.Class < b.Class
+		}
+		return a.Model < b.Model
+	})
+	return r
+}
+
+// assign moves usage that was counted before any window was known into the open one.
+func (m *Meter) assign(open uint64) {
+	for k, c := range m.counters {
+		if k.Window != 0 {
+			continue
+		}
+		delete(m.counters, k)
+		k.Window = open
+		to := m.counters[k]
+		if to == nil {
+			to = &counter{}
+			m.counters[k] = to
+		}
+		to.add(c.Amounts)
+	}
+}
+
+// acknowledge notes what the session has taken, and drops the counters that it says are committed and that did not grow
+// since. A session says nothing about counters that it has not taken. From now on usage belongs to a newer window,
+// since a counter that began again from zero would be taken for an old copy.
+func (m *Meter) acknowledge(r *controlpb.UsageReport, ack *controlpb.UsageAck) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.open = max(m.open, ack.OpenWindow)
+	m.session = ack.Session
+	for _, c := range r.Counters {
+		if now := m.counters[Key{c.Window, c.Organisation, c.Class, c.Model}]; now != nil {
+			now.taken = Amounts{c.Requests, c.PromptTokens, c.CachedTokens, c.OutputTokens}
+			now.session = ack.Session
+		}
+	}
+	for k, c := range m.counters {
+		if k.Window <= ack.SettledWindow && c.session == m.session && c.taken == c.Amounts {
+			delete(m.counters, k)
+		}
+	}
+}
--- a/internal/entry/usage_test.go
+++ b/internal/meter/meter_test.go
@@ -1,32 +1,31 @@
-package entry
+package meter
 
 import (
 	"testing"
 
-	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/proto/controlpb"
 )
 
-// usageDirectory knows of an open window.
-type usageDirectory struct {
-	Directory
+// openWindow is a Sink that knows of an open window.
+type openWindow struct {
+	Sink
 	open uint64
 }
 
-func (d *usageDirectory) OpenWindow() uint64 { return d.open }
+func (d *openWindow) OpenWindow() uint64 { return d.open }
 
 // TestUsageDeliveredDuringAReportIsKept delivers between a report and its acknowledgement, while the watch has not
 // told of the next window yet.
 func TestUsageDeliveredDuringAReportIsKept(t *testing.T) {
-	d := &usageDirectory{open: 3}
-	m := newUsageMeter(Config{ID: "e", Incarnation: "1"}, d)
-	x := &exchange{organisation: "o", class: settings.Class{Name: "c"}, model: "m"}
-	m.add(x, delivered{requests: 1, outputTokens: 10})
+	d := &openWindow{open: 3}
+	m := New(Config{ID: "e", Incarnation: "1"}, d)
+	x := Key{Organisation: "o", Class: "c", Model: "m"}
+	m.Add(x, Amounts{Requests: 1, OutputTokens: 10})
 	report := m.snapshot(3)
-	m.add(x, delivered{requests: 1, outputTokens: 5})
+	m.Add(x, Amounts{Requests: 1, OutputTokens: 5})
 	m.acknowledge(&controlpb.UsageReport{}, &controlpb.UsageAck{Session: 1})
 	m.acknowledge(report, &controlpb.UsageAck{Session: 1, OpenWindow: 4, Accepted: true, SettledWindow: 3})
-	m.add(x, delivered{requests: 1, outputTokens: 2})
+	m.Add(x, Amounts{Requests: 1, OutputTokens: 2})
 
 	tokens := make(map[uint64]uint64)
 	for _, c := range m.snapshot(3).Counters {
@@ -43,9 +42,9 @@
 
 // TestNewSessionGetsEveryCounter reports to a collector that is lost with counters that it had not committed.
 func TestNewSessionGetsEveryCounter(t *testing.T) {
-	m := newUsageMeter(Config{ID: "e", Incarnation: "1"}, &usageDirectory{open: 1})
+	m := New(Config{ID: "e", Incarnation: "1"}, &openWindow{open: 1})
 	add := func(class string) {
-		m.add(&exchange{organisation: "o", class: settings.Class{Name: class}, model: "m"}, delivered{requests: 1})
+		m.Add(Key{Organisation: "o", Class: class, Model: "m"}, Amounts{Requests: 1})
 	}
 	report := func(session, settled uint64) int {
 		r := m.snapshot(1)
@@ -78,3 +77,16 @@
 		}
 	}
 }
+
+// TestUsageAheadOfTheOpenWindowWaits counts by a clock that is ahead of the control group's.
+func TestUsageAheadOfTheOpenWindowWaits(t *testing.T) {
+	m := New(Config{ID: "e", Incarnation: "1"}, &openWindow{open: 7})
+	m.Add(Key{Window: 8, Organisation: "o"}, Amounts{Requests: 1})
+	if r := m.snapshot(7); len(r.Counters) != 0 {
+		t.Errorf("reported %v, want nothing of window 8 while 7 is open", r.Counters)
+	}
+	r := m.snapshot(8)
+	if len(r.Counters) != 1 || r.Counters[0].Window != 8 {
+		t.Errorf("reported %v, want the counter of window 8", r.Counters)
+	}
+}
--- a/internal/operate/billing.go
+++ b/internal/operate/billing.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/core/billing"
 	"github.com/guavastack/guavastack/internal/platform"
 	"github.com/guavastack/guavastack/proto/controlpb"
@@ -163,6 +164,9 @@
 			return err
 		}
 	}
+	if c.op.cfg.ClockWindows {
+		return c.clockRound(ctx)
+	}
 	if now.Sub(b.opened[b.window]) >= c.op.cfg.Window {
 		return c.advance(ctx)
 	}
@@ -172,6 +176,31 @@
 	return c.report(ctx)
 }
 
+// clockRound is the part of a round that depends on windows which follow the time of day.
+func (c *tenure) clockRound(ctx context.Context) error {
+	length := c.op.cfg.Window
+	now := clock.Wall()
+	current := uint64(now.UnixNano()) / uint64(length)
+	if c.billing.window < current {
+		return c.openUntil(ctx, current)
+	}
+	if window, due := c.dueWindow(); due && now.Sub(time.Unix(0, int64(window+1)*int64(length))) >= c.op.cfg.Grace {
+		return c.closeWindow(ctx, window)
+	}
+	return c.report(ctx)
+}
+
+// openUntil opens the next window, or the current one where there was none before.
+func (c *tenure) openUntil(ctx context.Context, current uint64) error {
+	var isNew bool
+	c.op.cfg.Group.View(func() { isNew = c.op.cfg.Billing.IsNew() })
+	if !isNew {
+		return c.advance(ctx)
+	}
+	_, err := c.proposeBilling(ctx, billing.Command{Begin: &billing.Begin{Window: current}})
+	return err
+}
+
 func (c *tenure) dueWindow() (window uint64, due bool) {
 	c.op.cfg.Group.View(func() { window, due = c.op.cfg.Billing.Due() })
 	return window, due
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -75,10 +75,12 @@
 	Poll          time.Duration // between looks at the lease
 	OrderInterval time.Duration // between rounds of orders
 	Window        time.Duration // length of a billing window
-	Grace         time.Duration // from the end of a window to its closing, for late counters; at most a window by default
-	Record        time.Duration // between commits of counters
-	NoSupplyHold  time.Duration // after a refusal of a zone, before it is asked again
-	AbsentAfter   time.Duration // a server whose agent was silent so long has no request left; above every deadline
+	// ClockWindows numbers the windows by the time of day: window k begins k windows after the start of 1970.
+	ClockWindows bool
+	Grace        time.Duration // from the end of a window to its closing, for late counters; at most a window by default
+	Record       time.Duration // between commits of counters
+	NoSupplyHold time.Duration // after a refusal of a zone, before it is asked again
+	AbsentAfter  time.Duration // a server whose agent was silent so long has no request left; above every deadline
 }
 
 // Operator carries out duty, fleet and billing while its member leads.
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -244,26 +244,46 @@
 	ceiling  func(zone string) (float64, bool)
 }
 
+// clockRecordInterval is the time between commits of counters where windows follow the time of day and are short.
+const clockRecordInterval = time.Second
+
+// platformClient returns the client of the platform: the deployment's adapter, or the product's own protocol.
+func platformClient(base *Base) (platform.Platform, error) {
+	c := base.Config.Control.Platform
+	if c.UseAdapter {
+		return base.Adapter.Platform(c.URL), nil
+	}
+	return platform.NewClient(platform.Config{URL: c.URL})
+}
+
 func newOperator(base *Base, s *State, r *replica.Replica, view fleetView) (*operate.Operator, error) {
 	c := base.Config.Control.Platform
-	client, err := platform.NewClient(platform.Config{URL: c.URL})
+	client, err := platformClient(base)
 	if err != nil {
 		return nil, err
 	}
-	return operate.New(operate.Config{
-		ID:       base.Config.ID,
-		Group:    operateGroup{r},
-		Platform: client,
-		Agents:   operate.AgentClient{},
-		Duty:     s.Duty,
-		Billing:  s.Billing,
-		Registry: view.backends,
-		Metrics:  base.Metrics,
-
-		ZoneCeiling: view.ceiling,
-		Window:      time.Duration(c.WindowLength),
-		Logger:      base.Logger,
-	})
+	timing := duty.DefaultTiming()
+	timing.Spacing = time.Duration(c.HolderSpacing)
+	cfg := operate.Config{
+		Timing:       timing,
+		ClockWindows: c.ClockWindows,
+		Grace:        time.Duration(c.WindowGrace),
+	}
+	if c.ClockWindows {
+		cfg.Record = clockRecordInterval
+	}
+	cfg.ID = base.Config.ID
+	cfg.Group = operateGroup{r}
+	cfg.Platform = client
+	cfg.Agents = operate.AgentClient{}
+	cfg.Duty = s.Duty
+	cfg.Billing = s.Billing
+	cfg.Registry = view.backends
+	cfg.Metrics = base.Metrics
+	cfg.ZoneCeiling = view.ceiling
+	cfg.Window = time.Duration(c.WindowLength)
+	cfg.Logger = base.Logger
+	return operate.New(cfg)
 }
 
 // Addr returns the address of the member's service.
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -42,7 +42,10 @@
 	})
 	g := &Gateway{base: base, watch: client}
 	g.server = gateway.New(gateway.Config{
+		ID:          base.Config.ID,
+		Incarnation: base.Incarnation,
 		Zone:        base.Config.Zone,
+		UsageWindow: time.Duration(c.UsageWindow),
 		Routing:     routings[c.Routing],
 		RetryRatio:  c.RetryRatio,
 		GracePeriod: time.Duration(c.GracePeriod),
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -22,6 +22,7 @@
 	"github.com/guavastack/guavastack/internal/core/catalog"
 	"github.com/guavastack/guavastack/internal/gateway"
 	"github.com/guavastack/guavastack/internal/peernet"
+	"github.com/guavastack/guavastack/internal/platform"
 	"github.com/guavastack/guavastack/internal/telemetry"
 )
 
@@ -42,6 +43,8 @@
 	ParseCatalog func(document []byte) (*catalog.Catalog, error)
 	// Operators returns the handler of the calls of operators and backend servers to a control member.
 	Operators func(plane control.Plane, logger *slog.Logger) http.Handler
+	// Platform returns the client of the platform at a URL.
+	Platform func(url string) platform.Platform
 }
 
 // NewBase prepares a process.
