Reload settings on SIGHUP and on change; wait out a full disk

Change: the settings file is read again on SIGHUP and when it changes, seeds are taken over; a write that finds no room is undone and tried again while the member promises nothing; a leader with little room hands over.

--- a/cmd/guavastack/roles.go
+++ b/cmd/guavastack/roles.go
@@ -73,7 +73,7 @@
 			if err != nil {
 				return err
 			}
-			return runRoles(ctx, cfg, logger)
+			return runRoles(ctx, cmd.String("config"), cfg, logger)
 		},
 	}
 }
@@ -103,7 +103,7 @@
 }
 
 // runRoles runs the roles of the settings in the order in which they shut down.
-func runRoles(ctx context.Context, cfg *config.Config, logger *slog.Logger) error {
+func runRoles(ctx context.Context, file string, cfg *config.Config, logger *slog.Logger) error {
 	limitMemory(cfg.MemoryLimitMB)
 	base, err := process.NewBase(cfg, logger)
 	if err != nil {
@@ -140,5 +140,6 @@
 		roles = append(roles, r)
 	}
 	logger.Info("starting", "process", cfg.ID, "incarnation", base.Incarnation, "roles", len(roles))
+	go watchSettings(ctx, file, roles, base.Logger)
 	return process.Run(ctx, base, roles...)
 }
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -292,6 +292,13 @@
 // AdminAddr returns the address of the operators' API.
 func (c *Control) AdminAddr() net.Addr { return c.adminLis.Addr() }
 
+// Reload implements Reloader: other control members may be named.
+func (c *Control) Reload(cfg *config.Config) {
+	if c.roster != nil {
+		c.roster.setSeeds(cfg.ControlMembers)
+	}
+}
+
 // Status implements Role.
 func (c *Control) Status() (ready bool, reason string) {
 	if _, ok := c.replica.Leader(); !ok {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/guavastack/guavastack/internal/config"
 	"github.com/guavastack/guavastack/internal/gateway"
 	"github.com/guavastack/guavastack/internal/watch"
 )
@@ -70,6 +71,9 @@
 // Status implements Role.
 func (g *Gateway) Status() (ready bool, reason string) { return g.server.Status() }
 
+// Reload implements Reloader: other control members may be named.
+func (g *Gateway) Reload(cfg *config.Config) { g.watch.SetSeeds(cfg.ControlMembers) }
+
 // Run implements Role. The watch outlives the requests in progress.
 func (g *Gateway) Run(ctx context.Context) error {
 	watching, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -95,6 +95,12 @@
 	Status() (ready bool, reason string)
 }
 
+// Reloader is a role that takes changed settings while it runs.
+type Reloader interface {
+	// Reload takes over what can change while the role runs; everything else waits for a restart.
+	Reload(cfg *config.Config)
+}
+
 // Run runs the roles until ctx is done or one of them fails, and serves the process's status beside them. The roles
 // shut down one after the other in the given order, so that an entry can finish while its agents still run.
 func Run(ctx context.Context, base *Base, roles ...Role) error {
--- a/internal/process/roster.go
+++ b/internal/process/roster.go
@@ -35,15 +35,24 @@
 
 	mu        sync.Mutex
 	announced map[uint64]roster.Announcement
+	seeds     []string // addresses of control members in the settings
 }
 
 func newGroupRoster(base *Base, r *replica.Replica) *groupRoster {
 	return &groupRoster{
 		base: base, replica: r, pool: rpcpool.New(base.Network.Dial),
 		announced: make(map[uint64]roster.Announcement),
+		seeds:     base.Config.ControlMembers,
 	}
 }
 
+// setSeeds takes other addresses of control members.
+func (g *groupRoster) setSeeds(seeds []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seeds = seeds
+}
+
 // Announce implements control.Joins.
 func (g *groupRoster) Announce(id uint64, address string, incarnation uint64) (isVoter bool) {
 	member, ok := g.replica.Status().Configuration.Member(id)
@@ -99,8 +108,11 @@
 // others returns the addresses of other members: of the configuration first, then of the settings.
 func (g *groupRoster) others(st replica.Status) []string {
 	own := g.base.Config.Control.Listen
+	g.mu.Lock()
+	seeds := g.seeds
+	g.mu.Unlock()
 	var out []string
-	for _, address := range append(addressesOf(st.Configuration), g.base.Config.ControlMembers...) {
+	for _, address := range append(addressesOf(st.Configuration), seeds...) {
 		if address != own && !slices.Contains(out, address) {
 			out = append(out, address)
 		}
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -33,6 +33,7 @@
 	linkQueueSize     = 512 // messages to one member
 	maxBatch          = 1024
 	diskCheckInterval = time.Second
+	diskRetryInterval = 200 * time.Millisecond // between tries to write to a full disk
 	dialTimeout       = time.Second
 )
 
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -136,7 +136,7 @@
 // carryOut sends, syncs, sends what depends on the sync, and applies.
 func (r *Replica) carryOut(ctx context.Context, links *sync.WaitGroup, out raft.Output) error {
 	r.sendAll(ctx, links, out.Send)
-	if err := r.persist(out); err != nil {
+	if err := r.persistWhenRoom(ctx, out); err != nil {
 		r.cfg.Logger.Error("control group: the disk failed, the process must end", "error", err)
 		return err
 	}
@@ -149,14 +149,41 @@
 	return nil
 }
 
+// persistWhenRoom makes out durable. While the disk is full it waits: this member does nothing meanwhile, so that it
+// promises nothing, and the others elect another leader.
+func (r *Replica) persistWhenRoom(ctx context.Context, out raft.Output) error {
+	err := r.persist(out)
+	if !errors.Is(err, wal.ErrFull) {
+		return err
+	}
+	began := clock.Now()
+	r.cfg.Logger.Error("control group: the disk is full, this member waits for room", "error", err.Error())
+	for errors.Is(err, wal.ErrFull) {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.stop:
+			return context.Canceled
+		case <-time.After(diskRetryInterval):
+		}
+		err = r.persist(out)
+	}
+	r.cfg.Logger.Info("control group: the disk has room again", "waited_ms", clock.Since(began).Milliseconds())
+	return err
+}
+
 // persist makes the state, snapshot and entries of out durable.
 func (r *Replica) persist(out raft.Output) error {
+	if out.Snapshot == nil {
+		err := r.log.Append(out.HardState, out.Entries)
+		if err == nil && out.HardState != nil {
+			r.hardState = *out.HardState
+		}
+		return err
+	}
 	if out.HardState != nil {
 		r.hardState = *out.HardState
 	}
-	if out.Snapshot == nil {
-		return r.log.Append(out.HardState, out.Entries)
-	}
 	if err := r.log.SaveSnapshot(*out.Snapshot, r.hardState, out.Entries); err != nil {
 		return err
 	}
@@ -216,4 +243,14 @@
 		r.cfg.Logger.Warn("control group: disk space", "free_bytes", free, "refuses_changes", low)
 	}
 	r.diskLow = low
+	if low && r.node.Status().Role == raft.Leader {
+		r.leaveLeadership(now)
+	}
+}
+
+// leaveLeadership hands over to a member whose disk may have room.
+func (r *Replica) leaveLeadership(now time.Time) {
+	if err := r.node.Transfer(now, 0); err != nil && !errors.Is(err, raft.ErrHandingOver) {
+		r.cfg.Logger.Warn("control group: leadership stays at a member with a full disk", "error", err.Error())
+	}
 }
--- a/internal/wal/identity.go
+++ b/internal/wal/identity.go
@@ -94,7 +94,7 @@
 	if _, err := f.Write(data); err != nil {
 		_ = f.Close()
 		_ = fsys.Remove(temp)
-		return errors.Trace(err)
+		return writeFailed(err)
 	}
 	if err := f.Sync(); err != nil {
 		_ = f.Close()
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -13,6 +13,7 @@
 	"strings"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/guavastack/guavastack/internal/core/raft"
 	"github.com/guavastack/guavastack/proto/peerpb"
@@ -29,6 +30,17 @@
 // ErrSync is the cause when a sync failed. What was written is unknown from then on, so the process must end.
 const ErrSync = errors.ConstError("sync of the data folder failed")
 
+// ErrFull is the cause when the disk had no room for a write. Nothing of the write counts; it may be tried again.
+const ErrFull = errors.ConstError("the disk of the data folder is full")
+
+// writeFailed marks a failed write that may be tried again.
+func writeFailed(err error) error {
+	if errors.Is(err, unix.ENOSPC) {
+		return errors.WithType(err, ErrFull)
+	}
+	return errors.Trace(err)
+}
+
 func syncFailed(err error) error { return errors.WithType(err, ErrSync) }
 
 // Log is the open log of one member. It is not safe for concurrent use.
@@ -216,8 +228,7 @@
 	}
 	l.buf = appendRecord(l.buf[:0], payload)
 	if _, err := l.file.Write(l.buf); err != nil {
-		l.failed = errors.Annotate(err, "writing the log; free space on the disk of the data folder and start again")
-		return l.failed
+		return l.undoWrite(err)
 	}
 	if err := l.file.Sync(); err != nil {
 		l.failed = syncFailed(err)
@@ -227,6 +238,20 @@
 	return nil
 }
 
+// undoWrite cuts off what a failed write left in the log. A write that can't be undone ends the log.
+func (l *Log) undoWrite(cause error) error {
+	err := writeFailed(errors.Annotate(cause, "writing the log"))
+	if !errors.Is(err, ErrFull) {
+		l.failed = err
+		return err
+	}
+	if cut := l.file.Truncate(l.size); cut != nil {
+		l.failed = errors.Annotate(cut, "cutting off an unfinished write of the log")
+		return l.failed
+	}
+	return err
+}
+
 func encodeRecord(base uint64, hs *raft.HardState, entries []raft.Entry) ([]byte, error) {
 	rec := &peerpb.Record{Snapshot: base}
 	if hs != nil {
