--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,9 +31,9 @@
 const (
 	// DefaultGracePeriod is the time between the signal to stop and the end of the process.
 	DefaultGracePeriod = 10 * time.Second
-	// rotationDelay is how long new connections are still taken after the signal to stop: the balancer needs a few
-	// readiness checks to notice.
-	rotationDelay = 3500 * time.Millisecond
+	// rotationDelay is how long new connections are still taken after the signal to stop: the balancer checks readiness
+	// once a second and wants two misses. A request that comes later may outlast the grace period.
+	rotationDelay = 2500 * time.Millisecond
 	// graceMargin is left of the grace period when the last requests are ended.
 	graceMargin = 500 * time.Millisecond
 	// idleTimeout closes callers' connections; it is above what callers count on.
@@ -188,8 +188,9 @@
 	s.draining.Store(true)
 	s.cfg.Logger.Info("gateway is shutting down", "in_flight", s.inFlight.Load())
 	srv.SetKeepAlivesEnabled(false) // answers tell callers to leave
-	time.Sleep(min(rotationDelay, s.cfg.GracePeriod/2))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(s.cfg.GracePeriod-graceMargin))
+	listen, all := drainTimes(s.cfg.GracePeriod)
+	time.Sleep(listen)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(all))
 	defer cancel()
 	err := srv.Shutdown(ctx)
 	s.cfg.Logger.Info("gateway has shut down", "in_flight", s.inFlight.Load())
@@ -199,6 +200,12 @@
 	return errors.Annotate(err, "shutdown of the callers' listener")
 }
 
+// drainTimes returns how long after the signal to stop new connections are taken, and after what time the requests that
+// are left are ended.
+func drainTimes(grace time.Duration) (listen, all time.Duration) {
+	return min(rotationDelay, grace/2), grace - min(graceMargin, grace/4)
+}
+
 // housekeep closes connections to backend servers that are not used any more.
 func (s *Server) housekeep(ctx context.Context) {
 	for wait.For(ctx, housekeepingInterval) {
--- /dev/null
+++ b/internal/gateway/harness_test.go
@@ -0,0 +1,226 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/catalog"
+	"github.com/guavastack/guavastack/internal/core/route"
+	"github.com/guavastack/guavastack/proto/controlpb"
+)
+
+// plainDialect states everything in headers of its own.
+type plainDialect struct{}
+
+func (plainDialect) Call(h http.Header) (Call, error) {
+	if h.Get("X-Id") == "" {
+		return Call{}, errors.New("no id")
+	}
+	ms, _ := strconv.Atoi(h.Get("X-Wait-Ms"))
+	return Call{ID: h.Get("X-Id"), Key: h.Get("X-Key"), Wait: time.Duration(ms) * time.Millisecond}, nil
+}
+
+func (plainDialect) Forward(h http.Header, f Forwarding) {
+	h.Del("X-Key")
+	h.Set("X-Wait-Ms", strconv.FormatInt(f.Remaining.Milliseconds(), 10))
+	h.Set("X-Server", f.ServerID)
+	h.Set("X-Organisation", f.Organisation)
+	if f.ResumeAfter != "" {
+		h.Set("X-After", f.ResumeAfter)
+	}
+}
+
+func (plainDialect) Reply(status int, h http.Header) Reply {
+	return Reply{
+		RequestID: h.Get("X-Id"), NotRun: h.Get("X-Not-Run") != "", Elsewhere: status == http.StatusMisdirectedRequest,
+		Genuine: h.Get("X-Seal") != "",
+	}
+}
+
+// directory is what the gateway knows of the control group.
+type directory struct {
+	index    atomic.Pointer[catalog.Index]
+	stale    atomic.Bool
+	backends []*controlpb.BackendServer
+	onChange func()
+}
+
+func (d *directory) Catalog() *catalog.Index              { return d.index.Load() }
+func (d *directory) Fresh(time.Time) bool                 { return !d.stale.Load() }
+func (d *directory) Backends() []*controlpb.BackendServer { return d.backends }
+func (d *directory) OnChange(f func())                    { d.onChange = f }
+func (d *directory) OpenWindow() uint64                   { return 0 }
+func (d *directory) ReportUsage(context.Context, *controlpb.UsageReport) (*controlpb.UsageAck, error) {
+	return &controlpb.UsageAck{}, nil
+}
+
+// backend is a scripted backend server.
+type backend struct {
+	t      *testing.T
+	lis    net.Listener
+	script func(r *http.Request, body string) string
+
+	mu   sync.Mutex
+	seen []*http.Request
+	left chan struct{} // gets a value when a connection ends while its answer is held
+}
+
+// holdAnswer lets a script answer nothing until the gateway closes the connection.
+const holdAnswer = "hold"
+
+func newBackend(t *testing.T, script func(r *http.Request, body string) string) *backend {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	b := &backend{t: t, lis: lis, script: script, left: make(chan struct{}, 16)}
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(conn)
+		}
+	}()
+	return b
+}
+
+func (b *backend) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.seen = append(b.seen, r)
+		b.mu.Unlock()
+		text := b.script(r, string(body))
+		if rest, ok := strings.CutSuffix(text, holdAnswer); ok {
+			_, _ = io.WriteString(conn, rest)
+			_, _ = io.Copy(io.Discard, reader) // ends with the connection
+			b.left <- struct{}{}
+			return
+		}
+		rest, closes := strings.CutSuffix(text, closeAfter)
+		if _, err := io.WriteString(conn, rest); err != nil || closes || text == "" {
+			return
+		}
+	}
+}
+
+// closeAfter lets a script close the connection behind what it wrote.
+const closeAfter = "close-after"
+
+func (b *backend) requests() []*http.Request {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.seen
+}
+
+// whole is a complete answer of a backend server to r.
+func whole(r *http.Request, status int, extra, body string) string {
+	return "HTTP/1.1 " + strconv.Itoa(status) + " X\r\nX-Id: " + r.Header.Get("X-Id") + "\r\n" + extra +
+		"Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
+
+const seal = "X-Seal: s\r\n"
+
+// chunks is the head of a stream and some of its pieces; the end is missing.
+func chunks(r *http.Request, pieces ...string) string {
+	var out strings.Builder
+	out.WriteString("HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") + "\r\n" + seal + "Transfer-Encoding: chunked\r\n\r\n")
+	for _, p := range pieces {
+		out.WriteString(strconv.FormatInt(int64(len(p)), 16) + "\r\n" + p + "\r\n")
+	}
+	return out.String()
+}
+
+const lastChunk = "0\r\n\r\n"
+
+// bench is a gateway before scripted backend servers.
+type bench struct {
+	t    *testing.T
+	dir  *directory
+	gw   *Server
+	http *httptest.Server
+}
+
+// routes of the bench's catalog, by path prefix.
+var benchRoutes = []catalog.Route{
+	{Name: "unsafe", PathPrefix: "/unsafe/", Kind: catalog.Unsafe, MaxAttempts: 3},
+	{Name: "safe", PathPrefix: "/safe/", Kind: catalog.Safe, MaxAttempts: 2},
+	{Name: "stream", PathPrefix: "/stream/", Kind: catalog.Streaming, MaxAttempts: 3},
+	{Name: "resume", PathPrefix: "/resume/", Kind: catalog.Streaming, MaxAttempts: 2, Resumable: true},
+	{Name: "open", PathPrefix: "/open/", Kind: catalog.Safe, Public: true},
+}
+
+func newBench(t *testing.T, servers ...*backend) *bench {
+	t.Helper()
+	c := &catalog.Catalog{
+		Version: 1, Keyed: true,
+		Services:      []catalog.Service{{Name: "app"}},
+		Organisations: []catalog.Organisation{{Name: "one", Keys: []string{"k"}}},
+	}
+	for _, r := range benchRoutes {
+		r.Host, r.Timeout = "127.0.0.1", time.Minute
+		r.Targets = []catalog.Target{{Service: "app", Weight: 1}}
+		c.Routes = append(c.Routes, r)
+	}
+	if err := c.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{t: t, dir: &directory{}}
+	b.dir.index.Store(catalog.NewIndex(c))
+	for i, s := range servers {
+		b.dir.backends = append(b.dir.backends, &controlpb.BackendServer{
+			Id: "s" + strconv.Itoa(i), Incarnation: "1", Address: s.lis.Addr().String(), Kind: route.KindService, Model: "app",
+			Lifecycle: route.LifecycleReady, Slots: 4,
+		})
+	}
+	b.gw = New(Config{RetryRatio: 1, Dialect: plainDialect{}, Logger: slog.New(slog.DiscardHandler)}, b.dir)
+	b.dir.onChange()
+	b.http = httptest.NewServer(b.gw)
+	t.Cleanup(b.http.Close)
+	return b
+}
+
+// get sends a request with the key of organisation one.
+func (b *bench) get(method, path string, change ...func(*http.Request)) (*http.Response, string, error) {
+	r, err := http.NewRequest(method, b.http.URL+path, nil)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	r.Header.Set("X-Id", "id-1")
+	r.Header.Set("X-Key", "k")
+	for _, f := range change {
+		f(r)
+	}
+	res, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	return res, string(body), err
+}
--- a/internal/replica/fault_test.go
+++ b/internal/replica/fault_test.go
@@ -327,6 +327,78 @@
 	})
 }
 
+// TestLeaderWithAFullDiskStepsAside fills the leader's disk without a warning: the member waits, the others go on, and it
+// catches up once there is room.
+func TestLeaderWithAFullDiskStepsAside(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		c.startAll()
+		c.propose("a", 1, 2, 3)
+		old := c.leader(1, 2, 3)
+		disk := c.disks[old.cfg.ID].(*waltest.FS)
+		disk.SetFull(true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := old.Propose(ctx, []byte("b")); err == nil {
+			t.Error("a change was accepted by a full disk")
+		}
+		c.propose("c", c.others(old.cfg.ID)...)
+		disk.SetFull(false)
+		c.propose("d", 1, 2, 3)
+		// The outcome of b is unknown: the others may have had it before the leader fell silent.
+		want := c.leader(1, 2, 3).commands()
+		if !slices.Equal(want, []string{"a", "c", "d"}) && !slices.Equal(want, []string{"a", "b", "c", "d"}) {
+			t.Errorf("commands %v", want)
+		}
+		for id := range c.procs {
+			c.expect(id, want)
+		}
+	})
+}
+
+// TestLeaderWithLittleRoomHandsOver warns the leader that its disk is nearly full.
+func TestLeaderWithLittleRoomHandsOver(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		c.adjust = func(cfg *Config) { cfg.MinFreeBytes = 1000 }
+		c.startAll()
+		c.propose("a", 1, 2, 3)
+		old := c.leader(1, 2, 3)
+		c.disks[old.cfg.ID].(*waltest.FS).SetFree(999)
+		time.Sleep(4 * diskCheckInterval)
+		c.propose("b", c.others(old.cfg.ID)...)
+		c.expect(old.cfg.ID, []string{"a", "b"})
+	})
+}
+
+// TestAJoiningMemberKnowsNobody joins a member that was told no address: it answers whoever speaks to it.
+func TestAJoiningMemberKnowsNobody(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		c.startAll()
+		c.propose("a", 1, 2, 3)
+		c.adjust = func(cfg *Config) {
+			cfg.Address = member(cfg.ID).Address
+			if cfg.ID == 4 {
+				cfg.Join, cfg.Members = true, nil
+			}
+		}
+		for id := uint64(1); id <= 3; id++ { // with their addresses
+			_ = c.procs[id].kill()
+			c.start(id)
+		}
+		c.disks[4] = waltest.New()
+		c.start(4)
+		leader := c.leader(1, 2, 3)
+		if err := leader.AddLearner(t.Context(), member(4)); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		if err := leader.Promote(ctx, 4); err != nil {
+			t.Fatal(err)
+		}
+		c.expect(4, []string{"a"})
+	})
+}
+
 func TestTransferGivesUpTheLeaseFirst(t *testing.T) {
 	inBubble(t, 3, func(t *testing.T, c *cluster) {
 		c.startAll()
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,243 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/upstream"
+)
+
+const headerID = "Request-Id"
+
+// server runs a script for each connection.
+type server struct {
+	address     string
+	connections atomic.Int32
+	requests    atomic.Int32
+}
+
+// newServer answers each request of each connection by answer, which gets the number of the request on its connection.
+// An empty answer closes the connection.
+func newServer(t *testing.T, answer func(n int, r *http.Request) string) *server {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	s := &server{address: lis.Addr().String()}
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			s.connections.Add(1)
+			go s.serve(conn, answer)
+		}
+	}()
+	return s
+}
+
+func (s *server) serve(conn net.Conn, answer func(n int, r *http.Request) string) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for n := 0; ; n++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		s.requests.Add(1)
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		text := answer(n, r)
+		if text == "" {
+			return
+		}
+		if _, err := io.WriteString(conn, text); err != nil {
+			return
+		}
+		if strings.Contains(text, "Connection: close") {
+			return
+		}
+	}
+}
+
+// request returns a request that takes answers with its id only.
+func request(id string) *upstream.Request {
+	return &upstream.Request{
+		Method: http.MethodPost, Target: "/a%2Fb?x=1", Host: "a.example", Header: http.Header{headerID: {id}}, Body: []byte("body"),
+		Owns: func(h http.Header) bool { return h.Get(headerID) == id },
+	}
+}
+
+// answer is an answer with an id and a framed body.
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\n" + headerID + ": " + id + "\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func itoa(n int) string { return string(rune('0'+n/10)) + string(rune('0'+n%10)) }
+
+// do sends a request and returns the body of its answer.
+func do(c *upstream.Client, s *server, id string) (string, error) {
+	a, err := c.Do(context.Background(), s.address, request(id))
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a)
+	return string(body), err
+}
+
+func TestAnswers(t *testing.T) {
+	cases := []struct {
+		name      string
+		first     string // answer to the first request, with the id "one"
+		want      string
+		wantErr   bool
+		reconnect bool // the second request goes over a new connection
+	}{
+		{"framed", answer("one", "hello"), "hello", false, false},
+		{"chunked", "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", "hello", false, false},
+		{"informational first", "HTTP/1.1 103 Early Hints\r\n\r\n" + answer("one", "hello"), "hello", false, false},
+		{"an extra answer first", answer("zero", "other") + answer("one", "hello"), "hello", false, false},
+		{"an extra answer behind", answer("one", "hello") + answer("zero", "other"), "hello", false, true},
+		{"bytes behind", answer("one", "hello") + "x", "hello", false, true},
+		{"asks to close", "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello", "hello", false, true},
+		{"ends with its connection", "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nConnection: close\r\n\r\nhello", "hello", false, true},
+		{"only foreign answers", answer("a", "x") + answer("b", "x") + answer("c", "x") + answer("d", "x"), "", true, true},
+		{"no answer", "", "", true, true},
+		{"no protocol", "garbage\r\n\r\n", "", true, true},
+		{"cut body", "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nContent-Length: 50\r\nConnection: close\r\n\r\nhello", "hello", true, true},
+		{"cut chunks", "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", "hello", true, true},
+		{"no time to stay idle", "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nKeep-Alive: timeout=0\r\nContent-Length: 5\r\n\r\nhello", "hello", false, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newServer(t, func(n int, r *http.Request) string {
+				if r.Header.Get(headerID) == "one" {
+					return tc.first
+				}
+				return answer("two", "again")
+			})
+			c := upstream.New()
+			got, err := do(c, s, "one")
+			if got != tc.want || (err != nil) != tc.wantErr {
+				t.Errorf("first answer %q, %v; want %q, error %v", got, err, tc.want, tc.wantErr)
+			}
+			if got, err := do(c, s, "two"); got != "again" || err != nil {
+				t.Errorf("second answer %q, %v", got, err)
+			}
+			if again := s.connections.Load() == 2; again != tc.reconnect {
+				t.Errorf("%d connections, want a new one: %v", s.connections.Load(), tc.reconnect)
+			}
+			if n := s.requests.Load(); n != 2 {
+				t.Errorf("the server got %d requests, want 2: none is sent again", n)
+			}
+		})
+	}
+}
+
+func TestRequestGoesOnByteForByte(t *testing.T) {
+	seen := make(chan *http.Request, 1)
+	s := newServer(t, func(_ int, r *http.Request) string {
+		seen <- r
+		return answer("one", "ok")
+	})
+	if _, err := do(upstream.New(), s, "one"); err != nil {
+		t.Fatal(err)
+	}
+	r := <-seen
+	if r.RequestURI != "/a%2Fb?x=1" || r.Host != "a.example" || r.ContentLength != 4 || r.Method != http.MethodPost {
+		t.Errorf("%s %s at %s with %d bytes", r.Method, r.RequestURI, r.Host, r.ContentLength)
+	}
+}
+
+func TestNothingSentWithoutAConnection(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := lis.Addr().String()
+	_ = lis.Close()
+	_, err = upstream.New().Do(context.Background(), address, request("one"))
+	var failure *upstream.Error
+	if !errors.As(err, &failure) || failure.Sent {
+		t.Errorf("error %v, want one that says that nothing was sent", err)
+	}
+}
+
+func TestEndOfTheContextClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = lis.Close() }()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		conn, err := lis.Accept()
+		if err != nil {
+			return
+		}
+		reader := bufio.NewReader(conn)
+		_, _ = http.ReadRequest(reader)
+		cancel()
+		_, _ = io.Copy(io.Discard, reader) // ends when the client closes
+		close(closed)
+	}()
+	_, err = upstream.New().Do(ctx, lis.Addr().String(), request("one"))
+	var failure *upstream.Error
+	if !errors.As(err, &failure) || !failure.Sent {
+		t.Errorf("error %v, want one that says that the request may have run", err)
+	}
+	<-closed
+}
+
+// TestEarlyAnswerToALongBody answers before the body was read, and checks that nothing else follows on the connection.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = lis.Close() }()
+	const bodyBytes = 64 << 20 // more than the buffers of a connection hold
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			reader := bufio.NewReader(conn)
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, answer("one", "early"))
+		}
+	}()
+	r := request("one")
+	r.Body = make([]byte, bodyBytes)
+	c := upstream.New()
+	a, err := c.Do(context.Background(), lis.Addr().String(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(a); string(body) != "early" || err != nil {
+		t.Errorf("answer %q, %v", body, err)
+	}
+	a.Close()
+	kept := false
+	c.Expire(time.Now(), func(string) bool { kept = true; return true })
+	if kept {
+		t.Error("a connection is kept on which the rest of a body is due")
+	}
+}
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -172,6 +172,31 @@
 	}
 }
 
+// TestAFullDiskCanBeTriedAgain fills the disk under an append: nothing of it stays, and the same append succeeds later.
+func TestAFullDiskCanBeTriedAgain(t *testing.T) {
+	fs := waltest.New()
+	l := openBlank(t, fs)
+	if err := l.Append(hard(1), []raft.Entry{entry(1, 1)}); err != nil {
+		t.Fatal(err)
+	}
+	fs.SetFull(true)
+	for range 2 {
+		if err := l.Append(hard(2), []raft.Entry{entry(2, 2)}); !errors.Is(err, wal.ErrFull) {
+			t.Fatalf("error %v, want %v", err, wal.ErrFull)
+		}
+	}
+	if got := read(t, fs.Crash(1<<20)); got.hs.Term != 1 || len(got.entries) != 1 {
+		t.Errorf("after the full disk: %+v", got)
+	}
+	fs.SetFull(false)
+	if err := l.Append(hard(2), []raft.Entry{entry(2, 2)}); err != nil {
+		t.Fatal(err)
+	}
+	if got := read(t, fs.Crash(0)); got.hs.Term != 2 || len(got.entries) != 2 {
+		t.Errorf("after the disk had room again: %+v", got)
+	}
+}
+
 func TestDamage(t *testing.T) {
 	build := func() (*waltest.FS, int, int) {
 		fs := waltest.New()
--- a/internal/wal/waltest/fs.go
+++ b/internal/wal/waltest/fs.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/guavastack/guavastack/internal/wal"
 )
@@ -30,6 +31,7 @@
 	calls   int
 	failAt  int // call that fails, 0: none
 	free    uint64
+	full    bool          // writes find no room
 	hang    chan struct{} // syncs wait until it is closed; nil: they do not
 }
 
@@ -48,6 +50,13 @@
 	f.calls, f.failAt = 0, n
 }
 
+// SetFull lets every write fail for want of room, after half of its data, or ends that.
+func (f *FS) SetFull(full bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.full = full
+}
+
 // Calls returns the number of changing calls since FailAt.
 func (f *FS) Calls() int {
 	f.mu.Lock()
@@ -235,7 +244,11 @@
 func (h *handle) Write(p []byte) (int, error) {
 	h.fs.mu.Lock()
 	defer h.fs.mu.Unlock()
-	if err := h.fs.change(); err != nil {
+	err := h.fs.change()
+	if h.fs.full {
+		err = unix.ENOSPC
+	}
+	if err != nil {
 		h.file.current = append(h.file.current, p[:len(p)/2]...)
 		return len(p) / 2, err
 	}
