Keep sessions at their servers and long prompts apart from tight streams

Ruled out: a remembered table per gateway (it is what was there); an agent per server (cost, see docs/design/platform.md). Change: rendezvous hashing of the shared beginning of a prompt with a bounded load; two lanes of servers whose sizes follow the observed work, in the same order in every process; unreachable servers are left at once.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -72,7 +72,7 @@
 	GracePeriod     strict.Duration `json:"grace_period"`    // between the signal to stop and the end of the process
 	UsageWindow     strict.Duration `json:"usage_window"`    // length of a billing window by the time of day; 0: no usage
 	RetryRatio      float64         `json:"retry_ratio"`     // further sends of a service as a share of its requests
-	Routing         string          `json:"routing"`         // like entry.routing
+	Routing         string          `json:"routing"`         // session_lanes, or one of entry.routing
 }
 
 // Agent holds the settings of the agent role.
@@ -149,11 +149,13 @@
 
 // Defaults of a file.
 const (
-	DefaultLogLevel   = "info"
-	DefaultRouting    = "two_choices"
-	DefaultPolicy     = "tiered"
-	DefaultQueueLimit = 256
-	DefaultSlots      = 16
+	DefaultLogLevel = "info"
+	DefaultRouting  = "two_choices"
+	// DefaultGatewayRouting keeps sessions at their servers and long prompts apart from tight streams.
+	DefaultGatewayRouting = "session_lanes"
+	DefaultPolicy         = "tiered"
+	DefaultQueueLimit     = 256
+	DefaultSlots          = 16
 )
 
 // Load reads and checks a file.
@@ -192,7 +194,7 @@
 		c.Entry.Routing = DefaultRouting
 	}
 	if c.Gateway != nil && c.Gateway.Routing == "" {
-		c.Gateway.Routing = DefaultRouting
+		c.Gateway.Routing = DefaultGatewayRouting
 	}
 	if c.Agent == nil {
 		return
@@ -343,7 +345,7 @@
 	g := c.Gateway
 	ch.address("gateway.listen", g.Listen)
 	ch.optionalAddress("gateway.readiness_listen", g.ReadinessListen)
-	ch.oneOf("gateway.routing", g.Routing, DefaultRouting, "round_robin", "least_outstanding")
+	ch.oneOf("gateway.routing", g.Routing, DefaultGatewayRouting, DefaultRouting, "round_robin", "least_outstanding")
 	if g.RetryRatio < 0 || g.RetryRatio > 1 {
 		ch.add("gateway.retry_ratio", "%v; expected 0 to 1", g.RetryRatio)
 	}
--- a/internal/core/route/health.go
+++ b/internal/core/route/health.go
@@ -18,6 +18,9 @@
 	probesToReturn = 3
 	minAside       = 2 * time.Second
 	maxAside       = 8 * time.Second
+	// minUnreachable and maxUnreachable bound the time aside of a server to which no connection came about.
+	minUnreachable = 250 * time.Millisecond
+	maxUnreachable = 2 * time.Second
 )
 
 // healthState is how much work a server gets.
@@ -45,6 +48,10 @@
 	if o.Result == Refused {
 		return
 	}
+	if o.Result == Unreachable {
+		h.setUnreachable(now)
+		return
+	}
 	h.outcomes++
 	failed := 0.0
 	if o.Result == Failed {
@@ -89,6 +96,14 @@
 	h.probes = 0
 }
 
+// setUnreachable sets the server aside for a short time: what keeps connections from coming about may be over soon.
+func (h *health) setUnreachable(now time.Time) {
+	h.state = aside
+	h.duration = min(max(minUnreachable, 2*h.duration), maxUnreachable)
+	h.until = now.Add(h.duration)
+	h.probes = 0
+}
+
 // takesWork reports whether the server may get a request now. One whose time aside is over gets single probes.
 func (s *server) takesWork(now time.Time) bool {
 	switch s.health.state {
--- /dev/null
+++ b/internal/core/route/lanes.go
@@ -0,0 +1,130 @@
+package route
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// A Lane is a part of a service's servers. Reading a long prompt delays every token of the streams that run beside it, so
+// requests with tight targets and requests with long prompts go to different servers where there are enough.
+type Lane uint8
+
+const (
+	// AnyLane means all servers of the service.
+	AnyLane Lane = iota
+	// TightLane takes requests whose answers must flow without pauses.
+	TightLane
+	// BulkLane takes requests whose prompts are long and whose targets are loose.
+	BulkLane
+)
+
+const (
+	// laneHalfLife is how fast observed work counts less.
+	laneHalfLife = 10 * time.Second
+	// tightGapFactor is the multiple of the smallest gap target from which a route is not tight any more.
+	tightGapFactor = 2
+	// tightWeight is how much more room tight work gets than bulk work of as many tokens.
+	tightWeight = 2
+	// minLaneShare is the least share of the servers that a lane has.
+	minLaneShare = 0.25
+	// laneHysteresis is the number of servers by which a better split must differ to take effect.
+	laneHysteresis = 0.75
+	// minLaneServers is the least number of servers that are split.
+	minLaneServers = 4
+)
+
+// Lanes learns which routes of a service need which lane, and how many servers each lane needs. It is not safe for
+// concurrent use.
+type Lanes struct {
+	routes map[string]*laneWork
+	tight  int // servers in the tight lane at the last split; 0: none yet
+}
+
+// laneWork is the work that one route brings.
+type laneWork struct {
+	gap    time.Duration
+	tokens float64 // recent prompt tokens to read, decaying
+	at     time.Time
+}
+
+// NewLanes returns lanes without observations.
+func NewLanes() *Lanes { return &Lanes{routes: make(map[string]*laneWork)} }
+
+// Observe notes a request of a route with its gap target and the prompt tokens that a server has to read for it.
+func (l *Lanes) Observe(now time.Time, route string, gap time.Duration, tokens int) {
+	w := l.routes[route]
+	if w == nil {
+		w = &laneWork{at: now}
+		l.routes[route] = w
+	}
+	w.gap = gap
+	w.tokens = w.recent(now) + float64(tokens)
+	w.at = now
+}
+
+// recent returns the work as it counts at now.
+func (w *laneWork) recent(now time.Time) float64 {
+	return w.tokens * math.Exp2(-float64(now.Sub(w.at))/float64(laneHalfLife))
+}
+
+// smallestGap returns the smallest gap target of the observed routes, 0 where none has one.
+func (l *Lanes) smallestGap() time.Duration {
+	smallest := time.Duration(0)
+	for _, w := range l.routes {
+		if w.gap > 0 && (smallest == 0 || w.gap < smallest) {
+			smallest = w.gap
+		}
+	}
+	return smallest
+}
+
+// Of returns the lane of requests with a gap target.
+func (l *Lanes) Of(gap time.Duration) Lane {
+	smallest := l.smallestGap()
+	switch {
+	case gap <= 0 || smallest == 0:
+		return AnyLane
+	case gap < tightGapFactor*smallest:
+		return TightLane
+	default:
+		return BulkLane
+	}
+}
+
+// Split returns how many of n servers make the tight lane; 0: the servers are not split.
+func (l *Lanes) Split(now time.Time, n int) int {
+	var tight, bulk float64
+	for _, w := range l.routes {
+		switch l.Of(w.gap) {
+		case TightLane:
+			tight += tightWeight * w.recent(now)
+		case BulkLane:
+			bulk += w.recent(now)
+		}
+	}
+	if n < minLaneServers || tight == 0 || bulk == 0 {
+		return 0
+	}
+	share := min(max(tight/(tight+bulk), minLaneShare), 1-minLaneShare)
+	wanted := share * float64(n)
+	held := min(max(l.tight, 1), n-1)
+	if l.tight == 0 || math.Abs(wanted-float64(held)) > laneHysteresis {
+		held = int(math.Round(wanted))
+	}
+	l.tight = held
+	return held
+}
+
+// inLane returns the candidates of a lane. The order of the servers is the same in every process, so that all agree on the
+// lanes without a word. A lane without a candidate gives way to all of them.
+func inLane(candidates []*server, lane Lane, tight int) []*server {
+	if lane == AnyLane || tight <= 0 || tight >= len(candidates) {
+		return candidates
+	}
+	sort.Slice(candidates, func(i, j int) bool { return candidates[i].order < candidates[j].order })
+	if lane == TightLane {
+		return candidates[:tight]
+	}
+	return candidates[tight:]
+}
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -73,6 +73,8 @@
 	Refused
 	// Failed means the attempt broke off or timed out.
 	Failed
+	// Unreachable means that no connection came about.
+	Unreachable
 )
 
 // Outcome is the end of an attempt.
@@ -95,4 +97,9 @@
 	Exclude      []string // backend servers already tried
 
 	FirstTokenTarget time.Duration // zero: none
+
+	// The rest is for PolicySessionLanes.
+	Session      uint64 // what requests with the same long beginning of their prompts share; 0: nothing
+	Lane         Lane
+	TightServers int // number of servers in the tight lane; 0: the servers are not split
 }
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -11,6 +11,9 @@
 const (
 	// PolicyTwoChoices takes the best of a few random candidates and the one that holds the prompt's prefix.
 	PolicyTwoChoices Policy = iota
+	// PolicySessionLanes sends requests that share a long beginning of their prompts to the same server, and keeps long
+	// prompts apart from streams with tight targets.
+	PolicySessionLanes
 	// PolicyRoundRobin takes the candidates in turn; a baseline of the measurements.
 	PolicyRoundRobin
 	// PolicyLeastOutstanding takes the candidate with the fewest own requests; a baseline of the measurements.
@@ -58,6 +61,8 @@
 	}
 	var s *server
 	switch r.cfg.Policy {
+	case PolicySessionLanes:
+		s = r.sessionLanes(now, g, &req, rnd)
 	case PolicyRoundRobin:
 		s = g.nextInTurn(now, &req)
 	case PolicyLeastOutstanding:
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -74,6 +74,7 @@
 type server struct {
 	Backend
 	group *group
+	order uint64 // by chance, the same in every process
 
 	load         Load
 	loadAt       time.Time
@@ -103,7 +104,7 @@
 		t.Remove(b.ID)
 	}
 	g := t.group(groupKey{b.Kind, b.Model})
-	s := &server{Backend: b, group: g, slotInterval: defaultSlotInterval}
+	s := &server{Backend: b, group: g, order: orderOf(b.ID), slotInterval: defaultSlotInterval}
 	t.servers[b.ID] = s
 	i := sort.Search(len(g.servers), func(i int) bool { return g.servers[i].ID >= b.ID })
 	g.servers = append(g.servers, nil)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -150,8 +150,12 @@
 	s.servers.Began(server.ID, x.call.Prompt.Tokens, x.prefix)
 	answer, err := s.client.Do(ctx, server.Address, s.request(x, server, t))
 	if err != nil {
-		s.ended(ctx, server, route.Outcome{Result: route.Failed})
 		o := s.failed(ctx, x, server, err)
+		result := route.Failed
+		if !o.sent {
+			result = route.Unreachable
+		}
+		s.ended(ctx, server, route.Outcome{Result: result})
 		if o.ran && !x.isStream() {
 			s.meter(x, began)
 		}
@@ -175,7 +179,11 @@
 	} else {
 		o = s.passWhole(ctx, x, answer, reply, t)
 	}
-	s.ended(ctx, server, resultOf(o, answer.Status, time.Since(began)))
+	first := time.Since(began)
+	if isStream && !t.stream.firstAt.IsZero() {
+		first = t.stream.firstAt.Sub(began)
+	}
+	s.ended(ctx, server, resultOf(o, answer.Status, first))
 	if !o.done {
 		s.logTry(x, server, "failed", nil)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,9 @@
 	budgetMu sync.Mutex
 	budgets  map[string]*retry.ShareBudget // by service
 
+	lanesMu sync.Mutex
+	lanes   map[string]*route.Lanes // by service
+
 	addresses atomic.Pointer[map[string]bool] // of the registered backend servers
 	draining  atomic.Bool
 	inFlight  atomic.Int64
@@ -105,6 +108,7 @@
 			ID: cfg.ID, Incarnation: cfg.Incarnation, Interval: usageInterval, Logger: cfg.Logger,
 		}, dir),
 		budgets: make(map[string]*retry.ShareBudget),
+		lanes:   make(map[string]*route.Lanes),
 	}
 	s.addresses.Store(&map[string]bool{})
 	dir.OnChange(s.directoryChanged)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -102,12 +102,17 @@
 		return outcome{sent: true, ran: true, final: brokenAnswer(ctx)}
 	}
 	t.stream.begin(answer.Status, answer.Header)
+	t.stream.firstAt = time.Time{}
 	buffer := pieces.Get().(*[pieceBytes]byte)
 	defer pieces.Put(buffer)
 	for {
 		n, err := answer.Read(buffer[:])
 		if n > 0 {
-			s.meter(x, time.Now())
+			now := time.Now()
+			s.meter(x, now)
+			if t.stream.firstAt.IsZero() {
+				t.stream.firstAt = now
+			}
 			t.stream.write(buffer[:n])
 		}
 		switch {
@@ -134,6 +139,7 @@
 	partial []byte      // of a resumable stream: the beginning of an event
 	tail    []byte      // of another stream: the last bytes that went on
 	lastID  string      // of the last event that went on
+	firstAt time.Time   // when the first event of the current server arrived
 }
 
 func newStreamWriter(w http.ResponseWriter, x *exchange) *streamWriter {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -40,6 +40,9 @@
 	arrived      time.Time
 	deadline     time.Time
 	prefix       []uint64
+	session      uint64
+	lane         route.Lane
+	tightServers int
 	metered      bool // it was counted for billing
 
 	method string
@@ -77,10 +80,54 @@
 	x.service = x.route.Target(rand.Uint64())
 	if x.route.CachesPrompts {
 		x.prefix = prefixHashes(call.Prompt.Parts)
+		x.session = sessionOf(call.Prompt, x.prefix)
 	}
+	s.chooseLane(x)
 	return x, nil
 }
 
+// minSharedShare is the part of a prompt that must be shared for its server to matter.
+const minSharedShare = 0.4
+
+// sessionOf returns what identifies the shared beginning of a prompt, 0 where it is too short to matter. The last part is
+// the request's own.
+func sessionOf(p Prompt, prefix []uint64) uint64 {
+	shared := 0
+	for _, part := range p.Parts[:max(len(p.Parts)-1, 0)] {
+		shared += part.Tokens
+	}
+	if shared == 0 || float64(shared) < minSharedShare*float64(p.Tokens) {
+		return 0
+	}
+	return prefix[len(prefix)-2]
+}
+
+// ownTokens returns the tokens of a prompt that no other request shares.
+func ownTokens(p Prompt) int {
+	if len(p.Parts) == 0 {
+		return p.Tokens
+	}
+	return p.Parts[len(p.Parts)-1].Tokens
+}
+
+// chooseLane notes the work that x brings and finds the lane that fits it.
+func (s *Server) chooseLane(x *exchange) {
+	if !x.isStream() {
+		return
+	}
+	now := time.Now()
+	s.lanesMu.Lock()
+	defer s.lanesMu.Unlock()
+	lanes := s.lanes[x.service]
+	if lanes == nil {
+		lanes = route.NewLanes()
+		s.lanes[x.service] = lanes
+	}
+	lanes.Observe(now, x.route.Name, x.route.GapTarget, ownTokens(x.call.Prompt))
+	x.lane = lanes.Of(x.route.GapTarget)
+	x.tightServers = lanes.Split(now, s.servers.Count(route.KindService, x.service))
+}
+
 // identify finds the organisation that holds the key of x.
 func (s *Server) identify(x *exchange, index *catalog.Index) *refusal {
 	x.priority = x.route.Priority
@@ -166,6 +213,9 @@
 		Prefix:           x.prefix,
 		Exclude:          exclude,
 		FirstTokenTarget: x.route.LatencyTarget,
+		Session:          x.session,
+		Lane:             x.lane,
+		TightServers:     x.tightServers,
 	}
 }
 
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -54,9 +54,10 @@
 
 // routings are the routing policies by their names in settings files.
 var routings = map[string]route.Policy{
-	config.DefaultRouting: route.PolicyTwoChoices,
-	"round_robin":         route.PolicyRoundRobin,
-	"least_outstanding":   route.PolicyLeastOutstanding,
+	config.DefaultRouting:        route.PolicyTwoChoices,
+	config.DefaultGatewayRouting: route.PolicySessionLanes,
+	"round_robin":                route.PolicyRoundRobin,
+	"least_outstanding":          route.PolicyLeastOutstanding,
 }
 
 // NewEntry returns the entry role, which listens already.
--- a/internal/serverset/serverset.go
+++ b/internal/serverset/serverset.go
@@ -81,6 +81,19 @@
 	return s.router.Choose(time.Now(), req, rand.Uint64())
 }
 
+// Count returns the number of ready backend servers of a model.
+func (s *Set) Count(kind, model string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, b := range s.servers {
+		if b.Kind == kind && b.Model == model && b.Lifecycle == route.LifecycleReady {
+			n++
+		}
+	}
+	return n
+}
+
 // Find returns the backend server of the given id.
 func (s *Set) Find(id string) (route.Backend, bool) {
 	s.mu.Lock()
