--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -100,19 +100,22 @@
 
 // Control holds the settings of the control role.
 type Control struct {
-	Member    uint64    `json:"member"` // id of this member, from 1; with discover it follows from listen
-	Group     uint64    `json:"group"`
-	Listen    string    `json:"listen"`
-	Admin     Admin     `json:"admin"`
-	Data      string    `json:"data"` // folder
-	Peers     []Peer    `json:"peers"`
-	Platform  *Platform `json:"platform"`    // nil: no orders and no usage reports
-	Discover  bool      `json:"discover"`    // find the group through control_members instead of peers
-	MinFreeMB int       `json:"min_free_mb"` // free disk space below which changes are refused; 0: the default
-	CompactMB int       `json:"compact_mb"`  // size of the log after which it is compacted; 0: the default
-	Operators string    `json:"operators"`   // address for operators and backend servers of the platform's adapter
-	Join      bool      `json:"join"`        // wait to be added to a group that exists, instead of founding one
-	Bootstrap string    `json:"bootstrap"`   // file of the first settings document; read once, when the group has none
+	Member          uint64          `json:"member"` // id of this member, from 1; with discover it follows from listen
+	Group           uint64          `json:"group"`
+	Listen          string          `json:"listen"`
+	Admin           Admin           `json:"admin"`
+	Data            string          `json:"data"` // folder
+	Peers           []Peer          `json:"peers"`
+	Platform        *Platform       `json:"platform"`         // nil: no orders and no usage reports
+	Discover        bool            `json:"discover"`         // find the group through control_members instead of peers
+	Heartbeat       strict.Duration `json:"heartbeat"`        // between heartbeats of the leader; 0: the default
+	Lease           strict.Duration `json:"lease"`            // of the leader; 0: the default
+	ElectionTimeout strict.Duration `json:"election_timeout"` // shortest, at least the lease; 0: the default
+	MinFreeMB       int             `json:"min_free_mb"`      // free disk space below which changes are refused; 0: the default
+	CompactMB       int             `json:"compact_mb"`       // size of the log after which it is compacted; 0: the default
+	Operators       string          `json:"operators"`        // address for operators and backend servers of the platform's adapter
+	Join            bool            `json:"join"`             // wait to be added to a group that exists, instead of founding one
+	Bootstrap       string          `json:"bootstrap"`        // file of the first settings document; read once, when the group has none
 }
 
 // Peer is one member of the control group.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,6 +92,7 @@
 	addresses atomic.Pointer[map[string]bool] // of the registered backend servers
 	draining  atomic.Bool
 	inFlight  atomic.Int64
+	waiting   atomic.Int64 // requests held until the gateway can serve them
 }
 
 // New returns a gateway that serves once Serve is called.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -156,7 +156,8 @@
 			s := newBackend(t, func(r *http.Request, _ string) string { return whole(r, 200, seal, "ok") })
 			b := newBench(t, s)
 			b.dir.stale.Store(tc.stale)
-			res, _, err := b.get(http.MethodGet, tc.path, tc.change)
+			shortWait := func(r *http.Request) { r.Header.Set("X-Wait-Ms", "100") }
+			res, _, err := b.get(http.MethodGet, tc.path, tc.change, shortWait)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -173,7 +174,7 @@
 func TestNoCatalogYet(t *testing.T) {
 	b := newBench(t)
 	b.dir.index.Store(nil)
-	res, _, err := b.get(http.MethodGet, "/safe/x")
+	res, _, err := b.get(http.MethodGet, "/safe/x", func(r *http.Request) { r.Header.Set("X-Wait-Ms", "100") })
 	if err != nil || res.StatusCode != http.StatusServiceUnavailable {
 		t.Errorf("%v, %v; want 503", res, err)
 	}
@@ -182,6 +183,34 @@
 	}
 }
 
+// TestReturnOfAllCallersAfterAStart sends requests before the gateway knows anything: they are held, not refused.
+func TestReturnOfAllCallersAfterAStart(t *testing.T) {
+	s := newBackend(t, func(r *http.Request, _ string) string { return whole(r, 200, seal, "ok") })
+	b := newBench(t, s)
+	index := b.dir.index.Swap(nil)
+	const callers = 20
+	statuses := make(chan int, callers)
+	for range callers {
+		go func() {
+			res, _, err := b.get(http.MethodGet, "/safe/x", func(r *http.Request) { r.Header.Set("X-Wait-Ms", "60000") })
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			statuses <- res.StatusCode
+		}()
+	}
+	for b.gw.waiting.Load() < callers {
+		time.Sleep(time.Millisecond)
+	}
+	b.dir.index.Store(index)
+	for range callers {
+		if status := <-statuses; status != http.StatusOK {
+			t.Errorf("status %d, want 200", status)
+		}
+	}
+}
+
 func TestRequestGoesOnAsItCame(t *testing.T) {
 	var body string
 	s := newBackend(t, func(r *http.Request, b string) string {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -15,6 +15,7 @@
 	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/core/catalog"
 	"github.com/guavastack/guavastack/internal/core/route"
+	"github.com/guavastack/guavastack/internal/wait"
 )
 
 const (
@@ -25,6 +26,14 @@
 	// retryAfterShare is the part of the time left after which a refused caller is asked to come back. Half of it is drawn
 	// at random, so that callers refused together do not return together.
 	retryAfterShare = 0.3
+	// maxReadyWait and readyWaitShare bound how long a request is held until the gateway can serve it: a time, and a part of
+	// the time that the caller waits.
+	maxReadyWait   = 1500 * time.Millisecond
+	readyWaitShare = 0.3
+	// readyPollInterval is the time between looks at whether the gateway can serve.
+	readyPollInterval = 20 * time.Millisecond
+	// maxWaiting bounds the requests that are held.
+	maxWaiting = 500
 	// defaultRetryAfter is told where the deadline of the request is not known.
 	defaultRetryAfter = 300 * time.Millisecond
 )
@@ -55,6 +64,7 @@
 // understand matches a request to its route and checks its key, or refuses it.
 func (s *Server) understand(w http.ResponseWriter, r *http.Request) (*exchange, *refusal) {
 	x := &exchange{arrived: time.Now(), method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header}
+	s.awaitReady(r.Context(), r.Header)
 	index := s.dir.Catalog()
 	if index == nil {
 		return x, notRun(http.StatusServiceUnavailable, "not_ready", "the gateway has no catalog yet")
@@ -128,6 +138,30 @@
 	x.tightServers = lanes.Split(now, s.servers.Count(route.KindService, x.service))
 }
 
+// awaitReady holds a request for a short time while the gateway can't serve it yet, as after a start or an election: most
+// callers are served sooner by this than by a refusal and their return.
+func (s *Server) awaitReady(ctx context.Context, h http.Header) {
+	if s.knows() {
+		return
+	}
+	limit := maxReadyWait
+	if call, err := s.cfg.Dialect.Call(h); err == nil && call.Wait > 0 {
+		limit = min(limit, time.Duration(float64(call.Wait)*readyWaitShare))
+	}
+	if s.waiting.Add(1) > maxWaiting {
+		limit = 0
+	}
+	defer s.waiting.Add(-1)
+	for end := time.Now().Add(limit); !s.knows() && time.Now().Before(end); {
+		if !wait.For(ctx, readyPollInterval) {
+			return
+		}
+	}
+}
+
+// knows reports whether the gateway has a catalog and may act on its keys.
+func (s *Server) knows() bool { return s.dir.Catalog() != nil && s.dir.Fresh(clock.Now()) }
+
 // identify finds the organisation that holds the key of x.
 func (s *Server) identify(x *exchange, index *catalog.Index) *refusal {
 	x.priority = x.route.Priority
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -70,6 +70,10 @@
 		Logger:  base.Logger,
 		Dial:    base.Network.Dial,
 
+		HeartbeatInterval: time.Duration(c.Heartbeat),
+		LeaseDuration:     time.Duration(c.Lease),
+		ElectionTimeout:   time.Duration(c.ElectionTimeout),
+
 		MinFreeBytes: uint64(c.MinFreeMB) << 20,
 		CompactBytes: int64(c.CompactMB) << 20,
 	}, s.Machine)
