Let the split of servers follow the delays of both lanes

Change: work counts alike while both lanes are calm; a lane whose requests wait beyond 0.6 of their targets gets more; half-life 4 s.

--- a/internal/core/route/lanes.go
+++ b/internal/core/route/lanes.go
@@ -21,11 +21,19 @@
 
 const (
 	// laneHalfLife is how fast observed work counts less.
-	laneHalfLife = 10 * time.Second
+	laneHalfLife = 4 * time.Second
 	// tightGapFactor is the multiple of the smallest gap target from which a route is not tight any more.
 	tightGapFactor = 2
-	// tightWeight is how much more room tight work gets than bulk work of as many tokens.
-	tightWeight = 2
+	// minTightWeight and maxTightWeight bound how much more room tight work gets than bulk work of as many tokens. The
+	// weight follows the delays of both lanes.
+	minTightWeight = 0.5
+	maxTightWeight = 4
+	// calmDelay is the delay, as a multiple of the target, up to which a lane counts as calm.
+	calmDelay = 0.6
+	// delayWeight is the weight of a new delay in the moving average of its lane.
+	delayWeight = 0.05
+	// maxDelay bounds a delay, as a multiple of the request's target.
+	maxDelay = 3
 	// minLaneShare is the least share of the servers that a lane has.
 	minLaneShare = 0.25
 	// laneHysteresis is the number of servers by which a better split must differ to take effect.
@@ -39,6 +47,8 @@
 type Lanes struct {
 	routes map[string]*laneWork
 	tight  int // servers in the tight lane at the last split; 0: none yet
+
+	delays [BulkLane + 1]float64 // moving average by lane, as a multiple of the target; 0: none yet
 }
 
 // laneWork is the work that one route brings.
@@ -51,6 +61,26 @@
 // NewLanes returns lanes without observations.
 func NewLanes() *Lanes { return &Lanes{routes: make(map[string]*laneWork)} }
 
+// Served notes how long a request of a lane waited for the beginning of its answer, against its target.
+func (l *Lanes) Served(lane Lane, took, target time.Duration) {
+	if target <= 0 || lane == AnyLane {
+		return
+	}
+	delay := min(float64(took)/float64(target), maxDelay)
+	if l.delays[lane] == 0 {
+		l.delays[lane] = delay
+		return
+	}
+	l.delays[lane] += delayWeight * (delay - l.delays[lane])
+}
+
+// tightWeight returns how much more room a tight token gets than a bulk one. While both lanes are calm they count alike;
+// the lane that keeps its requests waiting gets more.
+func (l *Lanes) tightWeight() float64 {
+	weight := max(l.delays[TightLane], calmDelay) / max(l.delays[BulkLane], calmDelay)
+	return min(max(weight, minTightWeight), maxTightWeight)
+}
+
 // Observe notes a request of a route with its gap target and the prompt tokens that a server has to read for it.
 func (l *Lanes) Observe(now time.Time, route string, gap time.Duration, tokens int) {
 	w := l.routes[route]
@@ -94,11 +124,12 @@
 
 // Split returns how many of n servers make the tight lane; 0: the servers are not split.
 func (l *Lanes) Split(now time.Time, n int) int {
+	weight := l.tightWeight()
 	var tight, bulk float64
 	for _, w := range l.routes {
 		switch l.Of(w.gap) {
 		case TightLane:
-			tight += tightWeight * w.recent(now)
+			tight += weight * w.recent(now)
 		case BulkLane:
 			bulk += w.recent(now)
 		}
--- a/internal/core/route/lanes_test.go
+++ b/internal/core/route/lanes_test.go
@@ -85,6 +85,35 @@
 	}
 }
 
+// TestBroadcastOfShortDrafts keeps tight requests waiting beyond their targets while long prompts are served in time: the
+// tight lane gets more servers for the same work, and gives them back when both are calm.
+func TestBroadcastOfShortDrafts(t *testing.T) {
+	l := NewLanes()
+	at := epoch
+	split := func(tight, bulk time.Duration) int {
+		n := 0
+		for range 200 {
+			at = at.Add(50 * time.Millisecond)
+			l.Observe(at, "summary", 800*time.Millisecond, 2000)
+			l.Observe(at, "draft", 200*time.Millisecond, 1000)
+			l.Served(TightLane, tight, 300*time.Millisecond)
+			l.Served(BulkLane, bulk, time.Second)
+			n = l.Split(at, 12)
+		}
+		return n
+	}
+	calm := split(50*time.Millisecond, 100*time.Millisecond)
+	if n := split(600*time.Millisecond, 100*time.Millisecond); n <= calm {
+		t.Errorf("%d servers in the tight lane while its requests wait, want more than %d", n, calm)
+	}
+	if n := split(50*time.Millisecond, 100*time.Millisecond); n != calm {
+		t.Errorf("%d servers in the tight lane when all is calm again, want %d", n, calm)
+	}
+	if n := split(50*time.Millisecond, 5*time.Second); n >= calm {
+		t.Errorf("%d servers in the tight lane while long prompts wait, want fewer than %d", n, calm)
+	}
+}
+
 // TestASessionKeepsItsHome sends the same session from several processes that share nothing.
 func TestASessionKeepsItsHome(t *testing.T) {
 	homes := make(map[string]bool)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -220,6 +220,15 @@
 	return nil
 }
 
+// served notes how long x waited for the beginning of its answer.
+func (s *Server) served(x *exchange, took time.Duration) {
+	s.lanesMu.Lock()
+	defer s.lanesMu.Unlock()
+	if lanes := s.lanes[x.service]; lanes != nil {
+		lanes.Served(x.lane, took, x.route.LatencyTarget)
+	}
+}
+
 // withDeadline returns a context that ends at the deadline of x or when the caller goes away.
 func (x *exchange) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
 	return context.WithDeadlineCause(ctx, x.deadline, errDeadline)
