Rank requests by organisation and then by route; close only connections on which nothing has arrived

Cause: an organisation's priority replaced the route's, so that all classes of an organisation had one urgency at the engine. Now the organisation's priority goes first and the route's decides among equals. Cause: net/http closes a connection as idle until it has read the whole head of a request (SetKeepAlivesEnabled, Shutdown). Connections are tracked by the gateway now: one on which a byte has arrived is answered.

--- a/internal/core/catalog/index.go
+++ b/internal/core/catalog/index.go
@@ -11,6 +11,7 @@
 	hosts         map[string]map[string]*Route // by host in lower case, then by path prefix
 	organisations map[[sha256.Size]byte]*Organisation
 	services      map[string]*Service
+	ranks         map[precedence]int
 }
 
 // NewIndex returns an index of c, which must not change any more.
@@ -20,6 +21,7 @@
 		hosts:         make(map[string]map[string]*Route),
 		organisations: make(map[[sha256.Size]byte]*Organisation),
 		services:      make(map[string]*Service, len(c.Services)),
+		ranks:         ranksOf(c),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -42,7 +42,8 @@
 	Remaining    time.Duration // until the answer must be there
 	ServerID     string        // no other backend server may run the request
 	Organisation string        // empty: a public route
-	Priority     int           // 0 is the highest
+	Rank         int           // 0 goes first
+	Ranks        int           // number of ranks
 	ResumeAfter  string        // id of the last event that arrived; empty: from the beginning
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -20,6 +20,9 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	x, ref := s.understand(w, r)
 	if ref == nil {
 		s.requested(x.service)
@@ -213,7 +216,8 @@
 		Remaining:    x.remaining(),
 		ServerID:     server.ID,
 		Organisation: x.organisation,
-		Priority:     x.priority,
+		Rank:         x.rank,
+		Ranks:        x.ranks,
 		ResumeAfter:  t.stream.lastID,
 	})
 	return &upstream.Request{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,8 @@
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes bounds the head of a request.
 	maxHeaderBytes = 64 << 10
+	// drainPollInterval is the time between looks at the connections that are left.
+	drainPollInterval = 50 * time.Millisecond
 	// usageInterval is the time between reports of usage.
 	usageInterval = 500 * time.Millisecond
 	// housekeepingInterval is the time between looks at unused connections.
@@ -81,6 +83,7 @@
 	dir     Directory
 	servers *serverset.Set
 	client  *upstream.Client
+	conns   *connTracker
 	usage   *meter.Meter
 
 	budgetMu sync.Mutex
@@ -105,6 +108,7 @@
 		dir:     dir,
 		servers: serverset.New(cfg.Zone, cfg.Routing),
 		client:  upstream.New(),
+		conns:   newConnTracker(),
 		usage: meter.New(meter.Config{
 			ID: cfg.ID, Incarnation: cfg.Incarnation, Interval: usageInterval, Logger: cfg.Logger,
 		}, dir),
@@ -169,6 +173,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         s.conns.stateChanged,
 		ErrorLog:          slog.NewLogLogger(s.cfg.Logger.Handler(), slog.LevelDebug),
 	}
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -176,33 +181,31 @@
 	go s.housekeep(background)
 	go s.usage.Run(background)
 	served := make(chan error, 1)
-	go func() { served <- srv.Serve(lis) }()
+	go func() { served <- srv.Serve(trackedListener{lis, s.conns}) }()
 	select {
 	case err := <-served:
 		return errors.Annotate(err, "callers' listener")
 	case <-ctx.Done():
 	}
-	err := s.drain(srv)
+	s.drain(srv, lis)
 	s.usage.Flush(context.WithoutCancel(ctx))
-	return err
+	return nil
 }
 
-// drain ends accepting and waits for the requests in progress.
-func (s *Server) drain(srv *http.Server) error {
+// drain stops accepting, closes connections once they are idle and waits for the requests in progress as long as the grace
+// period allows. Until then answers tell callers to leave.
+func (s *Server) drain(srv *http.Server, lis net.Listener) {
 	began := time.Now()
 	s.draining.Store(true)
 	s.cfg.Logger.Info("gateway is shutting down", "in_flight", s.inFlight.Load())
-	srv.SetKeepAlivesEnabled(false) // answers tell callers to leave
 	listen, all := drainTimes(s.cfg.GracePeriod)
 	time.Sleep(listen)
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(all))
-	defer cancel()
-	err := srv.Shutdown(ctx)
-	s.cfg.Logger.Info("gateway has shut down", "in_flight", s.inFlight.Load())
-	if errors.Is(err, context.DeadlineExceeded) {
-		return nil // what is left has used up the grace period
+	_ = lis.Close()
+	for s.conns.closeIdle() > 0 && time.Since(began) < all {
+		time.Sleep(drainPollInterval)
 	}
-	return errors.Annotate(err, "shutdown of the callers' listener")
+	s.cfg.Logger.Info("gateway has shut down", "in_flight", s.inFlight.Load())
+	_ = srv.Close() // what is left has used up the grace period
 }
 
 // drainTimes returns how long after the signal to stop new connections are taken, and after what time the requests that
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -320,3 +320,20 @@
 		}
 	}
 }
+
+// TestAStopAnswersWhatArrives stops a gateway while callers keep their connections: each gets its answer and is told to leave.
+func TestAStopAnswersWhatArrives(t *testing.T) {
+	s := newBackend(t, func(r *http.Request, _ string) string { return whole(r, 200, seal, "ok") })
+	b := newBench(t, s)
+	if res, _, err := b.get(http.MethodGet, "/safe/x"); err != nil || res.Close {
+		t.Fatalf("%v, %v; want an answer that keeps the connection", res, err)
+	}
+	b.gw.draining.Store(true)
+	res, body, err := b.get(http.MethodGet, "/safe/x")
+	if err != nil || body != "ok" || !res.Close {
+		t.Errorf("%v, %q, %v; want an answer that closes the connection", res, body, err)
+	}
+	if ready, _ := b.gw.Status(); ready {
+		t.Error("ready while shutting down")
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -45,10 +45,11 @@
 
 // copyAnswerHeaders copies the headers of an answer except those of its connection.
 func copyAnswerHeaders(to, from http.Header) {
-	for name, values := range from {
+	own := from.Clone()
+	removeConnectionHeaders(own)
+	for name, values := range own {
 		to[name] = values
 	}
-	removeConnectionHeaders(to)
 	if from.Get("Content-Type") == "" {
 		to["Content-Type"] = nil // keeps net/http from guessing one
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -45,6 +45,8 @@
 	service      string
 	organisation string
 	priority     int
+	rank         int // among all requests that the catalog allows
+	ranks        int
 	version      uint64 // of the catalog that decided
 	arrived      time.Time
 	deadline     time.Time
@@ -165,6 +167,7 @@
 // identify finds the organisation that holds the key of x.
 func (s *Server) identify(x *exchange, index *catalog.Index) *refusal {
 	x.priority = x.route.Priority
+	x.rank, x.ranks = index.Rank(nil, x.route), index.Ranks()
 	if x.route.Public || !index.Keyed() {
 		return nil
 	}
@@ -176,6 +179,7 @@
 		return notRun(http.StatusUnauthorized, "invalid_key", "the key is missing, unknown or withdrawn")
 	}
 	x.organisation = organisation.Name
+	x.rank = index.Rank(organisation, x.route)
 	if organisation.HasPriority {
 		x.priority = organisation.Priority
 	}
