Explain a failed request afterwards: stories, metrics, explain

Each request keeps its decisions (admitted, sent, try ended, goes to another server, ended) with their inputs; those of a failed, refused or late request are logged, of the others a sample. Lines go to standard output in batches, bounded per second and in memory, and never block; what is left out is counted and told. Metrics as text on an address of their own. 'guavastack explain REQUEST-ID FILE...' tells one request's story from the logs of several processes.

--- a/cmd/guavastack/main.go
+++ b/cmd/guavastack/main.go
@@ -61,6 +61,7 @@
 			settingsCommand(),
 			organisationCommand(),
 			keyCommand(),
+			explainCommand(),
 			loadCommand(),
 			groupCommand(),
 		},
--- a/cmd/guavastack/roles.go
+++ b/cmd/guavastack/roles.go
@@ -69,15 +69,31 @@
 			if err := keepRole(cfg, role); err != nil {
 				return err
 			}
-			logger, err := telemetry.NewLogger(os.Stderr, cfg.Log.Level)
+			writer := telemetry.NewAsyncWriter(os.Stdout)
+			defer writer.Close()
+			logger, err := telemetry.NewLimitedLogger(writer, cfg.Log.Level)
 			if err != nil {
 				return err
 			}
-			return runRoles(ctx, cmd.String("config"), cfg, logger)
+			err = runRoles(ctx, cmd.String("config"), cfg, logger, writer)
+			logger.Info("stopped", "process", cfg.ID, "reason", stopReason(ctx, err))
+			return err
 		},
 	}
 }
 
+// stopReason says why the roles ended.
+func stopReason(ctx context.Context, err error) string {
+	switch {
+	case err != nil:
+		return err.Error()
+	case ctx.Err() != nil:
+		return "signal"
+	default:
+		return "all roles ended"
+	}
+}
+
 // keepRole removes the other roles from the settings.
 func keepRole(cfg *config.Config, role string) error {
 	roles := map[string]bool{"entry": cfg.Entry != nil, "gateway": cfg.Gateway != nil, "agent": cfg.Agent != nil, "control": cfg.Control != nil}
@@ -103,13 +119,14 @@
 }
 
 // runRoles runs the roles of the settings in the order in which they shut down.
-func runRoles(ctx context.Context, file string, cfg *config.Config, logger *slog.Logger) error {
+func runRoles(ctx context.Context, file string, cfg *config.Config, logger *slog.Logger, writer *telemetry.AsyncWriter) error {
 	limitMemory(cfg.MemoryLimitMB)
 	base, err := process.NewBase(cfg, logger)
 	if err != nil {
 		return err
 	}
 	base.Adapter = platformAdapter()
+	base.Metrics.GaugeFunc("log_lines_left_out", writer.LeftOut)
 	var roles []process.Role
 	if cfg.Entry != nil {
 		r, err := process.BuildEntry(base)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -23,6 +23,7 @@
 	Zone           string   `json:"zone"` // availability zone
 	Log            Log      `json:"log"`
 	StatusListen   string   `json:"status_listen"`   // loopback, for /metrics, /healthz, /readyz and pprof; empty: none
+	MetricsListen  string   `json:"metrics_listen"`  // for /metrics as text, and nothing else; empty: none
 	ControlMembers []string `json:"control_members"` // addresses of the control group, for all other roles
 	ControlPort    int      `json:"control_port"`    // replaces the ports in control_members; 0: they stay
 	MemoryLimitMB  int      `json:"memory_limit_mb"` // of the process; 0: none
@@ -300,6 +301,7 @@
 	ch.required("zone", c.Zone, "the name of the availability zone")
 	ch.oneOf("log.level", c.Log.Level, "debug", "info", "warn", "error")
 	ch.loopback("status_listen", c.StatusListen, "")
+	ch.optionalAddress("metrics_listen", c.MetricsListen)
 	for i, a := range c.ControlMembers {
 		ch.address(strict.Index("control_members", i), a)
 	}
--- a/internal/control/soft.go
+++ b/internal/control/soft.go
@@ -75,12 +75,25 @@
 			ID: b.Id, Incarnation: b.Incarnation, StartedMS: b.StartedMs, Sequence: b.Sequence,
 			Lifecycle: member.Lifecycle(b.Lifecycle), Detail: b,
 		}
+		before, known := s.registry.Get(b.Id)
 		if s.registry.Put(report, heard, first, material) && material {
 			s.lastLoad[b.Id] = heard
 		}
+		s.logChange(before, known, b.Id, first)
 	})
 }
 
+// logChange logs what is believed of a backend server when it changes. first says that it spoke to this member.
+func (s *softState) logChange(before member.Entry[*controlpb.BackendServer], known bool, id string, first bool) {
+	now, ok := s.registry.Get(id)
+	if !ok || (known && before.Report.Lifecycle == now.Report.Lifecycle && before.Report.Incarnation == now.Report.Incarnation) {
+		return
+	}
+	s.cfg.Logger.Info("backend server",
+		"backend_server", id, "lifecycle", now.Report.Lifecycle, "incarnation", now.Report.Incarnation,
+		"sequence", now.Report.Sequence, "address", now.Report.Detail.GetAddress(), "model", now.Report.Detail.GetModel(), "at_first_hand", first)
+}
+
 // isMaterial reports whether anything but load changed.
 func isMaterial(old, b *controlpb.BackendServer) bool {
 	return !proto.Equal(withoutLoad(old), withoutLoad(b))
--- a/internal/core/route/lanes.go
+++ b/internal/core/route/lanes.go
@@ -19,6 +19,9 @@
 	BulkLane
 )
 
+// String returns the name of the lane.
+func (l Lane) String() string { return [...]string{"any", "tight", "bulk"}[l] }
+
 const (
 	// laneHalfLife is how fast observed work counts less.
 	laneHalfLife = 4 * time.Second
--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,188 @@
+// Package explain reads log lines of several processes and tells one request's story in the order of time.
+package explain
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/telemetry"
+)
+
+const (
+	// maxLineBytes bounds one line.
+	maxLineBytes = 1 << 20
+	// contextBefore and contextAfter are how far around the request other lines of its processes are shown, for clocks differ
+	// and causes come first.
+	contextBefore = 3 * time.Second
+	contextAfter  = 500 * time.Millisecond
+)
+
+// ErrNotFound means that no line names the request.
+const ErrNotFound = errors.ConstError("no log line names the request")
+
+// Line is one log line.
+type Line struct {
+	At      time.Time
+	Process string
+	Message string
+	Fields  map[string]any // all others
+	order   int            // in its input, which keeps the order of one process
+}
+
+// Reader gathers lines.
+type Reader struct {
+	lines   []Line
+	skipped int
+}
+
+// Read takes the lines of one input. What is no log line is passed over and counted; a prefix before the JSON object, as
+// collectors add it, is allowed.
+func (r *Reader) Read(in io.Reader) error {
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
+		line, ok := parse(scanner.Text())
+		if !ok {
+			r.skipped++
+			continue
+		}
+		line.order = len(r.lines)
+		r.lines = append(r.lines, line)
+	}
+	return errors.Annotate(scanner.Err(), "log lines")
+}
+
+// Skipped returns the number of lines that are no log lines.
+func (r *Reader) Skipped() int { return r.skipped }
+
+func parse(text string) (Line, bool) {
+	at := strings.IndexByte(text, '{')
+	if at < 0 {
+		return Line{}, false
+	}
+	var fields map[string]any
+	if json.Unmarshal([]byte(text[at:]), &fields) != nil {
+		return Line{}, false
+	}
+	line := Line{Fields: fields}
+	stamp, _ := fields["time"].(string)
+	var err error
+	if line.At, err = time.Parse(time.RFC3339Nano, stamp); err != nil {
+		return Line{}, false
+	}
+	line.Process, _ = fields["process"].(string)
+	line.Message, _ = fields["msg"].(string)
+	for _, name := range []string{"time", "process", "msg", "level"} {
+		delete(fields, name)
+	}
+	return line, true
+}
+
+// Story is what the lines tell of one request.
+type Story struct {
+	RequestID string
+	Lines     []Line // that name the request
+	Context   []Line // of what its processes believed meanwhile
+}
+
+// Tell returns the story of a request, or ErrNotFound.
+func (r *Reader) Tell(requestID string) (*Story, error) {
+	s := &Story{RequestID: requestID}
+	processes := make(map[string]bool)
+	for _, l := range r.lines {
+		if l.Fields[telemetry.KeyRequestID] == requestID {
+			s.Lines = append(s.Lines, l)
+			processes[l.Process] = true
+		}
+	}
+	if len(s.Lines) == 0 {
+		return nil, errors.Annotatef(ErrNotFound, "%q among %d lines", requestID, len(r.lines))
+	}
+	sortLines(s.Lines)
+	from := s.Lines[0].At.Add(-contextBefore)
+	until := s.Lines[len(s.Lines)-1].At.Add(contextAfter)
+	servers := s.servers()
+	for _, l := range r.lines {
+		if l.At.Before(from) || l.At.After(until) || l.Fields[telemetry.KeyRequestID] != nil {
+			continue
+		}
+		server, _ := l.Fields[telemetry.KeyBackendServer].(string)
+		if server != "" && !servers[server] {
+			continue
+		}
+		if processes[l.Process] || server != "" {
+			s.Context = append(s.Context, l)
+		}
+	}
+	sortLines(s.Context)
+	return s, nil
+}
+
+// servers returns the backend servers that the request was sent to.
+func (s *Story) servers() map[string]bool {
+	out := make(map[string]bool)
+	for _, l := range s.Lines {
+		if server, ok := l.Fields[telemetry.KeyBackendServer].(string); ok {
+			out[server] = true
+		}
+	}
+	return out
+}
+
+// sortLines orders lines by time, and those of one moment as they came.
+func sortLines(lines []Line) {
+	slices.SortStableFunc(lines, func(a, b Line) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.order, b.order))
+	})
+}
+
+// Write prints the story: the request's own lines first, then what its processes believed.
+func (s *Story) Write(w io.Writer) error {
+	start := s.Lines[0].At
+	if _, err := fmt.Fprintf(w, "request %s, from %s on\n", s.RequestID, start.Format(time.RFC3339Nano)); err != nil {
+		return err
+	}
+	for _, l := range s.Lines {
+		if err := writeLine(w, start, l); err != nil {
+			return err
+		}
+	}
+	if len(s.Context) == 0 {
+		return nil
+	}
+	if _, err := fmt.Fprintln(w, "meanwhile"); err != nil {
+		return err
+	}
+	for _, l := range s.Context {
+		if err := writeLine(w, start, l); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeLine(w io.Writer, start time.Time, l Line) error {
+	names := make([]string, 0, len(l.Fields))
+	for name := range l.Fields {
+		if name != telemetry.KeyRequestID {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	var fields strings.Builder
+	for _, name := range names {
+		if v := l.Fields[name]; v != "" {
+			fmt.Fprintf(&fields, " %s=%v", name, v)
+		}
+	}
+	_, err := fmt.Fprintf(w, "  %+9.3f s  %-24s %s%s\n", l.At.Sub(start).Seconds(), l.Process, l.Message, fields.String())
+	return err
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,73 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/explain"
+)
+
+// logs are the lines of a gateway and of a control member, whose clock is 40 ms behind.
+const gatewayLog = `{"time":"2026-01-01T00:00:00.5Z","level":"INFO","msg":"backend server","process":"gw","backend_server":"s2","lifecycle":"leaving"}
+{"time":"2026-01-01T00:00:01.000Z","level":"WARN","msg":"request admitted","process":"gw","request_id":"r1","class":"chat"}
+12.5 gw/x {"time":"2026-01-01T00:00:01.001Z","level":"WARN","msg":"request sent","process":"gw","request_id":"r1","backend_server":"s1"}
+no log line
+{"time":"2026-01-01T00:00:01.400Z","level":"WARN","msg":"request ended","process":"gw","request_id":"r1","status":502,"code":"backend_failed"}
+{"time":"2026-01-01T00:00:01.300Z","level":"WARN","msg":"try ended","process":"gw","request_id":"r1","backend_server":"s1","result":"no_answer"}
+{"time":"2026-01-01T00:00:01.200Z","level":"WARN","msg":"request ended","process":"gw","request_id":"r2","status":200}
+{"time":"2026-01-01T00:00:09.000Z","level":"INFO","msg":"much later","process":"gw"}
+`
+
+const controlLog = `{"time":"2026-01-01T00:00:00.96Z","level":"INFO","msg":"backend server","process":"ctl","backend_server":"s1","lifecycle":"gone"}
+{"time":"2026-01-01T00:00:00.97Z","level":"INFO","msg":"other","process":"ctl"}
+`
+
+func read(t *testing.T) *explain.Reader {
+	t.Helper()
+	var r explain.Reader
+	for _, log := range []string{controlLog, gatewayLog} {
+		if err := r.Read(strings.NewReader(log)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return &r
+}
+
+func TestStory(t *testing.T) {
+	story, err := read(t).Tell("r1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	if err := story.Write(&out); err != nil {
+		t.Fatal(err)
+	}
+	rest := out.String()
+	for _, want := range []string{
+		"request r1", "request admitted class=chat", "request sent backend_server=s1", "try ended backend_server=s1 result=no_answer",
+		"request ended code=backend_failed status=502", "meanwhile", "backend server backend_server=s1 lifecycle=gone",
+	} {
+		_, after, ok := strings.Cut(rest, want)
+		if !ok {
+			t.Fatalf("%q is missing or out of order in\n%s", want, out.String())
+		}
+		rest = after
+	}
+	for _, foreign := range []string{"r2", "s2", "much later", "other"} {
+		if strings.Contains(out.String(), foreign) {
+			t.Errorf("%q is told in\n%s", foreign, out.String())
+		}
+	}
+}
+
+func TestNothingFound(t *testing.T) {
+	r := read(t)
+	if _, err := r.Tell("r9"); !errors.Is(err, explain.ErrNotFound) {
+		t.Errorf("error %v, want %v", err, explain.ErrNotFound)
+	}
+	if r.Skipped() != 1 {
+		t.Errorf("%d lines passed over, want 1", r.Skipped())
+	}
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -30,41 +31,29 @@
 		defer cancel()
 		ref = s.forward(ctx, x, w)
 	}
-	switch {
-	case ref == nil:
-	case errors.Is(r.Context().Err(), context.Canceled):
-		s.logEnd("caller gone", x, ref)
-	default:
-		s.refuse(w, x, ref)
+	if ref != nil {
+		s.answerItself(w, r, x, ref)
 	}
 }
 
-// refuse gives the gateway's own final answer.
-func (s *Server) refuse(w http.ResponseWriter, x *exchange, ref *refusal) {
-	if ref.verdict == verdict.NotRun && ref.status == http.StatusServiceUnavailable {
-		ref.retryAfter = x.retryAfter()
+// answerItself gives the gateway's own final answer, unless the caller went away.
+func (s *Server) answerItself(w http.ResponseWriter, r *http.Request, x *exchange, ref *refusal) {
+	e := ending{status: ref.status, code: ref.code, reason: ref.message, verdict: ref.verdict}
+	e.gone = errors.Is(r.Context().Err(), context.Canceled)
+	if !e.gone {
+		if ref.verdict == verdict.NotRun && ref.status == http.StatusServiceUnavailable {
+			ref.retryAfter = x.retryAfter()
+		}
+		ref.write(w)
 	}
-	ref.write(w)
-	s.logEnd("refused", x, ref)
-}
-
-// logEnd logs a request that got no backend server's answer.
-func (s *Server) logEnd(event string, x *exchange, ref *refusal) {
-	s.cfg.Logger.Info(event,
-		telemetry.KeyRequestID, x.call.ID,
-		telemetry.KeyOrganisation, x.organisation,
-		telemetry.KeyVerdict, ref.verdict.String(),
-		"status", ref.status,
-		"code", ref.code,
-		"reason", ref.message,
-		"catalog_version", x.version,
-		"after_ms", time.Since(x.arrived).Milliseconds())
+	s.finish(x, e)
 }
 
 // outcome is how one try ended.
 type outcome struct {
 	sent   bool         // the request may have reached the server
 	ran    bool         // it may have run
+	status int          // of the server's answer that the caller has, with done
 	done   bool         // the caller has the answer, or can't get one any more
 	answer *wholeAnswer // a server's answer to hold until no further try follows; nil: none
 	final  *refusal     // the gateway's answer where no further try follows and there is no answer
@@ -90,14 +79,16 @@
 		}
 		o := s.try(ctx, x, server, t)
 		if o.done {
+			s.finish(x, ending{status: o.status, verdict: verdict.Ran})
 			return nil
 		}
 		t.note(server.ID, o)
 		if ctx.Err() != nil || !s.mayTryAgain(x, t, o) {
 			break
 		}
+		x.tell(eventAgain, slog.Bool("sent", o.sent), slog.Bool("may_have_run", o.ran), slog.String("resume_after", t.stream.lastID))
 	}
-	return t.finish(ctx, w)
+	return s.conclude(ctx, x, t, w)
 }
 
 // note keeps what a try brought.
@@ -132,13 +123,16 @@
 	return t.sent < max(1, x.route.MaxAttempts) && s.takeRetry(x.service)
 }
 
-// finish gives the caller what the tries brought.
-func (t *tries) finish(ctx context.Context, w http.ResponseWriter) *refusal {
+// conclude gives the caller what the tries brought, or returns the gateway's own answer.
+func (s *Server) conclude(ctx context.Context, x *exchange, t *tries, w http.ResponseWriter) *refusal {
 	switch {
 	case t.stream.started:
+		gone := errors.Is(ctx.Err(), context.Canceled)
+		s.finish(x, ending{status: t.stream.status, reason: t.final.message, verdict: verdict.Ran, cut: true, gone: gone})
 		panic(http.ErrAbortHandler) // a short answer must not look whole
 	case t.answer != nil:
 		t.answer.write(w)
+		s.finish(x, ending{status: t.answer.status, verdict: verdict.Ran})
 		return nil
 	case ctx.Err() != nil && t.final.verdict == verdict.NotRun:
 		return notRun(http.StatusServiceUnavailable, "deadline_exceeded", "no backend server took the request in time")
@@ -150,6 +144,10 @@
 // try sends x to one backend server.
 func (s *Server) try(ctx context.Context, x *exchange, server route.Backend, t *tries) outcome {
 	began := time.Now()
+	x.tries++
+	x.tell(eventSent,
+		slog.String(telemetry.KeyBackendServer, server.ID), slog.String("address", server.Address),
+		slog.String("zone", server.Zone), slog.Int("try", x.tries), slog.Int64("remaining_ms", x.remaining().Milliseconds()))
 	s.servers.Began(server.ID, x.call.Prompt.Tokens, x.prefix)
 	answer, err := s.client.Do(ctx, server.Address, s.request(x, server, t))
 	if err != nil {
@@ -169,7 +167,7 @@
 	s.report(server, reply)
 	if reply.NotRun || reply.Elsewhere {
 		s.servers.Ended(server.ID, route.Outcome{Result: route.Refused})
-		s.logTry(x, server, "not_run", nil)
+		tellTry(x, server, "not_run", answer.Status, nil)
 		return outcome{sent: true, final: notRun(http.StatusServiceUnavailable, "backend_full", "the backend server did not take the request")}
 	}
 	isStream := answer.Status/100 == 2 && x.isStream()
@@ -187,9 +185,15 @@
 		first = t.stream.firstAt.Sub(began)
 	}
 	s.ended(ctx, server, resultOf(o, answer.Status, first))
-	if !o.done {
-		s.logTry(x, server, "failed", nil)
+	if !isStream {
+		s.served(x, first+began.Sub(x.arrived))
+	}
+	result := "failed"
+	if o.done {
+		result = "served"
 	}
+	o.status = answer.Status
+	tellTry(x, server, result, answer.Status, nil)
 	return o
 }
 
@@ -234,7 +238,7 @@
 func (s *Server) failed(ctx context.Context, x *exchange, server route.Backend, err error) outcome {
 	var failure *upstream.Error
 	sent := !errors.As(err, &failure) || failure.Sent
-	s.logTry(x, server, "no_answer", err)
+	tellTry(x, server, "no_answer", 0, err)
 	switch {
 	case !sent:
 		return outcome{final: notRun(http.StatusServiceUnavailable, "backend_unreachable", "the backend server is out of reach")}
@@ -257,19 +261,16 @@
 	})
 }
 
-// logTry logs a try that brought no answer for the caller.
-func (s *Server) logTry(x *exchange, server route.Backend, result string, err error) {
-	args := []any{
-		telemetry.KeyRequestID, x.call.ID,
-		telemetry.KeyBackendServer, server.ID,
-		"address", server.Address,
-		"result", result,
-		"remaining_ms", x.remaining().Milliseconds(),
+// tellTry adds the end of a try to the story of x. status is 0 without an answer.
+func tellTry(x *exchange, server route.Backend, result string, status int, err error) {
+	attrs := []slog.Attr{
+		slog.String(telemetry.KeyBackendServer, server.ID), slog.String("result", result), slog.Int("status", status),
+		slog.Int64("remaining_ms", x.remaining().Milliseconds()),
 	}
 	if err != nil {
-		args = append(args, telemetry.KeyError, err.Error())
+		attrs = append(attrs, slog.String(telemetry.KeyError, err.Error()))
 	}
-	s.cfg.Logger.Info("try ended", args...)
+	x.tell(eventTryEnded, attrs...)
 }
 
 // connectionHeaders concern one connection and are not passed on.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,8 @@
 	drainPollInterval = 50 * time.Millisecond
 	// usageInterval is the time between reports of usage.
 	usageInterval = 500 * time.Millisecond
+	// freshnessInterval is the time between looks at the freshness of the keys.
+	freshnessInterval = 250 * time.Millisecond
 	// housekeepingInterval is the time between looks at unused connections.
 	housekeepingInterval = 2 * time.Second
 )
@@ -56,6 +58,8 @@
 	Catalog() *catalog.Index
 	// Fresh reports whether keys may be acted on at now.
 	Fresh(now time.Time) bool
+	// FreshFor returns how long keys may still be acted on; below 0: no longer.
+	FreshFor(now time.Time) time.Duration
 	// Backends returns the registered backend servers.
 	Backends() []*controlpb.BackendServer
 	meter.Sink
@@ -89,12 +93,16 @@
 	budgetMu sync.Mutex
 	budgets  map[string]*retry.ShareBudget // by service
 
+	knownMu sync.Mutex
+	known   map[string]string // lifecycles of the backend servers, by id
+
 	lanesMu sync.Mutex
 	lanes   map[string]*route.Lanes // by service
 
 	addresses atomic.Pointer[map[string]bool] // of the registered backend servers
 	draining  atomic.Bool
 	inFlight  atomic.Int64
+	sampledAt atomic.Int64 // when a request that went well was logged last, nanoseconds since 1970
 	waiting   atomic.Int64 // requests held until the gateway can serve them
 }
 
@@ -128,9 +136,44 @@
 		addresses[b.Address] = true
 	}
 	s.addresses.Store(&addresses)
+	s.logServers(backends)
 	s.servers.Update(time.Now(), backends)
 }
 
+// logServers logs which backend servers came, changed and went.
+func (s *Server) logServers(backends []*controlpb.BackendServer) {
+	s.knownMu.Lock()
+	defer s.knownMu.Unlock()
+	known := make(map[string]string, len(backends))
+	for _, b := range backends {
+		known[b.Id] = b.Lifecycle
+		if s.known[b.Id] != b.Lifecycle {
+			s.cfg.Logger.Info("backend server", telemetry.KeyBackendServer, b.Id, "lifecycle", b.Lifecycle, "address", b.Address,
+				"model", b.Model, "sequence", b.Sequence)
+		}
+	}
+	for id := range s.known {
+		if known[id] == "" {
+			s.cfg.Logger.Info("backend server", telemetry.KeyBackendServer, id, "lifecycle", route.LifecycleGone)
+		}
+	}
+	s.known = known
+}
+
+// watchFreshness logs when the keys can't be acted on any more, and when they can again.
+func (s *Server) watchFreshness(ctx context.Context) {
+	fresh := true
+	for wait.For(ctx, freshnessInterval) {
+		now := s.dir.Fresh(clock.Now())
+		if now == fresh {
+			continue
+		}
+		fresh = now
+		s.cfg.Logger.Warn("confirmation of the keys", "fresh", now, "fresh_for_ms", s.dir.FreshFor(clock.Now()).Milliseconds(),
+			"catalog_version", s.dir.Catalog().Version())
+	}
+}
+
 // youngestByAddress drops backend servers whose address a younger one has: they are gone, whatever a late report says.
 func youngestByAddress(backends []*controlpb.BackendServer) []*controlpb.BackendServer {
 	youngest := make(map[string]*controlpb.BackendServer, len(backends))
@@ -180,6 +223,7 @@
 	defer stop()
 	go s.housekeep(background)
 	go s.usage.Run(background)
+	go s.watchFreshness(background)
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(trackedListener{lis, s.conns}) }()
 	select {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -59,6 +59,7 @@
 
 func (d *directory) Catalog() *catalog.Index              { return d.index.Load() }
 func (d *directory) Fresh(time.Time) bool                 { return !d.stale.Load() }
+func (d *directory) FreshFor(time.Time) time.Duration     { return time.Second }
 func (d *directory) Backends() []*controlpb.BackendServer { return d.backends }
 func (d *directory) OnChange(f func())                    { d.onChange = f }
 func (d *directory) OpenWindow() uint64                   { return 0 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -15,6 +16,7 @@
 	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/core/catalog"
 	"github.com/guavastack/guavastack/internal/core/route"
+	"github.com/guavastack/guavastack/internal/telemetry"
 	"github.com/guavastack/guavastack/internal/wait"
 )
 
@@ -56,6 +58,10 @@
 	tightServers int
 	metered      bool // it was counted for billing
 
+	steps      []step        // its story so far
+	tries      int           // sends so far
+	firstAfter time.Duration // from its arrival to the beginning of its answer; 0: none yet
+
 	method string
 	target string // path and query as they came
 	host   string
@@ -95,6 +101,12 @@
 		x.session = sessionOf(call.Prompt, x.prefix)
 	}
 	s.chooseLane(x)
+	x.tell(eventAdmitted,
+		slog.String("class", x.route.Name), slog.String("kind", x.route.Kind.String()), slog.String("service", x.service),
+		slog.String(telemetry.KeyOrganisation, x.organisation), slog.Int("rank", x.rank),
+		slog.Uint64("catalog_version", x.version), slog.Int64("keys_fresh_ms", s.dir.FreshFor(clock.Now()).Milliseconds()),
+		slog.Int64("deadline_ms", x.remaining().Milliseconds()), slog.Int("prompt_tokens", x.call.Prompt.Tokens),
+		slog.String("lane", x.lane.String()), slog.Int("tight_servers", x.tightServers))
 	return x, nil
 }
 
@@ -226,6 +238,7 @@
 
 // served notes how long x waited for the beginning of its answer.
 func (s *Server) served(x *exchange, took time.Duration) {
+	x.firstAfter = took
 	s.lanesMu.Lock()
 	defer s.lanesMu.Unlock()
 	if lanes := s.lanes[x.service]; lanes != nil {
--- /dev/null
+++ b/internal/gateway/story.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/verdict"
+	"github.com/guavastack/guavastack/internal/telemetry"
+)
+
+// sampleInterval is the least time between two requests that are logged though they went well.
+const sampleInterval = 200 * time.Millisecond
+
+// step is one decision about a request. Steps are kept until the request ends: those of a request that failed, was refused or
+// was late are logged, and of the others a sample.
+type step struct {
+	at    time.Time
+	event string
+	attrs []slog.Attr
+}
+
+// Events of a request's story.
+const (
+	eventAdmitted = "request admitted"
+	eventSent     = "request sent"
+	eventTryEnded = "try ended"
+	eventAgain    = "request goes to another server"
+	eventEnded    = "request ended"
+)
+
+// tell adds a step to the story of x.
+func (x *exchange) tell(event string, attrs ...slog.Attr) {
+	x.steps = append(x.steps, step{time.Now(), event, attrs})
+}
+
+// ending is how a request ended for its caller.
+type ending struct {
+	status  int
+	code    string // of the gateway's own answer; empty: a backend server's answer
+	reason  string
+	verdict verdict.Verdict
+	cut     bool // the answer was broken off
+	gone    bool // the caller went away
+}
+
+// failed reports whether the caller didn't get what it asked for.
+func (e ending) failed() bool {
+	return e.code != "" || e.cut || e.gone || e.status >= http.StatusInternalServerError
+}
+
+// finish counts the end of x and logs its story where it matters.
+func (s *Server) finish(x *exchange, e ending) {
+	took := time.Since(x.arrived)
+	s.count(x, e, took)
+	level := slog.LevelInfo
+	if e.failed() {
+		level = slog.LevelWarn
+	} else if !s.isLate(x) && !s.sampled(time.Now()) {
+		return
+	}
+	x.tell(eventEnded,
+		slog.Int("status", e.status), slog.String("code", e.code), slog.String("reason", e.reason),
+		slog.String(telemetry.KeyVerdict, e.verdict.String()), slog.Bool("cut", e.cut), slog.Bool("caller_gone", e.gone),
+		slog.Int("tries", x.tries), slog.Int64("first_ms", x.firstAfter.Milliseconds()), slog.Int64("after_ms", took.Milliseconds()))
+	for _, st := range x.steps {
+		s.logStep(level, x, st)
+	}
+}
+
+func (s *Server) logStep(level slog.Level, x *exchange, st step) {
+	handler := s.cfg.Logger.Handler()
+	ctx := context.Background()
+	if !handler.Enabled(ctx, level) {
+		return
+	}
+	r := slog.NewRecord(st.at, level, st.event, 0)
+	r.AddAttrs(slog.String(telemetry.KeyRequestID, x.call.ID))
+	r.AddAttrs(st.attrs...)
+	_ = handler.Handle(ctx, r) // a logger's output has nowhere to tell that it failed
+}
+
+// isLate reports whether the beginning of the answer missed its target.
+func (s *Server) isLate(x *exchange) bool {
+	return x.route != nil && x.route.LatencyTarget > 0 && x.firstAfter > x.route.LatencyTarget
+}
+
+// sampled reports whether a request that went well is logged.
+func (s *Server) sampled(now time.Time) bool {
+	last := s.sampledAt.Load()
+	return now.UnixNano()-last >= int64(sampleInterval) && s.sampledAt.CompareAndSwap(last, now.UnixNano())
+}
+
+// count adds the end of x to the metrics, by route and organisation.
+func (s *Server) count(x *exchange, e ending, took time.Duration) {
+	m := s.cfg.Metrics
+	if m == nil {
+		return
+	}
+	name := ""
+	if x.route != nil {
+		name = x.route.Name
+	}
+	class := telemetry.Label{Name: "class", Value: name}
+	organisation := telemetry.Label{Name: "organisation", Value: x.organisation}
+	result := "served"
+	switch {
+	case e.gone:
+		result = "caller_gone"
+	case e.cut:
+		result = "cut"
+	case e.code != "":
+		result = e.code
+	case e.status >= http.StatusInternalServerError:
+		result = "backend_error"
+	}
+	m.Counter("gateway_requests", class, organisation, telemetry.Label{Name: "result", Value: result}).Inc(1)
+	m.Observe("gateway_total_us", took, class)
+	if x.firstAfter > 0 {
+		m.Observe("gateway_first_us", x.firstAfter, class)
+	}
+	if x.tries > 1 {
+		m.Counter("gateway_further_tries", class).Inc(int64(x.tries - 1))
+	}
+}
--- /dev/null
+++ b/internal/gateway/story_test.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"bytes"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/guavastack/guavastack/internal/explain"
+	"github.com/guavastack/guavastack/internal/telemetry"
+)
+
+// logOutput gathers log lines.
+type logOutput struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (o *logOutput) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.Write(p)
+}
+
+func (o *logOutput) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.String()
+}
+
+// TestTheCauseStandsInTheLogs fails requests in each way and finds the cause from the request's id by logs alone.
+func TestTheCauseStandsInTheLogs(t *testing.T) {
+	cases := []struct {
+		name   string
+		path   string
+		script func(r *http.Request, body string) string
+		none   bool // no backend server
+		want   []string
+	}{
+		{
+			"refused: the server is full", "/unsafe/x", func(r *http.Request, _ string) string { return whole(r, 503, "X-Not-Run: 1\r\n", "") }, false,
+			[]string{"request admitted", "request sent", "result=not_run status=503", "code=backend_full", "verdict=not_run"},
+		},
+		{
+			"refused: no server", "/unsafe/x", nil, true,
+			[]string{"request admitted", "code=no_backend_server", "verdict=not_run"},
+		},
+		{
+			"a stream cut midway", "/stream/x", func(r *http.Request, _ string) string { return chunks(r, "id: 1\n\n") + closeAfter }, false,
+			[]string{"request sent", "result=failed status=200", "cut=true", "verdict=ran"},
+		},
+		{
+			"an unsafe request with an unknown outcome", "/unsafe/x", func(*http.Request, string) string { return "" }, false,
+			[]string{"request sent", "error=", "result=no_answer", "code=backend_failed", "verdict=may_have_run"},
+		},
+		{
+			"a safe request that went to another server", "/safe/x", func(*http.Request, string) string { return "" }, false,
+			[]string{"request sent", "result=no_answer", "request goes to another server", "may_have_run=true", "request sent", "code=backend_failed"},
+		},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			var servers []*backend
+			if !tc.none {
+				servers = append(servers, newBackend(t, tc.script), newBackend(t, tc.script))
+			}
+			if tc.path != "/safe/x" && !tc.none {
+				servers = servers[:1]
+			}
+			b := newBench(t, servers...)
+			out := &logOutput{}
+			b.gw.cfg.Logger = slog.New(slog.NewJSONHandler(out, nil))
+			b.gw.cfg.Metrics = telemetry.NewRegistry(telemetry.DefaultMaxSeries)
+			_, _, _ = b.get(http.MethodPost, tc.path) // an error is one of the cases
+			b.http.Close()                            // the story is written by then
+			var reader explain.Reader
+			if err := reader.Read(strings.NewReader(out.String())); err != nil {
+				t.Fatal(err)
+			}
+			story, err := reader.Tell("id-1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			var text strings.Builder
+			if err := story.Write(&text); err != nil {
+				t.Fatal(err)
+			}
+			rest := text.String()
+			for _, want := range tc.want {
+				_, after, ok := strings.Cut(rest, want)
+				if !ok {
+					t.Fatalf("%q is missing or out of order in\n%s", want, text.String())
+				}
+				rest = after
+			}
+			var metrics strings.Builder
+			if err := b.gw.cfg.Metrics.WriteText(&metrics); err != nil {
+				t.Fatal(err)
+			}
+			if !strings.Contains(metrics.String(), "guavastack_gateway_requests") {
+				t.Error("the request isn't counted")
+			}
+		})
+	}
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -126,10 +126,15 @@
 		fail(err)
 	}
 	defer stopStatus()
+	stopMetrics, metricsErr := serveMetrics(base)
+	if metricsErr != nil {
+		fail(metricsErr)
+	}
+	defer stopMetrics()
 	if rolesErr := running.Wait(); rolesErr != nil {
 		return rolesErr
 	}
-	return err
+	return firstError(err, metricsErr)
 }
 
 // stopAfter returns a context that is done once ctx is done and previous, if there is one, is closed.
@@ -163,6 +168,26 @@
 	return func() { _ = srv.Close() }, nil
 }
 
+// serveMetrics serves the metrics alone, as text, on an address that others may reach.
+func serveMetrics(base *Base) (stop func(), err error) {
+	addr := base.Config.MetricsListen
+	if addr == "" {
+		return func() {}, nil
+	}
+	lis, err := net.Listen("tcp", addr)
+	if err != nil {
+		return func() {}, errors.Annotate(err, "metrics_listen")
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		_ = base.Metrics.WriteText(w) // the reader may be gone
+	})
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: statusHeaderTimeout}
+	go func() { _ = srv.Serve(lis) }() // ends with Close
+	return func() { _ = srv.Close() }, nil
+}
+
 const statusHeaderTimeout = 5 * time.Second
 
 // statusOf is ready when every role is.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -90,6 +90,13 @@
 	return find(r, name, labels, metrics.NewGauge)
 }
 
+// GaugeFunc shows what f returns under a name without labels.
+func (r *Registry) GaugeFunc(name string, f func() int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.series[name] = &series{name: name, instrument: metrics.NewFunctionalGauge(f)}
+}
+
 // Histogram returns the histogram of the given name and labels, made on first use.
 // Names of durations end in their unit.
 func (r *Registry) Histogram(name string, labels ...Label) metrics.Histogram {
--- a/internal/watch/client.go
+++ b/internal/watch/client.go
@@ -148,6 +148,9 @@
 // counted from when the question was sent.
 func (c *Client) Fresh(now time.Time) bool { return now.Before(*c.freshUntil.Load()) }
 
+// FreshFor returns how long the settings may still be acted on; below 0: no longer.
+func (c *Client) FreshFor(now time.Time) time.Duration { return c.freshUntil.Load().Sub(now) }
+
 // Backends returns the registered backend servers, sorted by id. Nobody may change them.
 func (c *Client) Backends() []*controlpb.BackendServer { return *c.backends.Load() }
 
