Let the lifecycle of a backend server only move on, whoever hears of it

Cause (trial log of the registry): the server said 'ready' with sequence 15 to 17 to a member that was cut off, and that it leaves to another one that knew sequence 14. After the cut the later sequence won first-hand knowledge, so nobody told the member that was cut off, and renewals of an unchanged report hid that the reports differed. Ruled out: late connections (the digests arrived 0.4 s after the cut). Change: within an incarnation the lifecycle moves on whichever report is newer; who knows more stays the one who tells; a renewal names the lifecycle and is not taken where another one is known; silence is no news for other members.

--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -92,7 +92,6 @@
 		}
 		known = true
 		report := e.Report
-		report.Sequence++
 		report.Lifecycle = member.Leaving
 		s.registry.Put(report, now, true, true)
 	})
--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -168,6 +168,7 @@
 		}
 		d.Renewals = append(d.Renewals, &controlpb.Renewal{
 			Id: e.Report.ID, Incarnation: e.Report.Incarnation, Sequence: e.Report.Sequence, AgeMs: now.Sub(e.Heard).Milliseconds(),
+			Lifecycle: string(e.Stated),
 		})
 	})
 	for _, p := range s.soft.allProcesses() {
@@ -178,12 +179,13 @@
 	return d, version
 }
 
-// firstHand calls f for each live backend server whose agent reports to this member.
+// firstHand calls f for each live backend server whose agent reports to this member. Silence is no news: every member
+// measures it by itself.
 func (s *softState) firstHand(since uint64, f func(member.Entry[*controlpb.BackendServer])) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range s.registry.Since(0) {
-		if e.First && (e.Report.Lifecycle != member.Gone || e.Changed > since) {
+		if e.First && !e.IsSilent() && (e.Stated != member.Gone || e.Changed > since) {
 			f(e)
 		}
 	}
--- a/internal/control/soft.go
+++ b/internal/control/soft.go
@@ -115,7 +115,9 @@
 func (s *softState) renew(r *controlpb.Renewal, heard time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.registry.Renew(r.Id, r.Incarnation, r.Sequence, heard)
+	return s.registry.Renew(member.Renewal{
+		ID: r.Id, Incarnation: r.Incarnation, Sequence: r.Sequence, Lifecycle: member.Lifecycle(r.Lifecycle),
+	}, heard)
 }
 
 func (s *softState) isComplete(now time.Time) bool {
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -81,14 +81,18 @@
 func (r *Registry[T]) Complete(now time.Time) bool { return now.Sub(r.started) >= 2*r.ttl }
 
 // Put takes a report that was sent at heard. material says that watchers must learn of the detail. It returns false
-// for a report that is older than what is known.
+// for a report that tells nothing new.
+//
+// Within an incarnation the lifecycle only moves on, whichever report is the newer one: a server may have said to one member
+// that it leaves, and later, by its sequence, to another one that it is ready.
 func (r *Registry[T]) Put(report Report[T], heard time.Time, first, material bool) bool {
 	old, ok := r.entries[report.ID]
 	if ok && !report.newer(old.Report) {
-		return false
+		return r.moveOn(old, report, first)
 	}
 	if ok && old.Report.Incarnation == report.Incarnation && old.Stated.order() > report.Lifecycle.order() {
 		report.Lifecycle = old.Stated
+		first = first || old.First // the reporter doesn't know it yet: this member must tell
 	}
 	changed := !ok || material || old.Report.Incarnation != report.Incarnation || old.Report.Lifecycle != report.Lifecycle
 	entry := &Entry[T]{Report: report, Stated: report.Lifecycle, Heard: heard, First: first}
@@ -106,13 +110,44 @@
 	return true
 }
 
-// Renew takes the news that the agent of id was heard, with nothing changed. It returns false where the report
-// itself is needed: the incarnation isn't known here, or it counts as gone.
-func (r *Registry[T]) Renew(id, incarnation string, sequence uint64, heard time.Time) bool {
-	e, ok := r.entries[id]
-	if !ok || e.Report.Incarnation != incarnation {
+// moveOn takes the lifecycle of a report that isn't newer, where it is further along in the same incarnation.
+func (r *Registry[T]) moveOn(e *Entry[T], report Report[T], first bool) bool {
+	if e.Report.Incarnation != report.Incarnation || report.Lifecycle.order() <= e.Stated.order() {
+		return false
+	}
+	r.version++
+	e.Changed = r.version
+	e.Stated = report.Lifecycle
+	e.First = e.First || first
+	if e.Report.Lifecycle != Gone {
+		e.Report.Lifecycle = report.Lifecycle
+	}
+	return true
+}
+
+// IsSilent reports whether the server counts as gone only because nothing was heard of it.
+func (e Entry[T]) IsSilent() bool { return e.Report.Lifecycle == Gone && e.Stated != Gone }
+
+// Renewal is the news that a backend server was heard with an unchanged report.
+type Renewal struct {
+	ID          string
+	Incarnation string
+	Sequence    uint64
+	Lifecycle   Lifecycle // as stated in the report
+}
+
+// Renew takes the news that a backend server was heard, with nothing changed. It returns false where the report itself is
+// needed: the incarnation isn't known here, it counts as gone, or another lifecycle is known here. The last happens when the
+// report that changed it went to another member, and the renewal came from a third one.
+func (r *Registry[T]) Renew(news Renewal, heard time.Time) bool {
+	e, ok := r.entries[news.ID]
+	if !ok || e.Report.Incarnation != news.Incarnation {
+		return false
+	}
+	if e.Stated != news.Lifecycle && e.Stated.order() <= news.Lifecycle.order() {
 		return false
 	}
+	sequence := news.Sequence
 	if sequence > e.Report.Sequence {
 		e.Report.Sequence = sequence
 	}
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -77,14 +77,14 @@
 
 func TestRenewalKeepsOnlyAKnownIncarnation(t *testing.T) {
 	r := member.NewRegistry[string](ttl, start)
-	if r.Renew("b", "1", 2, at(0)) {
+	if r.Renew(member.Renewal{ID: "b", Incarnation: "1", Sequence: 2, Lifecycle: member.Ready}, at(0)) {
 		t.Error("renewed what isn't known")
 	}
 	r.Put(report("1", 1, 1, member.Ready), at(0), false, false)
-	if r.Renew("b", "2", 2, at(3000)) {
+	if r.Renew(member.Renewal{ID: "b", Incarnation: "2", Sequence: 2, Lifecycle: member.Ready}, at(3000)) {
 		t.Error("renewed another incarnation")
 	}
-	if !r.Renew("b", "1", 2, at(3000)) {
+	if !r.Renew(member.Renewal{ID: "b", Incarnation: "1", Sequence: 2, Lifecycle: member.Ready}, at(3000)) {
 		t.Error("didn't renew")
 	}
 	r.Expire(at(6999))
@@ -92,11 +92,68 @@
 		t.Errorf("got %+v", e)
 	}
 	r.Expire(at(7000))
-	if r.Renew("b", "1", 3, at(7001)) {
+	if r.Renew(member.Renewal{ID: "b", Incarnation: "1", Sequence: 3, Lifecycle: member.Ready}, at(7001)) {
 		t.Error("a renewal alone brought back what counts as gone")
 	}
 }
 
+// TestARenewalTellsNothingOfAnotherLifecycle cuts a member off while a backend server says that it leaves. After the cut its
+// heartbeats go to a member that only renews them: the member that was cut off must ask for the report.
+func TestARenewalTellsNothingOfAnotherLifecycle(t *testing.T) {
+	renewal := func(sequence uint64, l member.Lifecycle) member.Renewal {
+		return member.Renewal{ID: "b", Incarnation: "1", Sequence: sequence, Lifecycle: l}
+	}
+	r := member.NewRegistry[string](ttl, start)
+	r.Put(report("1", 1, 4, member.Joining), at(0), false, false)
+	if r.Renew(renewal(5, member.Ready), at(100)) {
+		t.Error("renewed as ready what is known as joining")
+	}
+	r.Put(report("1", 1, 5, member.Ready), at(100), false, false)
+	if r.Renew(renewal(7, member.Leaving), at(1000)) {
+		t.Error("renewed as leaving what is known as ready")
+	}
+	if !r.Put(report("1", 1, 6, member.Leaving), at(1100), false, false) {
+		t.Error("the report is passed over after a renewal that wasn't taken")
+	}
+	if !r.Renew(renewal(8, member.Leaving), at(2000)) {
+		t.Error("didn't renew what is known")
+	}
+	if !r.Renew(renewal(9, member.Ready), at(3000)) {
+		t.Error("asked again for a report that is older than what is known")
+	}
+	if e, _ := r.Get("b"); e.Report.Lifecycle != member.Leaving {
+		t.Errorf("lifecycle %s, want leaving", e.Report.Lifecycle)
+	}
+}
+
+// TestALifecycleOnlyMovesOn tells two members different things of one incarnation, as when one of them was cut off.
+func TestALifecycleOnlyMovesOn(t *testing.T) {
+	cut, other := member.NewRegistry[string](ttl, start), member.NewRegistry[string](ttl, start)
+	other.Put(report("1", 1, 14, member.Ready), at(0), true, false)
+	other.Put(report("1", 1, 14, member.Leaving), at(100), true, true) // it leaves, without another report
+	cut.Put(report("1", 1, 17, member.Ready), at(200), true, false)
+
+	// After the cut each tells the other what it heard.
+	other.Put(report("1", 1, 17, member.Ready), at(200), false, false)
+	e, _ := other.Get("b")
+	if e.Report.Lifecycle != member.Leaving || !e.First {
+		t.Errorf("%+v; want leaving, at first hand: the other member doesn't know it", e)
+	}
+	before := cut.Version()
+	if !cut.Put(e.Report, at(100), false, true) || cut.Version() == before {
+		t.Error("the departure changed nothing")
+	}
+	if e, _ := cut.Get("b"); e.Report.Lifecycle != member.Leaving {
+		t.Errorf("lifecycle %s, want leaving", e.Report.Lifecycle)
+	}
+	if cut.Put(report("1", 1, 3, member.Leaving), at(100), false, true) {
+		t.Error("old news counted again")
+	}
+	if cut.Put(report("0", 0, 99, member.Gone), at(100), false, true) {
+		t.Error("an older incarnation's end counted for the newer one")
+	}
+}
+
 // TestFollowerOfARegistry checks, for any reports, that a watcher that takes what changed since its registry version
 // knows the same lifecycles as the registry.
 func TestFollowerOfARegistry(t *testing.T) {
--- a/internal/watch/session.go
+++ b/internal/watch/session.go
@@ -269,7 +269,7 @@
 		known = maps.Clone(before)
 	}
 	for _, b := range u.Backends {
-		if old, ok := before[b.Id]; ok && isOlder(b, old) {
+		if old, ok := before[b.Id]; ok && isOlder(b, old) && !tellsThatItLeaves(b, old) {
 			b = old
 		}
 		known[b.Id] = b
@@ -281,6 +281,12 @@
 	return true
 }
 
+// tellsThatItLeaves reports whether b says of the incarnation that o is about that it leaves, which an earlier report may
+// have said to another member.
+func tellsThatItLeaves(b, o *controlpb.BackendServer) bool {
+	return b.Incarnation == o.Incarnation && b.Lifecycle == string(member.Leaving) && o.Lifecycle != b.Lifecycle
+}
+
 // isOlder reports whether b was reported before o: a member that lags can't take back what a watcher has learned.
 func isOlder(b, o *controlpb.BackendServer) bool {
 	if b.StartedMs != o.StartedMs {
