--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -379,7 +379,10 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
-	return srv.Serve(c.operators)
+	if err := srv.Serve(c.operators); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Annotate(err, "control.operators")
+	}
+	return nil
 }
 
 // handOver gives leadership to another member, if there is one.
