Log the decisions about a request at once while there are few

Change: up to 100 steps a second are logged at once; beyond it they wait for the end as before; the id is read first.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -86,7 +86,7 @@
 		if ctx.Err() != nil || !s.mayTryAgain(x, t, o) {
 			break
 		}
-		x.tell(eventAgain, slog.Bool("sent", o.sent), slog.Bool("may_have_run", o.ran), slog.String("resume_after", t.stream.lastID))
+		s.tell(x, eventAgain, slog.Bool("sent", o.sent), slog.Bool("may_have_run", o.ran), slog.String("resume_after", t.stream.lastID))
 	}
 	return s.conclude(ctx, x, t, w)
 }
@@ -145,7 +145,7 @@
 func (s *Server) try(ctx context.Context, x *exchange, server route.Backend, t *tries) outcome {
 	began := time.Now()
 	x.tries++
-	x.tell(eventSent,
+	s.tell(x, eventSent,
 		slog.String(telemetry.KeyBackendServer, server.ID), slog.String("address", server.Address),
 		slog.String("zone", server.Zone), slog.Int("try", x.tries), slog.Int64("remaining_ms", x.remaining().Milliseconds()))
 	s.servers.Began(server.ID, x.call.Prompt.Tokens, x.prefix)
@@ -167,7 +167,7 @@
 	s.report(server, reply)
 	if reply.NotRun || reply.Elsewhere {
 		s.servers.Ended(server.ID, route.Outcome{Result: route.Refused})
-		tellTry(x, server, "not_run", answer.Status, nil)
+		s.tellTry(x, server, "not_run", answer.Status, nil)
 		return outcome{sent: true, final: notRun(http.StatusServiceUnavailable, "backend_full", "the backend server did not take the request")}
 	}
 	isStream := answer.Status/100 == 2 && x.isStream()
@@ -193,7 +193,7 @@
 		result = "served"
 	}
 	o.status = answer.Status
-	tellTry(x, server, result, answer.Status, nil)
+	s.tellTry(x, server, result, answer.Status, nil)
 	return o
 }
 
@@ -238,7 +238,7 @@
 func (s *Server) failed(ctx context.Context, x *exchange, server route.Backend, err error) outcome {
 	var failure *upstream.Error
 	sent := !errors.As(err, &failure) || failure.Sent
-	tellTry(x, server, "no_answer", 0, err)
+	s.tellTry(x, server, "no_answer", 0, err)
 	switch {
 	case !sent:
 		return outcome{final: notRun(http.StatusServiceUnavailable, "backend_unreachable", "the backend server is out of reach")}
@@ -262,7 +262,7 @@
 }
 
 // tellTry adds the end of a try to the story of x. status is 0 without an answer.
-func tellTry(x *exchange, server route.Backend, result string, status int, err error) {
+func (s *Server) tellTry(x *exchange, server route.Backend, result string, status int, err error) {
 	attrs := []slog.Attr{
 		slog.String(telemetry.KeyBackendServer, server.ID), slog.String("result", result), slog.Int("status", status),
 		slog.Int64("remaining_ms", x.remaining().Milliseconds()),
@@ -270,7 +270,7 @@
 	if err != nil {
 		attrs = append(attrs, slog.String(telemetry.KeyError, err.Error()))
 	}
-	x.tell(eventTryEnded, attrs...)
+	s.tell(x, eventTryEnded, attrs...)
 }
 
 // connectionHeaders concern one connection and are not passed on.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,7 +102,7 @@
 	addresses atomic.Pointer[map[string]bool] // of the registered backend servers
 	draining  atomic.Bool
 	inFlight  atomic.Int64
-	sampledAt atomic.Int64 // when a request that went well was logged last, nanoseconds since 1970
+	steps     stepLimit
 	waiting   atomic.Int64 // requests held until the gateway can serve them
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -72,7 +72,9 @@
 // understand matches a request to its route and checks its key, or refuses it.
 func (s *Server) understand(w http.ResponseWriter, r *http.Request) (*exchange, *refusal) {
 	x := &exchange{arrived: time.Now(), method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header}
-	s.awaitReady(r.Context(), r.Header)
+	call, callErr := s.cfg.Dialect.Call(r.Header)
+	x.call = call
+	s.awaitReady(r.Context(), call.Wait)
 	index := s.dir.Catalog()
 	if index == nil {
 		return x, notRun(http.StatusServiceUnavailable, "not_ready", "the gateway has no catalog yet")
@@ -83,11 +85,9 @@
 	if x.route == nil {
 		return x, notRun(http.StatusNotFound, "unknown_route", "no route for the host and path")
 	}
-	call, err := s.cfg.Dialect.Call(r.Header)
-	if err != nil {
-		return x, notRun(http.StatusBadRequest, "invalid_request", err.Error())
+	if callErr != nil {
+		return x, notRun(http.StatusBadRequest, "invalid_request", callErr.Error())
 	}
-	x.call = call
 	x.setDeadline()
 	if ref := s.identify(x, index); ref != nil {
 		return x, ref
@@ -101,7 +101,7 @@
 		x.session = sessionOf(call.Prompt, x.prefix)
 	}
 	s.chooseLane(x)
-	x.tell(eventAdmitted,
+	s.tell(x, eventAdmitted,
 		slog.String("class", x.route.Name), slog.String("kind", x.route.Kind.String()), slog.String("service", x.service),
 		slog.String(telemetry.KeyOrganisation, x.organisation), slog.Int("rank", x.rank),
 		slog.Uint64("catalog_version", x.version), slog.Int64("keys_fresh_ms", s.dir.FreshFor(clock.Now()).Milliseconds()),
@@ -154,13 +154,13 @@
 
 // awaitReady holds a request for a short time while the gateway can't serve it yet, as after a start or an election: most
 // callers are served sooner by this than by a refusal and their return.
-func (s *Server) awaitReady(ctx context.Context, h http.Header) {
+func (s *Server) awaitReady(ctx context.Context, callerWaits time.Duration) {
 	if s.knows() {
 		return
 	}
 	limit := maxReadyWait
-	if call, err := s.cfg.Dialect.Call(h); err == nil && call.Wait > 0 {
-		limit = min(limit, time.Duration(float64(call.Wait)*readyWaitShare))
+	if callerWaits > 0 {
+		limit = min(limit, time.Duration(float64(callerWaits)*readyWaitShare))
 	}
 	if s.waiting.Add(1) > maxWaiting {
 		limit = 0
--- a/internal/gateway/story.go
+++ b/internal/gateway/story.go
@@ -4,23 +4,43 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/guavastack/guavastack/internal/core/verdict"
 	"github.com/guavastack/guavastack/internal/telemetry"
 )
 
-// sampleInterval is the least time between two requests that are logged though they went well.
-const sampleInterval = 200 * time.Millisecond
+// promptSteps bounds the steps that are logged at once, in a second. Beyond it steps wait for the end of their request, and
+// those of requests that went well are left out.
+const promptSteps = 100
 
-// step is one decision about a request. Steps are kept until the request ends: those of a request that failed, was refused or
-// was late are logged, and of the others a sample.
+// step is one decision about a request. While there are few it is logged at once, so that it outlives the process; under load
+// it is kept until the request ends, and logged if the request failed, was refused or was late.
 type step struct {
 	at    time.Time
 	event string
 	attrs []slog.Attr
 }
 
+// stepLimit bounds the steps that are logged at once.
+type stepLimit struct {
+	mu     sync.Mutex
+	second int64
+	count  int
+}
+
+// take reports whether one more step fits into the second.
+func (l *stepLimit) take(at time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := at.Unix(); s != l.second {
+		l.second, l.count = s, 0
+	}
+	l.count++
+	return l.count <= promptSteps
+}
+
 // Events of a request's story.
 const (
 	eventAdmitted = "request admitted"
@@ -30,9 +50,14 @@
 	eventEnded    = "request ended"
 )
 
-// tell adds a step to the story of x.
-func (x *exchange) tell(event string, attrs ...slog.Attr) {
-	x.steps = append(x.steps, step{time.Now(), event, attrs})
+// tell adds a step to the story of x. Once a step waits, those behind it wait too, so that they stay in order.
+func (s *Server) tell(x *exchange, event string, attrs ...slog.Attr) {
+	st := step{time.Now(), event, attrs}
+	if len(x.steps) == 0 && s.steps.take(st.at) {
+		s.logStep(slog.LevelInfo, x, st)
+		return
+	}
+	x.steps = append(x.steps, st)
 }
 
 // ending is how a request ended for its caller.
@@ -57,14 +82,15 @@
 	level := slog.LevelInfo
 	if e.failed() {
 		level = slog.LevelWarn
-	} else if !s.isLate(x) && !s.sampled(time.Now()) {
+	} else if len(x.steps) > 0 && !s.isLate(x) {
 		return
 	}
-	x.tell(eventEnded,
+	end := step{time.Now(), eventEnded, []slog.Attr{
 		slog.Int("status", e.status), slog.String("code", e.code), slog.String("reason", e.reason),
 		slog.String(telemetry.KeyVerdict, e.verdict.String()), slog.Bool("cut", e.cut), slog.Bool("caller_gone", e.gone),
-		slog.Int("tries", x.tries), slog.Int64("first_ms", x.firstAfter.Milliseconds()), slog.Int64("after_ms", took.Milliseconds()))
-	for _, st := range x.steps {
+		slog.Int("tries", x.tries), slog.Int64("first_ms", x.firstAfter.Milliseconds()), slog.Int64("after_ms", took.Milliseconds()),
+	}}
+	for _, st := range append(x.steps, end) {
 		s.logStep(level, x, st)
 	}
 }
@@ -86,12 +112,6 @@
 	return x.route != nil && x.route.LatencyTarget > 0 && x.firstAfter > x.route.LatencyTarget
 }
 
-// sampled reports whether a request that went well is logged.
-func (s *Server) sampled(now time.Time) bool {
-	last := s.sampledAt.Load()
-	return now.UnixNano()-last >= int64(sampleInterval) && s.sampledAt.CompareAndSwap(last, now.UnixNano())
-}
-
 // count adds the end of x to the metrics, by route and organisation.
 func (s *Server) count(x *exchange, e ending, took time.Duration) {
 	m := s.cfg.Metrics
