Catch SIGHUP from the start of a process to its end

Cause: the handler of SIGHUP was given up when the shutdown began, so that a change of the seeds ended the process.

--- a/cmd/guavastack/reload.go
+++ b/cmd/guavastack/reload.go
@@ -30,12 +30,16 @@
 	return fileState{info.Size(), info.ModTime()}
 }
 
+// catchHangups keeps SIGHUP from ending the process, from now until its end: also while it starts and shuts down.
+func catchHangups() <-chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
 // watchSettings reads the settings file again after SIGHUP and after each change, until ctx ends. A file with mistakes
 // changes nothing.
-func watchSettings(ctx context.Context, file string, roles []process.Role, logger *slog.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func watchSettings(ctx context.Context, file string, hangups <-chan os.Signal, roles []process.Role, logger *slog.Logger) {
 	tick := time.NewTicker(reloadInterval)
 	defer tick.Stop()
 	known := stateOf(file)
@@ -44,7 +48,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-hangups:
 		case <-tick.C:
 			if stateOf(file) == known {
 				continue
--- a/cmd/guavastack/roles.go
+++ b/cmd/guavastack/roles.go
@@ -62,6 +62,7 @@
 			},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
+			hangups := catchHangups()
 			cfg, err := config.Load(cmd.String("config"))
 			if err != nil {
 				return err
@@ -75,7 +76,7 @@
 			if err != nil {
 				return err
 			}
-			err = runRoles(ctx, cmd.String("config"), cfg, logger, writer)
+			err = runRoles(ctx, cmd.String("config"), hangups, cfg, logger, writer)
 			logger.Info("stopped", "process", cfg.ID, "reason", stopReason(ctx, err))
 			return err
 		},
@@ -119,7 +120,7 @@
 }
 
 // runRoles runs the roles of the settings in the order in which they shut down.
-func runRoles(ctx context.Context, file string, cfg *config.Config, logger *slog.Logger, writer *telemetry.AsyncWriter) error {
+func runRoles(ctx context.Context, file string, hangups <-chan os.Signal, cfg *config.Config, logger *slog.Logger, writer *telemetry.AsyncWriter) error {
 	limitMemory(cfg.MemoryLimitMB)
 	base, err := process.NewBase(cfg, logger)
 	if err != nil {
@@ -157,6 +158,6 @@
 		roles = append(roles, r)
 	}
 	logger.Info("starting", "process", cfg.ID, "incarnation", base.Incarnation, "roles", len(roles))
-	go watchSettings(ctx, file, roles, base.Logger)
+	go watchSettings(ctx, file, hangups, roles, base.Logger)
 	return process.Run(ctx, base, roles...)
 }
