Run control members on every disk of a zone; relay on instances without one

Cause: one control member a zone, though two machines of a zone have disks. Change: a third of the entry machines of a zone, rounded up, which is each disk on all four sites; an instance without a disk runs a relay that answers 307.

--- a/cmd/guavastack/main.go
+++ b/cmd/guavastack/main.go
@@ -55,7 +55,7 @@
 			roleCommand("entry", "serve callers"),
 			roleCommand("gateway", "serve callers by the routes of the catalog"),
 			roleCommand("agent", "guard one backend server"),
-			roleCommand("control", "keep the system's state as a member of the control group"),
+			roleCommand("control", "keep the system's state as a member of the control group, or relay calls to one"),
 			roleCommand("run", "run every role that the settings file names"),
 			checkCommand(),
 			settingsCommand(),
--- a/cmd/guavastack/roles.go
+++ b/cmd/guavastack/roles.go
@@ -101,6 +101,7 @@
 	if role == "run" {
 		return nil
 	}
+	roles["control"] = cfg.Control != nil || cfg.Relay != nil
 	if !roles[role] {
 		return usagef("the settings file has no %q section", role)
 	}
@@ -114,7 +115,7 @@
 		cfg.Agent = nil
 	}
 	if role != "control" {
-		cfg.Control = nil
+		cfg.Control, cfg.Relay = nil, nil
 	}
 	return nil
 }
@@ -150,6 +151,13 @@
 		}
 		roles = append(roles, r)
 	}
+	if cfg.Relay != nil {
+		r, err := process.BuildRelay(base)
+		if err != nil {
+			return err
+		}
+		roles = append(roles, r)
+	}
 	if cfg.Control != nil {
 		r, err := process.BuildControl(base)
 		if err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -17,7 +17,7 @@
 	"github.com/guavastack/guavastack/internal/core/strict"
 )
 
-// Config is the file of one process. At least one of Entry, Gateway, Agent and Control is set.
+// Config is the file of one process. At least one of Entry, Gateway, Agent, Control and Relay is set.
 type Config struct {
 	ID             string   `json:"id"`   // of the process, unique in the system
 	Zone           string   `json:"zone"` // availability zone
@@ -34,6 +34,7 @@
 	Gateway *Gateway `json:"gateway"`
 	Agent   *Agent   `json:"agent"`
 	Control *Control `json:"control"`
+	Relay   *Relay   `json:"relay"`
 }
 
 // Log says what is logged.
@@ -119,6 +120,12 @@
 	Bootstrap       string          `json:"bootstrap"`        // file of the first settings document; read once, when the group has none
 }
 
+// Relay holds the settings of the relay role: an instance without a disk that sends operators and backend servers on to a control
+// member.
+type Relay struct {
+	Listen string `json:"listen"` // the members' addresses for operators have the same port
+}
+
 // Peer is one member of the control group.
 type Peer struct {
 	ID      uint64 `json:"id"`
@@ -318,11 +325,14 @@
 		ch.add("control_port", "%d; expected a port, or 0", c.ControlPort)
 	}
 	ch.notNegative("memory_limit_mb", c.MemoryLimitMB)
-	if c.Entry == nil && c.Gateway == nil && c.Agent == nil && c.Control == nil {
-		ch.add("", "no role; expected at least one of entry, gateway, agent and control")
+	if c.Entry == nil && c.Gateway == nil && c.Agent == nil && c.Control == nil && c.Relay == nil {
+		ch.add("", "no role; expected at least one of entry, gateway, agent, control and relay")
+	}
+	if (c.Entry != nil || c.Gateway != nil || c.Agent != nil || c.Relay != nil) && len(c.ControlMembers) == 0 {
+		ch.add("control_members", "missing; an entry, gateway, agent or relay needs the addresses of the control group")
 	}
-	if (c.Entry != nil || c.Gateway != nil || c.Agent != nil) && len(c.ControlMembers) == 0 {
-		ch.add("control_members", "missing; an entry, gateway or agent needs the addresses of the control group")
+	if c.Relay != nil {
+		ch.address("relay.listen", c.Relay.Listen)
 	}
 	c.checkEntry(ch)
 	c.checkGateway(ch)
--- a/internal/process/build.go
+++ b/internal/process/build.go
@@ -15,6 +15,12 @@
 	return nil, nil
 }
 
+// BuildRelay builds the relay role.
+func BuildRelay(base *Base) (*Relay, error) {
+	wire.Build(NewRelay)
+	return nil, nil
+}
+
 // BuildAgent builds the agent role.
 func BuildAgent(base *Base) (*Agent, error) {
 	panic(wire.Build(NewAgent))
--- a/internal/process/wire_gen.go
+++ b/internal/process/wire_gen.go
@@ -28,6 +28,15 @@
 	return gateway, nil
 }
 
+// BuildRelay builds the relay role.
+func BuildRelay(base *Base) (*Relay, error) {
+	relay, err := NewRelay(base)
+	if err != nil {
+		return nil, err
+	}
+	return relay, nil
+}
+
 // BuildAgent builds the agent role.
 func BuildAgent(base *Base) (*Agent, error) {
 	agent, err := NewAgent(base)
--- a/internal/watch/client.go
+++ b/internal/watch/client.go
@@ -92,6 +92,7 @@
 
 	tree       atomic.Pointer[settings.Tree]
 	catalog    atomic.Pointer[catalog.Index] // nil: none yet
+	member     atomic.Pointer[string]        // address of the member that confirmed last; empty: none lately
 	control    atomic.Pointer[[]string]      // addresses of the control members, never empty once it was
 	freshUntil atomic.Pointer[time.Time]
 	openWindow atomic.Uint64
@@ -115,12 +116,16 @@
 	c.backends.Store(&[]*controlpb.BackendServer{})
 	c.leader.Store(int64(cfg.firstMember()))
 	c.control.Store(&cfg.Control)
+	c.member.Store(new(string))
 	return c
 }
 
 // controlMembers returns the addresses of the control members as far as they are known.
 func (c *Client) controlMembers() []string { return *c.control.Load() }
 
+// Member returns the address of a control member that reaches the group, empty where none is known.
+func (c *Client) Member() string { return *c.member.Load() }
+
 // SetSeeds adds addresses of control members, such as after a change of the settings file.
 func (c *Client) SetSeeds(seeds []string) { c.learnMembers(seeds, c.controlMembers()) }
 
@@ -222,6 +227,7 @@
 		address := members[i%len(members)]
 		s := &session{client: c, view: view, address: address}
 		err := s.run(ctx)
+		c.member.Store(new(string))
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
--- a/internal/watch/session.go
+++ b/internal/watch/session.go
@@ -252,6 +252,7 @@
 	s.client.freshUntil.Store(&until)
 	s.lastConfirmed = time.Now()
 	s.confirmed = true
+	s.client.member.Store(&s.address)
 	return true
 }
 
