Let tight work leave a full lane, and count waits in vain

Cause: the tight lane was full, its requests waited there to their deadline, and the split didn't see it: only requests whose answer began counted as delayed. Change: a tight request goes to any server where its lane's are full (the engines order by urgency); a wait in vain counts as a delay.

--- a/internal/core/route/affinity.go
+++ b/internal/core/route/affinity.go
@@ -45,9 +45,22 @@
 			return s
 		}
 	}
-	return r.leastLoaded(now, lane, req, rnd)
+	best := r.leastLoaded(now, lane, req, rnd)
+	if req.Lane == TightLane && r.use(now, best) >= fullUse {
+		// Tight work doesn't wait while bulk work runs elsewhere.
+		if other := r.leastLoaded(now, candidates, req, nextRandom(rnd)); r.use(now, other) < r.use(now, best) {
+			return other
+		}
+	}
+	return best
 }
 
+// fullUse is the use of a server from which requests wait there.
+const fullUse = 0.9
+
+// use estimates the part of a server's slots that is taken; above 1 requests wait.
+func (r *Router) use(now time.Time, s *server) float64 { return r.load(now, s) / float64(s.slots()) }
+
 // lastResort returns a server that was set aside, by chance: all that are known look bad, so that the fault may well be
 // elsewhere.
 func (g *group) lastResort(req *Request, rnd uint64) *server {
@@ -94,8 +107,7 @@
 		if s == best {
 			continue
 		}
-		score := r.load(now, s) / float64(s.slots())
-		score += s.health.failures
+		score := r.use(now, s) + s.health.failures
 		if s.Zone != req.Zone {
 			score += zoneLoad
 		}
--- a/internal/core/route/lanes_test.go
+++ b/internal/core/route/lanes_test.go
@@ -114,6 +114,41 @@
 	}
 }
 
+// TestTightWorkDoesNotWaitBesideBulkWork fills the tight lane: further tight requests go to the servers of the bulk lane, and
+// bulk requests stay where they are.
+func TestTightWorkDoesNotWaitBesideBulkWork(t *testing.T) {
+	table := ready(12, 2)
+	r := NewRouter(table, RouterConfig{Policy: PolicySessionLanes})
+	req := Request{Kind: KindEngine, Model: "m", Lane: TightLane, TightServers: 4}
+	tight := make(map[string]bool)
+	for rnd := range uint64(500) {
+		b, _ := r.Choose(epoch, req, rnd)
+		tight[b.ID] = true
+	}
+	for id := range tight {
+		table.Report(epoch, id, load(8, 6))
+	}
+	elsewhere := 0
+	for rnd := range uint64(500) {
+		b, err := r.Choose(epoch, req, rnd)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !tight[b.ID] {
+			elsewhere++
+		}
+	}
+	if elsewhere < 400 {
+		t.Errorf("%d of 500 tight requests left the full lane, want most", elsewhere)
+	}
+	req.Lane = BulkLane
+	for rnd := range uint64(500) {
+		if b, _ := r.Choose(epoch, req, rnd); tight[b.ID] {
+			t.Fatalf("a bulk request went to %s in the full tight lane", b.ID)
+		}
+	}
+}
+
 // TestASessionKeepsItsHome sends the same session from several processes that share nothing.
 func TestASessionKeepsItsHome(t *testing.T) {
 	homes := make(map[string]bool)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -239,6 +239,13 @@
 // served notes how long x waited for the beginning of its answer.
 func (s *Server) served(x *exchange, took time.Duration) {
 	x.firstAfter = took
+	s.noteDelay(x, took)
+}
+
+// waitedInVain notes that x was sent and no answer began.
+func (s *Server) waitedInVain(x *exchange, took time.Duration) { s.noteDelay(x, max(took, x.route.LatencyTarget)) }
+
+func (s *Server) noteDelay(x *exchange, took time.Duration) {
 	s.lanesMu.Lock()
 	defer s.lanesMu.Unlock()
 	if lanes := s.lanes[x.service]; lanes != nil {
--- a/internal/gateway/story.go
+++ b/internal/gateway/story.go
@@ -78,6 +78,9 @@
 // finish counts the end of x and logs its story where it matters.
 func (s *Server) finish(x *exchange, e ending) {
 	took := time.Since(x.arrived)
+	if x.tries > 0 && x.isStream() && x.firstAfter == 0 {
+		s.waitedInVain(x, took)
+	}
 	s.count(x, e, took)
 	level := slog.LevelInfo
 	if e.failed() {
