--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -53,7 +53,6 @@
 	NotRun    bool // the server didn't run the request and never will
 	Elsewhere bool // another server has the address
 	Genuine   bool // the answer bears the server's signature
-	Leaving   bool // the server takes no new work
 	Load      Load
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -26,7 +26,7 @@
 	}
 	x, ref := s.understand(w, r)
 	if ref == nil {
-		s.requested(x.service)
+		s.budgets.requested(x.service)
 		ctx, cancel := x.withDeadline(r.Context())
 		defer cancel()
 		ref = s.forward(ctx, x, w)
@@ -120,7 +120,7 @@
 	if !o.sent {
 		return true // costs no server anything
 	}
-	return t.sent < max(1, x.route.MaxAttempts) && s.takeRetry(x.service)
+	return t.sent < max(1, x.route.MaxAttempts) && s.budgets.take(x.service)
 }
 
 // conclude gives the caller what the tries brought, or returns the gateway's own answer.
@@ -186,7 +186,7 @@
 	}
 	s.ended(ctx, server, resultOf(o, answer.Status, first))
 	if !isStream {
-		s.served(x, first+began.Sub(x.arrived))
+		x.firstAfter = time.Since(x.arrived)
 	}
 	result := "failed"
 	if o.done {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,7 +18,6 @@
 
 	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/core/catalog"
-	"github.com/guavastack/guavastack/internal/core/retry"
 	"github.com/guavastack/guavastack/internal/core/route"
 	"github.com/guavastack/guavastack/internal/meter"
 	"github.com/guavastack/guavastack/internal/serverset"
@@ -90,14 +89,11 @@
 	conns   *connTracker
 	usage   *meter.Meter
 
-	budgetMu sync.Mutex
-	budgets  map[string]*retry.ShareBudget // by service
-
+	budgets *budgets
 	knownMu sync.Mutex
 	known   map[string]string // lifecycles of the backend servers, by id
 
-	lanesMu sync.Mutex
-	lanes   map[string]*route.Lanes // by service
+	lanes *lanes
 
 	addresses atomic.Pointer[map[string]bool] // of the registered backend servers
 	draining  atomic.Bool
@@ -120,8 +116,8 @@
 		usage: meter.New(meter.Config{
 			ID: cfg.ID, Incarnation: cfg.Incarnation, Interval: usageInterval, Logger: cfg.Logger,
 		}, dir),
-		budgets: make(map[string]*retry.ShareBudget),
-		lanes:   make(map[string]*route.Lanes),
+		budgets: newBudgets(cfg.RetryRatio),
+		lanes:   newLanes(),
 	}
 	s.addresses.Store(&map[string]bool{})
 	dir.OnChange(s.directoryChanged)
@@ -265,38 +261,3 @@
 		s.client.Expire(time.Now(), func(address string) bool { return addresses[address] })
 	}
 }
-
-// requested counts a request for the retry budget of a service.
-func (s *Server) requested(service string) {
-	s.budgetMu.Lock()
-	defer s.budgetMu.Unlock()
-	s.budget(service).OnRequest(clock.Now())
-}
-
-// takeRetry draws on the retry budget of a service.
-func (s *Server) takeRetry(service string) bool {
-	s.budgetMu.Lock()
-	defer s.budgetMu.Unlock()
-	return s.budget(service).Take(clock.Now())
-}
-
-// meter counts x once, in the billing window in which a backend server began to run it.
-func (s *Server) meter(x *exchange, began time.Time) {
-	if s.cfg.UsageWindow <= 0 || x.metered || x.organisation == "" {
-		return
-	}
-	x.metered = true
-	at := clock.Wall().Add(-time.Since(began))
-	window := uint64(at.UnixNano()) / uint64(s.cfg.UsageWindow)
-	s.usage.Add(meter.Key{Window: window, Organisation: x.organisation}, meter.Amounts{Requests: 1})
-}
-
-// budget is called with budgetMu locked.
-func (s *Server) budget(service string) *retry.ShareBudget {
-	b := s.budgets[service]
-	if b == nil {
-		b = retry.NewShareBudget(s.cfg.RetryRatio)
-		s.budgets[service] = b
-	}
-	return b
-}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -113,7 +113,7 @@
 			s.meter(x, now)
 			if t.stream.firstAt.IsZero() {
 				t.stream.firstAt = now
-				s.served(x, now.Sub(x.arrived))
+				s.began(x, now)
 			}
 			t.stream.write(buffer[:n])
 		}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -100,7 +100,9 @@
 		x.prefix = prefixHashes(call.Prompt.Parts)
 		x.session = sessionOf(call.Prompt, x.prefix)
 	}
-	s.chooseLane(x)
+	if x.isStream() {
+		x.lane, x.tightServers = s.lanes.choose(x, s.servers.Count(route.KindService, x.service))
+	}
 	s.tell(x, eventAdmitted,
 		slog.String("class", x.route.Name), slog.String("kind", x.route.Kind.String()), slog.String("service", x.service),
 		slog.String(telemetry.KeyOrganisation, x.organisation), slog.Int("rank", x.rank),
@@ -134,24 +136,6 @@
 	return p.Parts[len(p.Parts)-1].Tokens
 }
 
-// chooseLane notes the work that x brings and finds the lane that fits it.
-func (s *Server) chooseLane(x *exchange) {
-	if !x.isStream() {
-		return
-	}
-	now := time.Now()
-	s.lanesMu.Lock()
-	defer s.lanesMu.Unlock()
-	lanes := s.lanes[x.service]
-	if lanes == nil {
-		lanes = route.NewLanes()
-		s.lanes[x.service] = lanes
-	}
-	lanes.Observe(now, x.route.Name, x.route.GapTarget, ownTokens(x.call.Prompt))
-	x.lane = lanes.Of(x.route.GapTarget)
-	x.tightServers = lanes.Split(now, s.servers.Count(route.KindService, x.service))
-}
-
 // awaitReady holds a request for a short time while the gateway can't serve it yet, as after a start or an election: most
 // callers are served sooner by this than by a refusal and their return.
 func (s *Server) awaitReady(ctx context.Context, callerWaits time.Duration) {
@@ -236,23 +220,6 @@
 	return nil
 }
 
-// served notes how long x waited for the beginning of its answer.
-func (s *Server) served(x *exchange, took time.Duration) {
-	x.firstAfter = took
-	s.noteDelay(x, took)
-}
-
-// waitedInVain notes that x was sent and no answer began.
-func (s *Server) waitedInVain(x *exchange, took time.Duration) { s.noteDelay(x, max(took, x.route.LatencyTarget)) }
-
-func (s *Server) noteDelay(x *exchange, took time.Duration) {
-	s.lanesMu.Lock()
-	defer s.lanesMu.Unlock()
-	if lanes := s.lanes[x.service]; lanes != nil {
-		lanes.Served(x.lane, took, x.route.LatencyTarget)
-	}
-}
-
 // withDeadline returns a context that ends at the deadline of x or when the caller goes away.
 func (x *exchange) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
 	return context.WithDeadlineCause(ctx, x.deadline, errDeadline)
--- a/internal/gateway/story.go
+++ b/internal/gateway/story.go
@@ -79,7 +79,7 @@
 func (s *Server) finish(x *exchange, e ending) {
 	took := time.Since(x.arrived)
 	if x.tries > 0 && x.isStream() && x.firstAfter == 0 {
-		s.waitedInVain(x, took)
+		s.lanes.delayed(x, max(took, x.route.LatencyTarget)) // it waited in vain
 	}
 	s.count(x, e, took)
 	level := slog.LevelInfo
@@ -110,6 +110,15 @@
 	_ = handler.Handle(ctx, r) // a logger's output has nowhere to tell that it failed
 }
 
+// began notes that the answer to x began. An answer that goes on at another server began at the first one.
+func (s *Server) began(x *exchange, at time.Time) {
+	if x.firstAfter != 0 {
+		return
+	}
+	x.firstAfter = at.Sub(x.arrived)
+	s.lanes.delayed(x, x.firstAfter)
+}
+
 // isLate reports whether the beginning of the answer missed its target.
 func (s *Server) isLate(x *exchange) bool {
 	return x.route != nil && x.route.LatencyTarget > 0 && x.firstAfter > x.route.LatencyTarget
--- /dev/null
+++ b/internal/gateway/usage.go
@@ -0,0 +1,19 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/guavastack/guavastack/internal/clock"
+	"github.com/guavastack/guavastack/internal/meter"
+)
+
+// meter counts x once, in the billing window in which a backend server began to run it.
+func (s *Server) meter(x *exchange, began time.Time) {
+	if s.cfg.UsageWindow <= 0 || x.metered || x.organisation == "" {
+		return
+	}
+	x.metered = true
+	at := clock.Wall().Add(-time.Since(began))
+	window := uint64(at.UnixNano()) / uint64(s.cfg.UsageWindow)
+	s.usage.Add(meter.Key{Window: window, Organisation: x.organisation}, meter.Amounts{Requests: 1})
+}
