Leave a server at once whose connections fall silent

Cause: a server that goes dark was set aside only after five failures, each of which waited for up to 3 s on a kept connection. Change: a connection that times out sets the server aside like one that doesn't come about; 1.5 s instead of 2 to 3 s until it does.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -153,7 +153,7 @@
 	if err != nil {
 		o := s.failed(ctx, x, server, err)
 		result := route.Failed
-		if !o.sent {
+		if isOutOfReach(err) {
 			result = route.Unreachable
 		}
 		s.ended(ctx, server, route.Outcome{Result: result})
@@ -234,6 +234,12 @@
 	}
 }
 
+// isOutOfReach reports whether no connection came about, or one fell silent.
+func isOutOfReach(err error) bool {
+	var failure *upstream.Error
+	return errors.As(err, &failure) && (!failure.Sent || failure.Silent())
+}
+
 // failed judges a try without the head of an answer.
 func (s *Server) failed(ctx context.Context, x *exchange, server route.Backend, err error) outcome {
 	var failure *upstream.Error
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -20,9 +20,9 @@
 	// keepAliveIdle, keepAliveInterval and keepAliveCount find a connection that has gone silent.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
-	keepAliveCount    = 2
+	keepAliveCount    = 1
 	// unacknowledgedLimit is how long sent bytes may stay without an acknowledgement.
-	unacknowledgedLimit = 2 * time.Second
+	unacknowledgedLimit = 1500 * time.Millisecond
 	// defaultIdleLimit is how long an unused connection is trusted where the server states no limit.
 	defaultIdleLimit = 4 * time.Second
 	// idleMargin is kept from the limit that a server states.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -53,6 +54,9 @@
 	Cause error
 }
 
+// Silent reports whether the server acknowledged nothing for too long, so that its machine is out of reach.
+func (e *Error) Silent() bool { return errors.Is(e.Cause, unix.ETIMEDOUT) }
+
 // Error implements error.
 func (e *Error) Error() string { return e.Cause.Error() }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -7,11 +7,15 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	jujuerrors "github.com/juju/errors"
+
 	"github.com/guavastack/guavastack/internal/upstream"
 )
 
@@ -241,3 +245,22 @@
 		t.Error("a connection is kept on which the rest of a body is due")
 	}
 }
+
+// TestSilentServers tells failures of a machine out of reach from those of a server that answers badly.
+func TestSilentServers(t *testing.T) {
+	cases := []struct {
+		cause error
+		want  bool
+	}{
+		{&net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}, true},
+		{&net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ECONNRESET)}, false},
+		{io.ErrUnexpectedEOF, false},
+		{context.DeadlineExceeded, false},
+	}
+	for _, tc := range cases {
+		wrapped := &upstream.Error{Sent: true, Cause: jujuerrors.WithType(tc.cause, upstream.ErrBroken)}
+		if got := wrapped.Silent(); got != tc.want {
+			t.Errorf("%v: silent %v, want %v", tc.cause, got, tc.want)
+		}
+	}
+}
