--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -47,6 +47,9 @@
 		ref.write(w)
 	}
 	s.finish(x, e)
+	if e.gone {
+		panic(http.ErrAbortHandler) // net/http would send an empty 200 to a caller that closed one side only
+	}
 }
 
 // outcome is how one try ended.
