--- a/internal/gateway/abuse_test.go
+++ b/internal/gateway/abuse_test.go
@@ -42,7 +42,6 @@
 				return whole(r, 200, seal, "ok")
 			})
 			b := newBench(t, s)
-			b.http.Config.MaxHeaderBytes = maxHeaderBytes
 			conn, err := net.Dial("tcp", b.http.Listener.Addr().String())
 			if err != nil {
 				t.Fatal(err)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -201,7 +201,9 @@
 	}
 	b.gw = New(Config{RetryRatio: 1, Dialect: plainDialect{}, Logger: slog.New(slog.DiscardHandler)}, b.dir)
 	b.dir.onChange()
-	b.http = httptest.NewServer(b.gw)
+	b.http = httptest.NewUnstartedServer(b.gw)
+	b.http.Config.MaxHeaderBytes = maxHeaderBytes
+	b.http.Start()
 	t.Cleanup(b.http.Close)
 	return b
 }
