sched: follow the batch size in windows of 8 tokens a slot

Slow gaps all stand at the stragglers. Ruled out: damping 0.5 and 1, margins 0.75 and 0.9, a start at 32 slots (each loses tier 0).

--- a/internal/core/sched/learn.go
+++ b/internal/core/sched/learn.go
@@ -12,7 +12,7 @@
 	burstHalfLife = 10 * time.Second
 	// batchWindow is the number of tokens of each slot between two changes of the batch size. Shorter windows follow the
 	// prefill of single prompts, and the batch size falls with each long one.
-	batchWindow = 32
+	batchWindow = 8
 	// batchMargin is the part of the between-token target that the batch size aims at: the steps of an engine vary with
 	// the prompts that it computes beside, and short answers follow single steps.
 	batchMargin = 0.61
