Return after a power loss: quick first election, quick first confirmation

A member that came back last refuses pre-votes for a lease, and each refusal cost a whole election timeout. Ruled out: a shorter lease (a processor quota stops a process for up to a tenth of a second), a catalog kept on the disk (nothing tells how old it is after a power loss, and withdrawn keys must not run). Change: since a restart pre-votes are asked for each heartbeat interval until there is a leader, the lower id first; a watcher without any confirmation leaves a member after 300 ms instead of 2.5 s.

--- a/internal/core/raft/election.go
+++ b/internal/core/raft/election.go
@@ -3,10 +3,18 @@
 import "time"
 
 func (n *Node) resetElectionDeadline(now time.Time) {
-	jitter := time.Duration(n.cfg.Rand() % uint64(n.cfg.ElectionTimeout))
-	n.electionDeadline = now.Add(n.cfg.ElectionTimeout + jitter)
+	timeout := n.cfg.ElectionTimeout
+	if n.isStarting(now) {
+		timeout = n.cfg.HeartbeatInterval
+	}
+	jitter := time.Duration(n.cfg.Rand() % uint64(timeout))
+	n.electionDeadline = now.Add(timeout + jitter)
 }
 
+// isStarting reports whether a restart was moments ago and no leader is known since. Pre-votes cost little and may then be
+// asked for often, so that there is a leader as soon as a quorum may vote.
+func (n *Node) isStarting(now time.Time) bool { return now.Before(n.startingUntil) }
+
 // isSoleVoter reports whether this member can win an election alone.
 func (n *Node) isSoleVoter() bool {
 	return n.isVoter() && len(n.conf().Voters()) == 1
@@ -27,6 +35,7 @@
 		n.becomeFollower(now, n.term, leader)
 	}
 	n.leader = leader
+	n.startingUntil = time.Time{}
 	n.holdVotes(now.Add(n.cfg.LeaseDuration))
 	n.resetElectionDeadline(now)
 }
@@ -57,6 +66,7 @@
 	n.term++
 	n.vote, n.hardStateDirty = n.cfg.ID, true
 	n.role, n.leader = Candidate, 0
+	n.startingUntil = time.Time{}
 	n.resetElectionDeadline(now)
 	n.startVote(now, Vote, n.term, transfer)
 }
@@ -81,7 +91,8 @@
 }
 
 func (n *Node) handlePreVote(now time.Time, m Message) {
-	granted := m.Term > n.term && !now.Before(n.voteHold) && n.isUpToDate(m) && m.ToIncarnation == n.cfg.Incarnation
+	granted := m.Term > n.term && !now.Before(n.voteHold) && n.isUpToDate(m) && m.ToIncarnation == n.cfg.Incarnation &&
+		!n.goesFirst(now, m)
 	reply := Message{Kind: PreVoteReply, Reject: !granted}
 	if granted {
 		reply.Term = m.Term
@@ -89,6 +100,13 @@
 	n.replySynced(m, reply)
 }
 
+// goesFirst reports whether this member, which asks for pre-votes itself, goes before the sender: of two that come back at
+// once and hold the same log only one may campaign, or their votes would split.
+func (n *Node) goesFirst(now time.Time, m Message) bool {
+	sameLog := m.LogTerm == n.log.lastTerm() && m.Index == n.log.last()
+	return n.isStarting(now) && n.role == PreCandidate && sameLog && n.cfg.ID < m.From
+}
+
 // handleVote answers at most one candidate of a term. The candidate names the disk whose vote it wants, so a blank
 // disk under an old name is never asked.
 func (n *Node) handleVote(now time.Time, m Message) {
@@ -97,6 +115,7 @@
 	if granted {
 		n.hardStateDirty = n.hardStateDirty || n.vote != m.From
 		n.vote = m.From
+		n.startingUntil = time.Time{}
 		n.resetElectionDeadline(now)
 	}
 	n.replySynced(m, Message{Kind: VoteReply, Reject: !granted})
--- a/internal/core/raft/raft.go
+++ b/internal/core/raft/raft.go
@@ -132,6 +132,7 @@
 	applied uint64
 
 	voteHold         time.Time // no vote before, unless a leader hands over
+	startingUntil    time.Time // after a restart, until a leader is heard, a vote is given or a lease and an election are over
 	electionDeadline time.Time
 	helloAt          time.Time
 	blankPeers       map[uint64]uint64    // founders that answered as blank, with their incarnations
@@ -168,6 +169,7 @@
 	n.term = max(n.term, n.log.lastTerm())
 	if state.Restarted {
 		n.voteHold = now.Add(cfg.LeaseDuration)
+		n.startingUntil = n.voteHold.Add(cfg.ElectionTimeout)
 	}
 	n.resetElectionDeadline(now)
 	return n, nil
--- a/internal/core/raft/sim_test.go
+++ b/internal/core/raft/sim_test.go
@@ -79,18 +79,19 @@
 
 // world is the whole group with its network and the record of what happened.
 type world struct {
-	rng     *rand.Rand
-	at      time.Duration
-	members map[uint64]*simMember
-	ids     []uint64
-	packets []packet
-	seq     int
-	cut     map[[2]uint64]bool
-	lossPct int
-	delay   time.Duration            // longest usual delay of a message
-	crash   uint64                   // member that crashes at its next output
-	crashes int                      // crashes in a thousand outputs, each with a quick restart
-	rise    map[uint64]time.Duration // when crashed members start again
+	rng        *rand.Rand
+	at         time.Duration
+	members    map[uint64]*simMember
+	ids        []uint64
+	packets    []packet
+	seq        int
+	cut        map[[2]uint64]bool
+	lossPct    int
+	delay      time.Duration            // longest usual delay of a message
+	isPunctual bool                     // no message takes longer than the usual delay
+	crash      uint64                   // member that crashes at its next output
+	crashes    int                      // crashes in a thousand outputs, each with a quick restart
+	rise       map[uint64]time.Duration // when crashed members start again
 
 	leaders   map[uint64]string // term to the disk that led
 	committed map[uint64]Entry  // applied anywhere
@@ -257,7 +258,7 @@
 		}
 		for range copies {
 			delay := 200*time.Microsecond + time.Duration(w.rng.Int64N(int64(w.delay)))
-			if w.rng.IntN(40) == 0 {
+			if !w.isPunctual && w.rng.IntN(40) == 0 {
 				delay = time.Duration(w.rng.IntN(1500)) * time.Millisecond
 			}
 			w.seq++
--- a/internal/watch/client.go
+++ b/internal/watch/client.go
@@ -29,6 +29,9 @@
 	DefaultQueryInterval  = time.Second
 	DefaultSilenceLimit   = 1500 * time.Millisecond
 	DefaultAttemptTimeout = 1500 * time.Millisecond
+	// DefaultFirstConfirmation is short: before the first confirmation nobody is served here, and a member that just came
+	// back may have nothing to confirm.
+	DefaultFirstConfirmation = 300 * time.Millisecond
 )
 
 const (
@@ -49,10 +52,11 @@
 	// ParseCatalog reads a catalog's document; nil: the client keeps no catalog.
 	ParseCatalog func(document []byte) (*catalog.Catalog, error)
 
-	FreshnessLimit time.Duration // how long a confirmed view may be used
-	QueryInterval  time.Duration // between freshness questions
-	SilenceLimit   time.Duration // a member that is silent for longer is left
-	AttemptTimeout time.Duration // of one call to one member
+	FreshnessLimit    time.Duration // how long a confirmed view may be used
+	QueryInterval     time.Duration // between freshness questions
+	SilenceLimit      time.Duration // a member that is silent for longer is left
+	AttemptTimeout    time.Duration // of one call to one member
+	FirstConfirmation time.Duration // before anything was confirmed, a member that doesn't within it is left
 
 	Dial   rpcpool.DialFunc // nil: TCP without TLS
 	Logger *slog.Logger     // nil: none
@@ -63,6 +67,7 @@
 	setDefault(&c.QueryInterval, DefaultQueryInterval)
 	setDefault(&c.SilenceLimit, DefaultSilenceLimit)
 	setDefault(&c.AttemptTimeout, DefaultAttemptTimeout)
+	setDefault(&c.FirstConfirmation, DefaultFirstConfirmation)
 	if c.Dial == nil {
 		c.Dial = rpcpool.DialTCP
 	}
@@ -162,6 +167,14 @@
 // OpenWindow returns the number of the open billing window, 0 while it isn't known.
 func (c *Client) OpenWindow() uint64 { return c.openWindow.Load() }
 
+// confirmationLimit returns how long a member may confirm nothing before it is left.
+func (c *Client) confirmationLimit() time.Duration {
+	if !c.Ready() {
+		return c.cfg.FirstConfirmation
+	}
+	return c.cfg.FreshnessLimit / 2
+}
+
 // heldShares are this process's shares of limits, as of a time.
 type heldShares struct {
 	byOrganisation map[string]limit.Share
--- a/internal/watch/scenario_test.go
+++ b/internal/watch/scenario_test.go
@@ -147,6 +147,35 @@
 	})
 }
 
+// TestFirstConfirmationIsSoughtAtOnce is the return after a power loss: nothing is served before the first confirmation, and
+// members that came back without their disks, or not at all, can't give it.
+func TestFirstConfirmationIsSoughtAtOnce(t *testing.T) {
+	const bound = time.Second
+	cases := []struct {
+		name string
+		lose func(w *world, i int)
+	}{
+		{"a member that reaches no quorum", func(w *world, i int) { w.cluster.Isolate(i, true) }},
+		{"a member that takes no connection", func(w *world, i int) { w.hang(w.addresses[i]) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			inWorld(t, 3, func(w *world) {
+				scout := w.watcher("entry-1")
+				synctest.Wait()
+				home := w.home(scout)
+				w.cluster.Lead((home + 1) % 3)
+				c.lose(w, home)
+				again := w.watcher("entry-1")
+				time.Sleep(bound)
+				if !again.Fresh(time.Now()) {
+					t.Errorf("no confirmation within %v", bound)
+				}
+			})
+		})
+	}
+}
+
 func TestGapBringsASnapshot(t *testing.T) {
 	inWorld(t, 1, func(w *world) {
 		c := w.watcher("entry-1")
--- a/internal/watch/session.go
+++ b/internal/watch/session.go
@@ -13,6 +13,7 @@
 	"github.com/guavastack/guavastack/internal/rpcpool"
 	"github.com/guavastack/guavastack/proto/controlpb"
 	"github.com/juju/errors"
+	"storj.io/drpc/drpcconn"
 )
 
 // session is one watch at one control member.
@@ -26,12 +27,12 @@
 	lastConfirmed time.Time
 }
 
-// run watches until the member goes away, falls silent or confirms nothing for half of the freshness limit. The
-// connection is closed under the stream, so that one that no longer carries anything can't hold the client.
+// run watches until the member goes away, falls silent or confirms nothing for too long. The connection is closed under the
+// stream, so that one that no longer carries anything can't hold the client.
 func (s *session) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	conn, err := rpcpool.Connect(ctx, s.client.cfg.Dial, s.address)
+	conn, err := s.connect(ctx)
 	if err != nil {
 		return err
 	}
@@ -45,6 +46,12 @@
 	return s.loop(ctx, questions, updates, failed)
 }
 
+func (s *session) connect(ctx context.Context) (*drpcconn.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.client.confirmationLimit())
+	defer cancel()
+	return rpcpool.Connect(ctx, s.client.cfg.Dial, s.address)
+}
+
 // exchange opens the stream, sends questions and passes updates on. It may hang on a dead connection.
 func (s *session) exchange(ctx context.Context, rpc controlpb.DRPCControlClient, questions <-chan *controlpb.WatchRequest, updates chan<- *controlpb.WatchUpdate) error {
 	stream, err := rpc.Watch(ctx)
@@ -86,7 +93,7 @@
 	s.lastHeard, s.lastConfirmed = time.Now(), time.Now()
 	ask := time.NewTicker(cfg.QueryInterval)
 	defer ask.Stop()
-	watchdog := time.NewTicker(cfg.SilenceLimit / 5)
+	watchdog := time.NewTicker(min(cfg.SilenceLimit, s.client.confirmationLimit()) / 5)
 	defer watchdog.Stop()
 	s.ask(questions)
 	for {
@@ -103,10 +110,13 @@
 			}
 		case u := <-updates:
 			s.lastHeard = time.Now()
-			tree, index := s.client.Tree(), s.client.Catalog()
+			tree, index, ready := s.client.Tree(), s.client.Catalog(), s.client.Ready()
 			if err := s.take(u); err != nil {
 				return err
 			}
+			if !ready && s.client.Ready() {
+				watchdog.Reset(cfg.SilenceLimit / 5)
+			}
 			if s.client.Tree() != tree || s.client.Catalog() != index {
 				s.ask(questions) // tells the member at once which version is in force here
 			}
@@ -126,7 +136,7 @@
 	if now.Sub(s.lastHeard) >= s.client.cfg.SilenceLimit {
 		return errors.Timeoutf("silence of the control member")
 	}
-	if now.Sub(s.lastConfirmed) >= s.client.cfg.FreshnessLimit/2 {
+	if now.Sub(s.lastConfirmed) >= s.client.confirmationLimit() {
 		return errors.Timeoutf("confirmation by the control member")
 	}
 	return nil
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -117,6 +117,13 @@
 	n.conns[address] = nil
 }
 
+// hang lets new connections to a member hang.
+func (n *network) hang(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listen[address] = make(chan net.Conn)
+}
+
 // setDown refuses new connections to a member and closes those that are open.
 func (n *network) setDown(address string, down bool) {
 	n.mu.Lock()
