watch: ask three members at once for the first confirmation

Ruled out: a longer wait at each member, which leaves those at the wiped member just as late. Change: until a first confirmation up to three members are watched at once; the first that confirms is kept.

--- a/internal/watch/client.go
+++ b/internal/watch/client.go
@@ -29,14 +29,16 @@
 	DefaultQueryInterval  = time.Second
 	DefaultSilenceLimit   = 1500 * time.Millisecond
 	DefaultAttemptTimeout = 1500 * time.Millisecond
-	// DefaultFirstConfirmation is short: before the first confirmation nobody is served here, and a member that just came
-	// back may have nothing to confirm.
-	DefaultFirstConfirmation = 300 * time.Millisecond
+	// DefaultFirstConfirmation is short: before the first confirmation nobody is served here.
+	DefaultFirstConfirmation = time.Second
 )
 
 const (
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = time.Second
+	// firstMembers is the number of members that are asked at once for the first confirmation: one that just came back may
+	// have nothing to confirm.
+	firstMembers = 3
 	// maxControlMembers bounds the addresses that are kept.
 	maxControlMembers = 16
 )
@@ -106,6 +108,11 @@
 	demand     atomic.Pointer[func() []*controlpb.Demand]
 	leader     atomic.Int64 // index in the control members that answered the last proposal
 
+	// taking is held while an answer comes into force. The view is in its care: it outlives sessions, so that questions are
+	// numbered across them and no answer counts for another question.
+	taking sync.Mutex
+	view   *member.View
+
 	mu       sync.Mutex
 	changed  chan struct{}
 	onChange []func()
@@ -114,7 +121,9 @@
 // New returns a client that knows nothing until Run.
 func New(cfg Config) *Client {
 	cfg = cfg.withDefaults()
-	c := &Client{cfg: cfg, pool: rpcpool.New(cfg.Dial), changed: make(chan struct{})}
+	c := &Client{
+		cfg: cfg, pool: rpcpool.New(cfg.Dial), view: member.NewView(cfg.FreshnessLimit), changed: make(chan struct{}),
+	}
 	c.tree.Store(settings.NewTree())
 	c.freshUntil.Store(&time.Time{})
 	c.shares.Store(&heldShares{})
@@ -232,22 +241,16 @@
 	if len(c.controlMembers()) == 0 {
 		return errors.NotValidf("empty list of control members")
 	}
-	// The view outlives sessions: questions are numbered across them, so that no answer counts for another question.
-	view := member.NewView(c.cfg.FreshnessLimit)
 	backoff := minBackoff
 	for i := c.cfg.firstMember(); ; i++ {
-		members := c.controlMembers()
-		address := members[i%len(members)]
-		s := &session{client: c, view: view, address: address}
-		err := s.run(ctx)
-		c.member.Store(new(string))
-		if ctx.Err() != nil {
-			return ctx.Err()
+		width := 1
+		if !c.Ready() {
+			width = firstMembers
 		}
-		c.cfg.Logger.Info("leaving control member", "address", address, "error", err)
-		if s.confirmed {
+		if c.watch(ctx, i, width) {
 			backoff = minBackoff
 		}
+		i += width - 1
 		if !pause(ctx, backoff) {
 			return ctx.Err()
 		}
@@ -255,6 +258,47 @@
 	}
 }
 
+// watch opens sessions at width members from the given one on and keeps the first that confirms. It returns once all have
+// ended, and whether one confirmed.
+func (c *Client) watch(ctx context.Context, first, width int) bool {
+	members := c.controlMembers()
+	var sessions []*session
+	for i := range min(width, len(members)) {
+		sessions = append(sessions, &session{client: c, address: members[(first+i)%len(members)]})
+	}
+	contexts := make([]context.Context, len(sessions))
+	cancels := make([]context.CancelFunc, len(sessions))
+	for i := range sessions {
+		contexts[i], cancels[i] = context.WithCancel(ctx)
+		defer cancels[i]()
+	}
+	var won sync.Once
+	var ended sync.WaitGroup
+	for i, s := range sessions {
+		s.onConfirmed = func() { won.Do(func() { cancelAllBut(cancels, i) }) }
+		ended.Go(func() { c.runSession(contexts[i], s) })
+	}
+	ended.Wait()
+	c.member.Store(new(string))
+	return slices.ContainsFunc(sessions, func(s *session) bool { return s.confirmed })
+}
+
+func cancelAllBut(cancels []context.CancelFunc, kept int) {
+	for i, cancel := range cancels {
+		if i != kept {
+			cancel()
+		}
+	}
+}
+
+// runSession runs a session and logs why it ended, unless it isn't wanted any more.
+func (c *Client) runSession(ctx context.Context, s *session) {
+	err := s.run(ctx)
+	if ctx.Err() == nil {
+		c.cfg.Logger.Info("leaving control member", "address", s.address, "error", err)
+	}
+}
+
 // pause waits for d with jitter; it returns false when ctx ends first.
 func pause(ctx context.Context, d time.Duration) bool {
 	return wait.For(ctx, d/2+rand.N(d))
--- a/internal/watch/session.go
+++ b/internal/watch/session.go
@@ -18,10 +18,10 @@
 
 // session is one watch at one control member.
 type session struct {
-	client    *Client
-	view      *member.View
-	address   string
-	confirmed bool
+	client      *Client
+	address     string
+	confirmed   bool
+	onConfirmed func()
 
 	lastHeard     time.Time
 	lastConfirmed time.Time
@@ -143,12 +143,14 @@
 }
 
 func (s *session) question() *controlpb.WatchRequest {
+	s.client.taking.Lock()
+	defer s.client.taking.Unlock()
 	cfg := s.client.cfg
 	have := s.client.Tree().Version()
 	q := &controlpb.WatchRequest{
 		ProcessId: cfg.ProcessID, Incarnation: cfg.Incarnation, Role: cfg.Role, Zone: cfg.Zone,
 		HaveEpoch: have.Epoch, HaveVersion: have.Version, HaveCatalog: s.client.Catalog().Version(),
-		Query: s.view.Ask(clock.Now()), FreshnessMs: cfg.FreshnessLimit.Milliseconds(),
+		Query: s.client.view.Ask(clock.Now()), FreshnessMs: cfg.FreshnessLimit.Milliseconds(),
 	}
 	if f := s.client.demand.Load(); f != nil {
 		q.Demand = (*f)()
@@ -158,6 +160,8 @@
 
 // take brings one update into force: settings first, then the confirmation that is about them.
 func (s *session) take(u *controlpb.WatchUpdate) error {
+	s.client.taking.Lock()
+	defer s.client.taking.Unlock()
 	changed, err := s.takeSettings(u)
 	if err != nil {
 		return err
@@ -258,10 +262,13 @@
 	if u.ConfirmedQuery == 0 || s.client.Tree().Version() != version || !s.hasCatalogOf(u) {
 		return false
 	}
-	until := s.view.Confirm(u.ConfirmedQuery)
+	until := s.client.view.Confirm(u.ConfirmedQuery)
 	s.client.freshUntil.Store(&until)
 	s.lastConfirmed = time.Now()
-	s.confirmed = true
+	if !s.confirmed {
+		s.confirmed = true
+		s.onConfirmed()
+	}
 	s.client.member.Store(&s.address)
 	return true
 }
