Route: no new work for a server that went silent

Change: each gateway notes when it last heard of a server; one with own requests and not a word for 350 ms, or three usual waits where that is longer, gets no new ones while others do speak.

--- a/internal/core/route/affinity.go
+++ b/internal/core/route/affinity.go
@@ -39,6 +39,7 @@
 	if len(candidates) == 0 {
 		return g.lastResort(req, rnd)
 	}
+	candidates = withoutSilent(now, candidates)
 	lane := inLane(candidates, req.Lane, req.TightServers)
 	if req.Session != 0 {
 		if s := r.home(now, lane, req); s != nil {
--- /dev/null
+++ b/internal/core/route/silence.go
@@ -0,0 +1,93 @@
+package route
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// silentAfter is how long a server may say nothing at all while own requests are there.
+	silentAfter = 350 * time.Millisecond
+	// silentWaits is the multiple of the usual wait for an answer from which a server is silent, where that is longer.
+	silentWaits = 3
+	// usualWaitWeight is the weight of a new wait in the moving average of a group.
+	usualWaitWeight = 0.05
+)
+
+// Ear notes when a backend server was heard. It is safe for concurrent use.
+type Ear struct {
+	base time.Time
+	last atomic.Int64 // nanoseconds since base
+}
+
+// Heard notes that the server sent something.
+func (e *Ear) Heard(now time.Time) { e.last.Store(int64(now.Sub(e.base))) }
+
+func (e *Ear) heardAt() time.Time { return e.base.Add(time.Duration(e.last.Load())) }
+
+// Await notes that a request was sent to a backend server. The caller tells the ear what it hears of the server, and ends
+// with one call of AwaitOver with the same time. The ear is nil where the server isn't known any more.
+func (t *Table) Await(now time.Time, id string) *Ear {
+	s := t.servers[id]
+	if s == nil {
+		return nil
+	}
+	if s.ear == nil {
+		s.ear = &Ear{base: now}
+	}
+	s.awaited = append(s.awaited, now)
+	return s.ear
+}
+
+// AnswerBegan notes how long a request waited for the beginning of its answer.
+func (t *Table) AnswerBegan(id string, took time.Duration) {
+	s := t.servers[id]
+	if s == nil {
+		return
+	}
+	g := s.group
+	if g.usualWait == 0 {
+		g.usualWait = took
+		return
+	}
+	g.usualWait += time.Duration(usualWaitWeight * float64(took-g.usualWait))
+}
+
+// AwaitOver notes the end of the request that was sent at since.
+func (t *Table) AwaitOver(id string, since time.Time) {
+	s := t.servers[id]
+	if s == nil {
+		return
+	}
+	if i := slices.IndexFunc(s.awaited, since.Equal); i >= 0 {
+		s.awaited = slices.Delete(s.awaited, i, i+1)
+	}
+}
+
+// isSilent reports whether own requests are at the server and nothing at all came from it for longer than usual. A server
+// that went dark is found so long before its heartbeats are missed.
+func (s *server) isSilent(now time.Time) bool {
+	if len(s.awaited) == 0 {
+		return false
+	}
+	since := s.awaited[0]
+	if heard := s.ear.heardAt(); heard.After(since) {
+		since = heard
+	}
+	return now.Sub(since) > max(silentAfter, silentWaits*s.group.usualWait)
+}
+
+// withoutSilent returns the candidates that are not silent; all of them where every one is.
+func withoutSilent(now time.Time, candidates []*server) []*server {
+	heard := make([]*server, 0, len(candidates))
+	for _, s := range candidates {
+		if !s.isSilent(now) {
+			heard = append(heard, s)
+		}
+	}
+	if len(heard) == 0 {
+		return candidates
+	}
+	return heard
+}
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -59,8 +59,9 @@
 	placements *simplelru.LRU[uint64, placement]
 	roundRobin int
 	reviewedAt time.Time
-	busy       float64 // sum of the reported busy counts
-	reported   int     // number of servers with a report
+	busy       float64       // sum of the reported busy counts
+	reported   int           // number of servers with a report
+	usualWait  time.Duration // moving average of the waits for the beginning of an answer
 	scratch    []float64
 }
 
@@ -85,7 +86,9 @@
 	inFlight    int // own, begun and not ended
 	sinceReport int // own, begun and not ended since the last report
 	health      health
-	gapAt       time.Time // last gap in its cache events
+	awaited     []time.Time // when own requests without an end were sent, oldest first
+	ear         *Ear        // nil: nothing was awaited yet
+	gapAt       time.Time   // last gap in its cache events
 }
 
 // NewTable returns an empty table.
--- /dev/null
+++ b/internal/gateway/await.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/route"
+	"github.com/guavastack/guavastack/internal/serverset"
+)
+
+// await is one try at a backend server, from the send to the end of the answer.
+type await struct {
+	servers *serverset.Set
+	server  string // id
+	since   time.Time
+	ear     *route.Ear
+	began   bool
+}
+
+func newAwait(servers *serverset.Set, server string) *await {
+	since, ear := servers.Await(server)
+	return &await{servers: servers, server: server, since: since, ear: ear}
+}
+
+// heard notes that something of the answer came.
+func (a *await) heard(now time.Time) {
+	if a.ear != nil {
+		a.ear.Heard(now)
+	}
+	if !a.began {
+		a.began = true
+		a.servers.AnswerBegan(a.server, now.Sub(a.since))
+	}
+}
+
+// over notes the end of the try.
+func (a *await) over() { a.servers.AwaitOver(a.server, a.since) }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -67,6 +67,7 @@
 	sent    int
 	exclude []string // servers tried
 	stream  *streamWriter
+	await   *await       // of the current try
 	answer  *wholeAnswer // the newest answer that was held back
 	final   *refusal
 }
@@ -152,6 +153,8 @@
 		slog.String(telemetry.KeyBackendServer, server.ID), slog.String("address", server.Address),
 		slog.String("zone", server.Zone), slog.Int("try", x.tries), slog.Int64("remaining_ms", x.remaining().Milliseconds()))
 	s.servers.Began(server.ID, x.call.Prompt.Tokens, x.prefix)
+	t.await = newAwait(s.servers, server.ID)
+	defer t.await.over()
 	answer, err := s.client.Do(ctx, server.Address, s.request(x, server, t))
 	if err != nil {
 		o := s.failed(ctx, x, server, err)
@@ -166,6 +169,9 @@
 		return o
 	}
 	defer answer.Close()
+	if answer.Status/100 != 2 || !x.isStream() {
+		t.await.heard(time.Now())
+	}
 	reply := s.cfg.Dialect.Reply(answer.Status, answer.Header)
 	s.report(server, reply)
 	if reply.NotRun || reply.Elsewhere {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -110,6 +110,7 @@
 		n, err := answer.Read(buffer[:])
 		if n > 0 {
 			now := time.Now()
+			t.await.heard(now)
 			s.meter(x, now)
 			if t.stream.firstAt.IsZero() {
 				t.stream.firstAt = now
--- a/internal/serverset/serverset.go
+++ b/internal/serverset/serverset.go
@@ -146,6 +146,29 @@
 	s.table.Began(time.Now(), id, promptTokens, prefix)
 }
 
+// Await notes that a request was sent to a backend server, at the returned time. The caller tells the ear what it hears of
+// the server, and ends with one call of AwaitOver. The ear is nil where the server isn't known any more.
+func (s *Set) Await(id string) (since time.Time, ear *route.Ear) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	return now, s.table.Await(now, id)
+}
+
+// AnswerBegan notes how long a request waited for the beginning of its answer.
+func (s *Set) AnswerBegan(id string, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.AnswerBegan(id, took)
+}
+
+// AwaitOver notes the end of the request that was sent at since.
+func (s *Set) AwaitOver(id string, since time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.AwaitOver(id, since)
+}
+
 // Ended notes the end of a dispatch.
 func (s *Set) Ended(id string, o route.Outcome) {
 	s.mu.Lock()
