Fetch shared beginnings of prompts from a server that has them

Change: the gateway names the server that got the longest beginning last from it, or else the session's home; the adapter says it in the platform's header. Only where the configuration states a link that is fast enough.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -74,8 +74,9 @@
 
 // Engine describes the model servers of a service.
 type Engine struct {
-	Slots       int // requests in one batch
-	CacheTokens int // memory of one server, in tokens
+	Slots         int           // requests in one batch
+	CacheTokens   int           // memory of one server, in tokens
+	CacheTransfer time.Duration // to bring one token of memory from server to server; 0: they don't
 }
 
 // Organisation is a customer with its keys.
--- /dev/null
+++ b/internal/core/route/source.go
@@ -0,0 +1,53 @@
+package route
+
+import "time"
+
+// Source returns a backend server from which another can fetch the beginning of the prompt, so that it needn't be read once
+// more: the last one that this process sent the longest shared beginning to, or else the session's home. It returns false
+// where the chosen server should have the beginning itself.
+func (r *Router) Source(now time.Time, req Request, chosen string) (Backend, bool) {
+	s := r.table.servers[chosen]
+	if s == nil || len(req.Prefix) == 0 {
+		return Backend{}, false
+	}
+	source := r.lastHolder(s.group, req.Prefix[:len(req.Prefix)-1])
+	if source == nil && req.Session != 0 {
+		source = r.sessionHome(now, s.group, &req)
+	}
+	if source == nil || source == s || !source.isCandidate(now, &req) || source.isSilent(now) {
+		return Backend{}, false
+	}
+	return source.Backend, true
+}
+
+// lastHolder returns the server that got the longest of the beginnings last, nil where none did.
+func (r *Router) lastHolder(g *group, beginnings []uint64) *server {
+	for i := len(beginnings) - 1; i >= 0; i-- {
+		p, ok := g.placements.Peek(beginnings[i])
+		if !ok {
+			continue
+		}
+		if s := r.table.servers[p.server]; s != nil && s.group == g {
+			return s
+		}
+	}
+	return nil
+}
+
+// sessionHome returns the server of its lane that ranks highest for the session.
+func (r *Router) sessionHome(now time.Time, g *group, req *Request) *server {
+	var candidates []*server
+	for _, s := range g.servers {
+		if s.isCandidate(now, req) {
+			candidates = append(candidates, s)
+		}
+	}
+	var best *server
+	bestRank := uint64(0)
+	for _, s := range inLane(candidates, req.Lane, req.TightServers) {
+		if rk := rank(req.Session, s); best == nil || rk > bestRank {
+			best, bestRank = s, rk
+		}
+	}
+	return best
+}
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -45,6 +45,7 @@
 	Rank         int           // 0 goes first
 	Ranks        int           // number of ranks
 	ResumeAfter  string        // id of the last event that arrived; empty: from the beginning
+	FetchFrom    string        // address of a backend server that holds the beginning of the prompt; empty: none
 }
 
 // Reply is what a backend server states with an answer.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -149,13 +149,15 @@
 func (s *Server) try(ctx context.Context, x *exchange, server route.Backend, t *tries) outcome {
 	began := time.Now()
 	x.tries++
+	source := s.source(x, server)
 	s.tell(x, eventSent,
 		slog.String(telemetry.KeyBackendServer, server.ID), slog.String("address", server.Address),
-		slog.String("zone", server.Zone), slog.Int("try", x.tries), slog.Int64("remaining_ms", x.remaining().Milliseconds()))
+		slog.String("zone", server.Zone), slog.Int("try", x.tries), slog.Int64("remaining_ms", x.remaining().Milliseconds()),
+		slog.String("fetch_from", source.ID))
 	s.servers.Began(server.ID, x.call.Prompt.Tokens, x.prefix)
 	t.await = newAwait(s.servers, server.ID)
 	defer t.await.over()
-	answer, err := s.client.Do(ctx, server.Address, s.request(x, server, t))
+	answer, err := s.client.Do(ctx, server.Address, s.request(x, server, source, t))
 	if err != nil {
 		o := s.failed(ctx, x, server, err)
 		result := route.Failed
@@ -206,6 +208,15 @@
 	return o
 }
 
+// source returns the backend server from which the chosen one fetches the beginning of the prompt, the zero value for none.
+func (s *Server) source(x *exchange, server route.Backend) route.Backend {
+	if !x.fetches {
+		return route.Backend{}
+	}
+	source, _ := s.servers.Source(x.routeRequest(nil), server.ID)
+	return source
+}
+
 // ended notes the end of a dispatch. A caller that went away says nothing about the server.
 func (s *Server) ended(ctx context.Context, server route.Backend, o route.Outcome) {
 	if errors.Is(context.Cause(ctx), context.Canceled) {
@@ -222,7 +233,7 @@
 }
 
 // request returns what the backend server gets.
-func (s *Server) request(x *exchange, server route.Backend, t *tries) *upstream.Request {
+func (s *Server) request(x *exchange, server, source route.Backend, t *tries) *upstream.Request {
 	header := x.header.Clone()
 	removeConnectionHeaders(header)
 	s.cfg.Dialect.Forward(header, Forwarding{
@@ -232,6 +243,7 @@
 		Rank:         x.rank,
 		Ranks:        x.ranks,
 		ResumeAfter:  t.stream.lastID,
+		FetchFrom:    source.Address,
 	})
 	return &upstream.Request{
 		Method: x.method,
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -54,6 +54,7 @@
 	deadline     time.Time
 	prefix       []uint64
 	session      uint64
+	fetches      bool // a server may fetch the beginning of the prompt from another one
 	lane         route.Lane
 	tightServers int
 	metered      bool // it was counted for billing
@@ -99,6 +100,7 @@
 	if x.route.CachesPrompts {
 		x.prefix = prefixHashes(call.Prompt.Parts)
 		x.session = sessionOf(call.Prompt, x.prefix)
+		x.fetches = isWorthFetching(call.Prompt, index.Service(x.service))
 	}
 	if x.isStream() {
 		x.lane, x.tightServers = s.lanes.choose(x, s.servers.Count(route.KindService, x.service))
@@ -118,16 +120,39 @@
 // sessionOf returns what identifies the shared beginning of a prompt, 0 where it is too short to matter. The last part is
 // the request's own.
 func sessionOf(p Prompt, prefix []uint64) uint64 {
-	shared := 0
-	for _, part := range p.Parts[:max(len(p.Parts)-1, 0)] {
-		shared += part.Tokens
-	}
+	shared := sharedTokens(p)
 	if shared == 0 || float64(shared) < minSharedShare*float64(p.Tokens) {
 		return 0
 	}
 	return prefix[len(prefix)-2]
 }
 
+const (
+	// minFetchTokens is the length from which the beginning of a prompt is fetched from another server.
+	minFetchTokens = 256
+	// maxFetchPerToken is the time for one token from which a fetch takes longer than to read the prompt.
+	maxFetchPerToken = 5 * time.Microsecond
+)
+
+// isWorthFetching reports whether servers of a service bring the shared beginning of the prompt from one to the other sooner
+// than they read it.
+func isWorthFetching(p Prompt, service *catalog.Service) bool {
+	if service == nil || service.Engine == nil {
+		return false
+	}
+	perToken := service.Engine.CacheTransfer
+	return perToken > 0 && perToken <= maxFetchPerToken && sharedTokens(p) >= minFetchTokens
+}
+
+// sharedTokens returns the tokens of a prompt that other requests share.
+func sharedTokens(p Prompt) int {
+	shared := 0
+	for _, part := range p.Parts[:max(len(p.Parts)-1, 0)] {
+		shared += part.Tokens
+	}
+	return shared
+}
+
 // ownTokens returns the tokens of a prompt that no other request shares.
 func ownTokens(p Prompt) int {
 	if len(p.Parts) == 0 {
--- a/internal/serverset/serverset.go
+++ b/internal/serverset/serverset.go
@@ -81,6 +81,14 @@
 	return s.router.Choose(time.Now(), req, rand.Uint64())
 }
 
+// Source returns a backend server from which the chosen one can fetch the beginning of the prompt, if it should.
+func (s *Set) Source(req route.Request, chosen string) (route.Backend, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	req.Zone = s.zone
+	return s.router.Source(time.Now(), req, chosen)
+}
+
 // Count returns the number of ready backend servers of a model.
 func (s *Set) Count(kind, model string) int {
 	s.mu.Lock()
