Route: lanes and homes are the same in every process; stragglers are compared within their lane

Each server aside moved the border between the lanes and the homes of sessions in that process only: 676 of 728 long prompts that landed where their beginning wasn't known had another process's home to thank. Ruled out: the bound on the load of homes (never reached: 5,242 of 5,354 long prompts went to what their gateway held to be the first home). Change: lanes and homes count all ready servers, what a process has set aside is passed over; times are compared among the servers of a lane, and not against one with more to do; failures count where they lie above the peers'.

--- a/internal/core/route/affinity.go
+++ b/internal/core/route/affinity.go
@@ -30,17 +30,17 @@
 // sessionLanes picks within the lane of the request: the session's home while its load is bounded, and else the least loaded
 // of a few random servers.
 func (r *Router) sessionLanes(now time.Time, g *group, req *Request, rnd uint64) *server {
-	candidates := make([]*server, 0, len(g.servers))
-	for _, s := range g.servers {
-		if s.isCandidate(now, req) {
-			candidates = append(candidates, s)
-		}
-	}
+	candidates := withoutSilent(now, g.candidates(now, req))
 	if len(candidates) == 0 {
 		return g.lastResort(req, rnd)
 	}
-	candidates = withoutSilent(now, candidates)
-	lane := inLane(candidates, req.Lane, req.TightServers)
+	if req.Lane != AnyLane {
+		g.tight = req.TightServers
+	}
+	lane := amongst(candidates, g.lane(req))
+	if len(lane) == 0 {
+		lane = candidates
+	}
 	if req.Session != 0 {
 		if s := r.home(now, lane, req); s != nil {
 			return s
@@ -56,6 +56,40 @@
 	return best
 }
 
+// candidates returns the servers that may get the request.
+func (g *group) candidates(now time.Time, req *Request) []*server {
+	out := make([]*server, 0, len(g.servers))
+	for _, s := range g.servers {
+		if s.isCandidate(now, req) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// lane returns the servers of the request's lane. Those that this process has set aside are among them: what one process
+// sees of a server must not move the lanes and homes of the others.
+func (g *group) lane(req *Request) []*server {
+	ready := make([]*server, 0, len(g.servers))
+	for _, s := range g.servers {
+		if s.Lifecycle == LifecycleReady && s.serves(req) {
+			ready = append(ready, s)
+		}
+	}
+	return inLane(ready, req.Lane, req.TightServers)
+}
+
+// amongst returns the servers of a lane that are candidates, in the order of the lane.
+func amongst(candidates, lane []*server) []*server {
+	out := make([]*server, 0, len(lane))
+	for _, s := range lane {
+		if slices.Contains(candidates, s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // fullUse is the use of a server from which requests wait there.
 const fullUse = 0.9
 
--- a/internal/core/route/health.go
+++ b/internal/core/route/health.go
@@ -12,8 +12,10 @@
 	stragglerFactor = 3
 	// minOutcomes is the number of outcomes before a server is judged.
 	minOutcomes = 5
-	// maxFailureShare is the share of failures from which a server is set aside.
+	// maxFailureShare is the share of failures from which a server is set aside, failureExcess what it must lie above its
+	// peers: where all fail alike, a server less helps nobody.
 	maxFailureShare = 0.5
+	failureExcess   = 0.25
 	// probesToReturn is the number of good outcomes after which a server is fully back.
 	probesToReturn = 3
 	minAside       = 2 * time.Second
@@ -125,8 +127,6 @@
 		return
 	}
 	g.reviewedAt = now
-	firstToken := g.median(func(s *server) float64 { return s.health.firstToken })
-	interval := g.median(func(s *server) float64 { return s.load.TokenInterval.Seconds() })
 	limit := len(g.servers) / 3
 	count := 0
 	for _, s := range g.servers {
@@ -137,44 +137,57 @@
 			count++
 		}
 	}
-	for _, s := range g.servers {
-		if count >= limit {
-			return
-		}
-		if s.health.state == healthy && s.isStraggler(firstToken, interval) {
-			s.health.setAside(now)
-			count++
+	for _, peers := range g.peers() {
+		firstToken := median(peers, func(s *server) float64 { return s.health.firstToken })
+		interval := median(peers, func(s *server) float64 { return s.load.TokenInterval.Seconds() })
+		busy := median(peers, (*server).reportedBusy)
+		failures := median(peers, func(s *server) float64 { return s.health.failures })
+		for _, s := range peers {
+			if count < limit && s.health.state == healthy && s.isStraggler(firstToken, interval, busy, failures) {
+				s.health.setAside(now)
+				count++
+			}
 		}
 	}
 }
 
+// peers returns the servers in sets of those that do like work.
+func (g *group) peers() [][]*server {
+	if g.tight <= 0 || g.tight >= len(g.servers) {
+		return [][]*server{g.servers}
+	}
+	ordered := inOrder(g.servers)
+	return [][]*server{ordered[:g.tight], ordered[g.tight:]}
+}
+
 // beginProbing forgets the observations that set the server aside.
 func (s *server) beginProbing() {
 	s.health = health{state: probing, duration: s.health.duration}
 }
 
-func (s *server) isStraggler(firstToken, interval float64) bool {
+// isStraggler compares a server with the medians of its peers. One that has more to do than they may well be slower.
+func (s *server) isStraggler(firstToken, interval, busy, failures float64) bool {
 	h := &s.health
-	if h.outcomes >= minOutcomes && h.failures > maxFailureShare {
+	if h.outcomes >= minOutcomes && h.failures > max(maxFailureShare, failures+failureExcess) {
 		return true
 	}
 	if h.answered >= minOutcomes && firstToken > 0 && h.firstToken > stragglerFactor*firstToken {
-		return true
+		return s.reportedBusy() <= busy+1
 	}
 	return h.answered > 0 && interval > 0 && s.load.TokenInterval.Seconds() > stragglerFactor*interval
 }
 
 // median returns the median of the servers' known values, zero when fewer than three are known.
-func (g *group) median(value func(*server) float64) float64 {
-	g.scratch = g.scratch[:0]
-	for _, s := range g.servers {
+func median(servers []*server, value func(*server) float64) float64 {
+	known := make([]float64, 0, len(servers))
+	for _, s := range servers {
 		if v := value(s); v > 0 {
-			g.scratch = append(g.scratch, v)
+			known = append(known, v)
 		}
 	}
-	if len(g.scratch) < 3 {
+	if len(known) < 3 {
 		return 0
 	}
-	slices.Sort(g.scratch)
-	return g.scratch[(len(g.scratch)-1)/2]
+	slices.Sort(known)
+	return known[(len(known)-1)/2]
 }
--- a/internal/core/route/lanes.go
+++ b/internal/core/route/lanes.go
@@ -1,8 +1,9 @@
 package route
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 	"time"
 )
 
@@ -156,9 +157,16 @@
 	if lane == AnyLane || tight <= 0 || tight >= len(candidates) {
 		return candidates
 	}
-	sort.Slice(candidates, func(i, j int) bool { return candidates[i].order < candidates[j].order })
+	ordered := inOrder(candidates)
 	if lane == TightLane {
-		return candidates[:tight]
+		return ordered[:tight]
 	}
-	return candidates[tight:]
+	return ordered[tight:]
+}
+
+// inOrder returns the servers in the order that all processes share.
+func inOrder(servers []*server) []*server {
+	ordered := slices.Clone(servers)
+	slices.SortFunc(ordered, func(a, b *server) int { return cmp.Compare(a.order, b.order) })
+	return ordered
 }
--- /dev/null
+++ b/internal/core/route/peers_test.go
@@ -0,0 +1,106 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestBroadcastMakesNoStragglers plays a burst of long prompts: servers of the bulk lane answer late because much waits there,
+// which is no fault of theirs, and all the less one that a process may hold against them alone.
+func TestBroadcastMakesNoStragglers(t *testing.T) {
+	const servers, tight = 9, 4
+	cases := []struct {
+		name  string
+		first func(place int) time.Duration // by place in the common order
+		busy  func(place int) int
+		fails func(place int) float64 // share of the outcomes
+		aside int                     // servers that are set aside
+	}{
+		{name: "the bulk lane answers later than the tight one", first: func(place int) time.Duration {
+			if place < tight {
+				return 30 * time.Millisecond
+			}
+			return time.Second
+		}},
+		{name: "a home with more to do answers later than its peers", first: func(place int) time.Duration {
+			if place == tight {
+				return 4 * time.Second
+			}
+			return time.Second
+		}, busy: func(place int) int {
+			if place == tight {
+				return 20
+			}
+			return 4
+		}},
+		{name: "a server answers later than its peers with as much to do", aside: 1, first: func(place int) time.Duration {
+			if place == tight {
+				return 4 * time.Second
+			}
+			return time.Second
+		}},
+		{name: "all servers fail alike", fails: func(int) float64 { return 0.7 }},
+		{name: "one server fails", aside: 1, fails: func(place int) float64 {
+			if place == 0 {
+				return 0.9
+			}
+			return 0.1
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := newTable(servers, nil)
+			now := epoch
+			for place, s := range inOrder(table.groups[groupKey{KindEngine, "m"}].servers) {
+				s.group.tight = tight
+				busy, first, fails := 4, 50*time.Millisecond, 0.0
+				if c.busy != nil {
+					busy = c.busy(place)
+				}
+				if c.first != nil {
+					first = c.first(place)
+				}
+				if c.fails != nil {
+					fails = c.fails(place)
+				}
+				table.Report(now, s.ID, load(busy, 0))
+				s.health = health{outcomes: 50, answered: 50, firstToken: first.Seconds(), failures: fails}
+			}
+			now = now.Add(2 * reviewInterval)
+			table.groups[groupKey{KindEngine, "m"}].review(now)
+			var aside []string
+			for place, s := range inOrder(table.groups[groupKey{KindEngine, "m"}].servers) {
+				if s.health.state != healthy {
+					aside = append(aside, fmt.Sprint(place))
+				}
+			}
+			if len(aside) != c.aside {
+				t.Errorf("set aside: %v, want %d", aside, c.aside)
+			}
+		})
+	}
+}
+
+// TestProcessesAgreeOnHomes sets servers aside in one process: the sessions of the others stay where they are in both.
+func TestProcessesAgreeOnHomes(t *testing.T) {
+	const servers = 12
+	one, other := ready(servers, 4), ready(servers, 4)
+	aside := anyServer(other)
+	other.servers[aside].health.setAside(epoch)
+	moved := 0
+	for session := range uint64(200) {
+		req := Request{Kind: KindEngine, Model: "m", Lane: BulkLane, TightServers: 5, Session: session + 1}
+		a, errA := NewRouter(one, RouterConfig{Policy: PolicySessionLanes}).Choose(epoch, req, 1)
+		b, errB := NewRouter(other, RouterConfig{Policy: PolicySessionLanes}).Choose(epoch, req, 1)
+		if errA != nil || errB != nil {
+			t.Fatal(errA, errB)
+		}
+		if a.ID != b.ID && a.ID != aside {
+			moved++
+		}
+	}
+	if moved > 0 {
+		t.Errorf("%d of 200 sessions have another home, though it isn't set aside", moved)
+	}
+}
--- a/internal/core/route/source.go
+++ b/internal/core/route/source.go
@@ -12,7 +12,7 @@
 	}
 	source := r.lastHolder(s.group, req.Prefix[:len(req.Prefix)-1])
 	if source == nil && req.Session != 0 {
-		source = r.sessionHome(now, s.group, &req)
+		source = sessionHome(s.group, &req)
 	}
 	if source == nil || source == s || !source.isCandidate(now, &req) || source.isSilent(now) {
 		return Backend{}, false
@@ -35,16 +35,10 @@
 }
 
 // sessionHome returns the server of its lane that ranks highest for the session.
-func (r *Router) sessionHome(now time.Time, g *group, req *Request) *server {
-	var candidates []*server
-	for _, s := range g.servers {
-		if s.isCandidate(now, req) {
-			candidates = append(candidates, s)
-		}
-	}
+func sessionHome(g *group, req *Request) *server {
 	var best *server
 	bestRank := uint64(0)
-	for _, s := range inLane(candidates, req.Lane, req.TightServers) {
+	for _, s := range g.lane(req) {
 		if rk := rank(req.Session, s); best == nil || rk > bestRank {
 			best, bestRank = s, rk
 		}
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -62,7 +62,7 @@
 	busy       float64       // sum of the reported busy counts
 	reported   int           // number of servers with a report
 	usualWait  time.Duration // moving average of the waits for the beginning of an answer
-	scratch    []float64
+	tight      int           // servers in the tight lane at the last choice; 0: not split
 }
 
 // placement remembers where a prompt prefix was computed last.
