Gateway: obey the catalog's limits on heads and idle connections

The configuration's header and idle limits were not obeyed: ours are wider (64 KiB, 10 s, 75 s). A head above the limit gets 431, a connection idle or in a head for longer than allowed is closed; ours stay as ceilings.

--- a/internal/gateway/abuse_test.go
+++ b/internal/gateway/abuse_test.go
@@ -32,6 +32,8 @@
 		{"a header on two lines", "POST /unsafe/x HTTP/1.1\r\n" + host + "X-A: b\r\n c\r\nContent-Length: 2\r\n\r\nok", false, 200, 1},
 		{"a space before the colon", "POST /unsafe/x HTTP/1.1\r\n" + host + "X-A : b\r\n\r\n", false, 400, 0},
 		{"no protocol", "hello\r\n\r\n", false, 400, 0},
+		{"a head at the catalog's limit", "POST /safe/x HTTP/1.1\r\n" + host + "Content-Length: 2\r\nX-A: " + strings.Repeat("a", benchMaxHeaderBytes-200) + "\r\n\r\nok", false, 200, 1},
+		{"a head above the catalog's limit", "GET /safe/x HTTP/1.1\r\n" + host + "X-A: " + strings.Repeat("a", benchMaxHeaderBytes) + "\r\n\r\n", false, 431, 0},
 		{"a head above the limit", "GET /safe/x HTTP/1.1\r\n" + host + "X-A: " + strings.Repeat("a", 2*maxHeaderBytes) + "\r\n\r\n", false, 431, 0},
 	}
 	for _, tc := range cases {
--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 )
 
 // pipeListener accepts one end of a pipe.
@@ -76,3 +77,58 @@
 		t.Errorf("read %d bytes, %v; want none", n, err)
 	}
 }
+
+// TestLimitsOnCallersConnections lets connections idle and heads dawdle.
+func TestLimitsOnCallersConnections(t *testing.T) {
+	limits := connLimits{idle: 15 * time.Second, head: 3 * time.Second}
+	began := func(t *testing.T, caller net.Conn, tracked *trackedConn) {
+		t.Helper()
+		go func() { _, _ = io.WriteString(caller, "P") }()
+		if _, err := tracked.Read(make([]byte, 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	cases := []struct {
+		name  string
+		play  func(t *testing.T, tracker *connTracker, caller net.Conn, tracked *trackedConn)
+		after time.Duration
+		open  bool
+	}{
+		{"idle within the limit", func(*testing.T, *connTracker, net.Conn, *trackedConn) {}, limits.idle - time.Second, true},
+		{"idle beyond the limit", func(*testing.T, *connTracker, net.Conn, *trackedConn) {}, limits.idle + time.Second, false},
+		{"a head within the limit", func(t *testing.T, _ *connTracker, caller net.Conn, tracked *trackedConn) {
+			began(t, caller, tracked)
+		}, limits.head - time.Second, true},
+		{"a head beyond the limit", func(t *testing.T, _ *connTracker, caller net.Conn, tracked *trackedConn) {
+			began(t, caller, tracked)
+		}, limits.head + time.Second, false},
+		{"a request in progress", func(t *testing.T, tracker *connTracker, caller net.Conn, tracked *trackedConn) {
+			began(t, caller, tracked)
+			tracker.stateChanged(tracked, http.StateActive)
+		}, time.Hour, true},
+		{"idle after an answer, within the limit", func(t *testing.T, tracker *connTracker, caller net.Conn, tracked *trackedConn) {
+			began(t, caller, tracked)
+			tracker.stateChanged(tracked, http.StateActive)
+			tracker.stateChanged(tracked, http.StateIdle)
+		}, limits.idle - time.Second, true},
+		{"idle after an answer, beyond the limit", func(t *testing.T, tracker *connTracker, caller net.Conn, tracked *trackedConn) {
+			began(t, caller, tracked)
+			tracker.stateChanged(tracked, http.StateActive)
+			tracker.stateChanged(tracked, http.StateIdle)
+		}, limits.idle + time.Second, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tracker := newConnTracker()
+			caller, tracked := connected(t, tracker)
+			c.play(t, tracker, caller, tracked)
+			tracker.closeOverdue(time.Now().Add(c.after), limits)
+			tracker.mu.Lock()
+			open := !tracked.closed
+			tracker.mu.Unlock()
+			if open != c.open {
+				t.Errorf("open %v, want %v", open, c.open)
+			}
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,11 +35,11 @@
 	rotationDelay = 2500 * time.Millisecond
 	// graceMargin is left of the grace period when the last requests are ended.
 	graceMargin = 500 * time.Millisecond
-	// idleTimeout closes callers' connections; it is above what callers count on.
+	// idleTimeout closes callers' connections where the catalog sets no limit or a longer one.
 	idleTimeout = 75 * time.Second
-	// headerTimeout bounds how long a caller may take for the head of a request.
+	// headerTimeout bounds how long a caller may take for the head of a request, whatever the catalog says.
 	headerTimeout = 10 * time.Second
-	// maxHeaderBytes bounds the head of a request.
+	// maxHeaderBytes bounds the head of a request, whatever the catalog says.
 	maxHeaderBytes = 64 << 10
 	// drainPollInterval is the time between looks at the connections that are left.
 	drainPollInterval = 50 * time.Millisecond
@@ -254,9 +254,14 @@
 	return min(rotationDelay, grace/2), grace - min(graceMargin, grace/4)
 }
 
-// housekeep closes connections to backend servers that are not used any more.
+// housekeep closes connections to backend servers that are not used any more, and those of callers beyond the limits of the
+// catalog.
 func (s *Server) housekeep(ctx context.Context) {
 	for wait.For(ctx, housekeepingInterval) {
+		if index := s.dir.Catalog(); index != nil {
+			limits := index.Limits()
+			s.conns.closeOverdue(time.Now(), connLimits{idle: limits.IdleTimeout, head: limits.HeaderTimeout})
+		}
 		addresses := *s.addresses.Load()
 		s.client.Expire(time.Now(), func(address string) bool { return addresses[address] })
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -167,6 +167,9 @@
 	http *httptest.Server
 }
 
+// benchMaxHeaderBytes is the limit of the bench's catalog.
+const benchMaxHeaderBytes = 4 << 10
+
 // routes of the bench's catalog, by path prefix.
 var benchRoutes = []catalog.Route{
 	{Name: "unsafe", PathPrefix: "/unsafe/", Kind: catalog.Unsafe, MaxAttempts: 3},
@@ -179,7 +182,7 @@
 func newBench(t *testing.T, servers ...*backend) *bench {
 	t.Helper()
 	c := &catalog.Catalog{
-		Version: 1, Keyed: true,
+		Version: 1, Keyed: true, Limits: catalog.Limits{MaxHeaderBytes: benchMaxHeaderBytes},
 		Services:      []catalog.Service{{Name: "app"}},
 		Organisations: []catalog.Organisation{{Name: "one", Keys: []string{"k"}}},
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -81,6 +81,9 @@
 		return x, notRun(http.StatusServiceUnavailable, "not_ready", "the gateway has no catalog yet")
 	}
 	x.version = index.Version()
+	if limit := index.Limits().MaxHeaderBytes; limit > 0 && headBytes(r) > limit {
+		return x, notRun(http.StatusRequestHeaderFieldsTooLarge, "head_too_large", "the head of the request is larger than the limit")
+	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	x.route = index.Match(r.Host, path)
 	if x.route == nil {
@@ -185,6 +188,19 @@
 // knows reports whether the gateway has a catalog and may act on its keys.
 func (s *Server) knows() bool { return s.dir.Catalog() != nil && s.dir.Fresh(clock.Now()) }
 
+// headBytes returns the size of a request's head as it came, but for space that carries nothing.
+func headBytes(r *http.Request) int {
+	const lineOverhead = len(": \r\n")
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + lineOverhead
+	n += len("Host") + len(r.Host) + lineOverhead
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + lineOverhead
+		}
+	}
+	return n
+}
+
 // identify finds the organisation that holds the key of x.
 func (s *Server) identify(x *exchange, index *catalog.Index) *refusal {
 	x.priority = x.route.Priority
