Usage: windows open and counters are committed from the start of a tenure; lost streams are billed

A new leader waits 3 s for its predecessor's calls to end, and only then opened windows and committed counters; a gateway keeps what belongs to a window that isn't open. Leader and gateways that were killed in that time took all of it with them. Change: a round of its own opens windows by the time of day and commits counters from the first moment of a tenure, each 0.5 s; nothing is committed between a close's figures and the close; a stream whose server broke off before its first event counts as begun, as other requests do.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -165,7 +165,7 @@
 			result = route.Unreachable
 		}
 		s.ended(ctx, server, route.Outcome{Result: result})
-		if o.ran && !x.isStream() {
+		if o.ran && (!x.isStream() || lostAnswer(ctx, err)) {
 			s.meter(x, began)
 		}
 		return o
@@ -261,6 +261,12 @@
 	return errors.As(err, &failure) && (!failure.Sent || failure.Silent())
 }
 
+// lostAnswer reports whether the server broke off after it got the request. A server that lives on has run it then, and lost
+// the answer; one that crashed has most likely run it too, or its queue was short.
+func lostAnswer(ctx context.Context, err error) bool {
+	return ctx.Err() == nil && errors.Is(err, upstream.ErrBroken) && !isOutOfReach(err)
+}
+
 // failed judges a try without the head of an answer.
 func (s *Server) failed(ctx context.Context, x *exchange, server route.Backend, err error) outcome {
 	var failure *upstream.Error
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -55,6 +56,9 @@
 	stale    atomic.Bool
 	backends []*controlpb.BackendServer
 	onChange func()
+
+	mu    sync.Mutex
+	usage []*controlpb.UsageCounter // of the last report
 }
 
 func (d *directory) Catalog() *catalog.Index              { return d.index.Load() }
@@ -62,9 +66,12 @@
 func (d *directory) FreshFor(time.Time) time.Duration     { return time.Second }
 func (d *directory) Backends() []*controlpb.BackendServer { return d.backends }
 func (d *directory) OnChange(f func())                    { d.onChange = f }
-func (d *directory) OpenWindow() uint64                   { return 0 }
-func (d *directory) ReportUsage(context.Context, *controlpb.UsageReport) (*controlpb.UsageAck, error) {
-	return &controlpb.UsageAck{}, nil
+func (d *directory) OpenWindow() uint64                   { return math.MaxUint64 }
+func (d *directory) ReportUsage(_ context.Context, r *controlpb.UsageReport) (*controlpb.UsageAck, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.usage = r.Counters
+	return &controlpb.UsageAck{Accepted: true}, nil
 }
 
 // backend is a scripted backend server.
@@ -202,7 +209,7 @@
 			Lifecycle: route.LifecycleReady, Slots: 4,
 		})
 	}
-	b.gw = New(Config{RetryRatio: 1, Dialect: plainDialect{}, Logger: slog.New(slog.DiscardHandler)}, b.dir)
+	b.gw = New(Config{RetryRatio: 1, UsageWindow: time.Second, Dialect: plainDialect{}, Logger: slog.New(slog.DiscardHandler)}, b.dir)
 	b.dir.onChange()
 	b.http = httptest.NewUnstartedServer(b.gw)
 	b.http.Config.MaxHeaderBytes = maxHeaderBytes
--- a/internal/operate/billing.go
+++ b/internal/operate/billing.go
@@ -129,7 +129,6 @@
 	opened     map[uint64]time.Time // when this tenure saw each window open first
 	window     uint64               // the open window
 	began      time.Time            // when this tenure saw its first window
-	recorded   time.Time
 	reportedAt time.Time // of the last attempt
 	failed     uint64    // window whose last attempt has no known outcome
 }
@@ -154,21 +153,16 @@
 	return b.began
 }
 
-// billingRound does whatever is due: commit counters, open the next window, close the one before, report one window.
+// billingRound does whatever is due: open the next window, close the one before, report one window.
 func (c *tenure) billingRound(ctx context.Context) error {
 	b := &c.billing
 	now := time.Now()
 	b.noteWindow(c.op.usage.OpenWindow(), now)
-	if now.Sub(b.recorded) >= c.op.cfg.Record {
-		if err := c.record(ctx); err != nil {
-			return err
-		}
-	}
 	if c.op.cfg.ClockWindows {
 		return c.clockRound(ctx)
 	}
 	if now.Sub(b.opened[b.window]) >= c.op.cfg.Window {
-		return c.advance(ctx)
+		return c.advance(ctx, b.window)
 	}
 	if window, due := c.dueWindow(); due && now.Sub(b.left(window)) >= c.op.cfg.Grace {
 		return c.closeWindow(ctx, window)
@@ -180,22 +174,46 @@
 func (c *tenure) clockRound(ctx context.Context) error {
 	length := c.op.cfg.Window
 	now := clock.Wall()
-	current := uint64(now.UnixNano()) / uint64(length)
-	if c.billing.window < current {
-		return c.openUntil(ctx, current)
-	}
 	if window, due := c.dueWindow(); due && now.Sub(time.Unix(0, int64(window+1)*int64(length))) >= c.op.cfg.Grace {
 		return c.closeWindow(ctx, window)
 	}
 	return c.report(ctx)
 }
 
-// openUntil opens the next window, or the current one where there was none before.
-func (c *tenure) openUntil(ctx context.Context, current uint64) error {
+// countingRound opens the windows that follow the time of day, and commits the counters that are not committed yet. It calls
+// nobody but the group, so that it need not wait for the calls of an older leader: counters that a process must keep, for
+// their window isn't open or they aren't committed, are lost with it.
+func (c *tenure) countingRound(ctx context.Context) error {
+	if c.op.cfg.ClockWindows {
+		if err := c.openCurrent(ctx); err != nil {
+			return err
+		}
+	}
+	return c.record(ctx)
+}
+
+// openCurrent opens windows up to the current one by the time of day.
+func (c *tenure) openCurrent(ctx context.Context) error {
+	current := uint64(clock.Wall().UnixNano()) / uint64(c.op.cfg.Window)
+	for open := c.op.usage.OpenWindow(); open < current; {
+		if err := c.openNext(ctx, open, current); err != nil {
+			return err
+		}
+		next := c.op.usage.OpenWindow()
+		if next <= open {
+			return nil // the group has not applied it yet
+		}
+		open = next
+	}
+	return nil
+}
+
+// openNext opens the window behind the open one, or the current one where there was none before.
+func (c *tenure) openNext(ctx context.Context, open, current uint64) error {
 	var isNew bool
 	c.op.cfg.Group.View(func() { isNew = c.op.cfg.Billing.IsNew() })
 	if !isNew {
-		return c.advance(ctx)
+		return c.advance(ctx, open)
 	}
 	_, err := c.proposeBilling(ctx, billing.Command{Begin: &billing.Begin{Window: current}})
 	return err
@@ -208,7 +226,12 @@
 
 // record commits the counters that are not committed yet.
 func (c *tenure) record(ctx context.Context) error {
-	c.billing.recorded = time.Now()
+	c.counting.Lock()
+	defer c.counting.Unlock()
+	return c.recordAll(ctx)
+}
+
+func (c *tenure) recordAll(ctx context.Context) error {
 	for {
 		counters := c.op.usage.pending()
 		if len(counters) == 0 {
@@ -220,8 +243,8 @@
 	}
 }
 
-func (c *tenure) advance(ctx context.Context) error {
-	window := c.billing.window
+// advance opens the window behind the given one.
+func (c *tenure) advance(ctx context.Context, window uint64) error {
 	_, err := c.proposeBilling(ctx, billing.Command{Advance: &billing.Advance{Window: window}})
 	return err
 }
@@ -253,7 +276,9 @@
 	} else if foreign {
 		return c.skipWindow(ctx, window)
 	}
-	if err := c.record(ctx); err != nil {
+	c.counting.Lock()
+	defer c.counting.Unlock()
+	if err := c.recordAll(ctx); err != nil {
 		return err
 	}
 	var closing billing.Close
--- a/internal/operate/faults_test.go
+++ b/internal/operate/faults_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/core/billing"
 	"github.com/guavastack/guavastack/internal/core/duty"
 	"github.com/guavastack/guavastack/internal/core/fleet"
@@ -416,6 +417,54 @@
 	})
 }
 
+// TestUsageIsCommittedDuringATakeOver loses a leader while it waits for its predecessor's calls to end, and the entry with it:
+// what was reported to that leader is billed all the same.
+func TestUsageIsCommittedDuringATakeOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, standin.Config{})
+		const record = 500 * time.Millisecond
+		for _, m := range b.group.members {
+			m.operator.cfg.Timing.Spacing, m.operator.cfg.Record = 10*time.Second, record
+		}
+		b.elect(0)
+		b.run(15 * time.Second)
+		b.crash(0)
+		b.elect(1)
+		b.run(5 * time.Second) // within the take-over
+		b.entry.muted = true
+		served := b.entry.total
+		time.Sleep(2 * record)
+		b.crash(1)
+		b.elect(2)
+		b.run(90 * time.Second)
+		if tokens, _ := b.reported(); tokens < served {
+			t.Errorf("%d tokens reported to the platform, want the %d that were reported to the leaders", tokens, served)
+		}
+	})
+}
+
+// TestWindowsOpenDuringATakeOver lets windows by the time of day begin while a new leader waits for its predecessor's calls to
+// end: processes can't report what belongs to a window that isn't open.
+func TestWindowsOpenDuringATakeOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const window = 2 * time.Second
+		b := newBench(t, standin.Config{})
+		for _, m := range b.group.members {
+			c := &m.operator.cfg
+			c.ClockWindows, c.Window, c.Grace, c.Record, c.Timing.Spacing = true, window, window, window/4, 10*window
+		}
+		b.elect(0)
+		b.run(11 * window)
+		b.crash(0)
+		b.elect(1)
+		b.run(4 * window)
+		current := uint64(clock.Wall().UnixNano()) / uint64(window)
+		if open := b.group.members[1].operator.Usage().OpenWindow(); open+1 < current {
+			t.Errorf("window %d is open during the take-over, the current one is %d", open, current)
+		}
+	})
+}
+
 // TestRestoredGroupSkipsWindowsOfTheOldOne starts from an empty log, as a restore from an old backup does, while the
 // platform holds figures of the first windows.
 func TestRestoredGroupSkipsWindowsOfTheOldOne(t *testing.T) {
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -169,19 +169,25 @@
 	defer cancel()
 	c := newTenure(o, term)
 	o.setPhase(TakingOver)
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return c.repeat(ctx, o.cfg.Record, c.countingRound) })
+	g.Go(func() error { return c.lead(ctx, g) })
+	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		o.fail("leading", err)
+	}
+}
+
+// lead takes over and then carries out the duties in further functions of the group.
+func (c *tenure) lead(ctx context.Context, g *errgroup.Group) error {
+	o := c.op
 	if err := c.takeOver(ctx); err != nil {
-		o.fail("take over", err)
-		return
+		return errors.Annotate(err, "take over")
 	}
 	o.setPhase(Leading)
-	o.cfg.Logger.Info("leading", "term", term, "fencing", c.fencing)
-	g, ctx := errgroup.WithContext(ctx)
+	o.cfg.Logger.Info("leading", "term", c.term, "fencing", c.fencing)
 	g.Go(func() error { return c.repeat(ctx, o.cfg.OrderInterval, c.orderRound) })
 	g.Go(func() error { return c.repeat(ctx, o.cfg.Poll, c.billingRound) })
-	g.Go(func() error { return c.watchLease(ctx) })
-	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
-		o.fail("leading", err)
-	}
+	return c.watchLease(ctx)
 }
 
 func (o *Operator) setPhase(p Phase) {
--- a/internal/operate/tenure.go
+++ b/internal/operate/tenure.go
@@ -39,6 +39,7 @@
 	blocked   map[poolZone]time.Time // zones without supply, until when
 	lastSeen  map[string]time.Time   // servers, when their agent was in the registry
 	billing   billingState
+	counting  sync.Mutex // held over a commit of counters, and from there to the close of a window: a close must know them all
 
 	mu   sync.Mutex
 	idle map[string]string    // leaving servers seen idle, with the incarnation of their agent
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -249,7 +249,7 @@
 }
 
 // clockRecordInterval is the time between commits of counters where windows follow the time of day and are short.
-const clockRecordInterval = time.Second
+const clockRecordInterval = 500 * time.Millisecond
 
 // platformClient returns the client of the platform: the deployment's adapter, or the product's own protocol.
 func platformClient(base *Base) (platform.Platform, error) {
