--- a/internal/operate/billing.go
+++ b/internal/operate/billing.go
@@ -129,8 +129,8 @@
 	opened     map[uint64]time.Time // when this tenure saw each window open first
 	window     uint64               // the open window
 	began      time.Time            // when this tenure saw its first window
-	reportedAt time.Time // of the last attempt
-	failed     uint64    // window whose last attempt has no known outcome
+	reportedAt time.Time            // of the last attempt
+	failed     uint64               // window whose last attempt has no known outcome
 }
 
 // noteWindow notices a window that is new to this tenure.
