Gateway: metrics by stage, and how backend servers stand

Histograms by class for the queue, the first event, the longest gap and the whole; counters for tries by result, refusals by reason, verdicts and tries that the retry budget forbade; gauges for the servers by standing, the freshness of the keys, the catalog's version and requests in flight. A line 'backend server stands' tells each change with what decided it.

--- a/internal/core/route/silence.go
+++ b/internal/core/route/silence.go
@@ -68,14 +68,19 @@
 // isSilent reports whether own requests are at the server and nothing at all came from it for longer than usual. A server
 // that went dark is found so long before its heartbeats are missed.
 func (s *server) isSilent(now time.Time) bool {
+	return s.silence(now) > max(silentAfter, silentWaits*s.group.usualWait)
+}
+
+// silence returns how long nothing came from the server while own requests were there.
+func (s *server) silence(now time.Time) time.Duration {
 	if len(s.awaited) == 0 {
-		return false
+		return 0
 	}
 	since := s.awaited[0]
 	if heard := s.ear.heardAt(); heard.After(since) {
 		since = heard
 	}
-	return now.Sub(since) > max(silentAfter, silentWaits*s.group.usualWait)
+	return now.Sub(since)
 }
 
 // withoutSilent returns the candidates that are not silent; all of them where every one is.
--- /dev/null
+++ b/internal/gateway/bench_test.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"io"
+	"log/slog"
+	"net/http"
+	"testing"
+
+	"github.com/guavastack/guavastack/internal/telemetry"
+)
+
+// BenchmarkRequest measures one request through a gateway to a backend server on the loopback, with the logs on and off and
+// with metrics. The difference is what logs cost a request that is logged whole.
+func BenchmarkRequest(b *testing.B) {
+	for _, level := range []string{"info", "error"} {
+		b.Run("log="+level, func(b *testing.B) {
+			writer := telemetry.NewAsyncWriter(io.Discard)
+			defer writer.Close()
+			logger, err := telemetry.NewLimitedLogger(writer, level)
+			if err != nil {
+				b.Fatal(err)
+			}
+			benchRequests(b, logger)
+		})
+	}
+}
+
+func benchRequests(b *testing.B, logger *slog.Logger) {
+	server := newBackend(b, func(r *http.Request, _ string) string { return whole(r, 200, seal, "x") })
+	gw := newBench(b, server)
+	gw.gw.cfg.Logger = logger
+	gw.gw.cfg.Metrics = telemetry.NewRegistry(telemetry.DefaultMaxSeries)
+	b.ResetTimer()
+	for range b.N {
+		if _, _, err := gw.get(http.MethodGet, "/safe/x"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -124,7 +124,14 @@
 	if !o.sent {
 		return true // costs no server anything
 	}
-	return t.sent < max(1, x.route.MaxAttempts) && s.budgets.take(x.service)
+	if t.sent >= max(1, x.route.MaxAttempts) {
+		return false
+	}
+	if !s.budgets.take(x.service) {
+		s.countNoBudget(x)
+		return false
+	}
+	return true
 }
 
 // conclude gives the caller what the tries brought, or returns the gateway's own answer.
@@ -149,6 +156,9 @@
 func (s *Server) try(ctx context.Context, x *exchange, server route.Backend, t *tries) outcome {
 	began := time.Now()
 	x.tries++
+	if x.sentAfter == 0 {
+		x.sentAfter = began.Sub(x.arrived)
+	}
 	source := s.source(x, server)
 	s.tell(x, eventSent,
 		slog.String(telemetry.KeyBackendServer, server.ID), slog.String("address", server.Address),
@@ -296,6 +306,7 @@
 
 // tellTry adds the end of a try to the story of x. status is 0 without an answer.
 func (s *Server) tellTry(x *exchange, server route.Backend, result string, status int, err error) {
+	s.countTry(x, result)
 	attrs := []slog.Attr{
 		slog.String(telemetry.KeyBackendServer, server.ID), slog.String("result", result), slog.Int("status", status),
 		slog.Int64("remaining_ms", x.remaining().Milliseconds()),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,8 @@
 	usageInterval = 500 * time.Millisecond
 	// freshnessInterval is the time between looks at the freshness of the keys.
 	freshnessInterval = 250 * time.Millisecond
+	// stateInterval is the time between looks at how backend servers stand.
+	stateInterval = 250 * time.Millisecond
 	// housekeepingInterval is the time between looks at unused connections.
 	housekeepingInterval = 2 * time.Second
 )
@@ -120,6 +122,7 @@
 		lanes:   newLanes(),
 	}
 	s.addresses.Store(&map[string]bool{})
+	s.showState()
 	dir.OnChange(s.directoryChanged)
 	return s
 }
@@ -156,6 +159,15 @@
 	s.known = known
 }
 
+// watchState logs changes of what the gateway goes by: how backend servers stand with it, and whether keys may be acted on.
+func (s *Server) watchState(ctx context.Context) {
+	var servers standings
+	go s.watchFreshness(ctx)
+	for wait.For(ctx, stateInterval) {
+		servers.observe(s)
+	}
+}
+
 // watchFreshness logs when the keys can't be acted on any more, and when they can again.
 func (s *Server) watchFreshness(ctx context.Context) {
 	fresh := true
@@ -219,7 +231,7 @@
 	defer stop()
 	go s.housekeep(background)
 	go s.usage.Run(background)
-	go s.watchFreshness(background)
+	go s.watchState(background)
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(trackedListener{lis, s.conns}) }()
 	select {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -76,7 +76,7 @@
 
 // backend is a scripted backend server.
 type backend struct {
-	t      *testing.T
+	t      testing.TB
 	lis    net.Listener
 	script func(r *http.Request, body string) string
 
@@ -88,7 +88,7 @@
 // holdAnswer lets a script answer nothing until the gateway closes the connection.
 const holdAnswer = "hold"
 
-func newBackend(t *testing.T, script func(r *http.Request, body string) string) *backend {
+func newBackend(t testing.TB, script func(r *http.Request, body string) string) *backend {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -168,7 +168,7 @@
 
 // bench is a gateway before scripted backend servers.
 type bench struct {
-	t    *testing.T
+	t    testing.TB
 	dir  *directory
 	gw   *Server
 	http *httptest.Server
@@ -186,7 +186,7 @@
 	{Name: "open", PathPrefix: "/open/", Kind: catalog.Safe, Public: true},
 }
 
-func newBench(t *testing.T, servers ...*backend) *bench {
+func newBench(t testing.TB, servers ...*backend) *bench {
 	t.Helper()
 	c := &catalog.Catalog{
 		Version: 1, Keyed: true, Limits: catalog.Limits{MaxHeaderBytes: benchMaxHeaderBytes},
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/clock"
+	"github.com/guavastack/guavastack/internal/core/route"
+	"github.com/guavastack/guavastack/internal/telemetry"
+)
+
+// Names of the gateway's metrics. Times are histograms in microseconds, by class.
+const (
+	metricRequests     = "gateway_requests"       // by class, organisation, result and verdict
+	metricRefusals     = "gateway_refusals"       // the gateway's own answers, by class and reason
+	metricTries        = "gateway_tries"          // by class and result
+	metricFurtherTries = "gateway_further_tries"  // by class
+	metricNoBudget     = "gateway_no_budget"      // further tries that the retry budget forbade, by service
+	metricQueue        = "gateway_queue_us"       // from the arrival to the first send
+	metricFirst        = "gateway_first_us"       // from the arrival to the beginning of the answer
+	metricGap          = "gateway_longest_gap_us" // longest gap between two parts of a stream
+	metricTotal        = "gateway_total_us"       // from the arrival to the end
+	metricServers      = "gateway_servers"        // ready backend servers, by standing
+	metricFresh        = "gateway_keys_fresh_ms"  // how long keys may still be acted on; below 0: no longer
+	metricCatalog      = "gateway_catalog_version"
+	metricInFlight     = "gateway_in_flight"
+)
+
+// Results of a request.
+const (
+	resultServed       = "served"
+	resultCallerGone   = "caller_gone"
+	resultCut          = "cut"
+	resultBackendError = "backend_error"
+)
+
+// showState keeps the gauges of what the gateway holds.
+func (s *Server) showState() {
+	m := s.cfg.Metrics
+	if m == nil {
+		return
+	}
+	m.GaugeFunc(metricFresh, func() int64 { return s.dir.FreshFor(clock.Now()).Milliseconds() })
+	m.GaugeFunc(metricCatalog, func() int64 { return int64(s.dir.Catalog().Version()) })
+	m.GaugeFunc(metricInFlight, s.inFlight.Load)
+}
+
+// count adds the end of x to the metrics, by route and organisation.
+func (s *Server) count(x *exchange, e ending, took time.Duration) {
+	m := s.cfg.Metrics
+	if m == nil {
+		return
+	}
+	class := classLabel(x)
+	result := e.result()
+	m.Counter(metricRequests, class, telemetry.Label{Name: "organisation", Value: x.organisation},
+		telemetry.Label{Name: "result", Value: result}, telemetry.Label{Name: "verdict", Value: e.verdict.String()}).Inc(1)
+	if e.code != "" {
+		m.Counter(metricRefusals, class, telemetry.Label{Name: "reason", Value: e.code}).Inc(1)
+	}
+	m.Observe(metricTotal, took, class)
+	if x.sentAfter > 0 {
+		m.Observe(metricQueue, x.sentAfter, class)
+	}
+	if x.firstAfter > 0 {
+		m.Observe(metricFirst, x.firstAfter, class)
+	}
+	if x.longestGap > 0 {
+		m.Observe(metricGap, x.longestGap, class)
+	}
+	if x.tries > 1 {
+		m.Counter(metricFurtherTries, class).Inc(int64(x.tries - 1))
+	}
+}
+
+// countTry adds the end of a try to the metrics.
+func (s *Server) countTry(x *exchange, result string) {
+	if m := s.cfg.Metrics; m != nil {
+		m.Counter(metricTries, classLabel(x), telemetry.Label{Name: "result", Value: result}).Inc(1)
+	}
+}
+
+// countNoBudget notes that the retry budget of the request's service was used up.
+func (s *Server) countNoBudget(x *exchange) {
+	if m := s.cfg.Metrics; m != nil {
+		m.Counter(metricNoBudget, telemetry.Label{Name: "service", Value: x.service}).Inc(1)
+	}
+}
+
+func classLabel(x *exchange) telemetry.Label {
+	label := telemetry.Label{Name: "class"}
+	if x.route != nil {
+		label.Value = x.route.Name
+	}
+	return label
+}
+
+// result names how a request ended.
+func (e ending) result() string {
+	switch {
+	case e.gone:
+		return resultCallerGone
+	case e.cut:
+		return resultCut
+	case e.code != "":
+		return e.code
+	case e.status >= http.StatusInternalServerError:
+		return resultBackendError
+	default:
+		return resultServed
+	}
+}
+
+// standings watches how backend servers stand with this gateway.
+type standings struct {
+	known map[string]route.Standing
+}
+
+// observe logs the changes since the last call, with what decided them, and shows how many servers there are of each
+// standing.
+func (t *standings) observe(s *Server) {
+	counts := map[route.Standing]int64{
+		route.StandingGood: 0, route.StandingAside: 0, route.StandingProbing: 0, route.StandingSilent: 0,
+	}
+	known := make(map[string]route.Standing)
+	for _, state := range s.servers.States() {
+		known[state.ID] = state.Standing
+		counts[state.Standing]++
+		before, ok := t.known[state.ID]
+		if before == state.Standing || (!ok && state.Standing == route.StandingGood) {
+			continue
+		}
+		s.cfg.Logger.Info("backend server stands", telemetry.KeyBackendServer, state.ID, "standing", state.Standing, "before", before,
+			"failures", state.Failures, "first_ms", state.FirstWait.Milliseconds(), "in_flight", state.InFlight,
+			"silent_ms", state.SilentFor.Milliseconds())
+	}
+	t.known = known
+	if m := s.cfg.Metrics; m != nil {
+		for standing, n := range counts {
+			m.Gauge(metricServers, telemetry.Label{Name: "standing", Value: string(standing)}).Update(n)
+		}
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -104,6 +104,7 @@
 	}
 	t.stream.begin(answer.Status, answer.Header)
 	t.stream.firstAt = time.Time{}
+	var last time.Time
 	buffer := pieces.Get().(*[pieceBytes]byte)
 	defer pieces.Put(buffer)
 	for {
@@ -111,6 +112,10 @@
 		if n > 0 {
 			now := time.Now()
 			t.await.heard(now)
+			if !last.IsZero() {
+				x.longestGap = max(x.longestGap, now.Sub(last))
+			}
+			last = now
 			s.meter(x, now)
 			if t.stream.firstAt.IsZero() {
 				t.stream.firstAt = now
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -61,7 +61,9 @@
 
 	steps      []step        // its story so far
 	tries      int           // sends so far
+	sentAfter  time.Duration // from its arrival to the first send; 0: none yet
 	firstAfter time.Duration // from its arrival to the beginning of its answer; 0: none yet
+	longestGap time.Duration // between two parts of its stream
 
 	method string
 	target string // path and query as they came
--- a/internal/gateway/story.go
+++ b/internal/gateway/story.go
@@ -123,36 +123,3 @@
 func (s *Server) isLate(x *exchange) bool {
 	return x.route != nil && x.route.LatencyTarget > 0 && x.firstAfter > x.route.LatencyTarget
 }
-
-// count adds the end of x to the metrics, by route and organisation.
-func (s *Server) count(x *exchange, e ending, took time.Duration) {
-	m := s.cfg.Metrics
-	if m == nil {
-		return
-	}
-	name := ""
-	if x.route != nil {
-		name = x.route.Name
-	}
-	class := telemetry.Label{Name: "class", Value: name}
-	organisation := telemetry.Label{Name: "organisation", Value: x.organisation}
-	result := "served"
-	switch {
-	case e.gone:
-		result = "caller_gone"
-	case e.cut:
-		result = "cut"
-	case e.code != "":
-		result = e.code
-	case e.status >= http.StatusInternalServerError:
-		result = "backend_error"
-	}
-	m.Counter("gateway_requests", class, organisation, telemetry.Label{Name: "result", Value: result}).Inc(1)
-	m.Observe("gateway_total_us", took, class)
-	if x.firstAfter > 0 {
-		m.Observe("gateway_first_us", x.firstAfter, class)
-	}
-	if x.tries > 1 {
-		m.Counter("gateway_further_tries", class).Inc(int64(x.tries - 1))
-	}
-}
--- a/internal/serverset/serverset.go
+++ b/internal/serverset/serverset.go
@@ -102,6 +102,13 @@
 	return n
 }
 
+// States returns what this process holds of the ready backend servers.
+func (s *Set) States() []route.ServerState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.States(time.Now())
+}
+
 // Find returns the backend server of the given id.
 func (s *Set) Find(id string) (route.Backend, bool) {
 	s.mu.Lock()
