Lanes: one splitter decides for all processes

Cause: gateways learn alone how many servers make the tight lane, from a seventh of the traffic each; 5, 6, 9 and 13 of 18 stood in the log at once, and a session has another home where they differ. Change: gateways tell the work of their lanes with their questions, the leader of the control group decides on one share a service, members pass it on; a process goes its own way while it differs by more than 0.06, for traffic has changed then.

--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -72,12 +72,15 @@
 			ack.Incarnation = "" // this member lacks a report: the sender starts over
 		}
 	}
+	if leader, ok := s.cfg.Group.Leader(); ok && leader.ID == d.Member && len(d.LaneShares) > 0 {
+		s.lanes.take(d.LaneShares)
+	}
 	for _, p := range d.Processes {
 		s.soft.putProcess(member.Process{
 			ID: p.Id, Incarnation: p.Incarnation, Role: p.Role, Zone: p.Zone,
 			Version: settings.Version{Epoch: p.Epoch, Version: p.Version},
 			Heard:   now.Add(-time.Duration(p.AgeMs) * time.Millisecond), Demand: demandOf(p.Demand),
-			Freshness: time.Duration(p.FreshnessMs) * time.Millisecond,
+			Lanes: serviceWorkOf(p.Lanes), Freshness: time.Duration(p.FreshnessMs) * time.Millisecond,
 		})
 	}
 	return ack, nil
@@ -124,6 +127,7 @@
 	defer tick.Stop()
 	for {
 		changed, news := s.soft.changedChannel(), s.soft.newsChannel()
+		_, lanesChanged := s.lanes.newest()
 		digest, version := s.digest(sent, time.Now())
 		ack, err := s.sendDigest(ctx, peer, digest)
 		switch {
@@ -140,6 +144,7 @@
 			return
 		case <-tick.C:
 		case <-changed:
+		case <-lanesChanged:
 		case <-news:
 			wait.For(ctx, newsDelay)
 		}
@@ -171,6 +176,10 @@
 			Lifecycle: string(e.Stated),
 		})
 	})
+	if s.leads() {
+		shares, _ := s.lanes.newest()
+		d.LaneShares = laneShareMessages(shares)
+	}
 	for _, p := range s.soft.allProcesses() {
 		if p.First {
 			d.Processes = append(d.Processes, processMessage(p, now))
@@ -196,7 +205,7 @@
 	m := &controlpb.Process{
 		Id: p.ID, Incarnation: p.Incarnation, Role: p.Role, Zone: p.Zone,
 		Epoch: p.Version.Epoch, Version: p.Version.Version, AgeMs: now.Sub(p.Heard).Milliseconds(),
-		FreshnessMs: p.Freshness.Milliseconds(),
+		FreshnessMs: p.Freshness.Milliseconds(), Lanes: laneWorkMessages(p.Lanes),
 	}
 	for _, d := range p.Demand {
 		m.Demand = append(m.Demand, &controlpb.Demand{Organisation: d.Organisation, Requests: d.Requests, Tokens: d.Tokens, Running: d.Running})
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -103,6 +103,7 @@
 	hub       *hub
 	confirmer *confirmer
 	soft      *softState
+	lanes     *laneBoard
 }
 
 // New returns a service that answers once Run is called.
@@ -115,6 +116,7 @@
 		hub:       h,
 		confirmer: newConfirmer(cfg.Group, h),
 		soft:      newSoftState(cfg, time.Now()),
+		lanes:     newLaneBoard(),
 	}
 }
 
@@ -151,7 +153,7 @@
 	return drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: rpcpool.Options()}).Serve(ctx, lis)
 }
 
-// housekeep lets soft state grow old.
+// housekeep lets soft state grow old, and decides by it.
 func (s *Service) housekeep(ctx context.Context) {
 	tick := time.NewTicker(housekeepingInterval)
 	defer tick.Stop()
@@ -161,6 +163,7 @@
 			return
 		case now := <-tick.C:
 			s.soft.expire(now)
+			s.decideLanes()
 		}
 	}
 }
@@ -182,15 +185,14 @@
 
 // expireSomeClaims forgets a batch of claims and reports whether more may be due.
 func (s *Service) expireSomeClaims(ctx context.Context) bool {
-	leader, ok := s.cfg.Group.Leader()
-	if !ok || leader.ID != s.cfg.Group.Self().ID {
+	if !s.leads() {
 		return false
 	}
 	body, err := json.Marshal(claim.Command{Op: claim.Expire})
 	if err != nil {
 		return false
 	}
-	command, err := json.Marshal(state.Command{Module: claim.ModuleName, Body: body, Actor: leader.ID})
+	command, err := json.Marshal(state.Command{Module: claim.ModuleName, Body: body, Actor: s.cfg.Group.Self().ID})
 	if err != nil {
 		return false
 	}
--- a/internal/control/soft.go
+++ b/internal/control/soft.go
@@ -183,7 +183,7 @@
 	return member.Process{
 		ID: req.ProcessId, Incarnation: req.Incarnation, Role: req.Role, Zone: req.Zone, Heard: now, First: true,
 		Version: settings.Version{Epoch: req.HaveEpoch, Version: req.HaveVersion}, Demand: demandOf(req.Demand),
-		Freshness: time.Duration(req.FreshnessMs) * time.Millisecond,
+		Lanes: serviceWorkOf(req.Lanes), Freshness: time.Duration(req.FreshnessMs) * time.Millisecond,
 	}
 }
 
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -30,7 +30,8 @@
 	registry  uint64 // registry version that was sent
 	complete  bool   // the whole registry was sent
 	lastShare map[string]limit.Share
-	members   []string // addresses that were sent
+	members   []string           // addresses that were sent
+	lanes     map[string]float64 // shares that were sent
 }
 
 // Watch serves one watcher until it goes away or says nothing for too long.
@@ -119,6 +120,7 @@
 	for {
 		_, changed := w.service.hub.newest()
 		registryChanged := w.service.soft.changedChannel()
+		_, lanesChanged := w.service.lanes.newest()
 		update, err := w.next()
 		if err != nil {
 			return err
@@ -135,6 +137,7 @@
 		case <-w.wake:
 		case <-changed:
 		case <-registryChanged:
+		case <-lanesChanged:
 		case <-heartbeat.C:
 			if err := w.stream.Send(w.heartbeat()); err != nil {
 				return err
@@ -183,6 +186,9 @@
 	if w.addMembers(u) {
 		needed = true
 	}
+	if w.addLanes(u) {
+		needed = true
+	}
 	if !needed {
 		return nil, nil
 	}
@@ -214,6 +220,16 @@
 	return true
 }
 
+// addLanes adds the shares of the lanes if they changed.
+func (w *watcher) addLanes(u *controlpb.WatchUpdate) bool {
+	shares, _ := w.service.lanes.newest()
+	if len(shares) == 0 || maps.Equal(shares, w.lanes) {
+		return false
+	}
+	w.lanes, u.LaneShares = shares, laneShareMessages(shares)
+	return true
+}
+
 // addRegistry adds what changed in the registry. The first complete list replaces what the watcher knows; until this
 // member's registry is complete, it only adds to it.
 func (w *watcher) addRegistry(u *controlpb.WatchUpdate, now time.Time) bool {
--- a/internal/core/member/processes.go
+++ b/internal/core/member/processes.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/guavastack/guavastack/internal/core/route"
 	"github.com/guavastack/guavastack/internal/core/settings"
 )
 
@@ -17,9 +18,16 @@
 	Heard       time.Time        `json:"heard"`
 	First       bool             `json:"-"` // it watches this member, rather than another one
 	Demand      []Demand         `json:"-"`
+	Lanes       []ServiceWork    `json:"-"`
 	Freshness   time.Duration    `json:"-"` // how long it acts on a confirmed view
 }
 
+// ServiceWork is what one process sent to the lanes of one service lately.
+type ServiceWork struct {
+	Service string
+	route.LaneWork
+}
+
 // Demand is what one organisation asked of one process lately.
 type Demand struct {
 	Organisation string
--- a/internal/core/route/lanes.go
+++ b/internal/core/route/lanes.go
@@ -28,20 +28,10 @@
 	laneHalfLife = 4 * time.Second
 	// tightGapFactor is the multiple of the smallest gap target from which a route is not tight any more.
 	tightGapFactor = 2
-	// minTightWeight and maxTightWeight bound how much more room tight work gets than bulk work of as many tokens. The
-	// weight follows the delays of both lanes.
-	minTightWeight = 0.5
-	maxTightWeight = 4
-	// calmDelay is the delay, as a multiple of the target, up to which a lane counts as calm.
-	calmDelay = 0.6
 	// delayWeight is the weight of a new delay in the moving average of its lane.
 	delayWeight = 0.05
 	// maxDelay bounds a delay, as a multiple of the request's target.
 	maxDelay = 3
-	// minLaneShare is the least share of the servers that a lane has.
-	minLaneShare = 0.25
-	// laneHysteresis is the number of servers by which a better split must differ to take effect.
-	laneHysteresis = 0.75
 	// minLaneServers is the least number of servers that are split.
 	minLaneServers = 4
 )
@@ -50,7 +40,7 @@
 // concurrent use.
 type Lanes struct {
 	routes map[string]*laneWork
-	tight  int // servers in the tight lane at the last split; 0: none yet
+	alone  Splitter // by the work of this process
 
 	delays [BulkLane + 1]float64 // moving average by lane, as a multiple of the target; 0: none yet
 }
@@ -78,13 +68,6 @@
 	l.delays[lane] += delayWeight * (delay - l.delays[lane])
 }
 
-// tightWeight returns how much more room a tight token gets than a bulk one. While both lanes are calm they count alike;
-// the lane that keeps its requests waiting gets more.
-func (l *Lanes) tightWeight() float64 {
-	weight := max(l.delays[TightLane], calmDelay) / max(l.delays[BulkLane], calmDelay)
-	return min(max(weight, minTightWeight), maxTightWeight)
-}
-
 // Observe notes a request of a route with its gap target and the prompt tokens that a server has to read for it.
 func (l *Lanes) Observe(now time.Time, route string, gap time.Duration, tokens int) {
 	w := l.routes[route]
@@ -102,6 +85,11 @@
 	return w.tokens * math.Exp2(-float64(now.Sub(w.at))/float64(laneHalfLife))
 }
 
+// rate returns the recent work in tokens a second.
+func (w *laneWork) rate(now time.Time) float64 {
+	return w.recent(now) * math.Ln2 / laneHalfLife.Seconds()
+}
+
 // smallestGap returns the smallest gap target of the observed routes, 0 where none has one.
 func (l *Lanes) smallestGap() time.Duration {
 	smallest := time.Duration(0)
@@ -126,29 +114,31 @@
 	}
 }
 
-// Split returns how many of n servers make the tight lane; 0: the servers are not split.
-func (l *Lanes) Split(now time.Time, n int) int {
-	weight := l.tightWeight()
-	var tight, bulk float64
+// Work returns the work that came lately.
+func (l *Lanes) Work(now time.Time) LaneWork {
+	work := LaneWork{TightDelay: l.delays[TightLane], BulkDelay: l.delays[BulkLane]}
 	for _, w := range l.routes {
 		switch l.Of(w.gap) {
 		case TightLane:
-			tight += weight * w.recent(now)
+			work.Tight += w.rate(now)
 		case BulkLane:
-			bulk += w.recent(now)
+			work.Bulk += w.rate(now)
 		}
 	}
-	if n < minLaneServers || tight == 0 || bulk == 0 {
+	return work
+}
+
+// Share returns the share of the servers that makes the tight lane by the work of this process alone, false where there is no
+// work for two lanes.
+func (l *Lanes) Share(now time.Time) (share float64, ok bool) { return l.alone.Decide(l.Work(now)) }
+
+// Split returns how many of n servers that makes; 0: the servers are not split.
+func (l *Lanes) Split(now time.Time, n int) int {
+	share, ok := l.Share(now)
+	if !ok {
 		return 0
 	}
-	share := min(max(tight/(tight+bulk), minLaneShare), 1-minLaneShare)
-	wanted := share * float64(n)
-	held := min(max(l.tight, 1), n-1)
-	if l.tight == 0 || math.Abs(wanted-float64(held)) > laneHysteresis {
-		held = int(math.Round(wanted))
-	}
-	l.tight = held
-	return held
+	return TightServers(share, n)
 }
 
 // inLane returns the candidates of a lane. The order of the servers is the same in every process, so that all agree on the
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,10 @@
 	Fresh(now time.Time) bool
 	// FreshFor returns how long keys may still be acted on; below 0: no longer.
 	FreshFor(now time.Time) time.Duration
+	// LaneShare returns the common share of a service's servers that makes its tight lane, false where it isn't known.
+	LaneShare(service string) (float64, bool)
+	// SetLaneWork gives the function that reads the recent work for the lanes of services.
+	SetLaneWork(f func() []*controlpb.LaneWork)
 	// Backends returns the registered backend servers.
 	Backends() []*controlpb.BackendServer
 	meter.Sink
@@ -119,11 +123,12 @@
 			ID: cfg.ID, Incarnation: cfg.Incarnation, Interval: usageInterval, Logger: cfg.Logger,
 		}, dir),
 		budgets: newBudgets(cfg.RetryRatio),
-		lanes:   newLanes(),
+		lanes:   newLanes(dir.LaneShare),
 	}
 	s.addresses.Store(&map[string]bool{})
 	s.showState()
 	dir.OnChange(s.directoryChanged)
+	dir.SetLaneWork(s.lanes.work)
 	return s
 }
 
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -61,12 +61,14 @@
 	usage []*controlpb.UsageCounter // of the last report
 }
 
-func (d *directory) Catalog() *catalog.Index              { return d.index.Load() }
-func (d *directory) Fresh(time.Time) bool                 { return !d.stale.Load() }
-func (d *directory) FreshFor(time.Time) time.Duration     { return time.Second }
-func (d *directory) Backends() []*controlpb.BackendServer { return d.backends }
-func (d *directory) OnChange(f func())                    { d.onChange = f }
-func (d *directory) OpenWindow() uint64                   { return math.MaxUint64 }
+func (d *directory) Catalog() *catalog.Index                  { return d.index.Load() }
+func (d *directory) Fresh(time.Time) bool                     { return !d.stale.Load() }
+func (d *directory) FreshFor(time.Time) time.Duration         { return time.Second }
+func (d *directory) Backends() []*controlpb.BackendServer     { return d.backends }
+func (d *directory) LaneShare(string) (float64, bool)         { return 0, false }
+func (d *directory) SetLaneWork(func() []*controlpb.LaneWork) {}
+func (d *directory) OnChange(f func())                        { d.onChange = f }
+func (d *directory) OpenWindow() uint64                       { return math.MaxUint64 }
 func (d *directory) ReportUsage(_ context.Context, r *controlpb.UsageReport) (*controlpb.UsageAck, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/watch/client.go
+++ b/internal/watch/client.go
@@ -106,6 +106,8 @@
 	shares     atomic.Pointer[heldShares]
 	backends   atomic.Pointer[[]*controlpb.BackendServer]
 	demand     atomic.Pointer[func() []*controlpb.Demand]
+	laneWork   atomic.Pointer[func() []*controlpb.LaneWork]
+	laneShares atomic.Pointer[map[string]float64]
 	leader     atomic.Int64 // index in the control members that answered the last proposal
 
 	// taking is held while an answer comes into force. The view is in its care: it outlives sessions, so that questions are
@@ -131,6 +133,7 @@
 	c.leader.Store(int64(cfg.firstMember()))
 	c.control.Store(&cfg.Control)
 	c.member.Store(new(string))
+	c.laneShares.Store(&map[string]float64{})
 	return c
 }
 
@@ -210,6 +213,16 @@
 // SetDemand gives the function that reads the demand of the last interval.
 func (c *Client) SetDemand(f func() []*controlpb.Demand) { c.demand.Store(&f) }
 
+// SetLaneWork gives the function that reads the recent work for the lanes of services.
+func (c *Client) SetLaneWork(f func() []*controlpb.LaneWork) { c.laneWork.Store(&f) }
+
+// LaneShare returns the share of a service's servers that makes its tight lane, as the control group decided it for all
+// processes; false where it isn't known.
+func (c *Client) LaneShare(service string) (float64, bool) {
+	share, ok := (*c.laneShares.Load())[service]
+	return share, ok
+}
+
 // Changed returns a channel that is closed at the next change of settings, keys or registry.
 func (c *Client) Changed() <-chan struct{} {
 	c.mu.Lock()
--- a/internal/watch/scenario_test.go
+++ b/internal/watch/scenario_test.go
@@ -416,6 +416,46 @@
 }
 
 // TestLeaderForgetsOldClaims lets a claim grow older than its retention.
+// TestProcessesSplitAlike gives each process another part of the work for two lanes: what a process sees alone must not decide
+// where the sessions of all have their homes.
+func TestProcessesSplitAlike(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		var clients []*watch.Client
+		for i := range 6 {
+			c := watch.New(watch.Config{
+				ProcessID: fmt.Sprintf("gateway-%d", i), Incarnation: "1", Role: "gateway", Control: w.addresses, Dial: w.dial,
+			})
+			part := float64(i + 1)
+			c.SetLaneWork(func() []*controlpb.LaneWork {
+				return []*controlpb.LaneWork{{Service: "app", Tight: 100 * part, Bulk: 800 - 100*part}}
+			})
+			go func() { _ = c.Run(w.ctx) }()
+			clients = append(clients, c)
+		}
+		shared := func() map[float64]int {
+			shares := make(map[float64]int)
+			for _, c := range clients {
+				share, ok := c.LaneShare("app")
+				if !ok {
+					share = -1
+				}
+				shares[share]++
+			}
+			return shares
+		}
+		time.Sleep(5 * time.Second)
+		const want = 2100.0 / (6 * 800)
+		if got := shared(); len(got) != 1 || got[want] != len(clients) {
+			t.Errorf("shares %v, want %v everywhere", got, want)
+		}
+		w.cluster.Lead(1)
+		time.Sleep(5 * time.Second)
+		if got := shared(); len(got) != 1 || got[want] != len(clients) {
+			t.Errorf("shares %v under another leader, want %v everywhere", got, want)
+		}
+	})
+}
+
 func TestLeaderForgetsOldClaims(t *testing.T) {
 	inWorld(t, 1, func(w *world) {
 		body := json.RawMessage(`{"op": "claim", "key": {"organisation": "o", "key": "k"}, "request_id": "r"}`)
--- a/internal/watch/session.go
+++ b/internal/watch/session.go
@@ -155,6 +155,9 @@
 	if f := s.client.demand.Load(); f != nil {
 		q.Demand = (*f)()
 	}
+	if f := s.client.laneWork.Load(); f != nil {
+		q.Lanes = (*f)()
+	}
 	return q
 }
 
@@ -180,6 +183,7 @@
 	if u.OpenWindow > s.client.openWindow.Load() {
 		s.client.openWindow.Store(u.OpenWindow)
 	}
+	s.takeLanes(u)
 	if changed {
 		s.client.notify()
 	}
@@ -313,6 +317,18 @@
 	return b.Sequence < o.Sequence
 }
 
+// takeLanes notes the shares of the lanes.
+func (s *session) takeLanes(u *controlpb.WatchUpdate) {
+	if len(u.LaneShares) == 0 {
+		return
+	}
+	shares := make(map[string]float64, len(u.LaneShares))
+	for _, share := range u.LaneShares {
+		shares[share.Service] = share.Tight
+	}
+	s.client.laneShares.Store(&shares)
+}
+
 // takeShares notes the shares as of when the confirmed question was sent.
 func (s *session) takeShares(u *controlpb.WatchUpdate) {
 	if !u.SharesCurrent {
