--- a/internal/core/route/silence.go
+++ b/internal/core/route/silence.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync/atomic"
 	"time"
 )
 
@@ -15,29 +14,20 @@
 	usualWaitWeight = 0.05
 )
 
-// Ear notes when a backend server was heard. It is safe for concurrent use.
-type Ear struct {
-	base time.Time
-	last atomic.Int64 // nanoseconds since base
+// Ear tells when something came from a backend server last. It is asked whenever a server is chosen.
+type Ear interface {
+	HeardAt() time.Time
 }
 
-// Heard notes that the server sent something.
-func (e *Ear) Heard(now time.Time) { e.last.Store(int64(now.Sub(e.base))) }
-
-func (e *Ear) heardAt() time.Time { return e.base.Add(time.Duration(e.last.Load())) }
-
-// Await notes that a request was sent to a backend server. The caller tells the ear what it hears of the server, and ends
-// with one call of AwaitOver with the same time. The ear is nil where the server isn't known any more.
-func (t *Table) Await(now time.Time, id string) *Ear {
+// Await notes that a request was sent to a backend server, whose ear is given. Each call is followed by one of AwaitOver with
+// the same time.
+func (t *Table) Await(now time.Time, id string, ear Ear) {
 	s := t.servers[id]
 	if s == nil {
-		return nil
-	}
-	if s.ear == nil {
-		s.ear = &Ear{base: now}
+		return
 	}
+	s.ear = ear
 	s.awaited = append(s.awaited, now)
-	return s.ear
 }
 
 // AnswerBegan notes how long a request waited for the beginning of its answer.
@@ -77,7 +67,7 @@
 		return 0
 	}
 	since := s.awaited[0]
-	if heard := s.ear.heardAt(); heard.After(since) {
+	if heard := s.ear.HeardAt(); heard.After(since) {
 		since = heard
 	}
 	return now.Sub(since)
--- a/internal/gateway/await.go
+++ b/internal/gateway/await.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/guavastack/guavastack/internal/core/route"
 	"github.com/guavastack/guavastack/internal/serverset"
 )
 
@@ -12,7 +11,7 @@
 	servers *serverset.Set
 	server  string // id
 	since   time.Time
-	ear     *route.Ear
+	ear     *serverset.Ear
 	began   bool
 }
 
@@ -23,9 +22,7 @@
 
 // heard notes that something of the answer came.
 func (a *await) heard(now time.Time) {
-	if a.ear != nil {
-		a.ear.Heard(now)
-	}
+	a.ear.Heard(now)
 	if !a.began {
 		a.began = true
 		a.servers.AnswerBegan(a.server, now.Sub(a.since))
--- a/internal/serverset/serverset.go
+++ b/internal/serverset/serverset.go
@@ -22,6 +22,7 @@
 	router  *route.Router
 	byAddr  map[string]string // agent address to backend server id
 	servers map[string]route.Backend
+	ears    map[string]*Ear // by backend server id
 }
 
 // New returns an empty set for a process in the availability zone.
@@ -33,6 +34,7 @@
 		router:  route.NewRouter(table, route.RouterConfig{Policy: policy}),
 		byAddr:  make(map[string]string),
 		servers: make(map[string]route.Backend),
+		ears:    make(map[string]*Ear),
 	}
 }
 
@@ -49,6 +51,7 @@
 		if !seen[id] {
 			s.table.Remove(id)
 			delete(s.servers, id)
+			delete(s.ears, id)
 			delete(s.byAddr, b.Address)
 		}
 	}
@@ -162,12 +165,20 @@
 }
 
 // Await notes that a request was sent to a backend server, at the returned time. The caller tells the ear what it hears of
-// the server, and ends with one call of AwaitOver. The ear is nil where the server isn't known any more.
-func (s *Set) Await(id string) (since time.Time, ear *route.Ear) {
+// the server, and ends with one call of AwaitOver.
+func (s *Set) Await(id string) (since time.Time, ear *Ear) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	return now, s.table.Await(now, id)
+	ear = s.ears[id]
+	if ear == nil {
+		ear = newEar(now)
+		if _, known := s.servers[id]; known {
+			s.ears[id] = ear
+		}
+	}
+	s.table.Await(now, id, ear)
+	return now, ear
 }
 
 // AnswerBegan notes how long a request waited for the beginning of its answer.
