Long streams with short prompts go on with a copy of their run after a crash

Change: streams that may not be resumed, with an answer of a fifth of their prompt at least, name a second server that keeps a copy as it grows. After a break, and where the first server takes no connection any more, the second goes on behind the last whole event. Without a copy the stream ends as before; a fresh run never follows one that may have run.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -77,6 +77,7 @@
 	Slots         int           // requests in one batch
 	CacheTokens   int           // memory of one server, in tokens
 	CacheTransfer time.Duration // to bring one token of memory from server to server; 0: they don't
+	Backups       bool          // a server sends a run's memory to another one as it grows, which can go on with it
 }
 
 // Organisation is a customer with its keys.
--- a/internal/core/route/source.go
+++ b/internal/core/route/source.go
@@ -1,6 +1,9 @@
 package route
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Source returns a backend server from which another can fetch the beginning of the prompt, so that it needn't be read once
 // more: the last one that this process sent the longest shared beginning to, or else the session's home. It returns false
@@ -20,6 +23,27 @@
 	return source.Backend, true
 }
 
+// Backup returns a backend server that can keep a copy of a run at the chosen one, false where there is none.
+func (r *Router) Backup(now time.Time, req Request, chosen string, rnd uint64) (Backend, bool) {
+	s := r.table.servers[chosen]
+	if s == nil {
+		return Backend{}, false
+	}
+	others := withoutSilent(now, s.group.candidates(now, &req))
+	lane := amongst(others, s.group.lane(&req))
+	if len(lane) < minBackupLane {
+		lane = others
+	}
+	lane = slices.DeleteFunc(slices.Clone(lane), func(other *server) bool { return other == s })
+	if len(lane) == 0 {
+		return Backend{}, false
+	}
+	return r.leastLoaded(now, lane, &req, rnd).Backend, true
+}
+
+// minBackupLane is the least number of servers in a lane that keep each other's copies.
+const minBackupLane = 2
+
 // lastHolder returns the server that got the longest of the beginnings last, nil where none did.
 func (r *Router) lastHolder(g *group, beginnings []uint64) *server {
 	for i := len(beginnings) - 1; i >= 0; i-- {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -65,10 +65,13 @@
 // tries are the tries of one exchange so far.
 type tries struct {
 	sent    int
+	ran     bool     // one of them may have run
 	exclude []string // servers tried
 	stream  *streamWriter
-	await   *await       // of the current try
-	answer  *wholeAnswer // the newest answer that was held back
+	await   *await        // of the current try
+	backup  route.Backend // that keeps a copy of the current try's run; zero: none
+	next    route.Backend // that goes on with its copy; zero: a server is chosen
+	answer  *wholeAnswer  // the newest answer that was held back
 	final   *refusal
 }
 
@@ -76,17 +79,21 @@
 func (s *Server) forward(ctx context.Context, x *exchange, w http.ResponseWriter) *refusal {
 	t := &tries{stream: newStreamWriter(w, x)}
 	for {
-		server, err := s.servers.Choose(x.routeRequest(t.exclude))
+		server, err := s.nextServer(x, t)
 		if err != nil {
 			t.noServer(err)
 			break
 		}
 		o := s.try(ctx, x, server, t)
+		t.next = route.Backend{}
 		if o.done {
 			s.finish(x, ending{status: o.status, verdict: verdict.Ran})
 			return nil
 		}
 		t.note(server.ID, o)
+		if s.goesOn(ctx, x, t, server, o) {
+			continue
+		}
 		if ctx.Err() != nil || !s.mayTryAgain(x, t, o) {
 			break
 		}
@@ -95,12 +102,21 @@
 	return s.conclude(ctx, x, t, w)
 }
 
+// nextServer returns the backend server for the next try.
+func (s *Server) nextServer(x *exchange, t *tries) (route.Backend, error) {
+	if t.next.ID != "" {
+		return t.next, nil
+	}
+	return s.servers.Choose(x.routeRequest(t.exclude))
+}
+
 // note keeps what a try brought.
 func (t *tries) note(server string, o outcome) {
 	t.exclude = append(t.exclude, server)
 	if o.sent {
 		t.sent++
 	}
+	t.ran = t.ran || o.ran
 	if o.answer != nil {
 		t.answer = o.answer
 	}
@@ -118,7 +134,7 @@
 
 // mayTryAgain decides on a further try after o.
 func (s *Server) mayTryAgain(x *exchange, t *tries, o outcome) bool {
-	if o.ran && !x.route.Idempotent() {
+	if t.ran && !x.route.Idempotent() {
 		return false
 	}
 	if !o.sent {
@@ -160,10 +176,13 @@
 		x.sentAfter = began.Sub(x.arrived)
 	}
 	source := s.source(x, server)
+	if t.next.ID == "" {
+		t.backup = s.backup(x, server)
+	}
 	s.tell(x, eventSent,
 		slog.String(telemetry.KeyBackendServer, server.ID), slog.String("address", server.Address),
 		slog.String("zone", server.Zone), slog.Int("try", x.tries), slog.Int64("remaining_ms", x.remaining().Milliseconds()),
-		slog.String("fetch_from", source.ID))
+		slog.String("fetch_from", source.ID), slog.String("backup", t.backup.ID))
 	s.servers.Began(server.ID, x.call.Prompt.Tokens, x.prefix)
 	t.await = newAwait(s.servers, server.ID)
 	defer t.await.over()
@@ -254,6 +273,8 @@
 		Ranks:        x.ranks,
 		ResumeAfter:  t.stream.lastID,
 		FetchFrom:    source.Address,
+		BackupTo:     t.backup.Address,
+		ContinueAt:   t.next.Address,
 	})
 	return &upstream.Request{
 		Method: x.method,
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -30,7 +30,10 @@
 		return Call{}, errors.New("no id")
 	}
 	ms, _ := strconv.Atoi(h.Get("X-Wait-Ms"))
-	return Call{ID: h.Get("X-Id"), Key: h.Get("X-Key"), Wait: time.Duration(ms) * time.Millisecond}, nil
+	call := Call{ID: h.Get("X-Id"), Key: h.Get("X-Key"), Wait: time.Duration(ms) * time.Millisecond}
+	call.Prompt.Tokens, _ = strconv.Atoi(h.Get("X-Prompt"))
+	call.Prompt.OutputTokens, _ = strconv.Atoi(h.Get("X-Output"))
+	return call, nil
 }
 
 func (plainDialect) Forward(h http.Header, f Forwarding) {
@@ -41,6 +44,12 @@
 	if f.ResumeAfter != "" {
 		h.Set("X-After", f.ResumeAfter)
 	}
+	if f.BackupTo != "" {
+		h.Set("X-Backup", f.BackupTo)
+	}
+	if f.ContinueAt != "" {
+		h.Set("X-From", f.ContinueAt)
+	}
 }
 
 func (plainDialect) Reply(status int, h http.Header) Reply {
@@ -174,6 +183,8 @@
 	dir  *directory
 	gw   *Server
 	http *httptest.Server
+
+	servers []*backend
 }
 
 // benchMaxHeaderBytes is the limit of the bench's catalog.
@@ -192,7 +203,7 @@
 	t.Helper()
 	c := &catalog.Catalog{
 		Version: 1, Keyed: true, Limits: catalog.Limits{MaxHeaderBytes: benchMaxHeaderBytes},
-		Services:      []catalog.Service{{Name: "app"}},
+		Services:      []catalog.Service{{Name: "app", Engine: &catalog.Engine{Backups: true}}},
 		Organisations: []catalog.Organisation{{Name: "one", Keys: []string{"k"}}},
 	}
 	for _, r := range benchRoutes {
@@ -203,7 +214,7 @@
 	if err := c.Validate(); err != nil {
 		t.Fatal(err)
 	}
-	b := &bench{t: t, dir: &directory{}}
+	b := &bench{t: t, dir: &directory{}, servers: servers}
 	b.dir.index.Store(catalog.NewIndex(c))
 	for i, s := range servers {
 		b.dir.backends = append(b.dir.backends, &controlpb.BackendServer{
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -151,7 +151,7 @@
 }
 
 func newStreamWriter(w http.ResponseWriter, x *exchange) *streamWriter {
-	return &streamWriter{w: w, control: http.NewResponseController(w), resumable: x.isStream() && x.route.Resumable}
+	return &streamWriter{w: w, control: http.NewResponseController(w), resumable: x.isStream() && (x.route.Resumable || x.backsUp)}
 }
 
 // begin notes the head of the first server. It goes to the caller with the first event, so that a server that breaks off
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -54,6 +54,7 @@
 	deadline     time.Time
 	prefix       []uint64
 	session      uint64
+	backsUp      bool // a copy of the run is kept at another server
 	fetches      bool // a server may fetch the beginning of the prompt from another one
 	lane         route.Lane
 	tightServers int
@@ -102,6 +103,7 @@
 		return x, ref
 	}
 	x.service = x.route.Target(rand.Uint64())
+	x.backsUp = isWorthBackup(x.route, call.Prompt, index.Service(x.service))
 	if x.route.CachesPrompts {
 		x.prefix = prefixHashes(call.Prompt.Parts)
 		x.session = sessionOf(call.Prompt, x.prefix)
--- a/internal/gateway/story.go
+++ b/internal/gateway/story.go
@@ -46,6 +46,7 @@
 	eventAdmitted = "request admitted"
 	eventSent     = "request sent"
 	eventTryEnded = "try ended"
+	eventGoesOn   = "request goes on with its copy"
 	eventAgain    = "request goes to another server"
 	eventEnded    = "request ended"
 )
--- a/internal/serverset/serverset.go
+++ b/internal/serverset/serverset.go
@@ -92,6 +92,14 @@
 	return s.router.Source(time.Now(), req, chosen)
 }
 
+// Backup returns a backend server that can keep a copy of a run at the chosen one.
+func (s *Set) Backup(req route.Request, chosen string) (route.Backend, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	req.Zone = s.zone
+	return s.router.Backup(time.Now(), req, chosen, rand.Uint64())
+}
+
 // Count returns the number of ready backend servers of a model.
 func (s *Set) Count(kind, model string) int {
 	s.mu.Lock()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -255,6 +255,17 @@
 	}
 }
 
+// TakesConnections reports whether a server takes new connections. One that can't be reached within the time to connect
+// doesn't.
+func (c *Client) TakesConnections(ctx context.Context, address string) bool {
+	cn, err := dial(ctx, address, c.dialTimeout)
+	if err != nil {
+		return false
+	}
+	_ = cn.Close()
+	return true
+}
+
 // Expire closes the connections that were unused for too long, and all of the addresses that are not wanted any more.
 func (c *Client) Expire(now time.Time, wanted func(address string) bool) {
 	var drop []*conn
