Billing windows follow a time of day that the members agree on

Ruled out: the leader's clock alone, which may be the one that is off. Change: members show each other their clocks with their digests; the median counts, of two the own. Watchers follow it by the reading with the shortest delay of the last five.

--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/core/member"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/wait"
@@ -63,6 +64,7 @@
 // Exchange takes another member's digest.
 func (s *Service) Exchange(_ context.Context, d *controlpb.Digest) (*controlpb.DigestAck, error) {
 	now := time.Now()
+	s.clocks.note(d.Member, d.WallUs)
 	for _, b := range d.Backends {
 		s.soft.putBackend(b, now, false)
 	}
@@ -165,7 +167,7 @@
 
 // digest returns what this member knows at first hand, whole reports only of what changed after a registry version.
 func (s *Service) digest(since uint64, now time.Time) (*controlpb.Digest, uint64) {
-	d := &controlpb.Digest{Member: s.cfg.Group.Self().ID, Incarnation: s.cfg.Incarnation}
+	d := &controlpb.Digest{Member: s.cfg.Group.Self().ID, Incarnation: s.cfg.Incarnation, WallUs: clock.Wall().UnixMicro()}
 	version := s.soft.firstHand(since, func(e member.Entry[*controlpb.BackendServer]) {
 		if e.Changed > since {
 			d.Backends = append(d.Backends, backendOf(e))
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -104,6 +104,7 @@
 	confirmer *confirmer
 	soft      *softState
 	lanes     *laneBoard
+	clocks    *clocks
 }
 
 // New returns a service that answers once Run is called.
@@ -117,6 +118,7 @@
 		confirmer: newConfirmer(cfg.Group, h),
 		soft:      newSoftState(cfg, time.Now()),
 		lanes:     newLaneBoard(),
+		clocks:    newClocks(),
 	}
 }
 
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -194,6 +194,7 @@
 	}
 	u.Member = w.service.cfg.Group.Self().ID
 	u.OpenWindow = w.service.cfg.OpenWindow()
+	u.WallUs = w.service.Wall().UnixMicro()
 	w.addShares(u, time.Now())
 	return u, nil
 }
--- /dev/null
+++ b/internal/core/agreed/agreed_test.go
@@ -0,0 +1,55 @@
+package agreed
+
+import (
+	"testing"
+	"time"
+)
+
+var noon = time.Unix(1_800_000_000, 0)
+
+func TestAgreedTime(t *testing.T) {
+	const off = 5 * time.Second
+	cases := []struct {
+		name   string
+		others map[string]time.Duration // by how much their clocks are ahead
+		want   time.Duration
+	}{
+		{"alone", nil, 0},
+		{"one other, which may be the one that is off", map[string]time.Duration{"b": off}, 0},
+		{"the own clock is slow", map[string]time.Duration{"b": off, "c": off + time.Millisecond}, off},
+		{"the own clock is fast", map[string]time.Duration{"b": -off, "c": -off}, -off},
+		{"one other is off", map[string]time.Duration{"b": off, "c": 0}, 0},
+		{"two of five are off", map[string]time.Duration{"b": off, "c": -off, "d": 0, "e": time.Millisecond}, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := NewClocks()
+			for id, ahead := range tc.others {
+				c.Note(id, noon.Add(ahead), noon)
+			}
+			if got := c.Ahead(noon); got != tc.want {
+				t.Errorf("%v ahead of the own clock, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestSilentClocksAreForgotten(t *testing.T) {
+	c := NewClocks()
+	c.Note("b", noon.Add(time.Second), noon)
+	c.Note("c", noon.Add(time.Second), noon)
+	if got := c.Ahead(noon.Add(memory + time.Second)); got != 0 {
+		t.Errorf("%v ahead by clocks that are silent", got)
+	}
+}
+
+func TestDelaysDoNotTurnTheClockBack(t *testing.T) {
+	var f Follower
+	for i, delay := range []time.Duration{20, 900, 5, 1500, 40} {
+		own := noon.Add(time.Duration(i) * time.Second)
+		f.Note(own.Add(2*time.Second-delay*time.Millisecond), own)
+	}
+	if got, want := f.Ahead(), 2*time.Second-5*time.Millisecond; got != want {
+		t.Errorf("%v ahead, want %v", got, want)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,8 @@
 	Fresh(now time.Time) bool
 	// FreshFor returns how long keys may still be acted on; below 0: no longer.
 	FreshFor(now time.Time) time.Duration
+	// Wall returns the time of day that billing windows follow.
+	Wall() time.Time
 	// LaneShare returns the common share of a service's servers that makes its tight lane, false where it isn't known.
 	LaneShare(service string) (float64, bool)
 	// SetLaneWork gives the function that reads the recent work for the lanes of services.
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -74,6 +74,7 @@
 func (d *directory) Fresh(time.Time) bool                     { return !d.stale.Load() }
 func (d *directory) FreshFor(time.Time) time.Duration         { return time.Second }
 func (d *directory) Backends() []*controlpb.BackendServer     { return d.backends }
+func (d *directory) Wall() time.Time                          { return time.Now() }
 func (d *directory) LaneShare(string) (float64, bool)         { return 0, false }
 func (d *directory) SetLaneWork(func() []*controlpb.LaneWork) {}
 func (d *directory) OnChange(f func())                        { d.onChange = f }
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/meter"
 )
 
@@ -13,7 +12,7 @@
 		return
 	}
 	x.metered = true
-	at := clock.Wall().Add(-time.Since(began))
+	at := s.dir.Wall().Add(-time.Since(began))
 	window := uint64(at.UnixNano()) / uint64(s.cfg.UsageWindow)
 	s.usage.Add(meter.Key{Window: window, Organisation: x.organisation}, meter.Amounts{Requests: 1})
 }
--- a/internal/operate/billing.go
+++ b/internal/operate/billing.go
@@ -9,7 +9,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/core/billing"
 	"github.com/guavastack/guavastack/internal/platform"
 	"github.com/guavastack/guavastack/proto/controlpb"
@@ -173,7 +172,7 @@
 // clockRound is the part of a round that depends on windows which follow the time of day.
 func (c *tenure) clockRound(ctx context.Context) error {
 	length := c.op.cfg.Window
-	now := clock.Wall()
+	now := c.op.cfg.Wall()
 	if window, due := c.dueWindow(); due && now.Sub(time.Unix(0, int64(window+1)*int64(length))) >= c.op.cfg.Grace {
 		return c.closeWindow(ctx, window)
 	}
@@ -194,7 +193,7 @@
 
 // openCurrent opens windows up to the current one by the time of day.
 func (c *tenure) openCurrent(ctx context.Context) error {
-	current := uint64(clock.Wall().UnixNano()) / uint64(c.op.cfg.Window)
+	current := uint64(c.op.cfg.Wall().UnixNano()) / uint64(c.op.cfg.Window)
 	for open := c.op.usage.OpenWindow(); open < current; {
 		if err := c.openNext(ctx, open, current); err != nil {
 			return err
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -77,10 +77,11 @@
 	Window        time.Duration // length of a billing window
 	// ClockWindows numbers the windows by the time of day: window k begins k windows after the start of 1970.
 	ClockWindows bool
-	Grace        time.Duration // from the end of a window to its closing, for late counters; at most a window by default
-	Record       time.Duration // between commits of counters
-	NoSupplyHold time.Duration // after a refusal of a zone, before it is asked again
-	AbsentAfter  time.Duration // a server whose agent was silent so long has no request left; above every deadline
+	Wall         func() time.Time // the time of day that windows follow; nil: that of this process
+	Grace        time.Duration    // from the end of a window to its closing, for late counters; at most a window by default
+	Record       time.Duration    // between commits of counters
+	NoSupplyHold time.Duration    // after a refusal of a zone, before it is asked again
+	AbsentAfter  time.Duration    // a server whose agent was silent so long has no request left; above every deadline
 }
 
 // Operator carries out duty, fleet and billing while its member leads.
@@ -113,6 +114,9 @@
 	if cfg.Logger == nil {
 		cfg.Logger = slog.New(slog.DiscardHandler)
 	}
+	if cfg.Wall == nil {
+		cfg.Wall = clock.Wall
+	}
 	if cfg.Registry == nil {
 		cfg.Registry = func() []*controlpb.BackendServer { return nil }
 	}
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -128,6 +128,7 @@
 		operator, err := newOperator(base, s, r, fleetView{
 			backends: func() []*controlpb.BackendServer { return ctl.service.Backends() },
 			ceiling:  func(zone string) (float64, bool) { return ctl.service.Tree().PriceCeiling(zone) },
+			wall:     func() time.Time { return ctl.service.Wall() },
 		})
 		if err != nil {
 			return nil, errors.Annotate(err, "control.platform")
@@ -246,6 +247,7 @@
 type fleetView struct {
 	backends func() []*controlpb.BackendServer
 	ceiling  func(zone string) (float64, bool)
+	wall     func() time.Time
 }
 
 // clockRecordInterval is the time between commits of counters where windows follow the time of day and are short.
@@ -285,6 +287,7 @@
 	cfg.Registry = view.backends
 	cfg.Metrics = base.Metrics
 	cfg.ZoneCeiling = view.ceiling
+	cfg.Wall = view.wall
 	cfg.Window = time.Duration(c.WindowLength)
 	cfg.Logger = base.Logger
 	return operate.New(cfg)
--- a/internal/watch/client.go
+++ b/internal/watch/client.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/guavastack/guavastack/internal/clock"
+	"github.com/guavastack/guavastack/internal/core/agreed"
 	"github.com/guavastack/guavastack/internal/core/catalog"
 	"github.com/guavastack/guavastack/internal/core/limit"
 	"github.com/guavastack/guavastack/internal/core/member"
@@ -108,12 +110,14 @@
 	demand     atomic.Pointer[func() []*controlpb.Demand]
 	laneWork   atomic.Pointer[func() []*controlpb.LaneWork]
 	laneShares atomic.Pointer[map[string]float64]
+	wallAhead  atomic.Int64 // of the agreed time of day before the own one, nanoseconds
 	leader     atomic.Int64 // index in the control members that answered the last proposal
 
 	// taking is held while an answer comes into force. The view is in its care: it outlives sessions, so that questions are
 	// numbered across them and no answer counts for another question.
 	taking sync.Mutex
 	view   *member.View
+	wall   agreed.Follower
 
 	mu       sync.Mutex
 	changed  chan struct{}
@@ -223,6 +227,9 @@
 	return share, ok
 }
 
+// Wall returns the time of day that the control group agrees on, the own one before it is known.
+func (c *Client) Wall() time.Time { return clock.Wall().Add(time.Duration(c.wallAhead.Load())) }
+
 // Changed returns a channel that is closed at the next change of settings, keys or registry.
 func (c *Client) Changed() <-chan struct{} {
 	c.mu.Lock()
--- a/internal/watch/scenario_test.go
+++ b/internal/watch/scenario_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/core/claim"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/core/state"
@@ -416,6 +417,27 @@
 }
 
 // TestLeaderForgetsOldClaims lets a claim grow older than its retention.
+// TestWatchersFollowTheAgreedTime shows a member whose clock is slow what the clocks of the two others show: its watchers go by
+// what most agree on.
+func TestWatchersFollowTheAgreedTime(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		const off = 5 * time.Second
+		c := w.watcher("gateway-1")
+		for range 4 {
+			for _, other := range []string{"b", "c"} {
+				digest := &controlpb.Digest{Member: other, Incarnation: "1", WallUs: clock.Wall().Add(off).UnixMicro()}
+				if _, err := w.services[0].Exchange(w.ctx, digest); err != nil {
+					t.Fatal(err)
+				}
+			}
+			time.Sleep(time.Second)
+		}
+		if ahead := c.Wall().Sub(clock.Wall()); (ahead - off).Abs() > 100*time.Millisecond {
+			t.Errorf("the watcher's time of day is %v ahead of the slow clock, want %v", ahead, off)
+		}
+	})
+}
+
 // TestProcessesSplitAlike gives each process another part of the work for two lanes: what a process sees alone must not decide
 // where the sessions of all have their homes.
 func TestProcessesSplitAlike(t *testing.T) {
--- a/internal/watch/session.go
+++ b/internal/watch/session.go
@@ -184,6 +184,7 @@
 		s.client.openWindow.Store(u.OpenWindow)
 	}
 	s.takeLanes(u)
+	s.takeWall(u)
 	if changed {
 		s.client.notify()
 	}
@@ -317,6 +318,15 @@
 	return b.Sequence < o.Sequence
 }
 
+// takeWall follows the agreed time of day.
+func (s *session) takeWall(u *controlpb.WatchUpdate) {
+	if u.WallUs == 0 {
+		return
+	}
+	s.client.wall.Note(time.UnixMicro(u.WallUs), clock.Wall())
+	s.client.wallAhead.Store(int64(s.client.wall.Ahead()))
+}
+
 // takeLanes notes the shares of the lanes.
 func (s *session) takeLanes(u *controlpb.WatchUpdate) {
 	if len(u.LaneShares) == 0 {
