--- a/cmd/guavastack/adapter.go
+++ b/cmd/guavastack/adapter.go
@@ -20,9 +20,14 @@
 // memoryLimitShare is the part of a process's memory that the collector may let the heap fill.
 const memoryLimitShare = 0.6
 
-// limitMemory makes the collector work harder near the memory limit of the process; 0 is none.
+// collectorPercent is the growth of the heap, in percent, after which the collector runs where memory is limited: such
+// machines pay for their peak, and a small heap is soon collected.
+const collectorPercent = 50
+
+// limitMemory makes the collector run more often, and work harder near the memory limit of the process; 0 is none.
 func limitMemory(megabytes int) {
 	if megabytes > 0 {
+		debug.SetGCPercent(collectorPercent)
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(megabytes) * (1 << 20)))
 	}
 }
