Route: a session-lanes choice without allocations

The common order was sorted anew for each choice and candidates were looked up in lists; now it is kept with the group and one pass fills reused room.

--- a/internal/core/route/affinity.go
+++ b/internal/core/route/affinity.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -22,74 +21,85 @@
 
 // rank returns a server's place for a session: the highest is its home. Every process finds the same home, and when a server
 // comes or goes only its own sessions move.
-func rank(session uint64, s *server) uint64 { return mix(session ^ s.order) }
-
-// mix is the finalizer of splitmix64.
-func mix(x uint64) uint64 { return nextRandom(x) }
+func rank(session uint64, s *server) uint64 { return nextRandom(session ^ s.order) }
 
 // sessionLanes picks within the lane of the request: the session's home while its load is bounded, and else the least loaded
 // of a few random servers.
 func (r *Router) sessionLanes(now time.Time, g *group, req *Request, rnd uint64) *server {
-	candidates := withoutSilent(now, g.candidates(now, req))
-	if len(candidates) == 0 {
-		return g.lastResort(req, rnd)
-	}
 	if req.Lane != AnyLane {
 		g.tight = req.TightServers
 	}
-	lane := amongst(candidates, g.lane(req))
-	if len(lane) == 0 {
-		lane = candidates
+	c := r.scratch.of(now, g, req)
+	if len(c.all) == 0 {
+		return g.lastResort(req, rnd)
 	}
 	if req.Session != 0 {
-		if s := r.home(now, lane, req); s != nil {
+		if s := r.home(now, c.lane, req); s != nil {
 			return s
 		}
 	}
-	best := r.leastLoaded(now, lane, req, rnd)
+	best := r.leastLoaded(now, c.lane, req, rnd)
 	if req.Lane == TightLane && r.use(now, best) >= fullUse {
 		// Tight work doesn't wait while bulk work runs elsewhere.
-		if other := r.leastLoaded(now, candidates, req, nextRandom(rnd)); r.use(now, other) < r.use(now, best) {
+		if other := r.leastLoaded(now, c.all, req, nextRandom(rnd)); r.use(now, other) < r.use(now, best) {
 			return other
 		}
 	}
 	return best
 }
 
-// candidates returns the servers that may get the request.
-func (g *group) candidates(now time.Time, req *Request) []*server {
-	out := make([]*server, 0, len(g.servers))
-	for _, s := range g.servers {
-		if s.isCandidate(now, req) {
-			out = append(out, s)
-		}
+// candidates are the servers that may get a request.
+type candidates struct {
+	all  []*server
+	lane []*server // of the request's lane, all where it has none
+}
+
+// of fills in the candidates, in the room of earlier ones. Lanes are counted over all ready servers: what this process has set
+// aside must not move the lanes and homes of the others.
+func (c *candidates) of(now time.Time, g *group, req *Request) candidates {
+	from, to := laneBounds(req.Lane, req.TightServers, g.countReady(req))
+	c.all, c.lane = c.all[:0], c.lane[:0]
+	c.add(now, g, req, from, to, false)
+	if len(c.all) == 0 {
+		c.add(now, g, req, from, to, true) // where every server is silent, the fault may well be elsewhere
 	}
-	return out
+	if len(c.lane) == 0 {
+		c.lane = append(c.lane, c.all...)
+	}
+	return *c
 }
 
-// lane returns the servers of the request's lane. Those that this process has set aside are among them: what one process
-// sees of a server must not move the lanes and homes of the others.
-func (g *group) lane(req *Request) []*server {
-	ready := make([]*server, 0, len(g.servers))
-	for _, s := range g.servers {
-		if s.Lifecycle == LifecycleReady && s.serves(req) {
-			ready = append(ready, s)
+// add adds the candidates that are silent or not, those at the places from..to-1 of the common order to the lane too.
+func (c *candidates) add(now time.Time, g *group, req *Request, from, to int, silent bool) {
+	place := 0
+	for _, s := range g.ordered {
+		if !s.isReadyFor(req) {
+			continue
+		}
+		place++
+		if !s.isCandidate(now, req) || s.isSilent(now) != silent {
+			continue
+		}
+		c.all = append(c.all, s)
+		if place > from && place <= to {
+			c.lane = append(c.lane, s)
 		}
 	}
-	return inLane(ready, req.Lane, req.TightServers)
 }
 
-// amongst returns the servers of a lane that are candidates, in the order of the lane.
-func amongst(candidates, lane []*server) []*server {
-	out := make([]*server, 0, len(lane))
-	for _, s := range lane {
-		if slices.Contains(candidates, s) {
-			out = append(out, s)
+// countReady returns the number of servers that have what the request asks for, also those that this process has set aside.
+func (g *group) countReady(req *Request) int {
+	n := 0
+	for _, s := range g.ordered {
+		if s.isReadyFor(req) {
+			n++
 		}
 	}
-	return out
+	return n
 }
 
+func (s *server) isReadyFor(req *Request) bool { return s.Lifecycle == LifecycleReady && s.serves(req) }
+
 // fullUse is the use of a server from which requests wait there.
 const fullUse = 0.9
 
@@ -112,26 +122,33 @@
 // home returns the best of the session's homes whose load is bounded, nil where all are loaded.
 func (r *Router) home(now time.Time, lane []*server, req *Request) *server {
 	bound := homeLoadFactor*r.meanLoad(now, lane) + homeLoadSlack
-	below := uint64(math.MaxUint64)
-	for range min(maxHomes, len(lane)) {
-		var best *server
-		bestRank := uint64(0)
-		for _, s := range lane {
-			if rk := rank(req.Session, s); rk < below && rk >= bestRank {
-				best, bestRank = s, rk
-			}
-		}
-		if best == nil {
-			return nil
-		}
-		if r.load(now, best) <= bound {
-			return best
+	for _, s := range homesOf(req.Session, lane) {
+		if s != nil && r.load(now, s) <= bound {
+			return s
 		}
-		below = bestRank
 	}
 	return nil
 }
 
+// homesOf returns the servers of a lane that rank highest for a session, the first one first; nil for those that are missing.
+func homesOf(session uint64, lane []*server) [maxHomes]*server {
+	var homes [maxHomes]*server
+	var ranks [maxHomes]uint64
+	for _, s := range lane {
+		rk := rank(session, s)
+		for i := range homes {
+			if homes[i] == nil || rk > ranks[i] {
+				homes[i], s = s, homes[i]
+				ranks[i], rk = rk, ranks[i]
+			}
+			if s == nil {
+				break
+			}
+		}
+	}
+	return homes
+}
+
 // leastLoaded returns the least loaded of a few random servers of a lane.
 func (r *Router) leastLoaded(now time.Time, lane []*server, req *Request, rnd uint64) *server {
 	var best *server
--- a/internal/core/route/health.go
+++ b/internal/core/route/health.go
@@ -156,8 +156,7 @@
 	if g.tight <= 0 || g.tight >= len(g.servers) {
 		return [][]*server{g.servers}
 	}
-	ordered := inOrder(g.servers)
-	return [][]*server{ordered[:g.tight], ordered[g.tight:]}
+	return [][]*server{g.ordered[:g.tight], g.ordered[g.tight:]}
 }
 
 // beginProbing forgets the observations that set the server aside.
--- a/internal/core/route/lanes.go
+++ b/internal/core/route/lanes.go
@@ -1,9 +1,7 @@
 package route
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -141,22 +139,15 @@
 	return TightServers(share, n)
 }
 
-// inLane returns the candidates of a lane. The order of the servers is the same in every process, so that all agree on the
-// lanes without a word. A lane without a candidate gives way to all of them.
-func inLane(candidates []*server, lane Lane, tight int) []*server {
-	if lane == AnyLane || tight <= 0 || tight >= len(candidates) {
-		return candidates
-	}
-	ordered := inOrder(candidates)
-	if lane == TightLane {
-		return ordered[:tight]
+// laneBounds returns the places from..to-1 of the lane among n servers in their common order. The order is the same in every
+// process, so that all agree on the lanes without a word.
+func laneBounds(lane Lane, tight, n int) (from, to int) {
+	switch {
+	case lane == AnyLane || tight <= 0 || tight >= n:
+		return 0, n
+	case lane == TightLane:
+		return 0, tight
+	default:
+		return tight, n
 	}
-	return ordered[tight:]
-}
-
-// inOrder returns the servers in the order that all processes share.
-func inOrder(servers []*server) []*server {
-	ordered := slices.Clone(servers)
-	slices.SortFunc(ordered, func(a, b *server) int { return cmp.Compare(a.order, b.order) })
-	return ordered
 }
--- a/internal/core/route/lanes_test.go
+++ b/internal/core/route/lanes_test.go
@@ -238,3 +238,20 @@
 		t.Errorf("%v after the time aside", err)
 	}
 }
+
+// BenchmarkSessionLanes256 chooses among 256 servers that all hold work, half of the requests with a session.
+func BenchmarkSessionLanes256(b *testing.B) {
+	table := ready(256, 4)
+	for id := range table.servers {
+		table.Await(epoch, id, ear(epoch))
+	}
+	r := NewRouter(table, RouterConfig{Policy: PolicySessionLanes})
+	req := Request{Kind: KindEngine, Model: "m", Lane: BulkLane, TightServers: 90, FirstTokenTarget: time.Second}
+	b.ReportAllocs()
+	for i := range b.N {
+		req.Session = uint64(i%2) * uint64(i)
+		if _, err := r.Choose(epoch, req, uint64(i)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/core/route/peers_test.go
+++ b/internal/core/route/peers_test.go
@@ -52,7 +52,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			table := newTable(servers, nil)
 			now := epoch
-			for place, s := range inOrder(table.groups[groupKey{KindEngine, "m"}].servers) {
+			for place, s := range table.groups[groupKey{KindEngine, "m"}].ordered {
 				s.group.tight = tight
 				busy, first, fails := 4, 50*time.Millisecond, 0.0
 				if c.busy != nil {
@@ -70,7 +70,7 @@
 			now = now.Add(2 * reviewInterval)
 			table.groups[groupKey{KindEngine, "m"}].review(now)
 			var aside []string
-			for place, s := range inOrder(table.groups[groupKey{KindEngine, "m"}].servers) {
+			for place, s := range table.groups[groupKey{KindEngine, "m"}].ordered {
 				if s.health.state != healthy {
 					aside = append(aside, fmt.Sprint(place))
 				}
@@ -86,7 +86,7 @@
 func TestProcessesAgreeOnHomes(t *testing.T) {
 	const servers = 12
 	one, other := ready(servers, 4), ready(servers, 4)
-	aside := inOrder(other.groups[groupKey{KindEngine, "m"}].servers)[0].ID // of the tight lane
+	aside := other.groups[groupKey{KindEngine, "m"}].ordered[0].ID // of the tight lane
 	other.servers[aside].health.setAside(epoch)
 	moved := 0
 	for session := range uint64(200) {
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -46,8 +46,9 @@
 
 // Router chooses backend servers from a Table.
 type Router struct {
-	table *Table
-	cfg   RouterConfig
+	table   *Table
+	cfg     RouterConfig
+	scratch candidates
 }
 
 // NewRouter returns a router over the table.
--- a/internal/core/route/silence.go
+++ b/internal/core/route/silence.go
@@ -72,17 +72,3 @@
 	}
 	return now.Sub(since)
 }
-
-// withoutSilent returns the candidates that are not silent; all of them where every one is.
-func withoutSilent(now time.Time, candidates []*server) []*server {
-	heard := make([]*server, 0, len(candidates))
-	for _, s := range candidates {
-		if !s.isSilent(now) {
-			heard = append(heard, s)
-		}
-	}
-	if len(heard) == 0 {
-		return candidates
-	}
-	return heard
-}
--- a/internal/core/route/source.go
+++ b/internal/core/route/source.go
@@ -29,21 +29,16 @@
 	if s == nil {
 		return Backend{}, false
 	}
-	others := withoutSilent(now, s.group.candidates(now, &req))
-	lane := amongst(others, s.group.lane(&req))
-	if len(lane) < minBackupLane {
-		lane = others
-	}
-	lane = slices.DeleteFunc(slices.Clone(lane), func(other *server) bool { return other == s })
-	if len(lane) == 0 {
-		return Backend{}, false
+	c := r.scratch.of(now, s.group, &req)
+	for _, servers := range [][]*server{c.lane, c.all} {
+		others := slices.DeleteFunc(servers, func(other *server) bool { return other == s })
+		if len(others) > 0 {
+			return r.leastLoaded(now, others, &req, rnd).Backend, true
+		}
 	}
-	return r.leastLoaded(now, lane, &req, rnd).Backend, true
+	return Backend{}, false
 }
 
-// minBackupLane is the least number of servers in a lane that keep each other's copies.
-const minBackupLane = 2
-
 // lastHolder returns the server that got the longest of the beginnings last, nil where none did.
 func (r *Router) lastHolder(g *group, beginnings []uint64) *server {
 	for i := len(beginnings) - 1; i >= 0; i-- {
@@ -58,12 +53,18 @@
 	return nil
 }
 
-// sessionHome returns the server of its lane that ranks highest for the session.
+// sessionHome returns the server of its lane that ranks highest for the session, nil where the lane is empty.
 func sessionHome(g *group, req *Request) *server {
+	from, to := laneBounds(req.Lane, req.TightServers, g.countReady(req))
+	place := 0
 	var best *server
 	bestRank := uint64(0)
-	for _, s := range g.lane(req) {
-		if rk := rank(req.Session, s); best == nil || rk > bestRank {
+	for _, s := range g.ordered {
+		if !s.isReadyFor(req) {
+			continue
+		}
+		place++
+		if rk := rank(req.Session, s); place > from && place <= to && (best == nil || rk > bestRank) {
 			best, bestRank = s, rk
 		}
 	}
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -1,7 +1,9 @@
 package route
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -56,6 +58,7 @@
 // group holds the backend servers of one model.
 type group struct {
 	servers    []*server // by id
+	ordered    []*server // in the order that all processes share
 	placements *simplelru.LRU[uint64, placement]
 	roundRobin int
 	reviewedAt time.Time
@@ -113,6 +116,13 @@
 	g.servers = append(g.servers, nil)
 	copy(g.servers[i+1:], g.servers[i:])
 	g.servers[i] = s
+	g.order()
+}
+
+// order brings the servers into the order that all processes share.
+func (g *group) order() {
+	g.ordered = append(g.ordered[:0], g.servers...)
+	slices.SortFunc(g.ordered, func(a, b *server) int { return cmp.Compare(a.order, b.order) })
 }
 
 func (t *Table) group(key groupKey) *group {
@@ -138,6 +148,7 @@
 	g := s.group
 	i := sort.Search(len(g.servers), func(i int) bool { return g.servers[i].ID >= id })
 	g.servers = append(g.servers[:i], g.servers[i+1:]...)
+	g.order()
 	if s.hasLoad {
 		g.busy -= s.reportedBusy()
 		g.reported--
