A stream that began never ends with another server's failure

Ruled out: resumable streams, whose failures are held and end with a broken connection already. Change: once the caller has the beginning, any answer but a stream breaks the connection off. Test: TestACrashedStreamGoesOnWithItsCopy/a_failure_of_the_server_with_the_copy.

--- a/internal/gateway/backup_test.go
+++ b/internal/gateway/backup_test.go
@@ -14,13 +14,15 @@
 		output  string // tokens at most
 		crashes bool   // the first server takes no connections any more
 		copied  bool
+		fails   bool // the server with the copy answers with a failure of its own
 		want    string
 		isCut   bool
 	}{
-		{"a crash", "300", true, true, events + "id: 3\n\n", false},
-		{"a server that lives on", "300", false, true, events, true},
-		{"no copy of the run", "300", true, false, events, true},
-		{"a short answer to a long prompt", "20", true, true, events, true},
+		{"a crash", "300", true, true, false, events + "id: 3\n\n", false},
+		{"a server that lives on", "300", false, true, false, events, true},
+		{"no copy of the run", "300", true, false, false, events, true},
+		{"a short answer to a long prompt", "20", true, true, false, events, true},
+		{"a failure of the server with the copy", "300", true, true, true, events, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -31,7 +33,10 @@
 					if !c.copied {
 						return whole(r, 503, "X-Not-Run: 1\r\n", "")
 					}
-					if r.Header.Get("X-After") != "2" {
+					if c.fails {
+					return whole(r, 500, seal, "failed")
+				}
+				if r.Header.Get("X-After") != "2" {
 						t.Errorf("goes on behind event %q, want 2", r.Header.Get("X-After"))
 					}
 					return chunks(r, "id: 3\n\n") + lastChunk
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -80,6 +80,8 @@
 		return failed
 	case answer.Status/100 == 2 && !reply.Genuine:
 		return failed
+	case t.stream.started:
+		return failed // a stream that the caller has the beginning of can't end with another answer
 	}
 	whole := &wholeAnswer{status: answer.Status, header: answer.Header, body: body}
 	if answer.Status >= http.StatusInternalServerError && x.route.Idempotent() {
