--- a/internal/gateway/backup_test.go
+++ b/internal/gateway/backup_test.go
@@ -34,9 +34,9 @@
 						return whole(r, 503, "X-Not-Run: 1\r\n", "")
 					}
 					if c.fails {
-					return whole(r, 500, seal, "failed")
-				}
-				if r.Header.Get("X-After") != "2" {
+						return whole(r, 500, seal, "failed")
+					}
+					if r.Header.Get("X-After") != "2" {
 						t.Errorf("goes on behind event %q, want 2", r.Header.Get("X-After"))
 					}
 					return chunks(r, "id: 3\n\n") + lastChunk
