--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -69,7 +69,9 @@
 		return Line{}, false
 	}
 	var fields map[string]any
-	if json.Unmarshal([]byte(text[at:]), &fields) != nil {
+	decoder := json.NewDecoder(strings.NewReader(text[at:]))
+	decoder.UseNumber() // large numbers are names, such as of a window
+	if decoder.Decode(&fields) != nil {
 		return Line{}, false
 	}
 	line := Line{Fields: fields}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -20,7 +20,7 @@
 {"time":"2026-01-01T00:00:09.000Z","level":"INFO","msg":"much later","process":"gw"}
 `
 
-const controlLog = `{"time":"2026-01-01T00:00:00.96Z","level":"INFO","msg":"backend server","process":"ctl","backend_server":"s1","lifecycle":"gone"}
+const controlLog = `{"time":"2026-01-01T00:00:00.96Z","level":"INFO","msg":"backend server","process":"ctl","backend_server":"s1","lifecycle":"gone","sequence":353445120}
 {"time":"2026-01-01T00:00:00.97Z","level":"INFO","msg":"other","process":"ctl"}
 `
 
@@ -47,7 +47,7 @@
 	rest := out.String()
 	for _, want := range []string{
 		"request r1", "request admitted class=chat", "request sent backend_server=s1", "try ended backend_server=s1 result=no_answer",
-		"request ended code=backend_failed status=502", "meanwhile", "backend server backend_server=s1 lifecycle=gone",
+		"request ended code=backend_failed status=502", "meanwhile", "backend server backend_server=s1 lifecycle=gone sequence=353445120",
 	} {
 		_, after, ok := strings.Cut(rest, want)
 		if !ok {
