--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -7,6 +7,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"log/slog"
@@ -81,14 +82,14 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Incarnation, uuid.NewString())
-	setDefault(&c.Backend.Slots, defaultSlots)
-	setDefault(&c.QueueLimit, defaultQueueLimit)
-	setDefault(&c.BufferBytes, defaultBufferBytes)
-	setDefault(&c.KeepBytes, defaultKeepBytes)
-	setDefault(&c.KeepFor, defaultKeepFor)
-	setDefault(&c.OrphanTimeout, defaultOrphanTimeout)
-	setDefault(&c.LinkSilence, defaultLinkSilence)
+	c.Incarnation = cmp.Or(c.Incarnation, uuid.NewString())
+	c.Backend.Slots = cmp.Or(c.Backend.Slots, defaultSlots)
+	c.QueueLimit = cmp.Or(c.QueueLimit, defaultQueueLimit)
+	c.BufferBytes = cmp.Or(c.BufferBytes, defaultBufferBytes)
+	c.KeepBytes = cmp.Or(c.KeepBytes, defaultKeepBytes)
+	c.KeepFor = cmp.Or(c.KeepFor, defaultKeepFor)
+	c.OrphanTimeout = cmp.Or(c.OrphanTimeout, defaultOrphanTimeout)
+	c.LinkSilence = cmp.Or(c.LinkSilence, defaultLinkSilence)
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.NewJSONHandler(io.Discard, nil))
 	}
@@ -98,14 +99,6 @@
 	return c
 }
 
-// setDefault gives *v a value where it has none.
-func setDefault[T comparable](v *T, def T) {
-	var zero T
-	if *v == zero {
-		*v = def
-	}
-}
-
 // validate names the first setting that is wrong.
 func (c Config) validate() error {
 	switch {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"encoding/json"
@@ -93,16 +94,16 @@
 
 // withDefaults returns c with its zero values replaced.
 func (c Config) withDefaults() Config {
-	setDefault(&c.MaxBodyBytes, DefaultMaxBodyBytes)
-	setDefault(&c.MaxHeaderBytes, DefaultMaxHeaderBytes)
-	setDefault(&c.MaxConnections, DefaultMaxConnections)
-	setDefault(&c.MaxInFlight, DefaultMaxInFlight)
-	setDefault(&c.HeaderTimeout, DefaultHeaderTimeout)
-	setDefault(&c.BodyTimeout, DefaultBodyTimeout)
-	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&c.DrainDelay, DefaultDrainDelay)
-	setDefault(&c.UsageInterval, DefaultUsageInterval)
+	c.MaxBodyBytes = cmp.Or(c.MaxBodyBytes, DefaultMaxBodyBytes)
+	c.MaxHeaderBytes = cmp.Or(c.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	c.MaxConnections = cmp.Or(c.MaxConnections, DefaultMaxConnections)
+	c.MaxInFlight = cmp.Or(c.MaxInFlight, DefaultMaxInFlight)
+	c.HeaderTimeout = cmp.Or(c.HeaderTimeout, DefaultHeaderTimeout)
+	c.BodyTimeout = cmp.Or(c.BodyTimeout, DefaultBodyTimeout)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, DefaultIdleTimeout)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
+	c.DrainDelay = cmp.Or(c.DrainDelay, DefaultDrainDelay)
+	c.UsageInterval = cmp.Or(c.UsageInterval, DefaultUsageInterval)
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
@@ -111,10 +112,3 @@
 	}
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -7,6 +7,7 @@
 package operate
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -129,22 +130,16 @@
 	if cfg.Timing == (duty.Timing{}) {
 		cfg.Timing = duty.DefaultTiming()
 	}
-	setDefault(&cfg.Poll, defaultPoll)
-	setDefault(&cfg.OrderInterval, defaultOrderInterval)
-	setDefault(&cfg.Window, defaultWindow)
-	setDefault(&cfg.Grace, min(defaultGrace, cfg.Window))
-	setDefault(&cfg.Record, defaultRecord)
-	setDefault(&cfg.NoSupplyHold, defaultNoSupplyHold)
-	setDefault(&cfg.AbsentAfter, defaultAbsentAfter)
+	cfg.Poll = cmp.Or(cfg.Poll, defaultPoll)
+	cfg.OrderInterval = cmp.Or(cfg.OrderInterval, defaultOrderInterval)
+	cfg.Window = cmp.Or(cfg.Window, defaultWindow)
+	cfg.Grace = cmp.Or(cfg.Grace, min(defaultGrace, cfg.Window))
+	cfg.Record = cmp.Or(cfg.Record, defaultRecord)
+	cfg.NoSupplyHold = cmp.Or(cfg.NoSupplyHold, defaultNoSupplyHold)
+	cfg.AbsentAfter = cmp.Or(cfg.AbsentAfter, defaultAbsentAfter)
 	return cfg
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
 // Usage returns the sink of the entries' usage reports.
 func (o *Operator) Usage() *Usage { return o.usage }
 
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -380,12 +380,7 @@
 		Handler:           c.base.Adapter.Operators(c.service, c.base.Logger),
 		ReadHeaderTimeout: operatorHeaderTimeout,
 	}
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
-	if err := srv.Serve(c.operators); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Annotate(err, "control.operators")
-	}
-	return nil
+	return errors.Annotate(serveUntil(ctx, srv, c.operators), "control.operators")
 }
 
 // handOver gives leadership to another member, if there is one.
--- a/internal/process/relay.go
+++ b/internal/process/relay.go
@@ -78,12 +78,7 @@
 		_ = r.watch.Run(ctx) // ends with its context
 	}()
 	srv := &http.Server{Handler: r, ReadHeaderTimeout: relayHeaderTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
-	err := srv.Serve(r.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		err = nil
-	}
+	err := serveUntil(ctx, srv, r.listener)
 	<-watched
 	return errors.Annotate(err, "relay.listen")
 }
--- /dev/null
+++ b/internal/process/serve.go
@@ -0,0 +1,19 @@
+package process
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/juju/errors"
+)
+
+// serveUntil serves on lis until ctx is done.
+func serveUntil(ctx context.Context, srv *http.Server, lis net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Trace(err)
+	}
+	return nil
+}
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -78,14 +79,14 @@
 
 // withDefaults returns a copy with every field set.
 func (c Config) withDefaults() Config {
-	setDefault(&c.HeartbeatInterval, DefaultHeartbeatInterval)
-	setDefault(&c.ElectionTimeout, DefaultElectionTimeout)
-	setDefault(&c.LeaseDuration, DefaultLeaseDuration)
-	setDefault(&c.MaxClockDrift, DefaultMaxClockDrift)
-	setDefault(&c.PeerTimeout, DefaultPeerTimeout)
-	setDefault(&c.CompactEntries, DefaultCompactEntries)
-	setDefault(&c.CompactBytes, DefaultCompactBytes)
-	setDefault(&c.MinFreeBytes, DefaultMinFreeBytes)
+	c.HeartbeatInterval = cmp.Or(c.HeartbeatInterval, DefaultHeartbeatInterval)
+	c.ElectionTimeout = cmp.Or(c.ElectionTimeout, DefaultElectionTimeout)
+	c.LeaseDuration = cmp.Or(c.LeaseDuration, DefaultLeaseDuration)
+	c.MaxClockDrift = cmp.Or(c.MaxClockDrift, DefaultMaxClockDrift)
+	c.PeerTimeout = cmp.Or(c.PeerTimeout, DefaultPeerTimeout)
+	c.CompactEntries = cmp.Or(c.CompactEntries, DefaultCompactEntries)
+	c.CompactBytes = cmp.Or(c.CompactBytes, DefaultCompactBytes)
+	c.MinFreeBytes = cmp.Or(c.MinFreeBytes, DefaultMinFreeBytes)
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
@@ -98,13 +99,6 @@
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	return d.DialContext(ctx, "tcp", address)
