--- a/internal/core/route/lanes_test.go
+++ b/internal/core/route/lanes_test.go
@@ -243,7 +243,7 @@
 func BenchmarkSessionLanes256(b *testing.B) {
 	table := ready(256, 4)
 	for id := range table.servers {
-		table.Await(epoch, id, ear(epoch))
+		table.Await(epoch, id, activity(epoch))
 	}
 	r := NewRouter(table, RouterConfig{Policy: PolicySessionLanes})
 	req := Request{Kind: KindEngine, Model: "m", Lane: BulkLane, TightServers: 90, FirstTokenTarget: time.Second}
--- a/internal/core/route/silence.go
+++ b/internal/core/route/silence.go
@@ -14,19 +14,19 @@
 	usualWaitWeight = 0.05
 )
 
-// Ear tells when something came from a backend server last. It is asked whenever a server is chosen.
-type Ear interface {
-	HeardAt() time.Time
+// Activity tells when something came from a backend server last. It is asked whenever a server is chosen.
+type Activity interface {
+	LastAt() time.Time
 }
 
-// Await notes that a request was sent to a backend server, whose ear is given. Each call is followed by one of AwaitOver with
+// Await notes that a request was sent to a backend server, whose activity is given. Each call is followed by one of AwaitOver with
 // the same time.
-func (t *Table) Await(now time.Time, id string, ear Ear) {
+func (t *Table) Await(now time.Time, id string, activity Activity) {
 	s := t.servers[id]
 	if s == nil {
 		return
 	}
-	s.ear = ear
+	s.activity = activity
 	s.awaited = append(s.awaited, now)
 }
 
@@ -67,7 +67,7 @@
 		return 0
 	}
 	since := s.awaited[0]
-	if heard := s.ear.HeardAt(); heard.After(since) {
+	if heard := s.activity.LastAt(); heard.After(since) {
 		since = heard
 	}
 	return now.Sub(since)
--- a/internal/core/route/silence_test.go
+++ b/internal/core/route/silence_test.go
@@ -6,13 +6,13 @@
 	"time"
 )
 
-// ear was heard at a time.
-type ear time.Time
+// activity was heard at a time.
+type activity time.Time
 
-func (e ear) HeardAt() time.Time { return time.Time(e) }
+func (e activity) LastAt() time.Time { return time.Time(e) }
 
-// neverHeard is the ear of a server that said nothing yet.
-var neverHeard = ear{}
+// noActivity is the activity of a server that said nothing yet.
+var noActivity = activity{}
 
 // picks returns how often each server is chosen in 400 picks at now.
 func picks(t *testing.T, table *Table, now time.Time) map[string]int {
@@ -50,30 +50,30 @@
 	}{
 		{name: "nothing is awaited", play: func(*Table, string) {}, after: time.Minute},
 		{name: "a moment without a word", after: silentAfter, play: func(table *Table, id string) {
-			table.Await(epoch, id, neverHeard)
+			table.Await(epoch, id, noActivity)
 		}},
 		{name: "no word since the request", after: silentAfter + time.Millisecond, isDark: true, play: func(table *Table, id string) {
-			table.Await(epoch, id, neverHeard)
+			table.Await(epoch, id, noActivity)
 		}},
 		{name: "a word for another request", after: silentAfter + time.Millisecond, play: func(table *Table, id string) {
-			table.Await(epoch, id, ear(epoch.Add(100*time.Millisecond)))
+			table.Await(epoch, id, activity(epoch.Add(100*time.Millisecond)))
 		}},
 		{name: "a stream that stopped", after: 100*time.Millisecond + silentAfter + time.Millisecond, isDark: true, play: func(table *Table, id string) {
-			table.Await(epoch, id, ear(epoch.Add(100*time.Millisecond)))
+			table.Await(epoch, id, activity(epoch.Add(100*time.Millisecond)))
 		}},
 		{name: "the request is over", after: time.Minute, play: func(table *Table, id string) {
-			table.Await(epoch, id, neverHeard)
+			table.Await(epoch, id, noActivity)
 			table.AwaitOver(id, epoch)
 		}},
 		{name: "all servers wait that long", after: silentAfter + time.Millisecond, play: func(table *Table, id string) {
 			for range 200 {
 				table.AnswerBegan(id, silentAfter)
 			}
-			table.Await(epoch, id, neverHeard)
+			table.Await(epoch, id, noActivity)
 		}},
 		{name: "no server says a word", after: time.Minute, play: func(table *Table, _ string) {
 			for id := range table.servers {
-				table.Await(epoch, id, neverHeard)
+				table.Await(epoch, id, noActivity)
 			}
 		}},
 	}
--- a/internal/core/route/source_test.go
+++ b/internal/core/route/source_test.go
@@ -35,7 +35,7 @@
 	if from, ok := r.Source(epoch, req, other); ok {
 		t.Errorf("the server that got the beginning last fetches from %s", from.ID)
 	}
-	table.Await(epoch, other, neverHeard)
+	table.Await(epoch, other, noActivity)
 	if from, ok := r.Source(epoch.Add(time.Minute), req, home.ID); ok {
 		t.Errorf("fetches from %s, which is silent", from.ID)
 	}
--- a/internal/core/route/state.go
+++ b/internal/core/route/state.go
@@ -4,8 +4,8 @@
 
 // ServerState is what a process holds of one backend server, and what it goes by.
 type ServerState struct {
-	ID       string
-	Standing Standing
+	ID     string
+	Health Health
 
 	Failures  float64       // moving share of the tries that failed
 	FirstWait time.Duration // moving average of the time to the beginning of an answer; 0: none yet
@@ -13,15 +13,15 @@
 	SilentFor time.Duration // since anything was heard, while own requests are there
 }
 
-// Standing says how much work a backend server gets from this process.
-type Standing string
+// Health says how much work a backend server gets from this process.
+type Health string
 
-// Standings.
+// Values of Health.
 const (
-	StandingGood    Standing = "good"
-	StandingAside   Standing = "aside"   // no work for a time
-	StandingProbing Standing = "probing" // one request at a time
-	StandingSilent  Standing = "silent"  // no new work before it is heard again
+	HealthGood    Health = "good"
+	HealthAside   Health = "aside"   // no work for a time
+	HealthProbing Health = "probing" // one request at a time
+	HealthSilent  Health = "silent"  // no new work before it is heard again
 )
 
 // States returns the states of all backend servers that are ready, in no order.
@@ -37,16 +37,16 @@
 
 func (s *server) state(now time.Time) ServerState {
 	state := ServerState{
-		ID: s.ID, Standing: StandingGood, Failures: s.health.failures, InFlight: s.inFlight,
+		ID: s.ID, Health: HealthGood, Failures: s.health.failures, InFlight: s.inFlight,
 		FirstWait: time.Duration(s.health.firstToken * float64(time.Second)), SilentFor: s.silence(now),
 	}
 	switch {
 	case s.health.state == aside:
-		state.Standing = StandingAside
+		state.Health = HealthAside
 	case s.health.state == probing:
-		state.Standing = StandingProbing
+		state.Health = HealthProbing
 	case s.isSilent(now):
-		state.Standing = StandingSilent
+		state.Health = HealthSilent
 	}
 	return state
 }
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -90,7 +90,7 @@
 	sinceReport int // own, begun and not ended since the last report
 	health      health
 	awaited     []time.Time // when own requests without an end were sent, oldest first
-	ear         Ear         // nil: nothing was awaited yet
+	activity    Activity    // nil: nothing was awaited yet
 	gapAt       time.Time   // last gap in its cache events
 }
 
--- a/internal/gateway/await.go
+++ b/internal/gateway/await.go
@@ -8,21 +8,21 @@
 
 // await is one try at a backend server, from the send to the end of the answer.
 type await struct {
-	servers *serverset.Set
-	server  string // id
-	since   time.Time
-	ear     *serverset.Ear
-	began   bool
+	servers  *serverset.Set
+	server   string // id
+	since    time.Time
+	activity *serverset.Activity
+	began    bool
 }
 
 func newAwait(servers *serverset.Set, server string) *await {
-	since, ear := servers.Await(server)
-	return &await{servers: servers, server: server, since: since, ear: ear}
+	since, activity := servers.Await(server)
+	return &await{servers: servers, server: server, since: since, activity: activity}
 }
 
 // heard notes that something of the answer came.
 func (a *await) heard(now time.Time) {
-	a.ear.Heard(now)
+	a.activity.Note(now)
 	if !a.began {
 		a.began = true
 		a.servers.AnswerBegan(a.server, now.Sub(a.since))
--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -30,9 +30,9 @@
 	return backup
 }
 
-// goesOn reports whether the run that broke off at server goes on at the one that holds its copy. A server that still takes
+// continuesAtBackup reports whether the run that broke off at server goes on at the one that holds its copy. A server that still takes
 // connections may be at work on the run, and then nobody else may be.
-func (s *Server) goesOn(ctx context.Context, x *exchange, t *tries, server route.Backend, o outcome) bool {
+func (s *Server) continuesAtBackup(ctx context.Context, x *exchange, t *tries, server route.Backend, o outcome) bool {
 	if t.backup.ID == "" || !o.ran || t.stream.lastID == "" || ctx.Err() != nil {
 		return false
 	}
@@ -40,6 +40,6 @@
 		return false
 	}
 	t.next, t.backup = t.backup, route.Backend{}
-	s.tell(x, eventGoesOn, slog.String("backend_server", t.next.ID), slog.String("resume_after", t.stream.lastID))
+	s.tell(x, eventContinues, slog.String("backend_server", t.next.ID), slog.String("resume_after", t.stream.lastID))
 	return true
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -91,7 +91,7 @@
 			return nil
 		}
 		t.note(server.ID, o)
-		if s.goesOn(ctx, x, t, server, o) {
+		if s.continuesAtBackup(ctx, x, t, server, o) {
 			continue
 		}
 		if ctx.Err() != nil || !s.mayTryAgain(x, t, o) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,7 +47,7 @@
 	usageInterval = 500 * time.Millisecond
 	// freshnessInterval is the time between looks at the freshness of the keys.
 	freshnessInterval = 250 * time.Millisecond
-	// stateInterval is the time between looks at how backend servers stand.
+	// stateInterval is the time between looks at the health of backend servers.
 	stateInterval = 250 * time.Millisecond
 	// housekeepingInterval is the time between looks at unused connections.
 	housekeepingInterval = 2 * time.Second
@@ -166,9 +166,9 @@
 	s.known = known
 }
 
-// watchState logs changes of what the gateway goes by: how backend servers stand with it, and whether keys may be acted on.
+// watchState logs changes of what the gateway goes by: the health of backend servers with it, and whether keys may be acted on.
 func (s *Server) watchState(ctx context.Context) {
-	var servers standings
+	var servers healthWatch
 	go s.watchFreshness(ctx)
 	for wait.For(ctx, stateInterval) {
 		servers.observe(s)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,7 +20,7 @@
 	metricFirst        = "gateway_first_us"       // from the arrival to the beginning of the answer
 	metricGap          = "gateway_longest_gap_us" // longest gap between two parts of a stream
 	metricTotal        = "gateway_total_us"       // from the arrival to the end
-	metricServers      = "gateway_servers"        // ready backend servers, by standing
+	metricServers      = "gateway_servers"        // ready backend servers, by health
 	metricFresh        = "gateway_keys_fresh_ms"  // how long keys may still be acted on; below 0: no longer
 	metricCatalog      = "gateway_catalog_version"
 	metricInFlight     = "gateway_in_flight"
@@ -111,33 +111,33 @@
 	}
 }
 
-// standings watches how backend servers stand with this gateway.
-type standings struct {
-	known map[string]route.Standing
+// healthWatch watches the health of backend servers as this gateway sees it.
+type healthWatch struct {
+	known map[string]route.Health
 }
 
 // observe logs the changes since the last call, with what decided them, and shows how many servers there are of each
-// standing.
-func (t *standings) observe(s *Server) {
-	counts := map[route.Standing]int64{
-		route.StandingGood: 0, route.StandingAside: 0, route.StandingProbing: 0, route.StandingSilent: 0,
+// health.
+func (t *healthWatch) observe(s *Server) {
+	counts := map[route.Health]int64{
+		route.HealthGood: 0, route.HealthAside: 0, route.HealthProbing: 0, route.HealthSilent: 0,
 	}
-	known := make(map[string]route.Standing)
+	known := make(map[string]route.Health)
 	for _, state := range s.servers.States() {
-		known[state.ID] = state.Standing
-		counts[state.Standing]++
+		known[state.ID] = state.Health
+		counts[state.Health]++
 		before, ok := t.known[state.ID]
-		if before == state.Standing || (!ok && state.Standing == route.StandingGood) {
+		if before == state.Health || (!ok && state.Health == route.HealthGood) {
 			continue
 		}
-		s.cfg.Logger.Info("backend server stands", telemetry.KeyBackendServer, state.ID, "standing", state.Standing, "before", before,
+		s.cfg.Logger.Info("backend server health", telemetry.KeyBackendServer, state.ID, "health", state.Health, "before", before,
 			"failures", state.Failures, "first_ms", state.FirstWait.Milliseconds(), "in_flight", state.InFlight,
 			"silent_ms", state.SilentFor.Milliseconds())
 	}
 	t.known = known
 	if m := s.cfg.Metrics; m != nil {
-		for standing, n := range counts {
-			m.Gauge(metricServers, telemetry.Label{Name: "standing", Value: string(standing)}).Update(n)
+		for health, n := range counts {
+			m.Gauge(metricServers, telemetry.Label{Name: "health", Value: string(health)}).Update(n)
 		}
 	}
 }
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -26,7 +26,7 @@
 			`guavastack_gateway_total_us_count{class="safe"} 1`,
 			`guavastack_gateway_keys_fresh_ms 1000`,
 			`guavastack_gateway_catalog_version 1`,
-			`guavastack_gateway_servers{standing="good"} 1`,
+			`guavastack_gateway_servers{health="good"} 1`,
 		}},
 		{"a stream", "/stream/x", func(r *http.Request, _ string) string {
 			return chunks(r, "id: 1\n\n") + chunks1("id: 2\n\n") + lastChunk
@@ -62,7 +62,7 @@
 					r.Header.Set("X-Key", "wrong")
 				}
 			}) // some answers break off
-			new(standings).observe(b.gw)
+			new(healthWatch).observe(b.gw)
 			var text strings.Builder
 			if err := b.gw.cfg.Metrics.WriteText(&text); err != nil {
 				t.Fatal(err)
--- a/internal/gateway/story.go
+++ b/internal/gateway/story.go
@@ -43,12 +43,12 @@
 
 // Events of a request's story.
 const (
-	eventAdmitted = "request admitted"
-	eventSent     = "request sent"
-	eventTryEnded = "try ended"
-	eventGoesOn   = "request goes on with its copy"
-	eventAgain    = "request goes to another server"
-	eventEnded    = "request ended"
+	eventAdmitted  = "request admitted"
+	eventSent      = "request sent"
+	eventTryEnded  = "try ended"
+	eventContinues = "request continues at its backup"
+	eventAgain     = "request goes to another server"
+	eventEnded     = "request ended"
 )
 
 // tell adds a step to the story of x. Once a step waits, those behind it wait too, so that they stay in order.
--- a/internal/serverset/serverset.go
+++ b/internal/serverset/serverset.go
@@ -17,24 +17,24 @@
 type Set struct {
 	zone string
 
-	mu      sync.Mutex
-	table   *route.Table
-	router  *route.Router
-	byAddr  map[string]string // agent address to backend server id
-	servers map[string]route.Backend
-	ears    map[string]*Ear // by backend server id
+	mu         sync.Mutex
+	table      *route.Table
+	router     *route.Router
+	byAddr     map[string]string // agent address to backend server id
+	servers    map[string]route.Backend
+	activities map[string]*Activity // by backend server id
 }
 
 // New returns an empty set for a process in the availability zone.
 func New(zone string, policy route.Policy) *Set {
 	table := route.NewTable(route.Config{})
 	return &Set{
-		zone:    zone,
-		table:   table,
-		router:  route.NewRouter(table, route.RouterConfig{Policy: policy}),
-		byAddr:  make(map[string]string),
-		servers: make(map[string]route.Backend),
-		ears:    make(map[string]*Ear),
+		zone:       zone,
+		table:      table,
+		router:     route.NewRouter(table, route.RouterConfig{Policy: policy}),
+		byAddr:     make(map[string]string),
+		servers:    make(map[string]route.Backend),
+		activities: make(map[string]*Activity),
 	}
 }
 
@@ -51,7 +51,7 @@
 		if !seen[id] {
 			s.table.Remove(id)
 			delete(s.servers, id)
-			delete(s.ears, id)
+			delete(s.activities, id)
 			delete(s.byAddr, b.Address)
 		}
 	}
@@ -172,21 +172,21 @@
 	s.table.Began(time.Now(), id, promptTokens, prefix)
 }
 
-// Await notes that a request was sent to a backend server, at the returned time. The caller tells the ear what it hears of
+// Await notes that a request was sent to a backend server, at the returned time. The caller tells the activity what it hears of
 // the server, and ends with one call of AwaitOver.
-func (s *Set) Await(id string) (since time.Time, ear *Ear) {
+func (s *Set) Await(id string) (since time.Time, activity *Activity) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	ear = s.ears[id]
-	if ear == nil {
-		ear = newEar(now)
+	activity = s.activities[id]
+	if activity == nil {
+		activity = newActivity(now)
 		if _, known := s.servers[id]; known {
-			s.ears[id] = ear
+			s.activities[id] = activity
 		}
 	}
-	s.table.Await(now, id, ear)
-	return now, ear
+	s.table.Await(now, id, activity)
+	return now, activity
 }
 
 // AnswerBegan notes how long a request waited for the beginning of its answer.
