--- a/internal/core/route/source.go
+++ b/internal/core/route/source.go
@@ -23,7 +23,7 @@
 	return source.Backend, true
 }
 
-// Backup returns a backend server that can keep a copy of a run at the chosen one, false where there is none.
+// Backup returns a backend server that can keep the backup of a run at the chosen one, false where there is none.
 func (r *Router) Backup(now time.Time, req Request, chosen string, rnd uint64) (Backend, bool) {
 	s := r.table.servers[chosen]
 	if s == nil {
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -46,8 +46,8 @@
 	Ranks        int           // number of ranks
 	ResumeAfter  string        // id of the last event that arrived; empty: from the beginning
 	FetchFrom    string        // address of a backend server that holds the beginning of the prompt; empty: none
-	BackupTo     string        // address of the backend server that keeps a copy of the run's memory; empty: none
-	ContinueAt   string        // address of the backend server that goes on with its copy of the run; empty: a run of its own
+	BackupTo     string        // address of the backend server that keeps a backup of the run's memory; empty: none
+	ContinueAt   string        // address of the backend server whose backup the run continues from; empty: a new run
 }
 
 // Reply is what a backend server states with an answer.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -69,8 +69,8 @@
 	exclude []string // servers tried
 	stream  *streamWriter
 	await   *await        // of the current try
-	backup  route.Backend // that keeps a copy of the current try's run; zero: none
-	next    route.Backend // that goes on with its copy; zero: a server is chosen
+	backup  route.Backend // that keeps a backup of the current try's run; zero: none
+	next    route.Backend // that continues the run from its backup; zero: a server is chosen
 	answer  *wholeAnswer  // the newest answer that was held back
 	final   *refusal
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -166,7 +166,7 @@
 	s.known = known
 }
 
-// watchState logs changes of what the gateway goes by: the health of backend servers with it, and whether keys may be acted on.
+// watchState logs changes of what the gateway decides by: the health of backend servers with it, and whether keys may be acted on.
 func (s *Server) watchState(ctx context.Context) {
 	var servers healthWatch
 	go s.watchFreshness(ctx)
--- a/internal/serverset/serverset.go
+++ b/internal/serverset/serverset.go
@@ -92,7 +92,7 @@
 	return s.router.Source(time.Now(), req, chosen)
 }
 
-// Backup returns a backend server that can keep a copy of a run at the chosen one.
+// Backup returns a backend server that can keep the backup of a run at the chosen one.
 func (s *Set) Backup(req route.Request, chosen string) (route.Backend, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
