--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -22,6 +22,7 @@
 	"github.com/guavastack/guavastack/internal/core/catalog"
 	"github.com/guavastack/guavastack/internal/core/claim"
 	"github.com/guavastack/guavastack/internal/core/duty"
+	"github.com/guavastack/guavastack/internal/core/raft"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/core/state"
 	"github.com/guavastack/guavastack/internal/operate"
@@ -143,6 +144,7 @@
 		return n
 	}
 	ctl.service = control.New(cfg)
+	ctl.showState()
 	if c.Admin.Listen != "" {
 		if err := ctl.buildAdmin(); err != nil {
 			return nil, err
@@ -158,6 +160,16 @@
 	return ctl, errors.Annotate(err, "control.operators")
 }
 
+// showState keeps the gauges of replication and of the registry.
+func (c *Control) showState() {
+	if c.base.Metrics == nil {
+		return
+	}
+	showReplication(c.base.Metrics, func() raft.Status { return c.replica.Status().Status })
+	c.base.Metrics.GaugeFunc(metricBackends, func() int64 { return int64(len(c.service.Backends())) })
+	c.base.Metrics.GaugeFunc(metricWatchers, func() int64 { return int64(len(c.service.Processes())) })
+}
+
 // buildAdmin makes the operators' API, which listens already.
 func (c *Control) buildAdmin() error {
 	own := c.base.Config.Control.Admin
