watch: leave a member that confirms nothing after 1.5 s

Ruled out: the quick first confirmation (the limit is older; it only changes who watches whom). Change: 1.5 s, the limit on silence. Test: TestIsolatedMemberIsLeftInTime, 2.5 s after the cut, red before.

--- a/internal/watch/client.go
+++ b/internal/watch/client.go
@@ -58,7 +58,7 @@
 
 	FreshnessLimit    time.Duration // how long a confirmed view may be used
 	QueryInterval     time.Duration // between freshness questions
-	SilenceLimit      time.Duration // a member that is silent for longer is left
+	SilenceLimit      time.Duration // a member that is silent, or confirms nothing, for longer is left
 	AttemptTimeout    time.Duration // of one call to one member
 	FirstConfirmation time.Duration // before anything was confirmed, a member that doesn't within it is left
 
@@ -188,7 +188,7 @@
 	if !c.Ready() {
 		return c.cfg.FirstConfirmation
 	}
-	return c.cfg.FreshnessLimit / 2
+	return min(c.cfg.FreshnessLimit/2, c.cfg.SilenceLimit)
 }
 
 // heldShares are this process's shares of limits, as of a time.
--- a/internal/watch/scenario_test.go
+++ b/internal/watch/scenario_test.go
@@ -148,6 +148,28 @@
 	})
 }
 
+// TestIsolatedMemberIsLeftInTime cuts a member off right after it confirmed: its watchers have what is committed elsewhere
+// before anybody counts on them again.
+func TestIsolatedMemberIsLeftInTime(t *testing.T) {
+	const bound = 2500 * time.Millisecond
+	inWorld(t, 3, func(w *world) {
+		c := w.watcher("gateway-1")
+		synctest.Wait()
+		home := w.home(c)
+		leader := (home + 1) % 3
+		w.cluster.Lead(leader)
+		time.Sleep(3*watch.DefaultQueryInterval + 10*time.Millisecond) // right behind a confirmation
+		w.cluster.Isolate(home, true)
+		if _, err := w.cluster.Members[leader].Propose(w.ctx, command(t, shop(1))); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(bound)
+		if len(c.Tree().Organisations()) == 0 {
+			t.Errorf("a change is not in force %v after the member was cut off", bound)
+		}
+	})
+}
+
 // TestFirstConfirmationIsSoughtAtOnce is the return after a power loss: nothing is served before the first confirmation, and
 // members that came back without their disks, or not at all, can't give it.
 func TestFirstConfirmationIsSoughtAtOnce(t *testing.T) {
