--- a/internal/watch/scenario_test.go
+++ b/internal/watch/scenario_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"math"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -156,7 +155,7 @@
 	inWorld(t, 3, func(w *world) {
 		c := w.watcher("gateway-1")
 		synctest.Wait()
-		home := slices.Index(w.addresses, c.Member())
+		home := w.home(c)
 		leader := (home + 1) % 3
 		w.cluster.Lead(leader)
 		time.Sleep(3*watch.DefaultQueryInterval + 10*time.Millisecond) // right behind a confirmation
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -238,14 +239,13 @@
 	return asked
 }
 
-// home returns the member that a client watches.
+// home returns the member that a client watches, once one has confirmed.
 func (w *world) home(c *watch.Client) int {
-	for i, s := range w.services {
-		for _, p := range s.Processes() {
-			if p.First {
-				return i
-			}
+	for range 100 {
+		if i := slices.Index(w.addresses, c.Member()); i >= 0 {
+			return i
 		}
+		time.Sleep(10 * time.Millisecond)
 	}
 	w.t.Fatal("nobody is watched")
 	return 0
