--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -84,8 +84,7 @@
 	}()
 	if g.readiness != nil {
 		srv := &http.Server{Handler: g.server.ReadinessHandler(), ReadHeaderTimeout: readinessTimeout}
-		go func() { _ = srv.Serve(g.readiness) }() // ends with Close
-		defer func() { _ = srv.Close() }()
+		defer serveBeside(g.readiness, srv)()
 	}
 	err := g.server.Serve(ctx, g.listener)
 	stop()
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -153,39 +153,31 @@
 
 // serveStatus serves metrics, health and profiles on the address of the settings, if there is one.
 func serveStatus(base *Base, roles []Role) (stop func(), err error) {
-	addr := base.Config.StatusListen
-	if addr == "" {
-		return func() {}, nil
-	}
-	lis, err := net.Listen("tcp", addr)
-	if err != nil {
-		return func() {}, errors.Annotate(err, "status_listen")
-	}
 	mux := http.NewServeMux()
 	telemetry.Mount(mux, base.Metrics, statusOf(roles))
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: statusHeaderTimeout}
-	go func() { _ = srv.Serve(lis) }()
-	return func() { _ = srv.Close() }, nil
+	return listenBeside("status_listen", base.Config.StatusListen, mux)
 }
 
 // serveMetrics serves the metrics alone, as text, on an address that others may reach.
 func serveMetrics(base *Base) (stop func(), err error) {
-	addr := base.Config.MetricsListen
-	if addr == "" {
-		return func() {}, nil
-	}
-	lis, err := net.Listen("tcp", addr)
-	if err != nil {
-		return func() {}, errors.Annotate(err, "metrics_listen")
-	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		_ = base.Metrics.WriteText(w) // the reader may be gone
 	})
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: statusHeaderTimeout}
-	go func() { _ = srv.Serve(lis) }() // ends with Close
-	return func() { _ = srv.Close() }, nil
+	return listenBeside("metrics_listen", base.Config.MetricsListen, mux)
+}
+
+// listenBeside serves h beside the roles on the address of a setting, if there is one.
+func listenBeside(setting, address string, h http.Handler) (stop func(), err error) {
+	if address == "" {
+		return func() {}, nil
+	}
+	lis, err := net.Listen("tcp", address)
+	if err != nil {
+		return func() {}, errors.Annotate(err, setting)
+	}
+	return serveBeside(lis, &http.Server{Handler: h, ReadHeaderTimeout: statusHeaderTimeout}), nil
 }
 
 const statusHeaderTimeout = 5 * time.Second
--- a/internal/process/serve.go
+++ b/internal/process/serve.go
@@ -8,6 +8,12 @@
 	"github.com/juju/errors"
 )
 
+// serveBeside serves on lis in the background until stop is called.
+func serveBeside(lis net.Listener, srv *http.Server) (stop func()) {
+	go func() { _ = srv.Serve(lis) }() // ends with Close
+	return func() { _ = srv.Close() }
+}
+
 // serveUntil serves on lis until ctx is done.
 func serveUntil(ctx context.Context, srv *http.Server, lis net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
