--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -22,16 +22,13 @@
 	if req.Id == 0 || req.Address == "" || req.Incarnation == 0 {
 		return nil, errors.NotValidf("announcement of member %d at %q", req.Id, req.Address)
 	}
-	leader, ok := s.cfg.Group.Leader()
-	if !ok {
-		return nil, &NotLeaderError{}
+	leader, err := s.leaderFor(req.Forwarded)
+	if err != nil {
+		return nil, err
 	}
-	if leader.ID == s.cfg.Group.Self().ID {
+	if leader == s.cfg.Group.Self() {
 		return &controlpb.JoinReply{Member: s.cfg.Joins.Announce(req.Id, req.Address, req.Incarnation)}, nil
 	}
-	if req.Forwarded {
-		return nil, &NotLeaderError{Leader: leader}
-	}
 	req.Forwarded = true
 	return AnnounceTo(ctx, s.pool, s.cfg.AddressOf(leader), req)
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -272,24 +272,36 @@
 	return max(time.Until(deadline), time.Millisecond)
 }
 
+// leaderFor returns the member that a call belongs to: this one, or another one unless the call was passed on already.
+func (s *Service) leaderFor(forwarded bool) (Member, error) {
+	leader, ok := s.cfg.Group.Leader()
+	switch {
+	case !ok:
+		return Member{}, &NotLeaderError{}
+	case leader.ID == s.cfg.Group.Self().ID:
+		return s.cfg.Group.Self(), nil
+	case forwarded:
+		return Member{}, &NotLeaderError{Leader: leader}
+	default:
+		return leader, nil
+	}
+}
+
 // ReportUsage takes cumulative counters, at the leader if another member leads.
 func (s *Service) ReportUsage(ctx context.Context, report *controlpb.UsageReport) (*controlpb.UsageAck, error) {
 	if s.cfg.Usage == nil {
 		return nil, errors.NotSupportedf("usage reports")
 	}
-	leader, ok := s.cfg.Group.Leader()
-	if !ok {
-		return nil, &NotLeaderError{}
+	leader, err := s.leaderFor(report.Forwarded)
+	if err != nil {
+		return nil, err
 	}
-	if leader.ID == s.cfg.Group.Self().ID {
+	if leader == s.cfg.Group.Self() {
 		return s.cfg.Usage.ReportUsage(ctx, report)
 	}
-	if report.Forwarded {
-		return nil, &NotLeaderError{Leader: leader}
-	}
 	report.Forwarded = true
 	var ack *controlpb.UsageAck
-	err := s.pool.Do(ctx, s.cfg.AddressOf(leader), func(rpc controlpb.DRPCControlClient) error {
+	err = s.pool.Do(ctx, s.cfg.AddressOf(leader), func(rpc controlpb.DRPCControlClient) error {
 		var err error
 		ack, err = rpc.ReportUsage(ctx, report)
 		return err
