platform: news of a leaving server confirms the catalog without unpacking it

Each heartbeat of a draining server and each departure read the whole configuration, decompressed it and threw it away, to learn whether a quorum answers. The plane says so by itself now.

--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -57,11 +57,19 @@
 	return json.Marshal(state.Command{Module: catalog.ModuleName, Body: body})
 }
 
+// ConfirmCatalog returns nil once a quorum has confirmed, after the call began, that this member has the newest document.
+func (s *Service) ConfirmCatalog(ctx context.Context) error {
+	if _, err := s.Confirm(ctx); err != nil {
+		return errors.WithType(err, ErrCatalogUnavailable)
+	}
+	return nil
+}
+
 // ReadCatalog returns the newest document as it was sent, confirmed by a quorum after the call began. Without any
 // document the version is 0.
 func (s *Service) ReadCatalog(ctx context.Context) (version uint64, original []byte, err error) {
-	if _, err := s.Confirm(ctx); err != nil {
-		return 0, nil, errors.WithType(err, ErrCatalogUnavailable)
+	if err := s.ConfirmCatalog(ctx); err != nil {
+		return 0, nil, err
 	}
 	newest := s.hub.newestDocument()
 	if newest.version == 0 {
@@ -104,6 +112,8 @@
 	ReplaceCatalog(ctx context.Context, version uint64, original []byte) (held uint64, err error)
 	// ReadCatalog returns the newest document as it was sent; version 0: there is none.
 	ReadCatalog(ctx context.Context) (version uint64, original []byte, err error)
+	// ConfirmCatalog returns nil where a quorum confirms that this member has the newest document.
+	ConfirmCatalog(ctx context.Context) error
 	// ReportBackend takes the report of a backend server that speaks for itself.
 	ReportBackend(b *controlpb.BackendServer)
 	// DepartBackend notes that a backend server takes no new work; false: it isn't known here.
