One bound per second for log lines and for steps; one loop watches a gateway's state

telemetry's limits and the gateway's stepLimit counted within a second by the same lines. watchFreshness was a second loop of the same interval beside watchState.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,9 +45,7 @@
 	drainPollInterval = 50 * time.Millisecond
 	// usageInterval is the time between reports of usage.
 	usageInterval = 500 * time.Millisecond
-	// freshnessInterval is the time between looks at the freshness of the keys.
-	freshnessInterval = 250 * time.Millisecond
-	// stateInterval is the time between looks at the health of backend servers.
+	// stateInterval is the time between looks at the health of backend servers and the freshness of the keys.
 	stateInterval = 250 * time.Millisecond
 	// housekeepingInterval is the time between looks at unused connections.
 	housekeepingInterval = 2 * time.Second
@@ -106,8 +104,8 @@
 	addresses atomic.Pointer[map[string]bool] // of the registered backend servers
 	draining  atomic.Bool
 	inFlight  atomic.Int64
-	steps     stepLimit
-	waiting   atomic.Int64 // requests held until the gateway can serve them
+	steps     telemetry.PerSecond // that are logged at once
+	waiting   atomic.Int64        // requests held until the gateway can serve them
 }
 
 // New returns a gateway that serves once Serve is called.
@@ -169,24 +167,21 @@
 // watchState logs changes of what the gateway decides by: the health of backend servers with it, and whether keys may be acted on.
 func (s *Server) watchState(ctx context.Context) {
 	var servers healthWatch
-	go s.watchFreshness(ctx)
+	fresh := true
 	for wait.For(ctx, stateInterval) {
 		servers.observe(s)
+		fresh = s.observeFreshness(fresh)
 	}
 }
 
-// watchFreshness logs when the keys can't be acted on any more, and when they can again.
-func (s *Server) watchFreshness(ctx context.Context) {
-	fresh := true
-	for wait.For(ctx, freshnessInterval) {
-		now := s.dir.Fresh(clock.Now())
-		if now == fresh {
-			continue
-		}
-		fresh = now
-		s.cfg.Logger.Warn("confirmation of the keys", "fresh", now, "fresh_for_ms", s.dir.FreshFor(clock.Now()).Milliseconds(),
+// observeFreshness logs when the keys can't be acted on any more, and when they can again. It returns whether they can.
+func (s *Server) observeFreshness(before bool) bool {
+	fresh := s.dir.Fresh(clock.Now())
+	if fresh != before {
+		s.cfg.Logger.Warn("confirmation of the keys", "fresh", fresh, "fresh_for_ms", s.dir.FreshFor(clock.Now()).Milliseconds(),
 			"catalog_version", s.dir.Catalog().Version())
 	}
+	return fresh
 }
 
 // youngestByAddress drops backend servers whose address a younger one has: they are gone, whatever a late report says.
--- a/internal/gateway/story.go
+++ b/internal/gateway/story.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/guavastack/guavastack/internal/core/verdict"
@@ -23,24 +22,6 @@
 	attrs []slog.Attr
 }
 
-// stepLimit bounds the steps that are logged at once.
-type stepLimit struct {
-	mu     sync.Mutex
-	second int64
-	count  int
-}
-
-// take reports whether one more step fits into the second.
-func (l *stepLimit) take(at time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if s := at.Unix(); s != l.second {
-		l.second, l.count = s, 0
-	}
-	l.count++
-	return l.count <= promptSteps
-}
-
 // Events of a request's story.
 const (
 	eventAdmitted  = "request admitted"
@@ -54,7 +35,7 @@
 // tell adds a step to the story of x. Once a step waits, those behind it wait too, so that they stay in order.
 func (s *Server) tell(x *exchange, event string, attrs ...slog.Attr) {
 	st := step{time.Now(), event, attrs}
-	if len(x.steps) == 0 && s.steps.take(st.at) {
+	if len(x.steps) == 0 && s.steps.Take(st.at, promptSteps) {
 		s.logStep(slog.LevelInfo, x, st)
 		return
 	}
--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -119,11 +119,8 @@
 // limits are shared by all handlers that derive from one.
 type limits struct {
 	writer *AsyncWriter
-
-	mu     sync.Mutex
-	second int64
-	info   int
-	warn   int
+	info   PerSecond
+	warn   PerSecond
 }
 
 // NewLimitedLogger returns a logger of JSON lines that is bounded in volume.
@@ -156,15 +153,8 @@
 
 // take reports whether a line of the level fits into its second.
 func (l *limits) take(level slog.Level, at time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if s := at.Unix(); s != l.second {
-		l.second, l.info, l.warn = s, 0, 0
-	}
 	if level >= slog.LevelWarn {
-		l.warn++
-		return l.warn <= warnPerSecond
+		return l.warn.Take(at, warnPerSecond)
 	}
-	l.info++
-	return l.info <= infoPerSecond
+	return l.info.Take(at, infoPerSecond)
 }
