--- a/internal/gateway/await.go
+++ b/internal/gateway/await.go
@@ -12,7 +12,7 @@
 	server   string // id
 	since    time.Time
 	activity *serverset.Activity
-	began    bool
+	firstAt  time.Time // when something of the answer came first; zero: nothing yet
 }
 
 func newAwait(servers *serverset.Set, server string) *await {
@@ -23,8 +23,8 @@
 // heard notes that something of the answer came.
 func (a *await) heard(now time.Time) {
 	a.activity.Note(now)
-	if !a.began {
-		a.began = true
+	if a.firstAt.IsZero() {
+		a.firstAt = now
 		a.servers.AnswerBegan(a.server, now.Sub(a.since))
 	}
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -200,7 +200,8 @@
 		return o
 	}
 	defer answer.Close()
-	if answer.Status/100 != 2 || !x.isStream() {
+	isStream := answer.Status/100 == 2 && x.isStream()
+	if !isStream {
 		t.await.heard(time.Now())
 	}
 	reply := s.cfg.Dialect.Reply(answer.Status, answer.Header)
@@ -210,24 +211,19 @@
 		s.tellTry(x, server, "not_run", answer.Status, nil)
 		return outcome{sent: true, final: notRun(http.StatusServiceUnavailable, "backend_full", "the backend server did not take the request")}
 	}
-	isStream := answer.Status/100 == 2 && x.isStream()
 	var o outcome
-	if !isStream {
-		s.meter(x, began)
-	}
 	if isStream {
 		o = s.passStream(ctx, x, answer, reply, t)
 	} else {
+		s.meter(x, began)
 		o = s.passWhole(ctx, x, answer, reply, t)
+		x.firstAfter = time.Since(x.arrived)
 	}
 	first := time.Since(began)
-	if isStream && !t.stream.firstAt.IsZero() {
-		first = t.stream.firstAt.Sub(began)
+	if isStream && !t.await.firstAt.IsZero() {
+		first = t.await.firstAt.Sub(began)
 	}
 	s.ended(ctx, server, resultOf(o, answer.Status, first))
-	if !isStream {
-		x.firstAfter = time.Since(x.arrived)
-	}
 	result := "failed"
 	if o.done {
 		result = "served"
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -105,7 +105,6 @@
 		return outcome{sent: true, ran: true, final: brokenAnswer(ctx)}
 	}
 	t.stream.begin(answer.Status, answer.Header)
-	t.stream.firstAt = time.Time{}
 	var last time.Time
 	buffer := pieces.Get().(*[pieceBytes]byte)
 	defer pieces.Put(buffer)
@@ -119,10 +118,7 @@
 			}
 			last = now
 			s.meter(x, now)
-			if t.stream.firstAt.IsZero() {
-				t.stream.firstAt = now
-				s.began(x, now)
-			}
+			s.began(x, now)
 			t.stream.write(buffer[:n])
 		}
 		switch {
@@ -149,7 +145,6 @@
 	partial []byte      // of a resumable stream: the beginning of an event
 	tail    []byte      // of another stream: the last bytes that went on
 	lastID  string      // of the last event that went on
-	firstAt time.Time   // when the first event of the current server arrived
 }
 
 func newStreamWriter(w http.ResponseWriter, x *exchange) *streamWriter {
