--- a/internal/core/route/affinity.go
+++ b/internal/core/route/affinity.go
@@ -112,7 +112,7 @@
 	offset := int((rnd >> 32) % uint64(len(g.servers)))
 	for i := range g.servers {
 		s := g.servers[(i+offset)%len(g.servers)]
-		if s.Lifecycle == LifecycleReady && s.serves(req) && !slices.Contains(req.Exclude, s.ID) {
+		if s.isReadyFor(req) && !slices.Contains(req.Exclude, s.ID) {
 			return s
 		}
 	}
--- a/internal/core/route/lanes.go
+++ b/internal/core/route/lanes.go
@@ -130,15 +130,6 @@
 // work for two lanes.
 func (l *Lanes) Share(now time.Time) (share float64, ok bool) { return l.alone.Decide(l.Work(now)) }
 
-// Split returns how many of n servers that makes; 0: the servers are not split.
-func (l *Lanes) Split(now time.Time, n int) int {
-	share, ok := l.Share(now)
-	if !ok {
-		return 0
-	}
-	return TightServers(share, n)
-}
-
 // laneBounds returns the places from..to-1 of the lane among n servers in their common order. The order is the same in every
 // process, so that all agree on the lanes without a word.
 func laneBounds(lane Lane, tight, n int) (from, to int) {
--- a/internal/core/route/lanes_test.go
+++ b/internal/core/route/lanes_test.go
@@ -14,6 +14,15 @@
 	return table
 }
 
+// split returns how many of n servers make the tight lane by the work that l saw; 0: the servers are not split.
+func split(l *Lanes, now time.Time, n int) int {
+	share, ok := l.Share(now)
+	if !ok {
+		return 0
+	}
+	return TightServers(share, n)
+}
+
 // TestLongPromptsBesideTightStreams plays the mix of a day: few long summaries, many short drafts that must flow.
 func TestLongPromptsBesideTightStreams(t *testing.T) {
 	l := NewLanes()
@@ -31,10 +40,10 @@
 			t.Errorf("gap target %v: lane %d, want %d", gap, got, want)
 		}
 	}
-	if n := l.Split(now, 12); n < 3 || n > 9 {
+	if n := split(l, now, 12); n < 3 || n > 9 {
 		t.Errorf("%d of 12 servers in the tight lane, want neither lane below a quarter", n)
 	}
-	if n := l.Split(now, 3); n != 0 {
+	if n := split(l, now, 3); n != 0 {
 		t.Errorf("3 servers split at %d, want no split", n)
 	}
 
@@ -74,13 +83,13 @@
 		}
 	}
 	play(30*time.Second, 2000)
-	calm := l.Split(at, 12)
+	calm := split(l, at, 12)
 	play(5*time.Second, 2100)
-	if n := l.Split(at, 12); n != calm {
+	if n := split(l, at, 12); n != calm {
 		t.Errorf("%d servers in the tight lane after a small change, want %d", n, calm)
 	}
 	play(20*time.Second, 6000)
-	if n := l.Split(at, 12); n >= calm || n < 3 {
+	if n := split(l, at, 12); n >= calm || n < 3 {
 		t.Errorf("%d servers in the tight lane during the broadcast, want fewer than %d and a quarter at least", n, calm)
 	}
 }
@@ -98,7 +107,7 @@
 			l.Observe(at, "draft", 200*time.Millisecond, 1000)
 			l.Served(TightLane, tight, 300*time.Millisecond)
 			l.Served(BulkLane, bulk, time.Second)
-			n = l.Split(at, 12)
+			n = split(l, at, 12)
 		}
 		return n
 	}
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -93,7 +93,7 @@
 
 // isCandidate is the filter stage.
 func (s *server) isCandidate(now time.Time, req *Request) bool {
-	return s.Lifecycle == LifecycleReady && s.serves(req) && s.takesWork(now) && !slices.Contains(req.Exclude, s.ID)
+	return s.isReadyFor(req) && s.takesWork(now) && !slices.Contains(req.Exclude, s.ID)
 }
 
 func (g *group) nextInTurn(now time.Time, req *Request) *server {
