gateway: a request that can't end before the shutdown does is refused, not run

Cause: a gateway that was told to stop accepts connections for 2.5 s, until the balancer has seen it fail twice, and admits whatever comes. A long stream admitted then is aborted at the end of the grace period.

Ruled out: a shorter accept period (the balancer would send to a closed port); a mean length (one stream in a hundred takes twice the mean, and each cut counts).

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -21,7 +21,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	if s.draining.Load() {
+	if s.isDraining() {
 		w.Header().Set("Connection", "close")
 	}
 	x, ref := s.admit(w, r)
@@ -41,7 +41,7 @@
 	e := requestOutcome{status: ref.status, code: ref.code, reason: ref.message, verdict: ref.verdict}
 	e.callerGone = errors.Is(r.Context().Err(), context.Canceled)
 	if !e.callerGone {
-		if ref.verdict == verdict.NotRun && ref.status == http.StatusServiceUnavailable {
+		if ref.verdict == verdict.NotRun && ref.status == http.StatusServiceUnavailable && ref.retryAfter == 0 {
 			ref.retryAfter = x.retryAfter()
 		}
 		ref.write(w)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,19 +30,12 @@
 const (
 	// DefaultGracePeriod is the time from the shutdown signal to the end of the process.
 	DefaultGracePeriod = 10 * time.Second
-	// drainAcceptPeriod is how long new connections are still accepted after the shutdown signal: the balancer checks
-	// readiness once a second and needs two failed checks. A request accepted later may outlast the grace period.
-	drainAcceptPeriod = 2500 * time.Millisecond
-	// graceMargin is the time before the end of the grace period at which the remaining requests are aborted.
-	graceMargin = 500 * time.Millisecond
 	// idleTimeout bounds how long callers' connections stay idle if the catalog sets no limit or a longer one.
 	idleTimeout = 75 * time.Second
 	// headerTimeout bounds the time in which the header of a request must arrive, regardless of the catalog.
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes bounds the header of a request, regardless of the catalog.
 	maxHeaderBytes = 64 << 10
-	// drainPollInterval is the time between checks of the remaining connections.
-	drainPollInterval = 50 * time.Millisecond
 	// usageInterval is the time between usage reports.
 	usageInterval = 500 * time.Millisecond
 	// stateInterval is the time between checks of the health of backend servers and the freshness of the keys.
@@ -100,9 +93,10 @@
 	lifecycles   map[string]string // lifecycle by backend server id, as last logged
 
 	lanes *lanes
+	paces *paces
 
 	addresses    atomic.Pointer[map[string]bool] // of the registered backend servers
-	draining     atomic.Bool
+	abortAt      atomic.Pointer[time.Time]       // when a shutdown aborts the requests in progress; nil: not shutting down
 	inFlight     atomic.Int64
 	stepRate     telemetry.PerSecondLimiter // limits the steps that are logged immediately
 	heldRequests atomic.Int64               // requests held until the gateway can serve them
@@ -124,6 +118,7 @@
 		}, dir),
 		budgets: newBudgets(cfg.RetryRatio),
 		lanes:   newLanes(dir.LaneShare),
+		paces:   newPaces(),
 	}
 	s.addresses.Store(&map[string]bool{})
 	s.registerGauges()
@@ -205,7 +200,7 @@
 // Status reports whether the gateway accepts new requests.
 func (s *Server) Status() (ready bool, reason string) {
 	switch {
-	case s.draining.Load():
+	case s.isDraining():
 		return false, "shutting down"
 	case s.dir.Catalog() == nil:
 		return false, "no catalog from the control group yet"
@@ -247,28 +242,6 @@
 	return nil
 }
 
-// drain stops accepting, closes connections once they are idle and waits for the requests in progress as long as the grace
-// period allows. Answers sent meanwhile ask callers to close their connection.
-func (s *Server) drain(srv *http.Server, lis net.Listener) {
-	began := time.Now()
-	s.draining.Store(true)
-	s.cfg.Logger.Info("gateway is shutting down", "in_flight", s.inFlight.Load())
-	listen, all := drainTimes(s.cfg.GracePeriod)
-	time.Sleep(listen)
-	_ = lis.Close()
-	for s.conns.closeIdle() > 0 && time.Since(began) < all {
-		time.Sleep(drainPollInterval)
-	}
-	s.cfg.Logger.Info("gateway has shut down", "in_flight", s.inFlight.Load())
-	_ = srv.Close() // aborts the requests that outlasted the grace period
-}
-
-// drainTimes returns how long after the shutdown signal new connections are accepted, and when the remaining requests are
-// aborted.
-func drainTimes(grace time.Duration) (listen, all time.Duration) {
-	return min(drainAcceptPeriod, grace/2), grace - min(graceMargin, grace/4)
-}
-
 // housekeep closes connections to backend servers that are no longer used, and callers' connections that exceed the limits of
 // the catalog.
 func (s *Server) housekeep(ctx context.Context) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -329,7 +329,7 @@
 	if res, _, err := b.do(http.MethodGet, "/safe/x"); err != nil || res.Close {
 		t.Fatalf("response %v, error %v; want an answer that keeps the connection open", res, err)
 	}
-	b.gw.draining.Store(true)
+	b.gw.startDraining(time.Now().Add(time.Minute))
 	res, body, err := b.do(http.MethodGet, "/safe/x")
 	if err != nil || body != "ok" || !res.Close {
 		t.Errorf("response %v, body %q, error %v; want an answer that closes the connection", res, body, err)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -102,6 +102,9 @@
 	if ref := x.readBody(w, r, index.Limits()); ref != nil {
 		return x, ref
 	}
+	if ref := s.refuseBeforeAbort(x); ref != nil {
+		return x, ref
+	}
 	x.service = x.route.Target(rand.Uint64())
 	x.keepsBackup = isWorthBackup(x.route, call.Prompt, index.Service(x.service))
 	if x.route.CachesPrompts {
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -64,6 +64,9 @@
 		s.lanes.recordDelay(x, max(took, x.route.LatencyTarget)) // no answer began; the wait counts as missing the target
 	}
 	s.countRequest(x, e, took)
+	if x.firstAfter > 0 && !e.failed() {
+		s.paces.record(x, took)
+	}
 	level := slog.LevelInfo
 	if e.failed() {
 		level = slog.LevelWarn
