upstream: the bytes before the body of an answer are bounded

Cause: readHead read on with no bound; a server that sent one header line, header lines or informational answers without end held the reader until the deadline and took 1 to 2 GB of heap in 3 s, where an instance has 112 MB. An event without end of a resumable stream was buffered without a bound as well.

Ruled out by tests: trailers, chunk extensions and chunk sizes without end (net/http bounds them).

Change: at most 64 KiB and five informational answers before the final header, 256 KiB for an event that is relayed whole only; then the connection is closed and the attempt counts as a failure of the server. The same bound for headers of the platform's answers (net/http: 10 MB) and of requests to the operators' listener (1 MB), where a request must also arrive within 30 s.

Before: TestBytesWithoutEndBeforeTheBody did not end within 30 s; TestBodiesWithoutEnd held the event until the caller's deadline (504). After: both end at once. Slow endless bytes end at the request's deadline.

--- a/internal/gateway/abuse_test.go
+++ b/internal/gateway/abuse_test.go
@@ -73,3 +73,30 @@
 		})
 	}
 }
+
+// TestBodiesWithoutEnd makes a server send more than a gateway buffers and keep its connection open: the gateway gives up and
+// closes the connection, and the caller gets no answer that looks complete.
+func TestBodiesWithoutEnd(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		limit      int // bytes that the gateway buffers
+	}{
+		{"buffered answer", "/unsafe/x", maxBufferedBytes},
+		{"event of a resumable stream", "/resume/x", maxEventBytes},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newBackend(t, func(r *http.Request, _ string) string {
+				return "HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") + "\r\n" + seal + "\r\n" + strings.Repeat("x", 2*c.limit) + holdAnswer
+			})
+			b := newFixture(t, s)
+			res, _, err := b.do(http.MethodPost, c.path, func(r *http.Request) { r.Header.Set("X-Wait-Ms", "5000") })
+			if err != nil {
+				t.Fatal(err)
+			}
+			if res.StatusCode != http.StatusBadGateway || res.Header.Get(headerVerdict) != "may_have_run" {
+				t.Errorf("status %d, verdict %q; want 502, may_have_run", res.StatusCode, res.Header.Get(headerVerdict))
+			}
+			<-s.disconnected
+		})
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -19,6 +19,8 @@
 const (
 	// maxBufferedBytes bounds an answer that is buffered until it is complete. A larger one is not relayed.
 	maxBufferedBytes = 1 << 20
+	// maxEventBytes bounds an event of a stream of which only complete events are relayed.
+	maxEventBytes = 256 << 10
 	// streamBufferBytes is the size of the buffers in which streams are read.
 	streamBufferBytes = 8 << 10
 )
@@ -122,6 +124,9 @@
 			s.recordUsage(x, now)
 			s.recordFirstData(x, now)
 			t.stream.write(buffer[:n])
+			if t.stream.isEventTooLarge() {
+				err = errEventTooLarge
+			}
 		}
 		switch {
 		case err == io.EOF && (answer.Framed || t.stream.isBetweenEvents()):
@@ -134,6 +139,9 @@
 	}
 }
 
+// errEventTooLarge means that an event exceeds maxEventBytes.
+const errEventTooLarge = errors.ConstError("event of the stream exceeds the size limit")
+
 // streamWriter relays one stream, which may come from several servers in succession. Of a resumable stream it sends only complete
 // events, so that the next server can resume after the last of them.
 type streamWriter struct {
@@ -203,6 +211,9 @@
 	return len(s.tail) == 0 || bytes.Equal(s.tail, eventEnd)
 }
 
+// isEventTooLarge reports whether the incomplete event exceeds maxEventBytes.
+func (s *streamWriter) isEventTooLarge() bool { return len(s.partial) > maxEventBytes }
+
 // dropPartial discards an incomplete event.
 func (s *streamWriter) dropPartial() { s.partial = s.partial[:0] }
 
--- a/internal/platformclient/client.go
+++ b/internal/platformclient/client.go
@@ -78,6 +78,9 @@
 	return &Client{base: u.Scheme + "://" + u.Host, token: cfg.Token, http: client}, nil
 }
 
+// MaxResponseHeaderBytes bounds the header of the platform's answers.
+const MaxResponseHeaderBytes = 64 << 10
+
 // NewTransport returns a transport that never sends a request twice. Every call uses a new connection, because net/http
 // may retry a request when a reused connection is lost, and because a reused connection may be broken without having
 // been detected as such. Writes to a connection fail once the deadline of its call has passed.
@@ -86,7 +89,9 @@
 		DialContext:       dial,
 		DisableKeepAlives: true,
 		ForceAttemptHTTP2: false,
-		Protocols:         http1Only(),
+
+		MaxResponseHeaderBytes: MaxResponseHeaderBytes,
+		Protocols:              http1Only(),
 	}
 }
 
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -384,14 +384,22 @@
 	return drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: rpcpool.Options()}).Serve(ctx, c.listener)
 }
 
-// operatorHeaderTimeout bounds the time to read the headers of an operator's request.
-const operatorHeaderTimeout = 3 * time.Second
+const (
+	// operatorHeaderTimeout bounds the time to read the headers of an operator's request, and operatorReadTimeout that to read
+	// all of it.
+	operatorHeaderTimeout = 3 * time.Second
+	operatorReadTimeout   = 30 * time.Second
+	// maxOperatorHeaderBytes bounds the headers of requests of operators and backend servers.
+	maxOperatorHeaderBytes = 64 << 10
+)
 
 // serveOperators serves requests of operators and backend servers with the handler of the platform adapter.
 func (c *Control) serveOperators(ctx context.Context) error {
 	srv := &http.Server{
 		Handler:           c.base.Adapter.ControlHandler(c.service, c.base.Logger),
 		ReadHeaderTimeout: operatorHeaderTimeout,
+		ReadTimeout:       operatorReadTimeout,
+		MaxHeaderBytes:    maxOperatorHeaderBytes,
 	}
 	return errors.Annotate(serveUntil(ctx, srv, c.operatorLis), "control.operators")
 }
--- a/internal/process/relay.go
+++ b/internal/process/relay.go
@@ -77,7 +77,7 @@
 		defer close(watchDone)
 		_ = r.watch.Run(ctx) // returns only the error of its context
 	}()
-	srv := &http.Server{Handler: r, ReadHeaderTimeout: relayHeaderTimeout}
+	srv := &http.Server{Handler: r, ReadHeaderTimeout: relayHeaderTimeout, MaxHeaderBytes: maxOperatorHeaderBytes}
 	err := serveUntil(ctx, srv, r.listener)
 	<-watchDone
 	return errors.Annotate(err, "relay.listen")
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -32,11 +32,41 @@
 // conn is one connection to a backend server.
 type conn struct {
 	net.Conn
+	input     *limitedInput // what reader reads from
 	reader    *bufio.Reader
 	reused    bool
 	idleUntil time.Time
 }
 
+// errHeadTooLarge means that a server sent more than maxHeadBytes without completing the header of an answer.
+const errHeadTooLarge = errors.ConstError("header of the answer exceeds the size limit")
+
+// limitedInput reads from a connection, and fails once a limit on the bytes read is exceeded.
+type limitedInput struct {
+	conn    net.Conn
+	limited bool
+	left    int // bytes that may still be read; valid if limited
+}
+
+// limit allows n more bytes.
+func (in *limitedInput) limit(n int) { in.limited, in.left = true, n }
+
+// unlimit removes the limit.
+func (in *limitedInput) unlimit() { in.limited = false }
+
+// Read implements io.Reader.
+func (in *limitedInput) Read(p []byte) (int, error) {
+	if !in.limited {
+		return in.conn.Read(p)
+	}
+	if in.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := in.conn.Read(p[:min(len(p), in.left)])
+	in.left -= n
+	return n, err
+}
+
 // dial opens a connection.
 func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
 	d := net.Dialer{
@@ -50,7 +80,8 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes)}, nil
+	input := &limitedInput{conn: c}
+	return &conn{Conn: c, input: input, reader: bufio.NewReaderSize(input, readBufferBytes)}, nil
 }
 
 func setUserTimeout(raw syscall.RawConn) error {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -26,6 +26,10 @@
 	// inlineBodyBytes is the largest body that is written before reading of the answer begins. A longer body is written
 	// concurrently, since a server may answer before it has read all of it.
 	inlineBodyBytes = 8 << 10
+	// maxHeadBytes bounds the header of an answer, including informational answers before it.
+	maxHeadBytes = 64 << 10
+	// maxInformationalAnswers bounds the informational answers (1xx) before the answer to a request.
+	maxInformationalAnswers = 5
 	// maxForeignAnswers bounds the answers to other requests that are skipped before the answer to a request.
 	maxForeignAnswers = 2
 	// maxDrainBytes bounds the body of an answer to another request that is read to skip it.
@@ -162,12 +166,9 @@
 // readHead reads the header of the answer to r. It skips informational answers and answers to other requests.
 func readHead(cn *conn, r *Request) (*http.Response, error) {
 	for foreign := 0; ; {
-		res, err := http.ReadResponse(cn.reader, &http.Request{Method: r.Method})
+		res, err := readFinalHead(cn, r.Method)
 		if err != nil {
-			return nil, errors.Trace(err)
-		}
-		if res.StatusCode < http.StatusOK {
-			continue
+			return nil, err
 		}
 		if r.Owns == nil || r.Owns(res.Header) {
 			return res, nil
@@ -181,6 +182,22 @@
 	}
 }
 
+// readFinalHead reads the header of the next answer that isn't informational.
+func readFinalHead(cn *conn, method string) (*http.Response, error) {
+	cn.input.limit(maxHeadBytes)
+	defer cn.input.unlimit()
+	for range maxInformationalAnswers + 1 {
+		res, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		if res.StatusCode >= http.StatusOK {
+			return res, nil
+		}
+	}
+	return nil, errors.New("too many informational answers")
+}
+
 // Read reads the body. It returns io.EOF only if the body is complete.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
