gateway: streams that paused for longer than their gap target are logged as late

The log of a request that succeeded in time is left out under load; late meant only a late first event, so that nothing told which streams paused too long. The end of a request now states its longest pause.

--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -70,13 +70,14 @@
 	level := slog.LevelInfo
 	if e.failed() {
 		level = slog.LevelWarn
-	} else if len(x.pendingSteps) > 0 && !s.isLate(x) {
+	} else if len(x.pendingSteps) > 0 && !x.isLate() {
 		return
 	}
 	end := step{time.Now(), eventEnded, []slog.Attr{
 		slog.Int("status", e.status), slog.String("code", e.code), slog.String("reason", e.reason),
 		slog.String(telemetry.KeyVerdict, e.verdict.String()), slog.Bool("cut", e.truncated), slog.Bool("caller_gone", e.callerGone),
-		slog.Int("tries", x.attempts), slog.Int64("first_ms", x.firstAfter.Milliseconds()), slog.Int64("after_ms", took.Milliseconds()),
+		slog.Int("tries", x.attempts), slog.Int64("first_ms", x.firstAfter.Milliseconds()), slog.Int64("longest_gap_ms", x.longestGap.Milliseconds()),
+		slog.Int64("after_ms", took.Milliseconds()),
 	}}
 	for _, st := range append(x.pendingSteps, end) {
 		s.writeStep(level, x, st)
@@ -104,7 +105,11 @@
 	s.lanes.recordDelay(x, x.firstAfter)
 }
 
-// isLate reports whether the answer began later than the route's latency target.
-func (s *Server) isLate(x *exchange) bool {
-	return x.route != nil && x.route.LatencyTarget > 0 && x.firstAfter > x.route.LatencyTarget
+// isLate reports whether the answer began later than the route's latency target, or paused for longer than its gap target.
+func (x *exchange) isLate() bool {
+	if x.route == nil {
+		return false
+	}
+	exceeds := func(took, target time.Duration) bool { return target > 0 && took > target }
+	return exceeds(x.firstAfter, x.route.LatencyTarget) || exceeds(x.longestGap, x.route.GapTarget)
 }
