--- a/cmd/guavastack/templates_test.go
+++ b/cmd/guavastack/templates_test.go
@@ -14,7 +14,7 @@
 var templateFields = map[string]string{
 	"nodeName": "front-trd-a-1", "zone": "trd-a", "ip": "10.1.0.19", "dataDir": "/data/control", "bootstrap": "true",
 	"internalPorts.0": "7340", "listen.front": "10.1.0.19:8227", "listen.readiness": "10.1.0.19:8220",
-	"listen.control": "10.1.0.19:8229", "limits.memoryMb": "134", "bounds.revokeMs": "5000", "bounds.graceS": "8",
+	"listen.control": "10.1.0.19:8229", "limits.memoryMb": "134", "bounds.revokeMs": "5000", "bounds.configApplyMs": "2000", "bounds.graceS": "8",
 	"bounds.reportWindowS": "5", "bounds.retryBudgetRatio": "0.2", "bounds.leaseMs": "3000", "cloudApi.address": "10.200.0.61:8223",
 	"seeds": `["10.1.0.19:8229","10.2.0.36:8229","10.3.0.3:8229"]`,
 }
--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/core/member"
 	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/lanemsg"
 	"github.com/guavastack/guavastack/internal/wait"
 	"github.com/guavastack/guavastack/proto/controlpb"
 )
@@ -76,15 +77,15 @@
 			ack.Incarnation = "" // makes the sender send all full reports again
 		}
 	}
-	if leader, ok := s.cfg.Group.Leader(); ok && leader.ID == d.Member && len(d.LaneShares) > 0 {
-		s.lanes.copyFromLeader(d.LaneShares)
+	if leader, ok := s.cfg.Group.Leader(); ok && leader.ID == d.Member && len(d.LanePlans) > 0 {
+		s.lanes.copyFromLeader(d.LanePlans)
 	}
 	for _, p := range d.Processes {
 		s.soft.putProcess(member.Process{
 			ID: p.Id, Incarnation: p.Incarnation, Role: p.Role, Zone: p.Zone,
 			Version: settings.Version{Epoch: p.Epoch, Version: p.Version},
 			Heard:   now.Add(-time.Duration(p.AgeMs) * time.Millisecond), Demand: demandOf(p.Demand),
-			Lanes: serviceWorkOf(p.Lanes), Freshness: time.Duration(p.FreshnessMs) * time.Millisecond,
+			Work: lanemsg.ToWork(p.Work), Freshness: time.Duration(p.FreshnessMs) * time.Millisecond,
 		})
 	}
 	return ack, nil
@@ -122,7 +123,7 @@
 	}
 }
 
-// exchangeWith sends digests to one other member: immediately after a change of the registry or the lane shares, after
+// exchangeWith sends digests to one other member: immediately after a change of the registry or the lane plans, after
 // versionBatchDelay when a process has reported another version, and at intervals.
 func (s *Service) exchangeWith(ctx context.Context, peer string) {
 	var sent uint64 // registry version that the peer has
@@ -182,8 +183,8 @@
 		})
 	})
 	if s.leads() {
-		shares, _ := s.lanes.newest()
-		d.LaneShares = laneShareMessages(shares)
+		plans, _ := s.lanes.newest()
+		d.LanePlans = lanemsg.FromPlans(plans)
 	}
 	for _, p := range s.soft.allProcesses() {
 		if p.Direct {
@@ -211,7 +212,7 @@
 	m := &controlpb.Process{
 		Id: p.ID, Incarnation: p.Incarnation, Role: p.Role, Zone: p.Zone,
 		Epoch: p.Version.Epoch, Version: p.Version.Version, AgeMs: now.Sub(p.Heard).Milliseconds(),
-		FreshnessMs: p.Freshness.Milliseconds(), Lanes: laneWorkMessages(p.Lanes),
+		FreshnessMs: p.Freshness.Milliseconds(), Work: lanemsg.FromWork(p.Work),
 	}
 	for _, d := range p.Demand {
 		m.Demand = append(m.Demand, &controlpb.Demand{Organisation: d.Organisation, Requests: d.Requests, Tokens: d.Tokens, Running: d.Running})
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -103,7 +103,7 @@
 	hub       *hub
 	confirmer *confirmer
 	soft      *softState
-	lanes     *laneShares
+	lanes     *lanePlans
 	clocks    *clocks
 }
 
@@ -117,7 +117,7 @@
 		hub:       h,
 		confirmer: newConfirmer(cfg.Group, h),
 		soft:      newSoftState(cfg, time.Now()),
-		lanes:     newLaneShares(),
+		lanes:     newLanePlans(cfg.Logger),
 		clocks:    newClocks(),
 	}
 }
@@ -155,7 +155,7 @@
 	return drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: rpcpool.Options()}).Serve(ctx, lis)
 }
 
-// housekeep expires soft state and recomputes the lane shares at intervals.
+// housekeep expires soft state and recomputes the lane plans at intervals.
 func (s *Service) housekeep(ctx context.Context) {
 	tick := time.NewTicker(housekeepingInterval)
 	defer tick.Stop()
@@ -165,7 +165,7 @@
 			return
 		case now := <-tick.C:
 			s.soft.expire(now)
-			s.recomputeLaneShares()
+			s.recomputeLanePlans()
 		}
 	}
 }
--- a/internal/control/soft.go
+++ b/internal/control/soft.go
@@ -7,6 +7,7 @@
 	"github.com/guavastack/guavastack/internal/core/limit"
 	"github.com/guavastack/guavastack/internal/core/member"
 	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/lanemsg"
 	"github.com/guavastack/guavastack/proto/controlpb"
 	"google.golang.org/protobuf/proto"
 )
@@ -188,7 +189,7 @@
 	return member.Process{
 		ID: req.ProcessId, Incarnation: req.Incarnation, Role: req.Role, Zone: req.Zone, Heard: now, Direct: true,
 		Version: settings.Version{Epoch: req.HaveEpoch, Version: req.HaveVersion}, Demand: demandOf(req.Demand),
-		Lanes: serviceWorkOf(req.Lanes), Freshness: time.Duration(req.FreshnessMs) * time.Millisecond,
+		Work: lanemsg.ToWork(req.Work), Freshness: time.Duration(req.FreshnessMs) * time.Millisecond,
 	}
 }
 
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/guavastack/guavastack/internal/core/limit"
+	"github.com/guavastack/guavastack/internal/core/route"
 	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/lanemsg"
 	"github.com/guavastack/guavastack/proto/controlpb"
 	"github.com/juju/errors"
 )
@@ -30,8 +32,8 @@
 	registry   uint64 // last sent registry version
 	complete   bool   // the complete registry was sent
 	lastShares map[string]limit.Share
-	members    []string           // last sent addresses
-	lanes      map[string]float64 // last sent lane shares
+	members    []string        // last sent addresses
+	lanes      route.LanePlans // last sent
 }
 
 // Watch serves one watcher until its stream ends or it sends nothing for clientTimeout.
@@ -221,13 +223,13 @@
 	return true
 }
 
-// addLanes adds the lane shares if they changed.
+// addLanes adds the lane plans if they changed.
 func (w *watcher) addLanes(u *controlpb.WatchUpdate) bool {
-	shares, _ := w.service.lanes.newest()
-	if len(shares) == 0 || maps.Equal(shares, w.lanes) {
+	plans, _ := w.service.lanes.newest()
+	if len(plans) == 0 || maps.EqualFunc(plans, w.lanes, (*route.LanePlan).Equal) {
 		return false
 	}
-	w.lanes, u.LaneShares = shares, laneShareMessages(shares)
+	w.lanes, u.LanePlans = plans, lanemsg.FromPlans(plans)
 	return true
 }
 
--- a/internal/core/member/processes.go
+++ b/internal/core/member/processes.go
@@ -10,22 +10,16 @@
 
 // Process is the state of a process that watches the control group.
 type Process struct {
-	ID          string           `json:"id"`
-	Incarnation string           `json:"incarnation"`
-	Role        string           `json:"role"`
-	Zone        string           `json:"zone"`
-	Version     settings.Version `json:"version"` // in force in the process
-	Heard       time.Time        `json:"heard"`
-	Direct      bool             `json:"-"` // it watches this member and not another one
-	Demand      []Demand         `json:"-"`
-	Lanes       []ServiceWork    `json:"-"`
-	Freshness   time.Duration    `json:"-"` // freshness limit: how long it may act on its settings after a confirmation
-}
-
-// ServiceWork is the work that one process recently sent to the lanes of one service.
-type ServiceWork struct {
-	Service string
-	route.LaneWork
+	ID          string              `json:"id"`
+	Incarnation string              `json:"incarnation"`
+	Role        string              `json:"role"`
+	Zone        string              `json:"zone"`
+	Version     settings.Version    `json:"version"` // in force in the process
+	Heard       time.Time           `json:"heard"`
+	Direct      bool                `json:"-"` // it watches this member and not another one
+	Demand      []Demand            `json:"-"`
+	Work        []route.ServiceWork `json:"-"`
+	Freshness   time.Duration       `json:"-"` // freshness limit: how long it may act on its settings after a confirmation
 }
 
 // Demand is the recent demand of one organisation at one process.
--- a/internal/core/route/affinity.go
+++ b/internal/core/route/affinity.go
@@ -26,10 +26,9 @@
 // sessionLanes picks a server within the lane of the request: the session's home while its load is bounded, else the least
 // loaded of a few random servers.
 func (r *Router) sessionLanes(now time.Time, g *group, req *Request, rnd uint64) *server {
-	if req.Lane != AnyLane {
-		g.tightServers = req.TightServers
-	}
-	c := r.scratch.collect(now, g, req)
+	g.refreshLanes(now)
+	lane := g.laneOf(req.GapTarget)
+	c := r.scratch.collect(now, g, req, lane)
 	if len(c.all) == 0 {
 		return g.lastResort(req, rnd)
 	}
@@ -39,8 +38,8 @@
 		}
 	}
 	best := r.leastLoaded(now, c.lane, req, rnd)
-	if req.Lane == TightLane && r.utilisation(now, best) >= fullUtilisation {
-		// A tight request doesn't queue in its lane while a server of the bulk lane is less loaded.
+	if lane < len(g.lanes)-1 && r.utilisation(now, best) >= fullUtilisation {
+		// A request doesn't queue in its lane while another server is less loaded, except one with the loosest target.
 		if other := r.leastLoaded(now, c.all, req, nextRandom(rnd)); r.utilisation(now, other) < r.utilisation(now, best) {
 			return other
 		}
@@ -54,14 +53,12 @@
 	lane []*server // those in the request's lane, or all if there are none
 }
 
-// collect gathers the candidates for a request, reusing the memory of earlier calls. Lane positions count all ready servers, so
-// that a quarantine in this process doesn't shift the lanes and homes on which all processes agree.
-func (c *candidates) collect(now time.Time, g *group, req *Request) candidates {
-	from, to := laneBounds(req.Lane, req.TightServers, g.countReady(req))
+// collect gathers the candidates for a request of a lane, reusing the memory of earlier calls.
+func (c *candidates) collect(now time.Time, g *group, req *Request, lane int) candidates {
 	c.all, c.lane = c.all[:0], c.lane[:0]
-	c.add(now, g, req, from, to, false)
+	c.add(now, g, req, lane, false)
 	if len(c.all) == 0 {
-		c.add(now, g, req, from, to, true) // if every server is silent, the servers are probably not the cause
+		c.add(now, g, req, lane, true) // if every server is silent, the servers are probably not the cause
 	}
 	if len(c.lane) == 0 {
 		c.lane = append(c.lane, c.all...)
@@ -69,36 +66,19 @@
 	return *c
 }
 
-// add appends the candidates that are silent, or those that aren't; the ones at positions [from, to) of the common order join
-// the lane too.
-func (c *candidates) add(now time.Time, g *group, req *Request, from, to int, silent bool) {
-	place := 0
-	for _, s := range g.ordered {
-		if !s.isReadyFor(req) {
-			continue
-		}
-		place++
+// add appends the candidates that are silent, or those that aren't.
+func (c *candidates) add(now time.Time, g *group, req *Request, lane int, silent bool) {
+	for _, s := range g.ready {
 		if !s.isCandidate(now, req) || s.isSilent(now) != silent {
 			continue
 		}
 		c.all = append(c.all, s)
-		if place > from && place <= to {
+		if s.isIn(lane) {
 			c.lane = append(c.lane, s)
 		}
 	}
 }
 
-// countReady returns the number of ready servers that can serve the request, including those that this process has quarantined.
-func (g *group) countReady(req *Request) int {
-	n := 0
-	for _, s := range g.ordered {
-		if s.isReadyFor(req) {
-			n++
-		}
-	}
-	return n
-}
-
 func (s *server) isReadyFor(req *Request) bool { return s.Lifecycle == LifecycleReady && s.serves(req) }
 
 // fullUtilisation is the utilisation from which a server is expected to queue requests.
--- a/internal/core/route/health.go
+++ b/internal/core/route/health.go
@@ -129,6 +129,7 @@
 		return
 	}
 	g.reviewedAt = now
+	g.refreshLanes(now)
 	limit := len(g.servers) / 3
 	count := 0
 	for _, s := range g.servers {
@@ -155,10 +156,10 @@
 
 // peerSets returns the servers grouped by lane, so that servers are compared only with others that do similar work.
 func (g *group) peerSets() [][]*server {
-	if g.tightServers <= 0 || g.tightServers >= len(g.servers) {
+	if len(g.lanes) == 0 {
 		return [][]*server{g.servers}
 	}
-	return [][]*server{g.ordered[:g.tightServers], g.ordered[g.tightServers:]}
+	return g.lanes
 }
 
 // beginProbing discards the observations that led to the quarantine.
--- a/internal/core/route/lanes.go
+++ b/internal/core/route/lanes.go
@@ -1,144 +1,134 @@
 package route
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
-// A Lane is a subset of a service's servers. The prefill of a long prompt delays every token of the streams on the same server,
-// so requests with tight targets and requests with long prompts go to different servers if there are enough.
-type Lane uint8
-
-const (
-	// AnyLane means all servers of the service.
-	AnyLane Lane = iota
-	// TightLane serves requests with tight targets for the gap between tokens.
-	TightLane
-	// BulkLane serves requests with loose gap targets, which tend to have long prompts.
-	BulkLane
-)
-
-// String returns the name of the lane.
-func (l Lane) String() string { return [...]string{"any", "tight", "bulk"}[l] }
-
 const (
 	// laneHalfLife is the half-life of observed work.
 	laneHalfLife = 4 * time.Second
-	// tightGapFactor is the multiple of the smallest gap target from which a route belongs to the bulk lane.
-	tightGapFactor = 2
-	// delayWeight is the weight of a new delay in the moving average of its lane.
+	// delayWeight is the weight of a new delay in the moving average of its gap target.
 	delayWeight = 0.05
 	// maxDelay bounds a delay, as a multiple of the request's target.
 	maxDelay = 3
-	// minLaneServers is the minimum number of servers that are split into lanes.
-	minLaneServers = 4
+	// outputTokenWork is the work of generating a token as a multiple of the work of prefilling one, in a batch with others.
+	outputTokenWork = 3
 )
 
-// Lanes assigns the routes of a service to lanes and estimates how many servers each lane needs, from the observed requests.
-// It is not safe for concurrent use.
+// Lanes observes the streams of one service by their target for the gap between tokens. The lanes of the service are split by
+// these observations, from this process or from all of them. It is not safe for concurrent use.
 type Lanes struct {
-	routes   map[string]*laneWork
-	splitter Splitter // decides from the work of this process only
+	byGap map[time.Duration]*gapObservation
+}
 
-	delays [BulkLane + 1]float64 // moving average by lane, as a multiple of the target; 0: none yet
+// gapObservation is the recent work and delay of the streams with one gap target.
+type gapObservation struct {
+	prefill float64   // prompt tokens; decays with laneHalfLife
+	output  float64   // tokens to generate; decays with laneHalfLife
+	at      time.Time // of the last update of prefill and output
+	delay   float64   // moving average, as a multiple of the target; 0: none yet
 }
 
-// laneWork is the recent work of one route.
-type laneWork struct {
-	gap    time.Duration // target for the gap between tokens
-	tokens float64       // prompt tokens to prefill, decaying with laneHalfLife
-	at     time.Time     // of the last update of tokens
+// StreamWork is the work of the streams with one gap target.
+type StreamWork struct {
+	Gap     time.Duration // target for the gap between tokens
+	Prefill float64       // prompt tokens to prefill per second
+	Output  float64       // tokens to generate per second
+	Delay   float64       // mean delay of a stream, as a multiple of its target; 0: none yet
+}
+
+// total returns the work as a number of prompt tokens per second.
+func (w StreamWork) total() float64 { return w.Prefill + outputTokenWork*w.Output }
+
+// ServiceWork is the work of the streams of one service, by ascending gap target.
+type ServiceWork struct {
+	Service string
+	Streams []StreamWork
 }
 
 // NewLanes returns lanes without observations.
-func NewLanes() *Lanes { return &Lanes{routes: make(map[string]*laneWork)} }
+func NewLanes() *Lanes { return &Lanes{byGap: make(map[time.Duration]*gapObservation)} }
 
-// RecordDelay records how long a request of a lane waited for the start of its answer, relative to its target.
-func (l *Lanes) RecordDelay(lane Lane, took, target time.Duration) {
-	if target <= 0 || lane == AnyLane {
+// Observe records a stream with a gap target, the number of prompt tokens that a server has to prefill, and the number of tokens to
+// generate. Streams without a gap target are not recorded.
+func (l *Lanes) Observe(now time.Time, gap time.Duration, promptTokens, outputTokens int) {
+	if gap <= 0 {
 		return
 	}
-	delay := min(float64(took)/float64(target), maxDelay)
-	if l.delays[lane] == 0 {
-		l.delays[lane] = delay
-		return
+	o := l.byGap[gap]
+	if o == nil {
+		o = &gapObservation{at: now}
+		l.byGap[gap] = o
 	}
-	l.delays[lane] += delayWeight * (delay - l.delays[lane])
+	decay := o.decay(now)
+	o.prefill = o.prefill*decay + float64(promptTokens)
+	o.output = o.output*decay + float64(outputTokens)
+	o.at = now
 }
 
-// Observe records a request of a route with its gap target and the number of prompt tokens that a server has to prefill.
-func (l *Lanes) Observe(now time.Time, route string, gap time.Duration, tokens int) {
-	w := l.routes[route]
-	if w == nil {
-		w = &laneWork{at: now}
-		l.routes[route] = w
+// RecordDelay records how long a stream with a gap target waited for something, such as the start of its answer, relative to the
+// target for that.
+func (l *Lanes) RecordDelay(gap, took, target time.Duration) {
+	o := l.byGap[gap]
+	if o == nil || target <= 0 {
+		return
 	}
-	w.gap = gap
-	w.tokens = w.recent(now) + float64(tokens)
-	w.at = now
+	delay := min(float64(took)/float64(target), maxDelay)
+	if o.delay == 0 {
+		o.delay = delay
+		return
+	}
+	o.delay += delayWeight * (delay - o.delay)
 }
 
-// recent returns the tokens with the decay up to now applied.
-func (w *laneWork) recent(now time.Time) float64 {
-	return w.tokens * math.Exp2(-float64(now.Sub(w.at))/float64(laneHalfLife))
+// decay returns the share of the observed tokens that still counts at now.
+func (o *gapObservation) decay(now time.Time) float64 {
+	return math.Exp2(-float64(now.Sub(o.at)) / float64(laneHalfLife))
 }
 
-// rate returns the recent work in tokens per second.
-func (w *laneWork) rate(now time.Time) float64 {
-	return w.recent(now) * math.Ln2 / laneHalfLife.Seconds()
+// Work returns the recent work, by ascending gap target.
+func (l *Lanes) Work(now time.Time) []StreamWork {
+	out := make([]StreamWork, 0, len(l.byGap))
+	for gap, o := range l.byGap {
+		perSecond := o.decay(now) * math.Ln2 / laneHalfLife.Seconds()
+		out = append(out, StreamWork{Gap: gap, Prefill: o.prefill * perSecond, Output: o.output * perSecond, Delay: o.delay})
+	}
+	sortByGap(out)
+	return out
 }
 
-// smallestGap returns the smallest gap target of the observed routes, or 0 if none has one.
-func (l *Lanes) smallestGap() time.Duration {
-	smallest := time.Duration(0)
-	for _, w := range l.routes {
-		if w.gap > 0 && (smallest == 0 || w.gap < smallest) {
-			smallest = w.gap
+// AddStreamWork returns the sum of the work of several processes, by ascending gap target. Delays are averaged.
+func AddStreamWork(a, b []StreamWork) []StreamWork {
+	sum := slices.Clone(a)
+	for _, w := range b {
+		i := slices.IndexFunc(sum, func(have StreamWork) bool { return have.Gap == w.Gap })
+		if i < 0 {
+			sum = append(sum, w)
+			continue
 		}
+		sum[i].Delay = meanDelay(sum[i], w)
+		sum[i].Prefill += w.Prefill
+		sum[i].Output += w.Output
 	}
-	return smallest
+	sortByGap(sum)
+	return sum
 }
 
-// LaneFor returns the lane of requests with a gap target.
-func (l *Lanes) LaneFor(gap time.Duration) Lane {
-	smallest := l.smallestGap()
+// meanDelay returns the mean of two delays, weighted by tokens to prefill. A side without a delay does not count.
+func meanDelay(a, b StreamWork) float64 {
 	switch {
-	case gap <= 0 || smallest == 0:
-		return AnyLane
-	case gap < tightGapFactor*smallest:
-		return TightLane
+	case a.Delay == 0:
+		return b.Delay
+	case b.Delay == 0 || a.Prefill+b.Prefill == 0:
+		return a.Delay
 	default:
-		return BulkLane
-	}
-}
-
-// Work returns the recent work and delays by lane.
-func (l *Lanes) Work(now time.Time) LaneWork {
-	work := LaneWork{TightDelay: l.delays[TightLane], BulkDelay: l.delays[BulkLane]}
-	for _, w := range l.routes {
-		switch l.LaneFor(w.gap) {
-		case TightLane:
-			work.Tight += w.rate(now)
-		case BulkLane:
-			work.Bulk += w.rate(now)
-		}
+		return (a.Delay*a.Prefill + b.Delay*b.Prefill) / (a.Prefill + b.Prefill)
 	}
-	return work
 }
 
-// Share returns the share of the servers that forms the tight lane, judged by the work of this process only. It returns false
-// unless both lanes have work.
-func (l *Lanes) Share(now time.Time) (share float64, ok bool) { return l.splitter.Decide(l.Work(now)) }
-
-// laneBounds returns the half-open range of positions [from, to) of the lane among n servers in their common order. The order is
-// the same in every process, so all processes agree on the lanes without communicating.
-func laneBounds(lane Lane, tight, n int) (from, to int) {
-	switch {
-	case lane == AnyLane || tight <= 0 || tight >= n:
-		return 0, n
-	case lane == TightLane:
-		return 0, tight
-	default:
-		return tight, n
-	}
+func sortByGap(work []StreamWork) {
+	slices.SortFunc(work, func(a, b StreamWork) int { return cmp.Compare(a.Gap, b.Gap) })
 }
--- a/internal/core/route/lanes_test.go
+++ b/internal/core/route/lanes_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -14,147 +15,223 @@
 	return table
 }
 
-// tightServerCount returns how many of n servers form the tight lane for the work observed by l; 0: the servers are not split.
-func tightServerCount(l *Lanes, now time.Time, n int) int {
-	share, ok := l.Share(now)
-	if !ok {
-		return 0
+// Gap targets of the streams in these tests.
+const (
+	draftGap    = 200 * time.Millisecond // short prompts, long answers
+	questionGap = 300 * time.Millisecond // medium prompts, short answers
+	summaryGap  = 800 * time.Millisecond // long prompts
+)
+
+// threeLanes is a plan for drafts, questions and summaries. Of 12 servers they get 2, 4 and 6.
+var threeLanes = &LanePlan{Lanes: []LanePart{{draftGap, 0.15}, {questionGap, 0.35}, {summaryGap, 0.5}}}
+
+// twoLanes is a plan for drafts and summaries. Of 12 servers they get 4 and 8.
+var twoLanes = &LanePlan{Lanes: []LanePart{{draftGap, 0.33}, {summaryGap, 0.67}}}
+
+// chosenServers returns how often each server is chosen for a request.
+func chosenServers(t *testing.T, r *Router, req Request, n int) map[string]int {
+	t.Helper()
+	chosen := make(map[string]int)
+	for rnd := range uint64(n) {
+		b, err := r.Choose(epoch, req, rnd)
+		if err != nil {
+			t.Fatal(err)
+		}
+		chosen[b.ID]++
 	}
-	return TightServers(share, n)
+	return chosen
 }
 
-// TestLanesSeparateLongPrompts checks the lanes and the choices for a mix of long summaries with loose gap targets and short
-// drafts with tight ones.
+// TestLanesSeparateLongPrompts checks the lanes and the choices for a mix of summaries, questions and drafts: a server that
+// prefills prompts of one kind does not delay the tokens of another.
 func TestLanesSeparateLongPrompts(t *testing.T) {
 	l := NewLanes()
 	for i := range 100 {
 		at := epoch.Add(time.Duration(i) * 100 * time.Millisecond)
-		l.Observe(at, "summary", 800*time.Millisecond, 2890)
-		l.Observe(at, "question", 300*time.Millisecond, 1800)
-		l.Observe(at, "draft", 200*time.Millisecond, 543)
+		l.Observe(at, summaryGap, 2890, 50)
+		l.Observe(at, questionGap, 1800, 20)
+		l.Observe(at, draftGap, 543, 280)
 	}
-	now := epoch.Add(10 * time.Second)
-	for gap, want := range map[time.Duration]Lane{
-		200 * time.Millisecond: TightLane, 300 * time.Millisecond: TightLane, 800 * time.Millisecond: BulkLane, 0: AnyLane,
+	plan := SplitLanes(nil, l.Work(epoch.Add(10*time.Second)))
+	if plan == nil || len(plan.Lanes) != 3 {
+		t.Fatalf("got plan %+v, want three lanes", plan)
+	}
+	for gap, want := range map[time.Duration]int{
+		draftGap: 0, draftGap / 2: 0, questionGap: 1, questionGap + 100*time.Millisecond: 1, summaryGap: 2, 2 * summaryGap: 2, 0: noLane,
 	} {
-		if got := l.LaneFor(gap); got != want {
+		if got := plan.laneFor(gap); got != want {
 			t.Errorf("gap target %v: lane %d, want %d", gap, got, want)
 		}
 	}
-	if n := tightServerCount(l, now, 12); n < 3 || n > 9 {
-		t.Errorf("got %d of 12 servers in the tight lane, want 3 to 9", n)
+	for _, n := range []int{18, 93} {
+		sizes, sum := plan.sizes(n), 0
+		for lane, size := range sizes {
+			sum += size
+			if size < 1 || size > n*2/3 {
+				t.Errorf("lane %d has %d of %d servers, want at least 1 and at most two thirds", lane, size, n)
+			}
+		}
+		if sum != n {
+			t.Errorf("sizes %v of %d servers, want their sum to be %d", sizes, n, n)
+		}
+	}
+	if sizes := plan.sizes(4); len(sizes) != 3 || sizes[0] == 0 || sizes[1] != 0 || sizes[2] == 0 {
+		t.Errorf("got sizes %v of 4 servers, want drafts and questions to share a lane", sizes)
 	}
-	if n := tightServerCount(l, now, 3); n != 0 {
-		t.Errorf("got %d of 3 servers in the tight lane, want no split", n)
+	if sizes := plan.sizes(3); sizes != nil {
+		t.Errorf("got sizes %v of 3 servers, want no split", sizes)
 	}
 
 	table := newLoadedTable(12, 4)
+	table.SetLanePlan(KindEngine, "m", threeLanes)
 	r := NewRouter(table, RouterConfig{Policy: PolicySessionLanes})
-	tight := make(map[string]bool)
-	for rnd := range uint64(1000) {
-		b, err := r.Choose(epoch, Request{Kind: KindEngine, Model: "m", Lane: TightLane, TightServers: 5}, rnd)
-		if err != nil {
-			t.Fatal(err)
+	lanes := make(map[string]time.Duration)
+	for gap, want := range map[time.Duration]int{draftGap: 2, questionGap: 4, summaryGap: 6} {
+		chosen := chosenServers(t, r, Request{Kind: KindEngine, Model: "m", GapTarget: gap}, 1000)
+		if len(chosen) != want {
+			t.Errorf("streams with gap target %v went to %d servers, want %d", gap, len(chosen), want)
+		}
+		for id := range chosen {
+			if other, ok := lanes[id]; ok {
+				t.Errorf("streams with gap targets %v and %v went to the same server", gap, other)
+			}
+			lanes[id] = gap
 		}
-		tight[b.ID] = true
-	}
-	if len(tight) != 5 {
-		t.Errorf("tight streams went to %d servers, want 5", len(tight))
 	}
-	for rnd := range uint64(1000) {
-		b, err := r.Choose(epoch, Request{Kind: KindEngine, Model: "m", Lane: BulkLane, TightServers: 5, Session: rnd + 1}, rnd)
+	for session := range uint64(1000) {
+		b, err := r.Choose(epoch, Request{Kind: KindEngine, Model: "m", GapTarget: summaryGap, Session: session + 1}, session)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if tight[b.ID] {
-			t.Fatalf("a long prompt went to %s, want a server outside the tight lane", b.ID)
+		if lanes[b.ID] != summaryGap {
+			t.Fatalf("a long prompt went to %s, want a server of its lane", b.ID)
 		}
 	}
+	if got := len(chosenServers(t, r, Request{Kind: KindEngine, Model: "m"}, 1000)); got != 12 {
+		t.Errorf("requests without a gap target went to %d servers, want all 12", got)
+	}
+}
+
+// TestLanesIgnoreRareTargets adds a few streams with other gap targets, as after a change of the configuration: the lanes of
+// the others stay as they are.
+func TestLanesIgnoreRareTargets(t *testing.T) {
+	work := []StreamWork{{Gap: draftGap, Prefill: 1000}, {Gap: summaryGap, Prefill: 4000}}
+	before := SplitLanes(nil, work)
+	rare := []StreamWork{{Gap: draftGap / 4, Prefill: 20}, {Gap: 3 * summaryGap, Prefill: 20}}
+	if after := SplitLanes(before, AddStreamWork(work, rare)); after != before {
+		t.Errorf("got plan %+v, want it to stay %+v", after, before)
+	}
+	if plan := SplitLanes(nil, []StreamWork{{Gap: draftGap, Prefill: 1000}, {Gap: questionGap, Prefill: 1000}}); plan != nil {
+		t.Errorf("got plan %+v for similar targets, want no split", plan)
+	}
+}
+
+// TestTightLanesFollowTheRootOfWork covers drafts with short prompts and long answers beside questions with longer prompts, of which
+// a burst must not take the servers of the drafts.
+func TestTightLanesFollowTheRootOfWork(t *testing.T) {
+	summaries := StreamWork{Gap: summaryGap, Prefill: 700_000}
+	drafts := StreamWork{Gap: draftGap, Prefill: 28_000, Output: 14_000}
+	cases := []struct {
+		name      string
+		questions float64 // tokens to prefill per second
+		servers   int
+		want      []int
+	}{
+		{"ordinary traffic", 320_000, 93, []int{10, 21, 62}},
+		{"burst of questions", 900_000, 93, []int{12, 41, 40}},
+		{"few servers", 320_000, 12, []int{4, 0, 8}}, // drafts and questions share a lane
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			plan := SplitLanes(nil, []StreamWork{drafts, {Gap: questionGap, Prefill: c.questions}, summaries})
+			if got := plan.sizes(c.servers); !slices.Equal(got, c.want) {
+				t.Errorf("got sizes %v (plan %v), want %v", got, plan, c.want)
+			}
+		})
+	}
+}
+
+// lanePlanner observes drafts and summaries and plans their lanes.
+type lanePlanner struct {
+	lanes *Lanes
+	plan  *LanePlan
+	at    time.Time
+}
+
+func newLanePlanner() *lanePlanner { return &lanePlanner{lanes: NewLanes(), at: epoch} }
+
+// observe observes a draft and a summary every 100 ms and returns how many of 12 servers the drafts get then.
+func (p *lanePlanner) observe(d time.Duration, summaryTokens int) int {
+	for end := p.at.Add(d); p.at.Before(end); p.at = p.at.Add(100 * time.Millisecond) {
+		p.lanes.Observe(p.at, summaryGap, summaryTokens, 0)
+		p.lanes.Observe(p.at, draftGap, 1000, 0)
+		p.plan = SplitLanes(p.plan, p.lanes.Work(p.at))
+	}
+	return p.plan.sizes(12)[0]
 }
 
 // TestLaneShareFollowsWork checks that the share of a lane grows with its work, and that a small change of the work doesn't
 // change the share.
 func TestLaneShareFollowsWork(t *testing.T) {
-	l := NewLanes()
-	at := epoch
-	observe := func(d time.Duration, bulk int) {
-		for end := at.Add(d); at.Before(end); at = at.Add(100 * time.Millisecond) {
-			l.Observe(at, "summary", 800*time.Millisecond, bulk)
-			l.Observe(at, "draft", 200*time.Millisecond, 1000)
-		}
+	p := newLanePlanner()
+	initial := p.observe(30*time.Second, 2000)
+	if n := p.observe(5*time.Second, 2100); n != initial {
+		t.Errorf("got %d servers for drafts after a small change, want %d", n, initial)
 	}
-	observe(30*time.Second, 2000)
-	initial := tightServerCount(l, at, 12)
-	observe(5*time.Second, 2100)
-	if n := tightServerCount(l, at, 12); n != initial {
-		t.Errorf("got %d servers in the tight lane after a small change, want %d", n, initial)
-	}
-	observe(20*time.Second, 6000)
-	if n := tightServerCount(l, at, 12); n >= initial || n < 3 {
-		t.Errorf("got %d servers in the tight lane during a burst of long prompts, want fewer than %d and at least 3", n, initial)
+	if n := p.observe(20*time.Second, 6000); n >= initial || n < 3 {
+		t.Errorf("got %d servers for drafts during a burst of long prompts, want fewer than %d and at least 3", n, initial)
 	}
 }
 
-// TestLaneShareFollowsDelays checks that the tight lane gets more servers for the same work while its requests miss their
-// targets, and returns to the old share when both lanes meet theirs.
+// TestLaneShareFollowsDelays checks that a lane gets more servers for the same work while its requests miss their targets, and
+// returns to the old share when all lanes meet theirs.
 func TestLaneShareFollowsDelays(t *testing.T) {
-	l := NewLanes()
-	at := epoch
-	tightServersWith := func(tightWait, bulkWait time.Duration) int {
+	p := newLanePlanner()
+	withDelays := func(draftWait, summaryWait time.Duration) int {
 		n := 0
 		for range 200 {
-			at = at.Add(50 * time.Millisecond)
-			l.Observe(at, "summary", 800*time.Millisecond, 2000)
-			l.Observe(at, "draft", 200*time.Millisecond, 1000)
-			l.RecordDelay(TightLane, tightWait, 300*time.Millisecond)
-			l.RecordDelay(BulkLane, bulkWait, time.Second)
-			n = tightServerCount(l, at, 12)
+			n = p.observe(100*time.Millisecond, 2000)
+			p.lanes.RecordDelay(draftGap, draftWait, 300*time.Millisecond)
+			p.lanes.RecordDelay(summaryGap, summaryWait, time.Second)
 		}
 		return n
 	}
-	initial := tightServersWith(50*time.Millisecond, 100*time.Millisecond)
-	if n := tightServersWith(600*time.Millisecond, 100*time.Millisecond); n <= initial {
-		t.Errorf("got %d servers in the tight lane while its requests are late, want more than %d", n, initial)
+	initial := withDelays(50*time.Millisecond, 100*time.Millisecond)
+	if n := withDelays(600*time.Millisecond, 100*time.Millisecond); n <= initial {
+		t.Errorf("got %d servers for drafts while they are late, want more than %d", n, initial)
 	}
-	if n := tightServersWith(50*time.Millisecond, 100*time.Millisecond); n != initial {
-		t.Errorf("got %d servers in the tight lane when delays are low again, want %d", n, initial)
+	if n := withDelays(50*time.Millisecond, 100*time.Millisecond); n != initial {
+		t.Errorf("got %d servers for drafts when delays are low again, want %d", n, initial)
 	}
-	if n := tightServersWith(50*time.Millisecond, 5*time.Second); n >= initial {
-		t.Errorf("got %d servers in the tight lane while long prompts are late, want fewer than %d", n, initial)
+	if n := withDelays(50*time.Millisecond, 5*time.Second); n >= initial {
+		t.Errorf("got %d servers for drafts while long prompts are late, want fewer than %d", n, initial)
 	}
 }
 
-// TestTightLaneOverflowsIntoBulkLane checks that tight requests go to the bulk lane while the tight lane is full, and that bulk
-// requests stay in their lane.
+// TestTightLaneOverflowsIntoBulkLane checks that drafts leave their lane while it is full, and that summaries, which would
+// delay them, stay in theirs.
 func TestTightLaneOverflowsIntoBulkLane(t *testing.T) {
 	table := newLoadedTable(12, 2)
+	table.SetLanePlan(KindEngine, "m", twoLanes)
 	r := NewRouter(table, RouterConfig{Policy: PolicySessionLanes})
-	req := Request{Kind: KindEngine, Model: "m", Lane: TightLane, TightServers: 4}
-	tight := make(map[string]bool)
-	for rnd := range uint64(500) {
-		b, _ := r.Choose(epoch, req, rnd)
-		tight[b.ID] = true
-	}
+	req := Request{Kind: KindEngine, Model: "m", GapTarget: draftGap}
+	tight := chosenServers(t, r, req, 500)
 	for id := range tight {
 		table.RecordLoad(epoch, id, load(8, 6))
 	}
 	inBulkLane := 0
-	for rnd := range uint64(500) {
-		b, err := r.Choose(epoch, req, rnd)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if !tight[b.ID] {
-			inBulkLane++
+	for id, n := range chosenServers(t, r, req, 500) {
+		if tight[id] == 0 {
+			inBulkLane += n
 		}
 	}
 	if inBulkLane < 400 {
-		t.Errorf("%d of 500 tight requests left the full lane, want at least 400", inBulkLane)
+		t.Errorf("%d of 500 drafts left the full lane, want at least 400", inBulkLane)
 	}
-	req.Lane = BulkLane
-	for rnd := range uint64(500) {
-		if b, _ := r.Choose(epoch, req, rnd); tight[b.ID] {
-			t.Fatalf("a bulk request went to %s in the full tight lane", b.ID)
+	req.GapTarget = summaryGap
+	for id := range chosenServers(t, r, req, 500) {
+		if tight[id] > 0 {
+			t.Fatalf("a summary went to %s in the full lane of the drafts", id)
 		}
 	}
 }
@@ -256,7 +333,8 @@
 		table.BeginWait(epoch, id, activity(epoch))
 	}
 	r := NewRouter(table, RouterConfig{Policy: PolicySessionLanes})
-	req := Request{Kind: KindEngine, Model: "m", Lane: BulkLane, TightServers: 90, FirstTokenTarget: time.Second}
+	table.SetLanePlan(KindEngine, "m", twoLanes)
+	req := Request{Kind: KindEngine, Model: "m", GapTarget: summaryGap, FirstTokenTarget: time.Second}
 	b.ReportAllocs()
 	for i := range b.N {
 		req.Session = uint64(i%2) * uint64(i)
--- a/internal/core/route/peers_test.go
+++ b/internal/core/route/peers_test.go
@@ -51,9 +51,9 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			table := newTable(servers, nil)
+			table.SetLanePlan(KindEngine, "m", &LanePlan{Lanes: []LanePart{{draftGap, float64(tight) / servers}, {summaryGap, 1 - float64(tight)/servers}}})
 			now := epoch
 			for place, s := range table.groups[groupKey{KindEngine, "m"}].ordered {
-				s.group.tightServers = tight
 				busy, first, fails := 4, 50*time.Millisecond, 0.0
 				if c.busy != nil {
 					busy = c.busy(place)
@@ -86,11 +86,13 @@
 func TestProcessesAgreeOnHomes(t *testing.T) {
 	const servers = 12
 	healthyTable, quarantinedTable := newLoadedTable(servers, 4), newLoadedTable(servers, 4)
-	quarantinedID := quarantinedTable.groups[groupKey{KindEngine, "m"}].ordered[0].ID // of the tight lane
+	healthyTable.SetLanePlan(KindEngine, "m", twoLanes)
+	quarantinedTable.SetLanePlan(KindEngine, "m", twoLanes)
+	quarantinedID := quarantinedTable.groups[groupKey{KindEngine, "m"}].ordered[0].ID // of the drafts' lane
 	quarantinedTable.servers[quarantinedID].health.quarantine(epoch)
 	moved := 0
 	for session := range uint64(200) {
-		req := Request{Kind: KindEngine, Model: "m", Lane: BulkLane, TightServers: 5, Session: session + 1}
+		req := Request{Kind: KindEngine, Model: "m", GapTarget: summaryGap, Session: session + 1}
 		a, errA := NewRouter(healthyTable, RouterConfig{Policy: PolicySessionLanes}).Choose(epoch, req, 1)
 		b, errB := NewRouter(quarantinedTable, RouterConfig{Policy: PolicySessionLanes}).Choose(epoch, req, 1)
 		if errA != nil || errB != nil {
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -100,7 +100,6 @@
 	FirstTokenTarget time.Duration // zero: none
 
 	// The following fields are used by PolicySessionLanes only.
-	Session      uint64 // shared by requests whose prompts have a long common prefix; 0: none
-	Lane         Lane
-	TightServers int // number of servers in the tight lane; 0: the servers are not split
+	Session   uint64        // shared by requests whose prompts have a long common prefix; 0: none
+	GapTarget time.Duration // for the gap between tokens, which determines the lane; 0: any server
 }
--- a/internal/core/route/source.go
+++ b/internal/core/route/source.go
@@ -5,17 +5,29 @@
 	"time"
 )
 
+// maxPlacementAge is the age up to which this process's own knowledge of a prefix is preferred to the session's home: other
+// processes may have moved the session since.
+const maxPlacementAge = 10 * time.Second
+
 // FetchSource returns a backend server from which the chosen one can fetch the cached prefix of the prompt instead of
-// computing it again: the server that this process last sent the longest shared prefix to, or else the session's home. It
-// returns false if the chosen server is expected to have the prefix itself, or if no usable server is expected to have it.
+// computing it again: the server that this process last sent the longest shared prefix to, or else the session's home before the
+// last change of lanes or servers, or its home. It returns false if the chosen server is expected to have the prefix itself, or
+// if no usable server is expected to have it.
 func (r *Router) FetchSource(now time.Time, req Request, chosen string) (Backend, bool) {
 	s := r.table.servers[chosen]
 	if s == nil || len(req.Prefix) == 0 {
 		return Backend{}, false
 	}
-	source := r.lastPrefixServer(s.group, req.Prefix[:len(req.Prefix)-1])
-	if source == nil && req.Session != 0 {
-		source = sessionHome(s.group, &req)
+	g := s.group
+	g.refreshLanes(now)
+	shared := req.Prefix[:len(req.Prefix)-1]
+	source := r.lastPrefixServer(now, g, shared[max(0, len(shared)-1):])
+	switch {
+	case source != nil:
+	case req.Session != 0:
+		source = g.sessionSource(now, &req, s)
+	default:
+		source = r.lastPrefixServer(now, g, shared)
 	}
 	if source == nil || source == s || !source.isCandidate(now, &req) || source.isSilent(now) {
 		return Backend{}, false
@@ -23,13 +35,28 @@
 	return source.Backend, true
 }
 
+// sessionSource returns the server other than chosen that is expected to cache the prefix of the session, or nil if there is none.
+func (g *group) sessionSource(now time.Time, req *Request, chosen *server) *server {
+	lane := g.laneOf(req.GapTarget)
+	former := g.home(req.Session, func(s *server) bool { return s.wasIn(now, lane) && s.serves(req) })
+	if former != nil && former != chosen {
+		return former
+	}
+	home := g.home(req.Session, func(s *server) bool { return s.isIn(lane) && s.serves(req) })
+	if home == chosen {
+		return nil
+	}
+	return home
+}
+
 // BackupServer returns a backend server that can store the backup of a run on the chosen server, or false if there is none.
 func (r *Router) BackupServer(now time.Time, req Request, chosen string, rnd uint64) (Backend, bool) {
 	s := r.table.servers[chosen]
 	if s == nil {
 		return Backend{}, false
 	}
-	c := r.scratch.collect(now, s.group, &req)
+	s.group.refreshLanes(now)
+	c := r.scratch.collect(now, s.group, &req, s.group.laneOf(req.GapTarget))
 	for _, servers := range [][]*server{c.lane, c.all} {
 		others := slices.DeleteFunc(servers, func(other *server) bool { return other == s })
 		if len(others) > 0 {
@@ -39,11 +66,11 @@
 	return Backend{}, false
 }
 
-// lastPrefixServer returns the server that was last sent the longest of the prefixes, or nil if there is none.
-func (r *Router) lastPrefixServer(g *group, prefixes []uint64) *server {
+// lastPrefixServer returns the server that was recently sent the longest of the prefixes, or nil if there is none.
+func (r *Router) lastPrefixServer(now time.Time, g *group, prefixes []uint64) *server {
 	for i := len(prefixes) - 1; i >= 0; i-- {
 		p, ok := g.placements.Peek(prefixes[i])
-		if !ok {
+		if !ok || now.Sub(p.at) > maxPlacementAge {
 			continue
 		}
 		if s := r.table.servers[p.server]; s != nil && s.group == g {
@@ -52,21 +79,3 @@
 	}
 	return nil
 }
-
-// sessionHome returns the server of the request's lane that ranks highest for the session, or nil if the lane is empty.
-func sessionHome(g *group, req *Request) *server {
-	from, to := laneBounds(req.Lane, req.TightServers, g.countReady(req))
-	place := 0
-	var best *server
-	bestRank := uint64(0)
-	for _, s := range g.ordered {
-		if !s.isReadyFor(req) {
-			continue
-		}
-		place++
-		if rk := rank(req.Session, s); place > from && place <= to && (best == nil || rk > bestRank) {
-			best, bestRank = s, rk
-		}
-	}
-	return best
-}
--- a/internal/core/route/split.go
+++ b/internal/core/route/split.go
@@ -1,72 +1,200 @@
 package route
 
-import "math"
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// A lane is a subset of a service's servers. The prefill of a long prompt delays every token of the streams on the same
+// server, so streams with tight targets for the gap between tokens and those with loose ones, which tend to have long prompts,
+// go to different servers if there are enough.
 
 const (
-	// minTightWeight and maxTightWeight bound the capacity given to a tight token relative to a bulk token. The weight
-	// follows the delays of both lanes.
+	// maxTightLanes is the maximum number of tight lanes of a service.
+	maxTightLanes = 2
+	// bulkGapFactor is the multiple of the smallest gap target from which a stream belongs to the bulk lane.
+	bulkGapFactor = 2
+	// tightGapFactor is the multiple of the smallest gap target of a tight lane from which a stream belongs to the next one.
+	tightGapFactor = 1.2
+	// minWorkShare is the share of a service's work below which a gap target gets no lane of its own.
+	minWorkShare = 0.03
+	// minTightWeight and maxTightWeight bound the capacity given to a token of the tight lanes relative to one of the bulk lane.
+	// The weight follows the delays of both.
 	minTightWeight = 0.5
 	maxTightWeight = 4
 	// lowDelay is the delay, as a multiple of the target, below which differences between lanes are ignored.
 	lowDelay = 0.6
-	// minLaneShare is the minimum share of the servers that a lane gets.
-	minLaneShare = 0.25
-	// shareHysteresis is the difference above which a new share takes effect. It limits changes because each one moves sessions.
+	// minShare is the minimum share of the servers of the tight lanes together and of the bulk lane.
+	minShare = 0.25
+	// shareHysteresis is the difference above which new shares take effect. It limits changes because each one moves sessions.
 	shareHysteresis = 0.04
+	// minLaneServers is the minimum number of servers that are split into lanes.
+	minLaneServers = 4
+	// minTightServers is the minimum number of servers of the tight lanes that are split among them.
+	minTightServers = 6
 )
 
-// LaneWork is the recent work of the lanes of a service, from one process or several.
-type LaneWork struct {
-	Tight, Bulk           float64 // prompt tokens per second
-	TightDelay, BulkDelay float64 // mean wait for the start of an answer, as a multiple of the target; 0: none yet
+// LanePlan splits the servers of a service into lanes. Processes that split by different plans route a session to different
+// homes, so one process should decide for all. It is immutable.
+type LanePlan struct {
+	Lanes []LanePart // by ascending gap target: the tight lanes and, as the last one, the bulk lane
 }
 
-// Add returns the sum of the work; the delays are averaged, weighted by the work of each side.
-func (w LaneWork) Add(o LaneWork) LaneWork {
-	return LaneWork{
-		Tight: w.Tight + o.Tight, Bulk: w.Bulk + o.Bulk,
-		TightDelay: weightedMean(w.TightDelay, w.Tight, o.TightDelay, o.Tight),
-		BulkDelay:  weightedMean(w.BulkDelay, w.Bulk, o.BulkDelay, o.Bulk),
+// LanePlans are the plans by service. A service with a nil plan is not split.
+type LanePlans map[string]*LanePlan
+
+// LanePart is one lane of a plan.
+type LanePart struct {
+	Gap   time.Duration // smallest gap target of its streams
+	Share float64       // of the servers; the shares of a plan add up to 1
+}
+
+// SplitLanes returns the plan for the recent work of a service, or nil if there is nothing to separate. It returns the previous
+// plan, which may be nil, unless the new one differs considerably.
+func SplitLanes(previous *LanePlan, work []StreamWork) *LanePlan {
+	tight, bulk := splitByGap(work)
+	if len(tight) == 0 || len(bulk) == 0 {
+		return nil
+	}
+	share := tightShare(sumWork(tight), sumWork(bulk))
+	next := &LanePlan{Lanes: divide(tight, share)}
+	next.Lanes = append(next.Lanes, LanePart{Gap: bulk[0].Gap, Share: 1 - share})
+	if next.isCloseTo(previous) {
+		return previous
 	}
+	return next
 }
 
-func weightedMean(a, weightA, b, weightB float64) float64 {
-	if weightA+weightB == 0 {
-		return 0
+// splitByGap splits work, sorted by gap target, into that of the tight lanes and that of the bulk lane. Rare gap targets are left
+// out.
+func splitByGap(work []StreamWork) (tight, bulk []StreamWork) {
+	total := sumWork(work).total()
+	for _, w := range work {
+		switch {
+		case w.total() <= minWorkShare*total:
+		case len(tight) > 0 && w.Gap >= bulkGapFactor*tight[0].Gap:
+			bulk = append(bulk, w)
+		default:
+			tight = append(tight, w)
+		}
 	}
-	return (a*weightA + b*weightB) / (weightA + weightB)
+	return tight, bulk
 }
 
-// tightWeight returns the capacity given to a tight token relative to a bulk token. It is 1 while both delays are at most
-// lowDelay, and otherwise shifts capacity to the lane with the longer delay.
-func (w LaneWork) tightWeight() float64 {
-	weight := max(w.TightDelay, lowDelay) / max(w.BulkDelay, lowDelay)
-	return min(max(weight, minTightWeight), maxTightWeight)
+// sumWork returns the sum of the work with different gap targets.
+func sumWork(work []StreamWork) StreamWork {
+	var sum StreamWork
+	for _, w := range work {
+		sum.Delay = meanDelay(sum, w)
+		sum.Prefill += w.Prefill
+		sum.Output += w.Output
+	}
+	return sum
 }
 
-// Splitter decides which share of a service's servers forms the tight lane. Processes that decide independently disagree, and
-// then route a session to different homes, so a single splitter should decide for all processes.
-type Splitter struct {
-	share float64 // 0: none yet
+// tightShare returns the share of the servers of the tight lanes together. It follows the tokens to prefill. While a side exceeds
+// lowDelay, it gets more for the same tokens.
+func tightShare(tight, bulk StreamWork) float64 {
+	weight := max(tight.Delay, lowDelay) / max(bulk.Delay, lowDelay)
+	weighted := min(max(weight, minTightWeight), maxTightWeight) * tight.Prefill
+	if weighted+bulk.Prefill == 0 {
+		return minShare
+	}
+	return min(max(weighted/(weighted+bulk.Prefill), minShare), 1-minShare)
 }
 
-// Decide returns the share of servers for the tight lane, or false unless both lanes have work.
-func (s *Splitter) Decide(w LaneWork) (share float64, ok bool) {
-	tight := w.tightWeight() * w.Tight
-	if tight == 0 || w.Bulk == 0 {
-		return 0, false
+// divide divides a share of the servers among the tight lanes, in proportion to the square root of their work: a small lane needs
+// more servers for the same delay.
+func divide(tight []StreamWork, share float64) []LanePart {
+	var parts []LanePart
+	roots := 0.0
+	for _, w := range tight {
+		last := len(parts) - 1
+		if last < 0 || (len(parts) < maxTightLanes && float64(w.Gap) >= tightGapFactor*float64(parts[last].Gap)) {
+			parts = append(parts, LanePart{Gap: w.Gap})
+			last++
+		}
+		parts[last].Share += w.total()
+	}
+	for i := range parts {
+		parts[i].Share = math.Sqrt(parts[i].Share)
+		roots += parts[i].Share
 	}
-	wanted := min(max(tight/(tight+w.Bulk), minLaneShare), 1-minLaneShare)
-	if s.share == 0 || math.Abs(wanted-s.share) > shareHysteresis {
-		s.share = wanted
+	for i := range parts {
+		parts[i].Share *= share / roots
 	}
-	return s.share, true
+	return parts
 }
 
-// TightServers returns how many of n servers belong to the tight lane, or 0 if n is too small for a split.
-func TightServers(share float64, n int) int {
-	if n < minLaneServers {
-		return 0
+// bulkShare returns the share of the bulk lane.
+func (p *LanePlan) bulkShare() float64 { return p.Lanes[len(p.Lanes)-1].Share }
+
+// DiffersFrom reports whether the bulk lanes of p and o, which may be nil, differ by more than a share of the servers.
+func (p *LanePlan) DiffersFrom(o *LanePlan, share float64) bool {
+	if p == nil || o == nil {
+		return p != o
+	}
+	return math.Abs(p.bulkShare()-o.bulkShare()) > share
+}
+
+// isCloseTo reports whether p has the same lanes as o, with shares that differ by at most shareHysteresis.
+func (p *LanePlan) isCloseTo(o *LanePlan) bool {
+	return o != nil && slices.EqualFunc(p.Lanes, o.Lanes, func(a, b LanePart) bool {
+		return a.Gap == b.Gap && math.Abs(a.Share-b.Share) <= shareHysteresis
+	})
+}
+
+// String returns the smallest gap target and the share of the servers of each lane.
+func (p *LanePlan) String() string {
+	if p == nil {
+		return "not split"
+	}
+	lanes := make([]string, len(p.Lanes))
+	for i, l := range p.Lanes {
+		lanes[i] = fmt.Sprintf("%v: %.2f", l.Gap, l.Share)
+	}
+	return strings.Join(lanes, ", ")
+}
+
+// Equal reports whether p and o are the same plan. Both may be nil.
+func (p *LanePlan) Equal(o *LanePlan) bool {
+	if p == nil || o == nil {
+		return p == o
+	}
+	return slices.Equal(p.Lanes, o.Lanes)
+}
+
+// laneFor returns the lane of streams with a gap target, or -1 if they may use all servers.
+func (p *LanePlan) laneFor(gap time.Duration) int {
+	if p == nil || gap <= 0 {
+		return -1
+	}
+	lane := 0
+	for i, part := range p.Lanes {
+		if part.Gap <= gap {
+			lane = i
+		}
+	}
+	return lane
+}
+
+// sizes returns the number of servers of each lane, out of n, or nil if n is too small for a split. If there are too few servers
+// for several tight lanes, the first one gets them all and the others none.
+func (p *LanePlan) sizes(n int) []int {
+	if p == nil || n < minLaneServers {
+		return nil
+	}
+	bulk := len(p.Lanes) - 1
+	sizes := make([]int, len(p.Lanes))
+	tight := min(max(int(math.Round((1-p.bulkShare())*float64(n))), 1), n-1)
+	sizes[0], sizes[bulk] = tight, n-tight
+	if bulk < 2 || tight < minTightServers {
+		return sizes
 	}
-	return min(max(int(math.Round(share*float64(n))), 1), n-1)
+	sizes[0] = min(max(int(math.Round(float64(tight)*p.Lanes[0].Share/(1-p.bulkShare()))), 1), tight-1)
+	sizes[1] = tight - sizes[0]
+	return sizes
 }
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -57,15 +57,15 @@
 
 // group holds the backend servers of one model.
 type group struct {
-	servers      []*server // by ID
-	ordered      []*server // by ID hash, an order that all processes share
-	placements   *simplelru.LRU[uint64, placement]
-	roundRobin   int
-	reviewedAt   time.Time
-	busy         float64       // sum of the reported busy counts
-	reported     int           // number of servers with a report
-	answerWait   time.Duration // moving average of the wait for the start of an answer
-	tightServers int           // number of servers in the tight lane at the last choice; 0: not split
+	servers    []*server // by ID
+	ordered    []*server // by ID hash, an order that all processes share
+	placements *simplelru.LRU[uint64, placement]
+	roundRobin int
+	reviewedAt time.Time
+	busy       float64       // sum of the reported busy counts
+	reported   int           // number of servers with a report
+	answerWait time.Duration // moving average of the wait for the start of an answer
+	laneMap
 }
 
 // placement records where a prompt prefix was last computed.
@@ -92,6 +92,7 @@
 	sentAt      []time.Time // send times of the requests of this process in flight, oldest first
 	activity    Activity    // nil until the first request was sent
 	gapAt       time.Time   // time of the last gap in its cache events
+	membership  laneMembership
 }
 
 // NewTable returns an empty table.
@@ -104,6 +105,7 @@
 func (t *Table) Upsert(now time.Time, b Backend) {
 	old := t.servers[b.ID]
 	if old != nil && old.Incarnation == b.Incarnation && old.Kind == b.Kind && old.Model == b.Model {
+		old.group.changed = old.group.changed || old.Lifecycle != b.Lifecycle
 		old.Backend = b
 		return
 	}
@@ -124,6 +126,7 @@
 func (g *group) rebuildOrder() {
 	g.ordered = append(g.ordered[:0], g.servers...)
 	slices.SortFunc(g.ordered, func(a, b *server) int { return cmp.Compare(a.order, b.order) })
+	g.changed = true
 }
 
 func (t *Table) group(key groupKey) *group {
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -3,10 +3,7 @@
 import (
 	"net"
 	"net/http"
-	"sync"
 	"time"
-
-	"github.com/guavastack/guavastack/internal/core/pace"
 )
 
 const (
@@ -68,25 +65,3 @@
 	ref.retryAfter = drainRetryAfter
 	return ref
 }
-
-// paces estimate how long the answers of each route take. They are safe for concurrent use.
-type paces struct {
-	mu        sync.Mutex
-	estimator *pace.Estimator
-}
-
-func newPaces() *paces { return &paces{estimator: pace.NewEstimator()} }
-
-// record records that x was answered completely after the given time.
-func (p *paces) record(x *exchange, took time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.estimator.Record(time.Now(), x.route.Name, pace.Answer{First: x.firstAfter, Total: took, OutputTokens: x.call.Prompt.MaxOutputTokens})
-}
-
-// longest returns how long the answer to x takes at most, or false if no answer of its route was observed.
-func (p *paces) longest(x *exchange) (time.Duration, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.estimator.Longest(time.Now(), x.route.Name, x.call.Prompt.MaxOutputTokens)
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,12 +52,14 @@
 	Fresh(now time.Time) bool
 	// FreshFor returns how long the keys may still be used; below 0: they have expired.
 	FreshFor(now time.Time) time.Duration
+	// Unconfirmed returns how long ago the catalog was certainly the newest one.
+	Unconfirmed(now time.Time) time.Duration
 	// Wall returns the wall-clock time on which billing windows are based.
 	Wall() time.Time
-	// LaneShare returns the share of a service's servers that all gateways use as its tight lane, or false if none is known.
-	LaneShare(service string) (float64, bool)
-	// SetLaneWork registers the function that returns the recent work of the services' lanes.
-	SetLaneWork(f func() []*controlpb.LaneWork)
+	// LanePlan returns the plan by which all gateways split a service's servers into lanes, or false if none is known.
+	LanePlan(service string) (*route.LanePlan, bool)
+	// SetLaneWork registers the function that returns the recent work of the services, from which their lanes are planned.
+	SetLaneWork(f func() []route.ServiceWork)
 	// Backends returns the registered backend servers.
 	Backends() []*controlpb.BackendServer
 	meter.Sink
@@ -73,10 +75,13 @@
 	Routing     route.Policy
 	RetryRatio  float64       // maximum number of retries of a service, as a share of its requests
 	GracePeriod time.Duration // from the shutdown signal to the end of the process; 0: DefaultGracePeriod
-	UsageWindow time.Duration // length of a billing window in wall-clock time; 0: usage is not counted
-	Dialect     Dialect
-	Logger      *slog.Logger
-	Metrics     *telemetry.Registry // nil: none
+	// CatalogLimit is the time in which a new catalog must be in force. Routes and keys that are missing from a catalog that was
+	// not confirmed in this time may exist. 0: the time is not limited.
+	CatalogLimit time.Duration
+	UsageWindow  time.Duration // length of a billing window in wall-clock time; 0: usage is not counted
+	Dialect      Dialect
+	Logger       *slog.Logger
+	Metrics      *telemetry.Registry // nil: none
 }
 
 // Server is one gateway.
@@ -117,7 +122,7 @@
 			ID: cfg.ID, Incarnation: cfg.Incarnation, Interval: usageInterval, Logger: cfg.Logger,
 		}, dir),
 		budgets: newBudgets(cfg.RetryRatio),
-		lanes:   newLanes(dir.LaneShare),
+		lanes:   newLanes(dir.LanePlan),
 		paces:   newPaces(),
 	}
 	s.addresses.Store(&map[string]bool{})
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -61,24 +61,28 @@
 
 // fakeDirectory is a Directory that the test controls.
 type fakeDirectory struct {
-	index    atomic.Pointer[catalog.Index]
-	stale    atomic.Bool
-	backends []*controlpb.BackendServer
-	onChange func()
+	index       atomic.Pointer[catalog.Index]
+	stale       atomic.Bool
+	unconfirmed atomic.Int64 // nanoseconds
+	backends    []*controlpb.BackendServer
+	onChange    func()
 
 	mu    sync.Mutex
 	usage []*controlpb.UsageCounter // of the last report
 }
 
-func (d *fakeDirectory) Catalog() *catalog.Index                  { return d.index.Load() }
-func (d *fakeDirectory) Fresh(time.Time) bool                     { return !d.stale.Load() }
-func (d *fakeDirectory) FreshFor(time.Time) time.Duration         { return time.Second }
-func (d *fakeDirectory) Backends() []*controlpb.BackendServer     { return d.backends }
-func (d *fakeDirectory) Wall() time.Time                          { return time.Now() }
-func (d *fakeDirectory) LaneShare(string) (float64, bool)         { return 0, false }
-func (d *fakeDirectory) SetLaneWork(func() []*controlpb.LaneWork) {}
-func (d *fakeDirectory) OnChange(f func())                        { d.onChange = f }
-func (d *fakeDirectory) OpenWindow() uint64                       { return math.MaxUint64 }
+func (d *fakeDirectory) Catalog() *catalog.Index              { return d.index.Load() }
+func (d *fakeDirectory) Fresh(time.Time) bool                 { return !d.stale.Load() }
+func (d *fakeDirectory) FreshFor(time.Time) time.Duration     { return time.Second }
+func (d *fakeDirectory) Backends() []*controlpb.BackendServer { return d.backends }
+func (d *fakeDirectory) Unconfirmed(time.Time) time.Duration {
+	return time.Duration(d.unconfirmed.Load())
+}
+func (d *fakeDirectory) Wall() time.Time                         { return time.Now() }
+func (d *fakeDirectory) LanePlan(string) (*route.LanePlan, bool) { return nil, false }
+func (d *fakeDirectory) SetLaneWork(func() []route.ServiceWork)  {}
+func (d *fakeDirectory) OnChange(f func())                       { d.onChange = f }
+func (d *fakeDirectory) OpenWindow() uint64                      { return math.MaxUint64 }
 func (d *fakeDirectory) ReportUsage(_ context.Context, r *controlpb.UsageReport) (*controlpb.UsageAck, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -25,6 +25,11 @@
 	return &refusal{status: status, code: code, message: message, verdict: verdict.NotRun}
 }
 
+// mayBeOutdated reports whether a newer catalog could allow the request. r may be nil.
+func (r *refusal) mayBeOutdated() bool {
+	return r != nil && (r.status == http.StatusNotFound || r.status == http.StatusUnauthorized)
+}
+
 func mayHaveRun(status int, code, message string) *refusal {
 	return &refusal{status: status, code: code, message: message, verdict: verdict.MayHaveRun}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -49,16 +49,15 @@
 	priority       int
 	rank           int // among all ranks of the catalog; 0 is served first
 	ranks          int
-	catalogVersion uint64 // of the catalog that applies
+	catalog        *catalog.Index // that applies
+	catalogVersion uint64
 	arrived        time.Time
 	deadline       time.Time
 	prefix         []uint64 // hashes of the prefixes of the prompt, shortest first
 	session        uint64   // requests of one session prefer the same server; 0: none
 	keepsBackup    bool     // another server keeps a backup of the run
 	fetchesPrefix  bool     // the server may fetch the prompt prefix from another one
-	lane           route.Lane
-	tightServers   int  // number of servers in the tight lane; 0: no lanes
-	metered        bool // counted for billing
+	metered        bool     // counted for billing
 
 	pendingSteps []step        // not logged yet
 	attempts     int           // attempts so far
@@ -78,27 +77,15 @@
 	x := &exchange{arrived: time.Now(), method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header}
 	call, callErr := s.cfg.Dialect.ParseCall(r.Header)
 	x.call = call
-	s.awaitReady(r.Context(), call.Timeout)
-	index := s.dir.Catalog()
-	if index == nil {
-		return x, notRun(http.StatusServiceUnavailable, "not_ready", "the gateway has no catalog yet")
-	}
-	x.catalogVersion = index.Version()
-	if limit := index.Limits().MaxHeaderBytes; limit > 0 && headBytes(r) > limit {
-		return x, notRun(http.StatusRequestHeaderFieldsTooLarge, "head_too_large", "the header of the request exceeds the size limit")
-	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	x.route = index.Match(r.Host, path)
-	if x.route == nil {
-		return x, notRun(http.StatusNotFound, "unknown_route", "no route for the host and path")
+	s.await(r.Context(), call.Timeout, s.canServe)
+	ref := s.matchAndAuthenticate(x, r, callErr)
+	if ref.mayBeOutdated() && !s.isCatalogConfirmed() {
+		ref = s.matchWhenConfirmed(x, r, callErr)
 	}
-	if callErr != nil {
-		return x, notRun(http.StatusBadRequest, "invalid_request", callErr.Error())
-	}
-	x.setDeadline()
-	if ref := s.authenticate(x, index); ref != nil {
+	if ref != nil {
 		return x, ref
 	}
+	index := x.catalog
 	if ref := x.readBody(w, r, index.Limits()); ref != nil {
 		return x, ref
 	}
@@ -110,20 +97,56 @@
 	if x.route.CachesPrompts {
 		x.prefix = prefixHashes(call.Prompt.Parts)
 		x.session = sessionOf(call.Prompt, x.prefix)
-		x.fetchesPrefix = isWorthFetching(call.Prompt, index.Service(x.service))
+		x.fetchesPrefix = s.isWorthFetching(call.Prompt, index.Service(x.service))
 	}
 	if x.isStream() {
-		x.lane, x.tightServers = s.lanes.choose(x, s.servers.CountReady(route.KindService, x.service))
+		s.servers.SetLanePlan(route.KindService, x.service, s.lanes.observe(x))
 	}
 	s.logStep(x, eventAdmitted,
 		slog.String("class", x.route.Name), slog.String("kind", x.route.Kind.String()), slog.String("service", x.service),
 		slog.String(telemetry.KeyOrganisation, x.organisation), slog.Int("rank", x.rank),
 		slog.Uint64("catalog_version", x.catalogVersion), slog.Int64("keys_fresh_ms", s.dir.FreshFor(clock.Now()).Milliseconds()),
 		slog.Int64("deadline_ms", x.remaining().Milliseconds()), slog.Int("prompt_tokens", x.call.Prompt.Tokens),
-		slog.String("lane", x.lane.String()), slog.Int("tight_servers", x.tightServers))
+		slog.Int64("gap_target_ms", x.route.GapTarget.Milliseconds()))
 	return x, nil
 }
 
+// matchAndAuthenticate matches x to its route and checks its key by the current catalog, or returns a refusal.
+func (s *Server) matchAndAuthenticate(x *exchange, r *http.Request, callErr error) *refusal {
+	index := s.dir.Catalog()
+	if index == nil {
+		return notRun(http.StatusServiceUnavailable, "not_ready", "the gateway has no catalog yet")
+	}
+	x.catalog, x.catalogVersion = index, index.Version()
+	if limit := index.Limits().MaxHeaderBytes; limit > 0 && headBytes(r) > limit {
+		return notRun(http.StatusRequestHeaderFieldsTooLarge, "head_too_large", "the header of the request exceeds the size limit")
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	x.route = index.Match(r.Host, path)
+	if x.route == nil {
+		return notRun(http.StatusNotFound, "unknown_route", "no route for the host and path")
+	}
+	if callErr != nil {
+		return notRun(http.StatusBadRequest, "invalid_request", callErr.Error())
+	}
+	x.setDeadline()
+	return s.authenticate(x, index)
+}
+
+// isCatalogConfirmed reports whether every catalog that must be in force by now has arrived.
+func (s *Server) isCatalogConfirmed() bool {
+	return s.cfg.CatalogLimit <= 0 || s.dir.Unconfirmed(clock.Now()) < s.cfg.CatalogLimit
+}
+
+// matchWhenConfirmed matches x again once the catalog is confirmed. If that takes too long, it refuses x: the route or key may exist.
+func (s *Server) matchWhenConfirmed(x *exchange, r *http.Request, callErr error) *refusal {
+	s.await(r.Context(), x.call.Timeout, s.isCatalogConfirmed)
+	if !s.isCatalogConfirmed() {
+		return notRun(http.StatusServiceUnavailable, "catalog_not_confirmed", "the gateway has not confirmed its catalog recently")
+	}
+	return s.matchAndAuthenticate(x, r, callErr)
+}
+
 // minSharedShare is the smallest shared part of a prompt, as a share of its tokens, with which the request gets a session.
 const minSharedShare = 0.4
 
@@ -140,18 +163,21 @@
 const (
 	// minFetchTokens is the smallest shared prefix that is fetched from another server.
 	minFetchTokens = 256
-	// maxFetchPerToken is the longest transfer time of one token at which fetching a prefix is faster than computing it.
-	maxFetchPerToken = 5 * time.Microsecond
+	// maxFetchShare is the largest share of the time to prefill a prefix that fetching it may take.
+	maxFetchShare = 0.6
+	// assumedPrefillPerToken is the time to prefill one token until a service's answers show it.
+	assumedPrefillPerToken = 10 * time.Microsecond
 )
 
 // isWorthFetching reports whether a server of the service fetches the shared prefix of the prompt from another one faster than it
 // computes it.
-func isWorthFetching(p Prompt, service *catalog.Service) bool {
+func (s *Server) isWorthFetching(p Prompt, service *catalog.Service) bool {
 	if service == nil || service.Engine == nil {
 		return false
 	}
-	perToken := service.Engine.CacheTransferPerToken
-	return perToken > 0 && perToken <= maxFetchPerToken && sharedTokens(p) >= minFetchTokens
+	fetch := service.Engine.CacheTransferPerToken
+	limit := maxFetchShare * float64(s.paces.prefillPerToken(service.Name))
+	return fetch > 0 && float64(fetch) <= limit && sharedTokens(p) >= minFetchTokens
 }
 
 // sharedTokens returns the number of tokens in the shared prefix of a prompt.
@@ -171,10 +197,10 @@
 	return p.Parts[len(p.Parts)-1].Tokens
 }
 
-// awaitReady holds a request for a short time while the gateway is not ready, as after a start or an election: most callers are
+// await holds a request for a short time until the gateway is ready for it, as after a start or an election: most callers are
 // served sooner this way than by a refusal and a retry. At most maxHeldRequests are held at a time.
-func (s *Server) awaitReady(ctx context.Context, callerTimeout time.Duration) {
-	if s.canServe() {
+func (s *Server) await(ctx context.Context, callerTimeout time.Duration, isReady func() bool) {
+	if isReady() {
 		return
 	}
 	limit := maxReadyWait
@@ -185,7 +211,7 @@
 		limit = 0
 	}
 	defer s.heldRequests.Add(-1)
-	for end := time.Now().Add(limit); !s.canServe() && time.Now().Before(end); {
+	for end := time.Now().Add(limit); !isReady() && time.Now().Before(end); {
 		if !wait.For(ctx, readyPollInterval) {
 			return
 		}
@@ -296,8 +322,7 @@
 		Exclude:          exclude,
 		FirstTokenTarget: x.route.LatencyTarget,
 		Session:          x.session,
-		Lane:             x.lane,
-		TightServers:     x.tightServers,
+		GapTarget:        x.route.GapTarget,
 	}
 }
 
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -61,7 +61,10 @@
 func (s *Server) finish(x *exchange, e requestOutcome) {
 	took := time.Since(x.arrived)
 	if x.attempts > 0 && x.isStream() && x.firstAfter == 0 {
-		s.lanes.recordDelay(x, max(took, x.route.LatencyTarget)) // no answer began; the wait counts as missing the target
+		s.lanes.recordDelay(x, max(took, x.route.LatencyTarget), x.route.LatencyTarget) // no answer began; the wait counts as missing the target
+	}
+	if x.longestGap > 0 {
+		s.lanes.recordDelay(x, x.longestGap, x.route.GapTarget)
 	}
 	s.countRequest(x, e, took)
 	if x.firstAfter > 0 && !e.failed() {
@@ -102,7 +105,8 @@
 		return
 	}
 	x.firstAfter = at.Sub(x.arrived)
-	s.lanes.recordDelay(x, x.firstAfter)
+	s.paces.recordStart(x)
+	s.lanes.recordDelay(x, x.firstAfter, x.route.LatencyTarget)
 }
 
 // isLate reports whether the answer began later than the route's latency target, or paused for longer than its gap target.
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -50,9 +50,11 @@
 		Routing:     routings[c.Routing],
 		RetryRatio:  c.RetryRatio,
 		GracePeriod: time.Duration(c.GracePeriod),
-		Dialect:     base.Adapter.Dialect,
-		Logger:      base.Logger,
-		Metrics:     base.Metrics,
+
+		CatalogLimit: time.Duration(c.CatalogLimit),
+		Dialect:      base.Adapter.Dialect,
+		Logger:       base.Logger,
+		Metrics:      base.Metrics,
 	}, client)
 	var err error
 	if g.listener, err = net.Listen("tcp", c.Listen); err != nil {
--- a/internal/serverset/serverset.go
+++ b/internal/serverset/serverset.go
@@ -101,17 +101,12 @@
 	return s.router.BackupServer(time.Now(), req, chosen, rand.Uint64())
 }
 
-// CountReady returns the number of ready backend servers of a kind that serve a model or service.
-func (s *Set) CountReady(kind, model string) int {
+// SetLanePlan sets the plan by which the backend servers of a kind that serve a model or service are split into lanes; nil: not
+// at all.
+func (s *Set) SetLanePlan(kind, model string, plan *route.LanePlan) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := 0
-	for _, b := range s.servers {
-		if b.Kind == kind && b.Model == model && b.Lifecycle == route.LifecycleReady {
-			n++
-		}
-	}
-	return n
+	s.table.SetLanePlan(kind, model, plan)
 }
 
 // States returns the state of each ready backend server as this process sees it.
--- a/internal/watch/client.go
+++ b/internal/watch/client.go
@@ -18,6 +18,7 @@
 	"github.com/guavastack/guavastack/internal/core/catalog"
 	"github.com/guavastack/guavastack/internal/core/limit"
 	"github.com/guavastack/guavastack/internal/core/member"
+	"github.com/guavastack/guavastack/internal/core/route"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/core/wallclock"
 	"github.com/guavastack/guavastack/internal/rpcpool"
@@ -39,9 +40,6 @@
 const (
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = time.Second
-	// firstMembers is the number of members that are queried in parallel for the first confirmation, since a member that has just
-	// restarted may not be able to confirm anything yet.
-	firstMembers = 3
 	// maxControlMembers is the maximum number of known addresses of control members.
 	maxControlMembers = 16
 )
@@ -100,19 +98,20 @@
 	cfg  Config
 	pool *rpcpool.Pool
 
-	tree       atomic.Pointer[settings.Tree]
-	catalog    atomic.Pointer[catalog.Index] // nil: no catalog yet
-	member     atomic.Pointer[string]        // address of the member of the current session, once it has confirmed; "": none
-	control    atomic.Pointer[[]string]      // addresses of the control members; once set, never empty
-	freshUntil atomic.Pointer[time.Time]
-	openWindow atomic.Uint64
-	shares     atomic.Pointer[confirmedShares]
-	backends   atomic.Pointer[[]*controlpb.BackendServer]
-	demand     atomic.Pointer[func() []*controlpb.Demand]
-	laneWork   atomic.Pointer[func() []*controlpb.LaneWork]
-	laneShares atomic.Pointer[map[string]float64]
-	wallOffset atomic.Int64 // how far the agreed wall clock is ahead of the local one, in nanoseconds
-	leader     atomic.Int64 // position of the control member that accepted the last proposal
+	tree          atomic.Pointer[settings.Tree]
+	catalog       atomic.Pointer[catalog.Index] // nil: no catalog yet
+	member        atomic.Pointer[string]        // address of the member of the current session, once it has confirmed; "": none
+	control       atomic.Pointer[[]string]      // addresses of the control members; once set, never empty
+	freshUntil    atomic.Pointer[time.Time]
+	openWindow    atomic.Uint64
+	shares        atomic.Pointer[confirmedShares]
+	backends      atomic.Pointer[[]*controlpb.BackendServer]
+	demand        atomic.Pointer[func() []*controlpb.Demand]
+	laneWork      atomic.Pointer[func() []route.ServiceWork]
+	lanePlans     atomic.Pointer[route.LanePlans]
+	wallOffset    atomic.Int64  // how far the agreed wall clock is ahead of the local one, in nanoseconds
+	confirmations atomic.Uint64 // number of confirmed queries
+	leader        atomic.Int64  // position of the control member that accepted the last proposal
 
 	// applyMu is held while an update is applied, and guards freshness and wall. freshness outlives sessions: queries are numbered
 	// across all sessions, so that no confirmation is taken for that of another query.
@@ -138,7 +137,7 @@
 	c.leader.Store(int64(cfg.firstMember()))
 	c.control.Store(&cfg.Control)
 	c.member.Store(new(string))
-	c.laneShares.Store(&map[string]float64{})
+	c.lanePlans.Store(&route.LanePlans{})
 	return c
 }
 
@@ -178,6 +177,11 @@
 // FreshFor returns how much longer the settings may be used. It is negative if they are stale.
 func (c *Client) FreshFor(now time.Time) time.Duration { return c.freshUntil.Load().Sub(now) }
 
+// Unconfirmed returns how long ago the query was sent that was confirmed last. A change committed since then may be missing.
+func (c *Client) Unconfirmed(now time.Time) time.Duration {
+	return now.Sub(c.freshUntil.Load().Add(-c.cfg.FreshnessLimit))
+}
+
 // Backends returns the registered backend servers, sorted by id. They must not be modified.
 func (c *Client) Backends() []*controlpb.BackendServer { return *c.backends.Load() }
 
@@ -218,14 +222,14 @@
 // SetDemand sets the function that returns the demand of the last interval.
 func (c *Client) SetDemand(f func() []*controlpb.Demand) { c.demand.Store(&f) }
 
-// SetLaneWork sets the function that returns the recent work for the lanes of services.
-func (c *Client) SetLaneWork(f func() []*controlpb.LaneWork) { c.laneWork.Store(&f) }
+// SetLaneWork sets the function that returns the recent work of the services, from which their lanes are planned.
+func (c *Client) SetLaneWork(f func() []route.ServiceWork) { c.laneWork.Store(&f) }
 
-// LaneShare returns the share of a service's servers that forms its tight lane, which the control group computes for all
-// processes. It returns false if the share is unknown.
-func (c *Client) LaneShare(service string) (float64, bool) {
-	share, ok := (*c.laneShares.Load())[service]
-	return share, ok
+// LanePlan returns the plan by which the servers of a service are split into lanes, on which the control group decides for all
+// processes. It is nil if they are not split. LanePlan returns false if the plan is unknown.
+func (c *Client) LanePlan(service string) (*route.LanePlan, bool) {
+	plan, ok := (*c.lanePlans.Load())[service]
+	return plan, ok
 }
 
 // Wall returns the wall clock time that the control group agrees on, or the local one while that is unknown.
@@ -264,73 +268,15 @@
 	if len(c.controlMembers()) == 0 {
 		return errors.NotValidf("empty list of control members")
 	}
-	backoff := minBackoff
-	lastAddress := ""
-	for i := c.cfg.firstMember(); ; i++ {
-		width := 1
-		if !c.Ready() {
-			width = firstMembers
-		}
-		if members := c.controlMembers(); width == 1 && members[i%len(members)] == lastAddress {
-			i++ // try another member, if there is one
-		}
-		var confirmed bool
-		lastAddress, confirmed = c.watch(ctx, i, width)
-		if confirmed {
+	f := newFollower(c)
+	defer f.running.Wait()
+	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
+		if f.follow(ctx) {
 			backoff = minBackoff
 		}
-		i += width - 1
 		if !pause(ctx, backoff) {
 			return ctx.Err()
 		}
-		backoff = min(2*backoff, maxBackoff)
-	}
-}
-
-// watch opens sessions with width members, starting at position first, and keeps the one that confirms first. It returns when all
-// have ended, with the address of the one that confirmed, or otherwise of the last one.
-func (c *Client) watch(ctx context.Context, first, width int) (address string, confirmed bool) {
-	members := c.controlMembers()
-	var sessions []*session
-	for i := range min(width, len(members)) {
-		sessions = append(sessions, &session{client: c, address: members[(first+i)%len(members)]})
-	}
-	contexts := make([]context.Context, len(sessions))
-	cancels := make([]context.CancelFunc, len(sessions))
-	for i := range sessions {
-		contexts[i], cancels[i] = context.WithCancel(ctx)
-		defer cancels[i]()
-	}
-	var firstConfirmation sync.Once
-	var ended sync.WaitGroup
-	for i, s := range sessions {
-		s.onConfirmed = func() { firstConfirmation.Do(func() { cancelAllBut(cancels, i) }) }
-		ended.Go(func() { c.runSession(contexts[i], s) })
-	}
-	ended.Wait()
-	c.member.Store(new(string))
-	for _, s := range sessions {
-		if s.confirmed {
-			return s.address, true
-		}
-		address = s.address
-	}
-	return address, false
-}
-
-func cancelAllBut(cancels []context.CancelFunc, kept int) {
-	for i, cancel := range cancels {
-		if i != kept {
-			cancel()
-		}
-	}
-}
-
-// runSession runs a session and logs why it ended, unless it was cancelled.
-func (c *Client) runSession(ctx context.Context, s *session) {
-	err := s.run(ctx)
-	if ctx.Err() == nil {
-		c.cfg.Logger.Info("watch of control member ended", "address", s.address, "error", err)
 	}
 }
 
--- a/internal/watch/scenario_test.go
+++ b/internal/watch/scenario_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/core/claim"
+	"github.com/guavastack/guavastack/internal/core/route"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/core/state"
 	"github.com/guavastack/guavastack/internal/watch"
@@ -459,9 +460,10 @@
 	})
 }
 
-// TestProcessesGetSameLaneShares gives each process a different mix of work for the two lanes. All processes must get the
-// same share, computed from the total, because sessions are placed by it.
-func TestProcessesGetSameLaneShares(t *testing.T) {
+// TestProcessesGetSameLanePlan gives each process a different mix of work. All processes must get the same plan, computed from
+// the total, because sessions are placed by it.
+func TestProcessesGetSameLanePlan(t *testing.T) {
+	const tightGap, bulkGap = 200 * time.Millisecond, 800 * time.Millisecond
 	withGroup(t, 3, func(w *testGroup) {
 		var clients []*watch.Client
 		for i := range 6 {
@@ -469,33 +471,30 @@
 				ProcessID: fmt.Sprintf("gateway-%d", i), Incarnation: "1", Role: "gateway", Control: w.addresses, Dial: w.dial,
 			})
 			part := float64(i + 1)
-			c.SetLaneWork(func() []*controlpb.LaneWork {
-				return []*controlpb.LaneWork{{Service: "app", Tight: 100 * part, Bulk: 800 - 100*part}}
+			c.SetLaneWork(func() []route.ServiceWork {
+				streams := []route.StreamWork{{Gap: tightGap, Prefill: 100 * part}, {Gap: bulkGap, Prefill: 800 - 100*part}}
+				return []route.ServiceWork{{Service: "app", Streams: streams}, {Service: "alike", Streams: streams[:1]}}
 			})
 			go func() { _ = c.Run(w.ctx) }()
 			clients = append(clients, c)
 		}
-		shared := func() map[float64]int {
-			shares := make(map[float64]int)
-			for _, c := range clients {
-				share, ok := c.LaneShare("app")
-				if !ok {
-					share = -1
+		want := route.SplitLanes(nil, []route.StreamWork{{Gap: tightGap, Prefill: 2100}, {Gap: bulkGap, Prefill: 6*800 - 2100}})
+		checkPlans := func(when string) {
+			t.Helper()
+			for i, c := range clients {
+				if plan, ok := c.LanePlan("app"); !ok || plan.String() != want.String() {
+					t.Errorf("%s: process %d got plan %+v (known: %v), want %+v", when, i, plan, ok, want)
+				}
+				if plan, ok := c.LanePlan("alike"); !ok || plan != nil {
+					t.Errorf("%s: process %d got plan %+v (known: %v) for streams alike, want no split", when, i, plan, ok)
 				}
-				shares[share]++
 			}
-			return shares
 		}
 		time.Sleep(5 * time.Second)
-		const want = 2100.0 / (6 * 800)
-		if got := shared(); len(got) != 1 || got[want] != len(clients) {
-			t.Errorf("got shares %v, want %v at all processes", got, want)
-		}
+		checkPlans("at first")
 		w.cluster.SetLeader(1)
 		time.Sleep(5 * time.Second)
-		if got := shared(); len(got) != 1 || got[want] != len(clients) {
-			t.Errorf("got shares %v under another leader, want %v at all processes", got, want)
-		}
+		checkPlans("under another leader")
 	})
 }
 
@@ -525,3 +524,32 @@
 		}
 	})
 }
+
+// TestWatcherAsksOtherMembersInTime covers a member that freezes while another one has been replaced and a third confirms nothing:
+// the watcher must receive a change committed meanwhile within the bound.
+func TestWatcherAsksOtherMembersInTime(t *testing.T) {
+	const bound = 1800 * time.Millisecond
+	withGroup(t, 5, func(w *testGroup) {
+		c := w.watcher("gateway-1")
+		synctest.Wait()
+		watched := w.watchedMember(c)
+		replaced, lagging, leader := (watched+1)%5, (watched+2)%5, (watched+3)%5
+		w.cluster.SetLeader(leader)
+		time.Sleep(3*watch.DefaultQueryInterval + 10*time.Millisecond) // immediately after a confirmation
+		w.hang(w.addresses[replaced])
+		w.cluster.Isolate(lagging, true)
+		w.hang(w.addresses[watched])
+		w.dropTraffic(w.addresses[watched])
+		if _, err := w.cluster.Members[leader].Propose(w.ctx, command(t, putShopN(1))); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(bound)
+		if len(c.Tree().Organisations()) == 0 {
+			t.Errorf("the change is not in force %v after the member froze", bound)
+		}
+		time.Sleep(5 * time.Second)
+		if member := w.watchedMember(c); member == watched || member == replaced || member == lagging {
+			t.Errorf("the client watches member %d, want one that confirms", member)
+		}
+	})
+}
--- a/internal/watch/session.go
+++ b/internal/watch/session.go
@@ -10,6 +10,7 @@
 	"github.com/guavastack/guavastack/internal/core/limit"
 	"github.com/guavastack/guavastack/internal/core/member"
 	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/lanemsg"
 	"github.com/guavastack/guavastack/internal/rpcpool"
 	"github.com/guavastack/guavastack/proto/controlpb"
 	"github.com/juju/errors"
@@ -18,11 +19,12 @@
 
 // session is one watch stream with one control member.
 type session struct {
-	client      *Client
-	address     string
-	confirmed   bool
-	onConfirmed func()
+	client        *Client
+	address       string
+	onConfirmed   func() // called at each confirmation
+	onUnconfirmed func() // called if a query is not confirmed within confirmationDelay
 
+	unconfirmed   *time.Timer // calls onUnconfirmed
 	lastHeard     time.Time
 	lastConfirmed time.Time
 }
@@ -32,6 +34,8 @@
 func (s *session) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	s.unconfirmed = time.AfterFunc(confirmationDelay, s.onUnconfirmed)
+	defer s.unconfirmed.Stop()
 	conn, err := s.connect(ctx)
 	if err != nil {
 		return err
@@ -129,6 +133,7 @@
 func (s *session) queueQuery(queries chan<- *controlpb.WatchRequest) {
 	select {
 	case queries <- s.newQuery():
+		s.unconfirmed.Reset(confirmationDelay)
 	default:
 	}
 }
@@ -157,7 +162,7 @@
 		q.Demand = (*f)()
 	}
 	if f := s.client.laneWork.Load(); f != nil {
-		q.Lanes = (*f)()
+		q.Work = lanemsg.FromWork((*f)())
 	}
 	return q
 }
@@ -184,7 +189,7 @@
 	if u.OpenWindow > s.client.openWindow.Load() {
 		s.client.openWindow.Store(u.OpenWindow)
 	}
-	s.applyLaneShares(u)
+	s.applyLanePlans(u)
 	s.applyWallClock(u)
 	if changed {
 		s.client.notify()
@@ -271,10 +276,9 @@
 	until := s.client.freshness.Confirm(u.ConfirmedQuery)
 	s.client.freshUntil.Store(&until)
 	s.lastConfirmed = time.Now()
-	if !s.confirmed {
-		s.confirmed = true
-		s.onConfirmed()
-	}
+	s.client.confirmations.Add(1)
+	s.unconfirmed.Stop()
+	s.onConfirmed()
 	s.client.member.Store(&s.address)
 	return true
 }
@@ -329,16 +333,13 @@
 	s.client.wallOffset.Store(int64(s.client.wall.Offset()))
 }
 
-// applyLaneShares stores the shares of the lanes.
-func (s *session) applyLaneShares(u *controlpb.WatchUpdate) {
-	if len(u.LaneShares) == 0 {
+// applyLanePlans stores the plans of the lanes.
+func (s *session) applyLanePlans(u *controlpb.WatchUpdate) {
+	if len(u.LanePlans) == 0 {
 		return
 	}
-	shares := make(map[string]float64, len(u.LaneShares))
-	for _, share := range u.LaneShares {
-		shares[share.Service] = share.Tight
-	}
-	s.client.laneShares.Store(&shares)
+	plans := lanemsg.ToPlans(u.LanePlans)
+	s.client.lanePlans.Store(&plans)
 }
 
 // applyLimitShares stores the shares of limits, as of when the confirmed query was sent.
