--- a/internal/core/route/lanes.go
+++ b/internal/core/route/lanes.go
@@ -15,7 +15,7 @@
 	// maxDelay bounds a delay, as a multiple of the request's target.
 	maxDelay = 3
 	// outputTokenWork is the work of generating a token as a multiple of the work of prefilling one, in a batch with others.
-	outputTokenWork = 3
+	outputTokenWork = 4
 )
 
 // Lanes observes the streams of one service by their target for the gap between tokens. The lanes of the service are split by
--- a/internal/core/route/source.go
+++ b/internal/core/route/source.go
@@ -11,7 +11,7 @@
 
 // FetchSource returns a backend server from which the chosen one can fetch the cached prefix of the prompt instead of
 // computing it again: the server that this process last sent the longest shared prefix to, or else the session's home before the
-// last change of lanes or servers, or its home. It returns false if the chosen server is expected to have the prefix itself, or
+// last change of lanes or servers, or its home, or the one that it last sent a shorter prefix to. It returns false if the chosen server is expected to have the prefix itself, or
 // if no usable server is expected to have it.
 func (r *Router) FetchSource(now time.Time, req Request, chosen string) (Backend, bool) {
 	s := r.table.servers[chosen]
@@ -22,12 +22,11 @@
 	g.refreshLanes(now)
 	shared := req.Prefix[:len(req.Prefix)-1]
 	source := r.lastPrefixServer(now, g, shared[max(0, len(shared)-1):])
-	switch {
-	case source != nil:
-	case req.Session != 0:
+	if source == nil && req.Session != 0 {
 		source = g.sessionSource(now, &req, s)
-	default:
-		source = r.lastPrefixServer(now, g, shared)
+	}
+	if source == nil {
+		source = r.lastPrefixServer(now, g, shared) // a server that is new to the session may lack a part that others share
 	}
 	if source == nil || source == s || !source.isCandidate(now, &req) || source.isSilent(now) {
 		return Backend{}, false
--- a/internal/core/route/split.go
+++ b/internal/core/route/split.go
@@ -107,24 +107,25 @@
 }
 
 // divide divides a share of the servers among the tight lanes, in proportion to the square root of their work: a small lane needs
-// more servers for the same delay.
+// more servers for the same delay. A lane that exceeds lowDelay gets more for the same work.
 func divide(tight []StreamWork, share float64) []LanePart {
 	var parts []LanePart
-	roots := 0.0
+	var lanes []StreamWork
+	total := 0.0
 	for _, w := range tight {
 		last := len(parts) - 1
 		if last < 0 || (len(parts) < maxTightLanes && float64(w.Gap) >= tightGapFactor*float64(parts[last].Gap)) {
-			parts = append(parts, LanePart{Gap: w.Gap})
-			last++
+			parts, lanes = append(parts, LanePart{Gap: w.Gap}), append(lanes, w)
+			continue
 		}
-		parts[last].Share += w.total()
+		lanes[last] = sumWork([]StreamWork{lanes[last], w})
 	}
-	for i := range parts {
-		parts[i].Share = math.Sqrt(parts[i].Share)
-		roots += parts[i].Share
+	for i, lane := range lanes {
+		parts[i].Share = math.Sqrt(lane.total()) * min(max(lane.Delay/lowDelay, 1), maxTightWeight)
+		total += parts[i].Share
 	}
 	for i := range parts {
-		parts[i].Share *= share / roots
+		parts[i].Share *= share / total
 	}
 	return parts
 }
--- a/internal/core/sched/learn.go
+++ b/internal/core/sched/learn.go
@@ -128,7 +128,7 @@
 	mean := e.intervalSum / float64(e.observations)
 	batch := e.maxBatch
 	e.observations, e.intervalSum, e.maxBatch = 0, 0, 0
-	if target <= 0 {
+	if target <= 0 || mean <= 0 {
 		return min(slots+1, maxSlots)
 	}
 	// The time between tokens grows at most linearly with the batch size.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -190,11 +190,7 @@
 	answer, err := s.client.Do(ctx, server.Address, s.upstreamRequest(x, server, source, t))
 	if err != nil {
 		o := s.failedOutcome(ctx, x, server, err)
-		result := route.Failed
-		if isUnreachable(err) {
-			result = route.Unreachable
-		}
-		s.recordEnd(ctx, server, route.Outcome{Result: result})
+		s.recordEnd(ctx, server, route.Outcome{Result: failedResult(ctx, err)})
 		if o.ran && (!x.isStream() || isAnswerLost(ctx, err)) {
 			s.recordUsage(x, began)
 		}
@@ -284,6 +280,20 @@
 	}
 }
 
+// failedResult returns how a failed attempt counts for the server. If the time of the request ran out before it was sent, the server
+// may be healthy.
+func failedResult(ctx context.Context, err error) route.Result {
+	var failure *upstream.Error
+	switch {
+	case ctx.Err() != nil && errors.As(err, &failure) && !failure.Sent:
+		return route.Refused
+	case isUnreachable(err):
+		return route.Unreachable
+	default:
+		return route.Failed
+	}
+}
+
 // isUnreachable reports whether no connection could be made, or the peer stopped acknowledging data.
 func isUnreachable(err error) bool {
 	var failure *upstream.Error
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -4,10 +4,16 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
+	"github.com/guavastack/guavastack/internal/core/catalog"
+	"github.com/guavastack/guavastack/internal/core/route"
+	"github.com/guavastack/guavastack/internal/upstream"
 	"github.com/guavastack/guavastack/proto/controlpb"
 )
 
@@ -338,3 +344,54 @@
 		t.Error("got ready while shutting down, want not ready")
 	}
 }
+
+// TestStreamEndsBetweenEvents covers streams without framing, whose end is complete only after a blank line, in any split of the data.
+func TestStreamEndsBetweenEvents(t *testing.T) {
+	cases := []struct {
+		name  string
+		parts []string
+		want  bool
+	}{
+		{"one read", []string{"id: 1\n\n"}, true},
+		{"blank line in two reads", []string{"id: 1\n", "\n"}, true},
+		{"byte by byte", []string{"i", "d", ":", "1", "\n", "\n"}, true},
+		{"within an event", []string{"id: 1\n\n", "id: 2\n"}, false},
+		{"lines in two reads", []string{"id: 1\n", "data: x\n"}, false},
+		{"nothing", nil, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newStreamWriter(httptest.NewRecorder(), &exchange{route: &catalog.Route{Kind: catalog.Streaming}})
+			w.setHead(http.StatusOK, http.Header{})
+			for _, part := range c.parts {
+				w.write([]byte(part))
+			}
+			if got := w.isBetweenEvents(); got != c.want {
+				t.Errorf("between events: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// TestFailedAttemptCountsForServer checks what a failed attempt says about its server.
+func TestFailedAttemptCountsForServer(t *testing.T) {
+	expired, cancel := context.WithDeadlineCause(context.Background(), time.Unix(0, 0), errDeadline)
+	defer cancel()
+	cases := []struct {
+		name string
+		ctx  context.Context
+		err  error
+		want route.Result
+	}{
+		{"no connection", context.Background(), &upstream.Error{Cause: io.EOF}, route.Unreachable},
+		{"deadline while connecting", expired, &upstream.Error{Cause: errDeadline}, route.Refused},
+		{"deadline after sending", expired, &upstream.Error{Sent: true, Cause: errDeadline}, route.Failed},
+		{"answer lost", context.Background(), &upstream.Error{Sent: true, Cause: io.EOF}, route.Failed},
+		{"no acknowledgement of data", context.Background(), &upstream.Error{Sent: true, Cause: unix.ETIMEDOUT}, route.Unreachable},
+	}
+	for _, c := range cases {
+		if got := failedResult(c.ctx, c.err); got != c.want {
+			t.Errorf("%s: result %d, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -176,7 +176,8 @@
 func (s *streamWriter) write(data []byte) {
 	if !s.resumable {
 		s.send(data)
-		s.tail = append(s.tail[:0], data[max(0, len(data)-len(eventEnd)):]...)
+		s.tail = append(s.tail, data[max(0, len(data)-len(eventEnd)):]...)
+		s.tail = append(s.tail[:0], s.tail[max(0, len(s.tail)-len(eventEnd)):]...)
 		return
 	}
 	s.partial = append(s.partial, data...)
--- a/internal/serverset/serverset.go
+++ b/internal/serverset/serverset.go
@@ -52,7 +52,9 @@
 			s.table.Remove(id)
 			delete(s.servers, id)
 			delete(s.activities, id)
-			delete(s.byAddr, b.Address)
+			if s.byAddr[b.Address] == id { // else another server has taken over the address
+				delete(s.byAddr, b.Address)
+			}
 		}
 	}
 }
--- a/internal/watch/propose.go
+++ b/internal/watch/propose.go
@@ -106,7 +106,7 @@
 // reports are harmless.
 func (c *Client) ReportUsage(ctx context.Context, report *controlpb.UsageReport) (*controlpb.UsageAck, error) {
 	first := int(c.leader.Load())
-	var last error
+	var last error = errors.NotFoundf("control member")
 	members := c.controlMembers()
 	for i := range members {
 		ack, err := c.reportTo(ctx, members[(first+i)%len(members)], report)
