route, control: plans follow the work sooner; renewals are sent once a heartbeat

A gateway used its own plan only if the bulk lanes differed. Change: it does if any lane differs; work counts with a half-life of 3 s (4 s before). Candidates are collected from the lane first.

Change: a digest renews a server only if it was heard of 1 s or more after its last renewal at that peer.

--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -126,20 +126,20 @@
 // exchangeWith sends digests to one other member: immediately after a change of the registry or the lane plans, after
 // versionBatchDelay when a process has reported another version, and at intervals.
 func (s *Service) exchangeWith(ctx context.Context, peer string) {
-	var sent uint64 // registry version that the peer has
+	var sent peerState
 	var incarnation string
 	tick := time.NewTicker(exchangeInterval)
 	defer tick.Stop()
 	for {
 		changed, versionChanged := s.soft.changedChannel(), s.soft.versionChangedChannel()
 		_, lanesChanged := s.lanes.newest()
-		digest, version := s.digest(sent, time.Now())
+		digest, next := s.digest(sent, time.Now())
 		ack, err := s.sendDigest(ctx, peer, digest)
 		switch {
 		case err != nil || ack.Incarnation != incarnation:
-			sent = 0
+			sent = peerState{}
 		default:
-			sent = version
+			sent = next
 		}
 		if err == nil {
 			incarnation = ack.Incarnation
@@ -168,17 +168,30 @@
 	return ack, err
 }
 
-// digest returns the soft state that was reported to this member directly, and the registry version. It holds full
-// reports only of the backend servers that changed after since, and renewals of the others.
-func (s *Service) digest(since uint64, now time.Time) (*controlpb.Digest, uint64) {
+// peerState is the part of this member's registry that a peer has. The zero value is nothing.
+type peerState struct {
+	registry uint64               // version
+	heard    map[string]time.Time // by backend server: time of the newest report or renewal that was sent
+}
+
+// digest returns the soft state that was reported to this member directly, and the peer's state once it has that. It holds full
+// reports only of the backend servers that changed since, and renewals of the others, at renewalInterval.
+func (s *Service) digest(have peerState, now time.Time) (*controlpb.Digest, peerState) {
 	d := &controlpb.Digest{Member: s.cfg.Group.Self().ID, Incarnation: s.cfg.Incarnation, WallUs: clock.Wall().UnixMicro()}
-	version := s.soft.forEachDirectReport(since, func(reg member.Registration[*controlpb.BackendServer]) {
-		if reg.Changed > since {
+	next := peerState{heard: make(map[string]time.Time, len(have.heard))}
+	next.registry = s.soft.forEachDirectReport(have.registry, func(reg member.Registration[*controlpb.BackendServer]) {
+		id := reg.Report.ID
+		next.heard[id] = reg.Heard
+		if reg.Changed > have.registry {
 			d.Backends = append(d.Backends, backendOf(reg))
 			return
 		}
+		if last, ok := have.heard[id]; ok && reg.Heard.Sub(last) < renewalInterval {
+			next.heard[id] = last
+			return
+		}
 		d.Renewals = append(d.Renewals, &controlpb.Renewal{
-			Id: reg.Report.ID, Incarnation: reg.Report.Incarnation, Sequence: reg.Report.Sequence, AgeMs: now.Sub(reg.Heard).Milliseconds(),
+			Id: id, Incarnation: reg.Report.Incarnation, Sequence: reg.Report.Sequence, AgeMs: now.Sub(reg.Heard).Milliseconds(),
 			Lifecycle: string(reg.ReportedLifecycle),
 		})
 	})
@@ -191,7 +204,7 @@
 			d.Processes = append(d.Processes, processMessage(p, now))
 		}
 	}
-	return d, version
+	return d, next
 }
 
 // forEachDirectReport calls f for each backend server that reports to this member, and returns the registry version. Servers that
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -32,6 +32,7 @@
 	exchangeInterval       = 500 * time.Millisecond  // between digests to another member
 	peerPollInterval       = 500 * time.Millisecond  // between updates of the list of peers
 	versionBatchDelay      = 30 * time.Millisecond   // delay of a digest, so that the versions of several processes share it
+	renewalInterval        = time.Second             // between renewals of a backend server in the digests to another member
 	exchangeTimeout        = 1500 * time.Millisecond // of one digest
 	housekeepingInterval   = 500 * time.Millisecond
 	processStaleFactor     = 2 // in freshness limits: how long a process that stopped reporting still counts as behind
--- a/internal/core/route/affinity.go
+++ b/internal/core/route/affinity.go
@@ -28,55 +28,51 @@
 func (r *Router) sessionLanes(now time.Time, g *group, req *Request, rnd uint64) *server {
 	g.refreshLanes(now)
 	lane := g.laneOf(req.GapTarget)
-	c := r.scratch.collect(now, g, req, lane)
-	if len(c.all) == 0 {
+	servers := r.candidates(now, g, req, lane)
+	if len(servers) == 0 {
 		return g.lastResort(req, rnd)
 	}
 	if req.Session != 0 {
-		if s := r.home(now, c.lane, req); s != nil {
+		if s := r.home(now, servers, req); s != nil {
 			return s
 		}
 	}
-	best := r.leastLoaded(now, c.lane, req, rnd)
+	best := r.leastLoaded(now, servers, req, rnd)
 	if lane < len(g.lanes)-1 && r.utilisation(now, best) >= fullUtilisation {
 		// A request doesn't queue in its lane while another server is less loaded, except one with the loosest target.
-		if other := r.leastLoaded(now, c.all, req, nextRandom(rnd)); r.utilisation(now, other) < r.utilisation(now, best) {
+		all := r.candidates(now, g, req, noLane)
+		if other := r.leastLoaded(now, all, req, nextRandom(rnd)); r.utilisation(now, other) < r.utilisation(now, best) {
 			return other
 		}
 	}
 	return best
 }
 
-// candidates holds the servers that may get a request.
-type candidates struct {
-	all  []*server
-	lane []*server // those in the request's lane, or all if there are none
-}
-
-// collect gathers the candidates for a request of a lane, reusing the memory of earlier calls.
-func (c *candidates) collect(now time.Time, g *group, req *Request, lane int) candidates {
-	c.all, c.lane = c.all[:0], c.lane[:0]
-	c.add(now, g, req, lane, false)
-	if len(c.all) == 0 {
-		c.add(now, g, req, lane, true) // if every server is silent, the servers are probably not the cause
+// candidates returns the servers of a lane that may get a request, or of all lanes if it has none. The result is valid until the next
+// call.
+func (r *Router) candidates(now time.Time, g *group, req *Request, lane int) []*server {
+	servers := g.ready
+	if lane != noLane {
+		servers = g.lanes[lane]
+	}
+	r.scratch = appendCandidates(r.scratch[:0], now, servers, req, false)
+	if len(r.scratch) == 0 && lane != noLane {
+		r.scratch = appendCandidates(r.scratch, now, g.ready, req, false)
 	}
-	if len(c.lane) == 0 {
-		c.lane = append(c.lane, c.all...)
+	if len(r.scratch) == 0 {
+		r.scratch = appendCandidates(r.scratch, now, g.ready, req, true) // if every server is silent, the servers are probably not the cause
 	}
-	return *c
+	return r.scratch
 }
 
-// add appends the candidates that are silent, or those that aren't.
-func (c *candidates) add(now time.Time, g *group, req *Request, lane int, silent bool) {
-	for _, s := range g.ready {
-		if !s.isCandidate(now, req) || s.isSilent(now) != silent {
-			continue
-		}
-		c.all = append(c.all, s)
-		if s.isIn(lane) {
-			c.lane = append(c.lane, s)
+// appendCandidates appends the servers that may get the request and are silent, or aren't.
+func appendCandidates(list []*server, now time.Time, servers []*server, req *Request, silent bool) []*server {
+	for _, s := range servers {
+		if s.isCandidate(now, req) && s.isSilent(now) == silent {
+			list = append(list, s)
 		}
 	}
+	return list
 }
 
 func (s *server) isReadyFor(req *Request) bool { return s.Lifecycle == LifecycleReady && s.serves(req) }
--- a/internal/core/route/lanes.go
+++ b/internal/core/route/lanes.go
@@ -9,7 +9,7 @@
 
 const (
 	// laneHalfLife is the half-life of observed work.
-	laneHalfLife = 4 * time.Second
+	laneHalfLife = 3 * time.Second
 	// delayWeight is the weight of a new delay in the moving average of its gap target.
 	delayWeight = 0.05
 	// maxDelay bounds a delay, as a multiple of the request's target.
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -49,7 +49,7 @@
 type Router struct {
 	table   *Table
 	cfg     RouterConfig
-	scratch candidates
+	scratch []*server // reused by candidates
 }
 
 // NewRouter returns a router over the table.
--- a/internal/core/route/source.go
+++ b/internal/core/route/source.go
@@ -54,10 +54,10 @@
 	if s == nil {
 		return Backend{}, false
 	}
-	s.group.refreshLanes(now)
-	c := r.scratch.collect(now, s.group, &req, s.group.laneOf(req.GapTarget))
-	for _, servers := range [][]*server{c.lane, c.all} {
-		others := slices.DeleteFunc(servers, func(other *server) bool { return other == s })
+	g := s.group
+	g.refreshLanes(now)
+	for _, lane := range []int{g.laneOf(req.GapTarget), noLane} {
+		others := slices.DeleteFunc(r.candidates(now, g, &req, lane), func(other *server) bool { return other == s })
 		if len(others) > 0 {
 			return r.leastLoaded(now, others, &req, rnd).Backend, true
 		}
--- a/internal/core/route/split.go
+++ b/internal/core/route/split.go
@@ -62,7 +62,7 @@
 	share := tightShare(sumWork(tight), sumWork(bulk))
 	next := &LanePlan{Lanes: divide(tight, share)}
 	next.Lanes = append(next.Lanes, LanePart{Gap: bulk[0].Gap, Share: 1 - share})
-	if next.isCloseTo(previous) {
+	if !next.DiffersFrom(previous, shareHysteresis) {
 		return previous
 	}
 	return next
@@ -133,18 +133,13 @@
 // bulkShare returns the share of the bulk lane.
 func (p *LanePlan) bulkShare() float64 { return p.Lanes[len(p.Lanes)-1].Share }
 
-// DiffersFrom reports whether the bulk lanes of p and o, which may be nil, differ by more than a share of the servers.
+// DiffersFrom reports whether p and o, which may be nil, have other lanes or a lane whose share differs by more than the given one.
 func (p *LanePlan) DiffersFrom(o *LanePlan, share float64) bool {
 	if p == nil || o == nil {
 		return p != o
 	}
-	return math.Abs(p.bulkShare()-o.bulkShare()) > share
-}
-
-// isCloseTo reports whether p has the same lanes as o, with shares that differ by at most shareHysteresis.
-func (p *LanePlan) isCloseTo(o *LanePlan) bool {
-	return o != nil && slices.EqualFunc(p.Lanes, o.Lanes, func(a, b LanePart) bool {
-		return a.Gap == b.Gap && math.Abs(a.Share-b.Share) <= shareHysteresis
+	return !slices.EqualFunc(p.Lanes, o.Lanes, func(a, b LanePart) bool {
+		return a.Gap == b.Gap && math.Abs(a.Share-b.Share) <= share
 	})
 }
 
