gateway: room for answers slower than those before during a shutdown

Change: the estimate counts one and a half times; the abort comes 0.3 s before the end of the grace period (0.5 s before).

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -11,7 +11,10 @@
 	// readiness once a second and needs two failed checks.
 	drainAcceptPeriod = 2500 * time.Millisecond
 	// graceMargin is the time before the end of the grace period at which the remaining requests are aborted.
-	graceMargin = 500 * time.Millisecond
+	graceMargin = 300 * time.Millisecond
+	// drainEstimateFactor is the multiple of the estimated length of an answer that must remain for a request to be admitted during
+	// a shutdown: answers that take longer than all before them have not been observed yet.
+	drainEstimateFactor = 1.5
 	// drainPollInterval is the time between checks of the remaining connections.
 	drainPollInterval = 50 * time.Millisecond
 	// drainRetryAfter is the Retry-After of a refusal during a shutdown. It is short since other gateways serve the request at once.
@@ -56,7 +59,7 @@
 	left := time.Until(*abortAt)
 	longest := x.remaining()
 	if estimate, ok := s.paces.longest(x); ok {
-		longest = min(longest, estimate)
+		longest = min(longest, time.Duration(drainEstimateFactor*float64(estimate)))
 	}
 	if longest <= left {
 		return nil
