--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -13,8 +14,8 @@
 	// graceMargin is the time before the end of the grace period at which the remaining requests are aborted.
 	graceMargin = 300 * time.Millisecond
 	// drainEstimateFactor is the multiple of the estimated length of an answer that must remain for a request to be admitted during
-	// a shutdown: answers that take longer than all before them have not been observed yet.
-	drainEstimateFactor = 1.5
+	// a shutdown, since a server may become busier than it was during the answers before.
+	drainEstimateFactor = 2
 	// drainPollInterval is the time between checks of the remaining connections.
 	drainPollInterval = 50 * time.Millisecond
 	// drainRetryAfter is the Retry-After of a refusal during a shutdown. It is short since other gateways serve the request at once.
@@ -59,8 +60,10 @@
 	left := time.Until(*abortAt)
 	longest := x.remaining()
 	if estimate, ok := s.paces.longest(x); ok {
-		longest = min(longest, time.Duration(drainEstimateFactor*float64(estimate)))
+		longest = min(longest, drainEstimateFactor*estimate)
 	}
+	s.logStep(x, eventDrainDecision, slog.Bool("admitted", longest <= left), slog.Int64("longest_ms", longest.Milliseconds()),
+		slog.Int64("left_ms", left.Milliseconds()), slog.Int("output_tokens", x.call.Prompt.MaxOutputTokens))
 	if longest <= left {
 		return nil
 	}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -24,12 +24,13 @@
 
 // Log messages of the steps of a request.
 const (
-	eventAdmitted = "request admitted"
-	eventSent     = "request sent"
-	eventTryEnded = "try ended"
-	eventResumed  = "request resumed at its backup"
-	eventRetried  = "request retried at another server"
-	eventEnded    = "request ended"
+	eventAdmitted      = "request admitted"
+	eventSent          = "request sent"
+	eventDrainDecision = "request during shutdown"
+	eventTryEnded      = "try ended"
+	eventResumed       = "request resumed at its backup"
+	eventRetried       = "request retried at another server"
+	eventEnded         = "request ended"
 )
 
 // logStep logs a step of x or keeps it for the end of x. Once one is kept, so are those that follow, to preserve their order.
