--- a/internal/watch/follow.go
+++ b/internal/watch/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -99,6 +100,12 @@
 	return false
 }
 
+// recordFailure records that a member ended its session, and forgets old failures. It must be called with mu locked.
+func (f *follower) recordFailure(now time.Time, address string) {
+	maps.DeleteFunc(f.failedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= failureMemory })
+	f.failedAt[address] = now
+}
+
 // keep ends the other sessions, unless s has been ended for one of them.
 func (f *follower) keep(ctx context.Context, s *session) {
 	f.mu.Lock()
@@ -135,7 +142,7 @@
 	f.sessions[s]()
 	delete(f.sessions, s)
 	if !cancelled {
-		f.failedAt[s.address] = time.Now()
+		f.recordFailure(time.Now(), s.address)
 	}
 	if len(f.sessions) == 0 {
 		close(f.ended)
