route: tight lanes by the slots that their streams occupy

Change: a token to generate counts as the tokens prefilled meanwhile, divided by the engine's slots.

--- a/internal/core/route/lanes.go
+++ b/internal/core/route/lanes.go
@@ -14,8 +14,8 @@
 	delayWeight = 0.05
 	// maxDelay bounds a delay, as a multiple of the request's target.
 	maxDelay = 3
-	// outputTokenWork is the work of generating a token as a multiple of the work of prefilling one, in a batch with others.
-	outputTokenWork = 4
+	// prefillPerOutput is the number of tokens that a server prefills in the time in which a stream generates one.
+	prefillPerOutput = 200
 )
 
 // Lanes observes the streams of one service by their target for the gap between tokens. The lanes of the service are split by
@@ -27,7 +27,7 @@
 // gapObservation is the recent work and delay of the streams with one gap target.
 type gapObservation struct {
 	prefill float64   // prompt tokens; decays with laneHalfLife
-	output  float64   // tokens to generate; decays with laneHalfLife
+	output  float64   // work of the tokens to generate; decays with laneHalfLife
 	at      time.Time // of the last update of prefill and output
 	delay   float64   // moving average, as a multiple of the target; 0: none yet
 }
@@ -36,12 +36,12 @@
 type StreamWork struct {
 	Gap     time.Duration // target for the gap between tokens
 	Prefill float64       // prompt tokens to prefill per second
-	Output  float64       // tokens to generate per second
+	Output  float64       // work of the tokens to generate per second, as a number of tokens to prefill
 	Delay   float64       // mean delay of a stream, as a multiple of its target; 0: none yet
 }
 
 // total returns the work as a number of prompt tokens per second.
-func (w StreamWork) total() float64 { return w.Prefill + outputTokenWork*w.Output }
+func (w StreamWork) total() float64 { return w.Prefill + w.Output }
 
 // ServiceWork is the work of the streams of one service, by ascending gap target.
 type ServiceWork struct {
@@ -52,9 +52,15 @@
 // NewLanes returns lanes without observations.
 func NewLanes() *Lanes { return &Lanes{byGap: make(map[time.Duration]*gapObservation)} }
 
-// Observe records a stream with a gap target, the number of prompt tokens that a server has to prefill, and the number of tokens to
+// OutputWork returns the work of generating tokens as a number of tokens to prefill. A stream occupies one of a server's slots while it
+// generates them.
+func OutputWork(tokens, slots int) float64 {
+	return float64(tokens) * prefillPerOutput / float64(max(slots, 1))
+}
+
+// Observe records a stream with a gap target, the number of prompt tokens that a server has to prefill, and the work of the tokens to
 // generate. Streams without a gap target are not recorded.
-func (l *Lanes) Observe(now time.Time, gap time.Duration, promptTokens, outputTokens int) {
+func (l *Lanes) Observe(now time.Time, gap time.Duration, promptTokens int, outputWork float64) {
 	if gap <= 0 {
 		return
 	}
@@ -65,7 +71,7 @@
 	}
 	decay := o.decay(now)
 	o.prefill = o.prefill*decay + float64(promptTokens)
-	o.output = o.output*decay + float64(outputTokens)
+	o.output = o.output*decay + outputWork
 	o.at = now
 }
 
--- a/internal/core/route/lanes_test.go
+++ b/internal/core/route/lanes_test.go
@@ -48,9 +48,9 @@
 	l := NewLanes()
 	for i := range 100 {
 		at := epoch.Add(time.Duration(i) * 100 * time.Millisecond)
-		l.Observe(at, summaryGap, 2890, 50)
-		l.Observe(at, questionGap, 1800, 20)
-		l.Observe(at, draftGap, 543, 280)
+		l.Observe(at, summaryGap, 2890, OutputWork(50, 64))
+		l.Observe(at, questionGap, 1800, OutputWork(20, 64))
+		l.Observe(at, draftGap, 543, OutputWork(280, 64))
 	}
 	plan := SplitLanes(nil, l.Work(epoch.Add(10*time.Second)))
 	if plan == nil || len(plan.Lanes) != 3 {
@@ -129,20 +129,23 @@
 // TestTightLanesFollowTheRootOfWork covers drafts with short prompts and long answers beside questions with longer prompts, of which
 // a burst must not take the servers of the drafts.
 func TestTightLanesFollowTheRootOfWork(t *testing.T) {
+	const draftTokens = 14_000 // to generate per second
 	summaries := StreamWork{Gap: summaryGap, Prefill: 700_000}
-	drafts := StreamWork{Gap: draftGap, Prefill: 28_000, Output: 14_000}
 	cases := []struct {
 		name      string
 		questions float64 // tokens to prefill per second
+		slots     int
 		servers   int
 		want      []int
 	}{
-		{"ordinary traffic", 320_000, 93, []int{11, 20, 62}},
-		{"burst of questions", 900_000, 93, []int{12, 41, 40}},
-		{"few servers", 320_000, 12, []int{4, 0, 8}}, // drafts and questions share a lane
+		{"ordinary traffic", 320_000, 64, 93, []int{10, 21, 62}},
+		{"burst of questions", 900_000, 64, 93, []int{12, 41, 40}},
+		{"engines with few slots", 320_000, 12, 93, []int{15, 16, 62}},
+		{"few servers", 320_000, 64, 12, []int{4, 0, 8}}, // drafts and questions share a lane
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
+			drafts := StreamWork{Gap: draftGap, Prefill: 28_000, Output: OutputWork(draftTokens, c.slots)}
 			plan := SplitLanes(nil, []StreamWork{drafts, {Gap: questionGap, Prefill: c.questions}, summaries})
 			if got := plan.sizes(c.servers); !slices.Equal(got, c.want) {
 				t.Errorf("got sizes %v (plan %v), want %v", got, plan, c.want)
--- a/internal/gateway/lanes.go
+++ b/internal/gateway/lanes.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/guavastack/guavastack/internal/core/catalog"
 	"github.com/guavastack/guavastack/internal/core/route"
 )
 
@@ -41,7 +42,8 @@
 		service = &serviceLanes{observed: route.NewLanes()}
 		l.byService[x.service] = service
 	}
-	service.observed.Observe(now, x.route.GapTarget, unsharedTokens(x.call.Prompt), x.call.Prompt.MaxOutputTokens)
+	outputWork := route.OutputWork(x.call.Prompt.MaxOutputTokens, slotsOf(x.catalog.Service(x.service)))
+	service.observed.Observe(now, x.route.GapTarget, unsharedTokens(x.call.Prompt), outputWork)
 	service.plan = route.SplitLanes(service.plan, service.observed.Work(now))
 	if common, ok := l.commonPlan(x.service); ok && (service.plan == nil || !service.plan.DiffersFrom(common, maxPlanDeviation)) {
 		return common
@@ -49,6 +51,16 @@
 	return service.plan
 }
 
+// assumedSlots is the number of requests that an engine runs at a time if the catalog does not state it.
+const assumedSlots = 32
+
+func slotsOf(service *catalog.Service) int {
+	if service == nil || service.Engine == nil || service.Engine.Slots <= 0 {
+		return assumedSlots
+	}
+	return service.Engine.Slots
+}
+
 // recordDelay records how long the caller of x waited for something, such as the beginning of the answer, with the target for it.
 func (l *lanes) recordDelay(x *exchange, took, target time.Duration) {
 	l.mu.Lock()
