--- a/internal/core/route/lanes.go
+++ b/internal/core/route/lanes.go
@@ -10,6 +10,8 @@
 const (
 	// laneHalfLife is the half-life of observed work.
 	laneHalfLife = 3 * time.Second
+	// laneMemory is how long a gap target is remembered after its last stream.
+	laneMemory = time.Minute
 	// delayWeight is the weight of a new delay in the moving average of its gap target.
 	delayWeight = 0.05
 	// maxDelay bounds a delay, as a multiple of the request's target.
@@ -95,10 +97,14 @@
 	return math.Exp2(-float64(now.Sub(o.at)) / float64(laneHalfLife))
 }
 
-// Work returns the recent work, by ascending gap target.
+// Work returns the recent work, by ascending gap target. Gap targets without recent work are forgotten.
 func (l *Lanes) Work(now time.Time) []StreamWork {
 	out := make([]StreamWork, 0, len(l.byGap))
 	for gap, o := range l.byGap {
+		if now.Sub(o.at) > laneMemory {
+			delete(l.byGap, gap)
+			continue
+		}
 		perSecond := o.decay(now) * math.Ln2 / laneHalfLife.Seconds()
 		out = append(out, StreamWork{Gap: gap, Prefill: o.prefill * perSecond, Output: o.output * perSecond, Delay: o.delay})
 	}
--- a/internal/core/route/lanes_test.go
+++ b/internal/core/route/lanes_test.go
@@ -346,3 +346,16 @@
 		}
 	}
 }
+
+// TestLanesForgetOldTargets checks that the gap targets of earlier configurations do not accumulate.
+func TestLanesForgetOldTargets(t *testing.T) {
+	l := NewLanes()
+	for i := range 100 {
+		l.Observe(epoch, time.Duration(i+1)*time.Millisecond, 1000, 0)
+	}
+	now := epoch.Add(2 * laneMemory)
+	l.Observe(now, draftGap, 1000, 0)
+	if work := l.Work(now); len(work) != 1 || work[0].Gap != draftGap {
+		t.Errorf("got work of %d gap targets, want that of the recent one", len(work))
+	}
+}
--- a/internal/core/route/split.go
+++ b/internal/core/route/split.go
@@ -163,10 +163,10 @@
 	return slices.Equal(p.Lanes, o.Lanes)
 }
 
-// laneFor returns the lane of streams with a gap target, or -1 if they may use all servers.
+// laneFor returns the lane of streams with a gap target, or noLane if they may use all servers.
 func (p *LanePlan) laneFor(gap time.Duration) int {
 	if p == nil || gap <= 0 {
-		return -1
+		return noLane
 	}
 	lane := 0
 	for i, part := range p.Lanes {
--- a/internal/gateway/abuse_test.go
+++ b/internal/gateway/abuse_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 )
 
 // TestMalformedRequestsAreNotForwarded sends malformed, ambiguous and oversized requests. Only complete and valid requests may
@@ -100,3 +102,52 @@
 		})
 	}
 }
+
+// TestSlowAndStalledStreams covers a sound stream with a pause between all of its events, which must not be cut, and one that sends
+// a byte now and then without ever completing an event, which must end at the request's deadline.
+func TestSlowAndStalledStreams(t *testing.T) {
+	const pause = 10 * time.Millisecond
+	cases := []struct {
+		name     string
+		path     string
+		events   int
+		stalls   bool
+		deadline string // milliseconds
+		complete bool
+	}{
+		{"slow stream", "/stream/x", 20, false, "60000", true},
+		{"slow resumable stream", "/resume/x", 20, false, "60000", true},
+		{"stalled stream", "/stream/x", 2, true, "200", false},
+		{"stalled resumable stream", "/resume/x", 2, true, "200", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			closed := make(chan struct{})
+			s := newBackend(t, nil)
+			s.stream = func(r *http.Request, conn net.Conn) {
+				defer close(closed)
+				_, err := io.WriteString(conn, streamStart(r))
+				for i := 0; err == nil && (i < c.events || c.stalls); i++ {
+					time.Sleep(pause)
+					text := "x"
+					if i < c.events {
+						text = "id: " + strconv.Itoa(i) + "\n\n"
+					}
+					_, err = io.WriteString(conn, strconv.FormatInt(int64(len(text)), 16)+"\r\n"+text+"\r\n")
+				}
+				if err == nil {
+					_, _ = io.WriteString(conn, lastChunk)
+				}
+			}
+			b := newFixture(t, s)
+			_, body, err := b.do(http.MethodPost, c.path, func(r *http.Request) { r.Header.Set("X-Wait-Ms", c.deadline) })
+			if complete := err == nil; complete != c.complete {
+				t.Errorf("error %v, want a complete stream: %v", err, c.complete)
+			}
+			if n := strings.Count(body, "\n\n"); n != c.events {
+				t.Errorf("the caller got %d events, want %d", n, c.events)
+			}
+			<-closed
+		})
+	}
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -95,6 +95,7 @@
 	t      testing.TB
 	lis    net.Listener
 	script func(r *http.Request, body string) string
+	stream func(r *http.Request, conn net.Conn) // answers instead of script, if set
 
 	mu           sync.Mutex
 	seen         []*http.Request
@@ -139,6 +140,10 @@
 		b.mu.Lock()
 		b.seen = append(b.seen, r)
 		b.mu.Unlock()
+		if b.stream != nil {
+			b.stream(r, conn)
+			return
+		}
 		text := b.script(r, string(body))
 		if rest, ok := strings.CutSuffix(text, holdAnswer); ok {
 			_, _ = io.WriteString(conn, rest)
