--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -71,7 +71,7 @@
 	Listen          string          `json:"listen"`
 	ReadinessListen string          `json:"readiness_listen"`
 	FreshnessLimit  strict.Duration `json:"freshness_limit"` // longest use of keys without confirmation by the control group
-	CatalogLimit    strict.Duration `json:"catalog_limit"`   // time in which a new catalog must be in force; 0: freshness_limit
+	CatalogLimit    strict.Duration `json:"catalog_limit"`   // time in which a new catalog must be in force; 0: not limited
 	GracePeriod     strict.Duration `json:"grace_period"`    // from the termination signal to the end of the process
 	UsageWindow     strict.Duration `json:"usage_window"`    // length of billing windows, which follow the time of day; 0: usage is not counted
 	RetryRatio      float64         `json:"retry_ratio"`     // limit of a service's retries, as a fraction of its requests
--- a/internal/core/route/lanes_test.go
+++ b/internal/core/route/lanes_test.go
@@ -75,6 +75,9 @@
 			t.Errorf("sizes %v of %d servers, want their sum to be %d", sizes, n, n)
 		}
 	}
+	if sizes := plan.sizes(12); sizes[0]+sizes[1] < 3 || sizes[0]+sizes[1] > 9 {
+		t.Errorf("got sizes %v of 12 servers, want 3 to 9 in the tight lanes", sizes)
+	}
 	if sizes := plan.sizes(4); len(sizes) != 3 || sizes[0] == 0 || sizes[1] != 0 || sizes[2] == 0 {
 		t.Errorf("got sizes %v of 4 servers, want drafts and questions to share a lane", sizes)
 	}
--- a/internal/core/route/source.go
+++ b/internal/core/route/source.go
@@ -11,8 +11,8 @@
 
 // FetchSource returns a backend server from which the chosen one can fetch the cached prefix of the prompt instead of
 // computing it again: the server that this process last sent the longest shared prefix to, or else the session's home before the
-// last change of lanes or servers, or its home, or the one that it last sent a shorter prefix to. It returns false if the chosen server is expected to have the prefix itself, or
-// if no usable server is expected to have it.
+// last change of lanes or servers, or its home, or the one that it last sent a shorter prefix to. It returns false if the chosen
+// server is expected to have the prefix itself, or if no usable server is expected to have it.
 func (r *Router) FetchSource(now time.Time, req Request, chosen string) (Backend, bool) {
 	s := r.table.servers[chosen]
 	if s == nil || len(req.Prefix) == 0 {
--- a/internal/watch/scenario_test.go
+++ b/internal/watch/scenario_test.go
@@ -478,11 +478,13 @@
 			go func() { _ = c.Run(w.ctx) }()
 			clients = append(clients, c)
 		}
-		want := route.SplitLanes(nil, []route.StreamWork{{Gap: tightGap, Prefill: 2100}, {Gap: bulkGap, Prefill: 6*800 - 2100}})
+		const share = 2100.0 / (6 * 800)
+		const rounding = 1e-12
+		want := &route.LanePlan{Lanes: []route.LanePart{{Gap: tightGap, Share: share}, {Gap: bulkGap, Share: 1 - share}}}
 		checkPlans := func(when string) {
 			t.Helper()
 			for i, c := range clients {
-				if plan, ok := c.LanePlan("app"); !ok || plan.String() != want.String() {
+				if plan, ok := c.LanePlan("app"); !ok || plan.DiffersFrom(want, rounding) {
 					t.Errorf("%s: process %d got plan %+v (known: %v), want %+v", when, i, plan, ok, want)
 				}
 				if plan, ok := c.LanePlan("alike"); !ok || plan != nil {
