gateway: log the shared parts of prompts and the crash of a server under requests

Change: 'request admitted' names the shared parts (the ids as the callers send them). 50 ms after a server broke off an answer the gateway checks whether its instance refuses connections; if so, it logs and counts 'backend server crashed' with the parts under which that happened. Nothing decides by these observations yet.

--- /dev/null
+++ b/internal/gateway/crashes.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/route"
+	"github.com/guavastack/guavastack/internal/telemetry"
+)
+
+// crashCheckDelay is the time from the first answer that a backend server broke off to the check whether it crashed. The other
+// answers that it was sending break off meanwhile.
+const crashCheckDelay = 50 * time.Millisecond
+
+// crash is the crash of one incarnation of a backend server while it had requests of this gateway.
+type crash struct {
+	server   route.Backend
+	requests int      // of this gateway that it broke off
+	parts    []uint64 // ids of the shared parts of their prompts, in ascending order
+}
+
+// crashDetector tells the crash of a backend server from other reasons why its answers break off: after a crash its instance refuses
+// connections. It is safe for concurrent use.
+type crashDetector struct {
+	refusesConnections func(ctx context.Context, address string) bool
+	onCrash            func(crash)
+
+	mu     sync.Mutex
+	broken map[serverKey]*brokenServer // not checked yet
+}
+
+// serverKey identifies one incarnation of a backend server.
+type serverKey struct{ id, incarnation string }
+
+// brokenServer is a backend server that broke off answers.
+type brokenServer struct {
+	requests int
+	parts    map[uint64]bool
+}
+
+func newCrashDetector(refuses func(ctx context.Context, address string) bool, onCrash func(crash)) *crashDetector {
+	return &crashDetector{refusesConnections: refuses, onCrash: onCrash, broken: make(map[serverKey]*brokenServer)}
+}
+
+// recordBroken records that a backend server broke off its answer to a request with the given shared parts.
+func (d *crashDetector) recordBroken(server route.Backend, parts []uint64) {
+	key := serverKey{server.ID, server.Incarnation}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := d.broken[key]
+	if b == nil {
+		b = &brokenServer{parts: make(map[uint64]bool)}
+		d.broken[key] = b
+		time.AfterFunc(crashCheckDelay, func() { d.check(server) })
+	}
+	b.requests++
+	for _, part := range parts {
+		b.parts[part] = true
+	}
+}
+
+// check reports a crash if the server refuses connections.
+func (d *crashDetector) check(server route.Backend) {
+	refuses := d.refusesConnections(context.Background(), server.Address)
+	key := serverKey{server.ID, server.Incarnation}
+	d.mu.Lock()
+	b := d.broken[key]
+	delete(d.broken, key)
+	d.mu.Unlock()
+	if refuses {
+		d.onCrash(crash{server: server, requests: b.requests, parts: slices.Sorted(maps.Keys(b.parts))})
+	}
+}
+
+// recordCrash logs and counts a crash.
+func (s *Server) recordCrash(c crash) {
+	s.cfg.Logger.Warn("backend server crashed", telemetry.KeyBackendServer, c.server.ID, "incarnation", c.server.Incarnation,
+		"address", c.server.Address, "broken_requests", c.requests, "prompt_parts", formatParts(c.parts))
+	if m := s.cfg.Metrics; m != nil {
+		m.Counter(metricCrashes, telemetry.Label{Name: "service", Value: c.server.Model}).Inc(1)
+	}
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -191,9 +191,13 @@
 	if err != nil {
 		o := s.failedOutcome(ctx, x, server, err)
 		s.recordEnd(ctx, server, route.Outcome{Result: failedResult(ctx, err)})
-		if o.ran && (!x.isStream() || isAnswerLost(ctx, err)) {
+		lost := isAnswerLost(ctx, err)
+		if o.ran && (!x.isStream() || lost) {
 			s.recordUsage(x, began)
 		}
+		if lost {
+			s.crashes.recordBroken(server, x.sharedParts)
+		}
 		return o
 	}
 	defer answer.Close()
@@ -216,6 +220,9 @@
 		o = s.relayBuffered(ctx, x, answer, reply, t)
 		x.firstAfter = time.Since(x.arrived)
 	}
+	if !o.done && o.heldAnswer == nil && ctx.Err() == nil {
+		s.crashes.recordBroken(server, x.sharedParts)
+	}
 	first := time.Since(began)
 	if isStream && !t.current.firstAt.IsZero() {
 		first = t.current.firstAt.Sub(began)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,8 +97,9 @@
 	lifecyclesMu sync.Mutex
 	lifecycles   map[string]string // lifecycle by backend server id, as last logged
 
-	lanes *lanes
-	paces *paces
+	lanes   *lanes
+	paces   *paces
+	crashes *crashDetector
 
 	addresses    atomic.Pointer[map[string]bool] // of the registered backend servers
 	abortAt      atomic.Pointer[time.Time]       // when a shutdown aborts the requests in progress; nil: not shutting down
@@ -125,6 +126,7 @@
 		lanes:   newLanes(dir.LanePlan),
 		paces:   newPaces(),
 	}
+	s.crashes = newCrashDetector(s.client.RefusesConnections, s.recordCrash)
 	s.addresses.Store(&map[string]bool{})
 	s.registerGauges()
 	dir.OnChange(s.directoryChanged)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -33,6 +33,10 @@
 	call := Call{ID: h.Get("X-Id"), Key: h.Get("X-Key"), Timeout: time.Duration(ms) * time.Millisecond}
 	call.Prompt.Tokens, _ = strconv.Atoi(h.Get("X-Prompt"))
 	call.Prompt.MaxOutputTokens, _ = strconv.Atoi(h.Get("X-Output"))
+	for _, text := range splitList(h.Get("X-Parts")) {
+		id, _ := strconv.ParseUint(text, 16, 64)
+		call.Prompt.Parts = append(call.Prompt.Parts, PromptPart{ID: id})
+	}
 	return call, nil
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,7 @@
 	metricGap          = "gateway_longest_gap_us" // longest interval between two parts of a stream
 	metricTotal        = "gateway_total_us"       // from the arrival to the end
 	metricServers      = "gateway_servers"        // ready backend servers, by health
+	metricCrashes      = "gateway_server_crashes" // crashes of backend servers under requests of this gateway, by service
 	metricFresh        = "gateway_keys_fresh_ms"  // how long the keys may still be used; below 0: they have expired
 	metricCatalog      = "gateway_catalog_version"
 	metricInFlight     = "gateway_in_flight"
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -51,6 +52,25 @@
 	return shared
 }
 
+// sharedParts returns the ids of the parts of a prompt that other requests may share: all but the last.
+func sharedParts(p Prompt) []uint64 {
+	parts := p.Parts[:max(len(p.Parts)-1, 0)]
+	ids := make([]uint64, len(parts))
+	for i, part := range parts {
+		ids[i] = part.ID
+	}
+	return ids
+}
+
+// formatParts returns the ids of prompt parts in hexadecimal, for logs.
+func formatParts(ids []uint64) []string {
+	out := make([]string, len(ids))
+	for i, id := range ids {
+		out[i] = fmt.Sprintf("%08x", id)
+	}
+	return out
+}
+
 // unsharedTokens returns the number of tokens after the shared prefix of a prompt.
 func unsharedTokens(p Prompt) int {
 	if len(p.Parts) == 0 {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -40,6 +40,7 @@
 	catalog       *catalog.Index // that applies
 	arrived       time.Time
 	deadline      time.Time
+	sharedParts   []uint64 // ids of the parts of the prompt that other requests may share
 	prefix        []uint64 // hashes of the prefixes of the prompt, shortest first
 	session       uint64   // requests of one session prefer the same server; 0: none
 	keepsBackup   bool     // another server keeps a backup of the run
@@ -80,6 +81,7 @@
 		return x, ref
 	}
 	x.service = x.route.Target(rand.Uint64())
+	x.sharedParts = sharedParts(call.Prompt)
 	x.keepsBackup = isWorthBackup(x.route, call.Prompt, index.Service(x.service))
 	if x.route.CachesPrompts {
 		x.prefix = prefixHashes(call.Prompt.Parts)
@@ -94,6 +96,7 @@
 		slog.String(telemetry.KeyOrganisation, x.organisation), slog.Int("rank", x.rank),
 		slog.Uint64("catalog_version", x.catalog.Version()), slog.Int64("keys_fresh_ms", s.dir.FreshFor(clock.Now()).Milliseconds()),
 		slog.Int64("deadline_ms", x.remaining().Milliseconds()), slog.Int("prompt_tokens", x.call.Prompt.Tokens),
+		slog.Any("prompt_parts", formatParts(x.sharedParts)),
 		slog.Int64("gap_target_ms", x.route.GapTarget.Milliseconds()))
 	return x, nil
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -284,6 +284,16 @@
 	return true
 }
 
+// RefusesConnections reports whether the host of a server refuses a new connection, so that no process listens at the address.
+func (c *Client) RefusesConnections(ctx context.Context, address string) bool {
+	cn, err := dial(ctx, address, c.dialTimeout)
+	if err != nil {
+		return errors.Is(err, unix.ECONNREFUSED)
+	}
+	_ = cn.Close()
+	return false
+}
+
 // CloseExpired closes connections that were idle for too long, and all idle ones to addresses for which inUse returns false.
 func (c *Client) CloseExpired(now time.Time, inUse func(address string) bool) {
 	var drop []*conn
