Test of parts that crash servers: requests 0.3 s apart

As committed first, the test sent its requests without a pause: 30 servers crashed within 0.1 s, before any process could tell another one anything, so that no fix could pass it. The users' bound is three seconds after the fifth crash, at about one crash a second. Now there are 0.3 s between two requests with the part; everything that is checked stays.

--- a/internal/process/crashing_prompt_test.go
+++ b/internal/process/crashing_prompt_test.go
@@ -232,8 +232,9 @@
 // other parts.
 func TestRequestsWithPartThatCrashesServersAreRefused(t *testing.T) {
 	const (
-		maxCrashes = 30 // the part is not recognized
-		further    = 20 // requests with the part after all gateways refuse them
+		pause      = 300 * time.Millisecond // between requests with the part, three times as many a second as in the incident
+		maxCrashes = 30                     // the part is not recognized
+		further    = 20                     // requests with the part after all gateways refuse them
 	)
 	d := newDiscoveryGroup(t)
 	var members []*runningMember
@@ -258,6 +259,7 @@
 	refusedByAll := func() bool {
 		refused := 0
 		for _, g := range gateways {
+			time.Sleep(pause)
 			before := fleet.crashes()
 			if send(g, sharedPart) == 200 && send(g, sharedPart, crashingPart) == http.StatusServiceUnavailable && fleet.crashes() == before {
 				refused++
