--- a/internal/control/controltest/cluster.go
+++ b/internal/control/controltest/cluster.go
@@ -8,6 +8,7 @@
 
 	"github.com/guavastack/guavastack/internal/control"
 	"github.com/guavastack/guavastack/internal/core/claim"
+	"github.com/guavastack/guavastack/internal/core/poison"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/core/state"
 	"github.com/juju/errors"
@@ -26,6 +27,7 @@
 type Member struct {
 	Settings *settings.Module
 	Claims   *claim.Module
+	Poison   *poison.Module
 
 	cluster     *Cluster
 	self        control.Member
@@ -42,11 +44,11 @@
 	c := &Cluster{}
 	for i := range n {
 		m := &Member{
-			Settings: settings.NewModule(), Claims: claim.NewModule(claim.DefaultBounds()), cluster: c,
+			Settings: settings.NewModule(), Claims: claim.NewModule(claim.DefaultBounds()), Poison: poison.NewModule(), cluster: c,
 			self:   control.Member{ID: fmt.Sprintf("control-%d", i+1), Address: fmt.Sprintf("control-%d", i+1)},
 			events: make(map[chan struct{}]bool),
 		}
-		m.machine, _ = state.New(m.Settings, m.Claims)
+		m.machine, _ = state.New(m.Settings, m.Claims, m.Poison)
 		c.Members = append(c.Members, m)
 	}
 	c.leader = c.Members[0]
--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/guavastack/guavastack/internal/core/catalog"
+	"github.com/guavastack/guavastack/internal/core/poison"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/proto/controlpb"
 )
@@ -15,12 +16,14 @@
 	group   Group
 	module  *settings.Module
 	catalog *catalog.Module // nil: none
+	poison  *poison.Module  // nil: none
 
 	mu       sync.Mutex
 	tree     *settings.Tree
 	changes  []*controlpb.Change // the latest changes, in order, ending at tree
 	snapshot []byte              // encoded tree; nil until a watcher needs it
 	document document
+	parts    *poison.List
 	changed  chan struct{}
 }
 
@@ -43,8 +46,8 @@
 
 func newHub(cfg Config) *hub {
 	return &hub{
-		group: cfg.Group, module: cfg.Settings, catalog: cfg.Catalog,
-		tree: settings.NewTree(), changed: make(chan struct{}),
+		group: cfg.Group, module: cfg.Settings, catalog: cfg.Catalog, poison: cfg.Poison,
+		tree: settings.NewTree(), parts: &poison.List{}, changed: make(chan struct{}),
 	}
 }
 
@@ -70,17 +73,24 @@
 	var deltas []settings.Delta
 	var ok bool
 	var doc document
+	parts := h.parts
 	h.group.View(func() {
 		tree = h.module.Tree()
 		deltas, ok = h.module.DeltasSince(h.tree.Version())
 		if h.catalog != nil {
 			doc = document{h.catalog.Version(), h.catalog.Document()}
 		}
+		if h.poison != nil && h.poison.Version() != parts.Version {
+			parts = h.poison.List()
+		}
 	})
 	changed := h.advanceTree(tree, deltas, ok)
 	if doc.version > h.document.version {
 		h.document, changed = doc, true
 	}
+	if parts != h.parts {
+		h.parts, changed = parts, true
+	}
 	if changed {
 		close(h.changed)
 		h.changed = make(chan struct{})
@@ -120,6 +130,13 @@
 	return h.document
 }
 
+// promptParts returns the newest list of suspected and blocked parts of prompts.
+func (h *hub) promptParts() *poison.List {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.parts
+}
+
 func encodeDeltas(deltas []settings.Delta) ([]*controlpb.Change, error) {
 	changes := make([]*controlpb.Change, len(deltas))
 	for i, d := range deltas {
@@ -132,7 +149,8 @@
 	return changes, nil
 }
 
-// newest returns the newest tree and a channel that is closed at the next change of the settings or the catalog.
+// newest returns the newest tree and a channel that is closed at the next change of the settings, the catalog or the list of prompt
+// parts.
 func (h *hub) newest() (*settings.Tree, <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- /dev/null
+++ b/internal/control/promptparts.go
@@ -0,0 +1,86 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/poison"
+	"github.com/guavastack/guavastack/internal/core/state"
+	"github.com/guavastack/guavastack/internal/wait"
+	"github.com/guavastack/guavastack/proto/controlpb"
+	"github.com/juju/errors"
+)
+
+// promptPartInterval is the time between decisions on prompt parts.
+const promptPartInterval = 200 * time.Millisecond
+
+// decideOnPromptParts blocks poisonous parts of prompts and removes expired ones from the list, while this member leads.
+func (s *Service) decideOnPromptParts(ctx context.Context) {
+	listed := make(map[uint64]time.Time) // when this member first saw a part, as the leader
+	for wait.For(ctx, promptPartInterval) {
+		if !s.leads() {
+			clear(listed)
+			continue
+		}
+		now := time.Now()
+		list := s.hub.promptParts()
+		trackListed(listed, list, now)
+		var command poison.Command
+		next := list.NextToBlock(func(part uint64) bool { return now.Sub(listed[part]) >= poison.DecisionTime })
+		if next != nil {
+			command.Block = []uint64{next.Part}
+		}
+		command.Expire = list.HasExpired(now.UnixMilli())
+		if command.IsEmpty() {
+			continue
+		}
+		if err := s.proposePromptParts(ctx, command); err != nil {
+			s.cfg.Logger.Warn("decision on prompt parts not committed", "error", err)
+			continue
+		}
+		if next != nil {
+			s.cfg.Logger.Warn("prompt part blocked", "part", poison.Format(next.Part), "crashes", next.Crashes, "answered_before", next.Answered)
+		}
+	}
+}
+
+// trackListed records when parts were first seen in the list, and forgets those that are no longer in it.
+func trackListed(listed map[uint64]time.Time, list *poison.List, now time.Time) {
+	for part := range listed {
+		if list.Find(part) == nil {
+			delete(listed, part)
+		}
+	}
+	for i := range list.Suspects {
+		part := list.Suspects[i].Part
+		if _, ok := listed[part]; !ok {
+			listed[part] = now
+		}
+	}
+}
+
+func (s *Service) proposePromptParts(ctx context.Context, c poison.Command) error {
+	body, err := json.Marshal(c)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	command, err := json.Marshal(state.Command{Module: poison.ModuleName, Body: body, Actor: s.cfg.Group.Self().ID})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	reply, err := s.Propose(ctx, &controlpb.ProposeRequest{Command: command})
+	if err == nil && reply.Error != "" {
+		err = errors.New(reply.Error)
+	}
+	return err
+}
+
+func promptPartsMessage(list *poison.List) *controlpb.PromptPartList {
+	m := &controlpb.PromptPartList{Version: list.Version}
+	for i := range list.Suspects {
+		s := &list.Suspects[i]
+		m.Parts = append(m.Parts, &controlpb.PromptPart{Id: s.Part, Answered: s.Answered, BlockedAtMs: s.BlockedAtMS})
+	}
+	return m
+}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/guavastack/guavastack/internal/core/catalog"
 	"github.com/guavastack/guavastack/internal/core/claim"
+	"github.com/guavastack/guavastack/internal/core/poison"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/core/state"
 	"github.com/guavastack/guavastack/internal/core/verdict"
@@ -52,6 +53,7 @@
 	Group       Group
 	Settings    *settings.Module // part of the Group's state machine; read within Group.View only
 	Catalog     *catalog.Module  // like Settings; nil: none
+	Poison      *poison.Module   // like Settings; nil: none
 	Peers       func() []string  // addresses of the other control members' services; nil: none
 	Members     func() []string  // addresses of all control members, sent to watchers; nil: not sent
 	JoinHandler JoinHandler      // nil: announcements are rejected, operators add members
@@ -128,7 +130,7 @@
 	defer s.pool.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	loops := []func(context.Context){s.hub.run, s.confirmer.run, s.housekeep, s.expireClaims, s.exchangeWithPeers}
+	loops := []func(context.Context){s.hub.run, s.confirmer.run, s.housekeep, s.expireClaims, s.decideOnPromptParts, s.exchangeWithPeers}
 	done := make(chan struct{})
 	for _, loop := range loops {
 		go func() {
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -34,6 +34,7 @@
 	lastShares map[string]limit.Share
 	members    []string        // last sent addresses
 	lanes      route.LanePlans // last sent
+	parts      uint64          // last sent version of the list of prompt parts
 }
 
 // Watch serves one watcher until its stream ends or it sends nothing for clientTimeout.
@@ -191,6 +192,9 @@
 	if w.addLanes(u) {
 		needed = true
 	}
+	if w.addPromptParts(u) {
+		needed = true
+	}
 	if !needed {
 		return nil, nil
 	}
@@ -233,6 +237,16 @@
 	return true
 }
 
+// addPromptParts adds the list of suspected and blocked prompt parts if it changed.
+func (w *watcher) addPromptParts(u *controlpb.WatchUpdate) bool {
+	list := w.service.hub.promptParts()
+	if list.Version == w.parts {
+		return false
+	}
+	w.parts, u.PromptParts = list.Version, promptPartsMessage(list)
+	return true
+}
+
 // addRegistry adds the backend servers that changed. Until this member's registry is complete, the watcher merges them
 // into its own list; the first complete list replaces it.
 func (w *watcher) addRegistry(u *controlpb.WatchUpdate, now time.Time) bool {
--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -32,6 +32,12 @@
 	Restore(json.RawMessage) error
 }
 
+// Resetter is implemented by modules that were added to the state machine later: snapshots of earlier versions of the program lack them.
+type Resetter interface {
+	// Reset replaces the state of the module with the initial one.
+	Reset()
+}
+
 // Machine dispatches commands to its modules.
 type Machine struct {
 	modules map[string]Module
@@ -86,7 +92,7 @@
 	return json.Marshal(s)
 }
 
-// Restore replaces the state of all modules. A module that the snapshot lacks is an error.
+// Restore replaces the state of all modules. A module that the snapshot lacks is reset if it is a Resetter, otherwise it is an error.
 func (m *Machine) Restore(data []byte) error {
 	var s snapshot
 	if err := json.Unmarshal(data, &s); err != nil {
@@ -99,6 +105,10 @@
 	sort.Strings(names)
 	for _, name := range names {
 		part, ok := s.Modules[name]
+		if r, isResetter := m.modules[name].(Resetter); !ok && isResetter {
+			r.Reset()
+			continue
+		}
 		if !ok {
 			return errors.NotFoundf("module %q in the snapshot", name)
 		}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -18,8 +18,8 @@
 // crash is the crash of one incarnation of a backend server while it had requests of this gateway.
 type crash struct {
 	server   route.Backend
-	requests int      // of this gateway that it broke off
-	parts    []uint64 // ids of the shared parts of their prompts, in ascending order
+	requests int            // of this gateway that it broke off
+	parts    map[uint64]int // position in their prompts, by id of a shared part
 }
 
 // crashDetector tells the crash of a backend server from other reasons why its answers break off: after a crash its instance refuses
@@ -38,7 +38,7 @@
 // brokenServer is a backend server that broke off answers.
 type brokenServer struct {
 	requests int
-	parts    map[uint64]bool
+	parts    map[uint64]int // position in the prompts, by id of a shared part
 }
 
 func newCrashDetector(refuses func(ctx context.Context, address string) bool, onCrash func(crash)) *crashDetector {
@@ -52,13 +52,13 @@
 	defer d.mu.Unlock()
 	b := d.broken[key]
 	if b == nil {
-		b = &brokenServer{parts: make(map[uint64]bool)}
+		b = &brokenServer{parts: make(map[uint64]int)}
 		d.broken[key] = b
 		time.AfterFunc(crashCheckDelay, func() { d.check(server) })
 	}
 	b.requests++
-	for _, part := range parts {
-		b.parts[part] = true
+	for depth, part := range parts {
+		b.parts[part] = max(b.parts[part], depth)
 	}
 }
 
@@ -71,15 +71,16 @@
 	delete(d.broken, key)
 	d.mu.Unlock()
 	if refuses {
-		d.onCrash(crash{server: server, requests: b.requests, parts: slices.Sorted(maps.Keys(b.parts))})
+		d.onCrash(crash{server: server, requests: b.requests, parts: b.parts})
 	}
 }
 
-// recordCrash logs and counts a crash.
+// recordCrash logs, counts and reports a crash.
 func (s *Server) recordCrash(c crash) {
 	s.cfg.Logger.Warn("backend server crashed", telemetry.KeyBackendServer, c.server.ID, "incarnation", c.server.Incarnation,
-		"address", c.server.Address, "broken_requests", c.requests, "prompt_parts", formatParts(c.parts))
+		"address", c.server.Address, "broken_requests", c.requests, "prompt_parts", formatParts(slices.Sorted(maps.Keys(c.parts))))
 	if m := s.cfg.Metrics; m != nil {
 		m.Counter(metricCrashes, telemetry.Label{Name: "service", Value: c.server.Model}).Inc(1)
 	}
+	s.parts.recordCrash(c)
 }
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/http"
-	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -96,7 +96,7 @@
 		if len(found) != 2 {
 			t.Fatalf("found %d crashes, want 2: %+v", len(found), found)
 		}
-		if got := found[0]; got.server.Incarnation != "1" || got.requests != 2 || !slices.Equal(got.parts, []uint64{3, 7, 9}) {
+		if got := found[0]; got.server.Incarnation != "1" || got.requests != 2 || !maps.Equal(got.parts, map[uint64]int{3: 1, 7: 0, 9: 1}) {
 			t.Errorf("first crash %+v", got)
 		}
 		if got := found[1]; got.server.Incarnation != "2" || got.requests != 1 || len(got.parts) != 0 {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -79,6 +79,10 @@
 func (s *Server) forward(ctx context.Context, x *exchange, w http.ResponseWriter) *refusal {
 	t := &attempts{stream: newStreamWriter(w, x)}
 	for {
+		if ref := s.parts.refusal(x.sharedParts); ref != nil {
+			t.recordRefusal(ref)
+			break
+		}
 		server, err := s.nextServer(x, t)
 		if err != nil {
 			t.recordNoServer(err)
@@ -120,8 +124,15 @@
 	if o.heldAnswer != nil {
 		t.heldAnswer = o.heldAnswer
 	}
-	if o.refusal != nil && (t.refusal == nil || t.refusal.verdict == verdict.NotRun) {
-		t.refusal = o.refusal // never replaces the verdict that the request may have run
+	if o.refusal != nil {
+		t.recordRefusal(o.refusal)
+	}
+}
+
+// recordRefusal sets the refusal to send. It never replaces the verdict that the request may have run.
+func (t *attempts) recordRefusal(ref *refusal) {
+	if t.refusal == nil || t.refusal.verdict == verdict.NotRun {
+		t.refusal = ref
 	}
 }
 
@@ -223,6 +234,9 @@
 	if !o.done && o.heldAnswer == nil && ctx.Err() == nil {
 		s.crashes.recordBroken(server, x.sharedParts)
 	}
+	if o.done && answer.Status/100 == 2 && !t.current.firstAt.IsZero() {
+		s.parts.recordAnswered(time.Now(), x.sharedParts)
+	}
 	first := time.Since(began)
 	if isStream && !t.current.firstAt.IsZero() {
 		first = t.current.firstAt.Sub(began)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,7 +63,8 @@
 	// Backends returns the registered backend servers.
 	Backends() []*controlpb.BackendServer
 	meter.Sink
-	// OnChange registers a function that runs after each change of the catalog or the registry.
+	PromptParts
+	// OnChange registers a function that runs after each change of the catalog, the registry or the list of prompt parts.
 	OnChange(f func())
 }
 
@@ -100,6 +101,7 @@
 	lanes   *lanes
 	paces   *paces
 	crashes *crashDetector
+	parts   *promptParts
 
 	addresses    atomic.Pointer[map[string]bool] // of the registered backend servers
 	abortAt      atomic.Pointer[time.Time]       // when a shutdown aborts the requests in progress; nil: not shutting down
@@ -126,6 +128,7 @@
 		lanes:   newLanes(dir.LanePlan),
 		paces:   newPaces(),
 	}
+	s.parts = newPromptParts(dir, dir.Wall, cfg.Logger)
 	s.crashes = newCrashDetector(s.client.RefusesConnections, s.recordCrash)
 	s.addresses.Store(&map[string]bool{})
 	s.registerGauges()
@@ -134,7 +137,7 @@
 	return s
 }
 
-// directoryChanged applies a change of the registry.
+// directoryChanged applies a change of the registry or the list of prompt parts.
 func (s *Server) directoryChanged() {
 	backends := newestByAddress(s.dir.Backends())
 	addresses := make(map[string]bool, len(backends))
@@ -144,6 +147,7 @@
 	s.addresses.Store(&addresses)
 	s.logServerChanges(backends)
 	s.servers.Update(time.Now(), backends)
+	s.parts.listChanged()
 }
 
 // logServerChanges logs which backend servers were added, changed their lifecycle or were removed.
@@ -236,6 +240,7 @@
 	defer stop()
 	go s.housekeep(background)
 	go s.usage.Run(background)
+	go s.parts.run(background)
 	go s.watchState(background)
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(trackedListener{lis, s.conns}) }()
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"log/slog"
@@ -18,7 +19,9 @@
 	"time"
 
 	"github.com/guavastack/guavastack/internal/core/catalog"
+	"github.com/guavastack/guavastack/internal/core/poison"
 	"github.com/guavastack/guavastack/internal/core/route"
+	"github.com/guavastack/guavastack/internal/core/state"
 	"github.com/guavastack/guavastack/proto/controlpb"
 )
 
@@ -73,6 +76,7 @@
 
 	mu    sync.Mutex
 	usage []*controlpb.UsageCounter // of the last report
+	parts poison.Module             // list of prompt parts, as the control group holds it
 }
 
 func (d *fakeDirectory) Catalog() *catalog.Index              { return d.index.Load() }
@@ -85,8 +89,25 @@
 func (d *fakeDirectory) Wall() time.Time                         { return time.Now() }
 func (d *fakeDirectory) LanePlan(string) (*route.LanePlan, bool) { return nil, false }
 func (d *fakeDirectory) SetLaneWork(func() []route.ServiceWork)  {}
-func (d *fakeDirectory) OnChange(f func())                       { d.onChange = f }
-func (d *fakeDirectory) OpenWindow() uint64                      { return math.MaxUint64 }
+func (d *fakeDirectory) PromptParts() *poison.List {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.parts.List()
+}
+
+func (d *fakeDirectory) ReportPromptParts(_ context.Context, c poison.Command) error {
+	body, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	_, err = d.parts.Apply(0, state.Command{Body: body, AtMS: time.Now().UnixMilli()})
+	d.mu.Unlock()
+	d.onChange()
+	return err
+}
+func (d *fakeDirectory) OnChange(f func())  { d.onChange = f }
+func (d *fakeDirectory) OpenWindow() uint64 { return math.MaxUint64 }
 func (d *fakeDirectory) ReportUsage(_ context.Context, r *controlpb.UsageReport) (*controlpb.UsageAck, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -229,6 +250,7 @@
 		t.Fatal(err)
 	}
 	b := &fixture{t: t, dir: &fakeDirectory{}, servers: servers}
+	b.dir.parts.Reset()
 	b.dir.index.Store(catalog.NewIndex(c))
 	for i, s := range servers {
 		b.dir.backends = append(b.dir.backends, &controlpb.BackendServer{
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,6 +23,7 @@
 	metricServers      = "gateway_servers"        // ready backend servers, by health
 	metricCrashes      = "gateway_server_crashes" // crashes of backend servers under requests of this gateway, by service
 	metricFresh        = "gateway_keys_fresh_ms"  // how long the keys may still be used; below 0: they have expired
+	metricBlockedParts = "gateway_blocked_parts"  // parts of prompts with which requests are refused
 	metricCatalog      = "gateway_catalog_version"
 	metricInFlight     = "gateway_in_flight"
 )
@@ -44,6 +45,7 @@
 	m.GaugeFunc(metricFresh, func() int64 { return s.dir.FreshFor(clock.Now()).Milliseconds() })
 	m.GaugeFunc(metricCatalog, func() int64 { return int64(s.dir.Catalog().Version()) })
 	m.GaugeFunc(metricInFlight, s.inFlight.Load)
+	m.GaugeFunc(metricBlockedParts, s.parts.blockedCount)
 }
 
 // countRequest adds the end of x to the metrics. took is the time since the arrival of x.
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -2,12 +2,12 @@
 
 import (
 	"encoding/binary"
-	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/guavastack/guavastack/internal/core/catalog"
+	"github.com/guavastack/guavastack/internal/core/poison"
 )
 
 // minSharedShare is the smallest shared part of a prompt, as a share of its tokens, with which the request gets a session.
@@ -66,7 +66,7 @@
 func formatParts(ids []uint64) []string {
 	out := make([]string, len(ids))
 	for i, id := range ids {
-		out[i] = fmt.Sprintf("%08x", id)
+		out[i] = poison.Format(id)
 	}
 	return out
 }
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -22,6 +22,7 @@
 	"github.com/guavastack/guavastack/internal/core/catalog"
 	"github.com/guavastack/guavastack/internal/core/claim"
 	"github.com/guavastack/guavastack/internal/core/duty"
+	"github.com/guavastack/guavastack/internal/core/poison"
 	"github.com/guavastack/guavastack/internal/core/raft"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/core/state"
@@ -42,6 +43,7 @@
 	Duty     *duty.Module
 	Billing  *billing.Module
 	Catalog  *catalog.Module
+	Poison   *poison.Module
 }
 
 // NewState returns an empty state machine.
@@ -52,9 +54,10 @@
 		Duty:     duty.NewModule(),
 		Billing:  billing.NewModule(),
 		Catalog:  catalog.NewModule(),
+		Poison:   poison.NewModule(),
 	}
 	var err error
-	s.Machine, err = state.New(s.Settings, s.Claims, s.Duty, s.Billing, s.Catalog)
+	s.Machine, err = state.New(s.Settings, s.Claims, s.Duty, s.Billing, s.Catalog, s.Poison)
 	return s, err
 }
 
@@ -116,6 +119,7 @@
 		Group:       group,
 		Settings:    s.Settings,
 		Catalog:     s.Catalog,
+		Poison:      s.Poison,
 		Peers:       func() []string { return otherPeers(c) },
 		Dial:        base.Network.Dial,
 		Incarnation: base.Incarnation,
--- a/internal/watch/client.go
+++ b/internal/watch/client.go
@@ -18,6 +18,7 @@
 	"github.com/guavastack/guavastack/internal/core/catalog"
 	"github.com/guavastack/guavastack/internal/core/limit"
 	"github.com/guavastack/guavastack/internal/core/member"
+	"github.com/guavastack/guavastack/internal/core/poison"
 	"github.com/guavastack/guavastack/internal/core/route"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/core/wallclock"
@@ -109,6 +110,7 @@
 	demand        atomic.Pointer[func() []*controlpb.Demand]
 	laneWork      atomic.Pointer[func() []route.ServiceWork]
 	lanePlans     atomic.Pointer[route.LanePlans]
+	promptParts   atomic.Pointer[poison.List]
 	wallOffset    atomic.Int64  // how far the agreed wall clock is ahead of the local one, in nanoseconds
 	confirmations atomic.Uint64 // number of confirmed queries
 	leader        atomic.Int64  // position of the control member that accepted the last proposal
@@ -138,6 +140,7 @@
 	c.control.Store(&cfg.Control)
 	c.member.Store(new(string))
 	c.lanePlans.Store(&route.LanePlans{})
+	c.promptParts.Store(&poison.List{})
 	return c
 }
 
@@ -232,17 +235,20 @@
 	return plan, ok
 }
 
+// PromptParts returns the newest received list of suspected and blocked parts of prompts.
+func (c *Client) PromptParts() *poison.List { return c.promptParts.Load() }
+
 // Wall returns the wall clock time that the control group agrees on, or the local one while that is unknown.
 func (c *Client) Wall() time.Time { return clock.Wall().Add(time.Duration(c.wallOffset.Load())) }
 
-// Changed returns a channel that is closed at the next change of the settings, keys, catalog or registry.
+// Changed returns a channel that is closed at the next change of the settings, keys, catalog, registry or list of prompt parts.
 func (c *Client) Changed() <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.changed
 }
 
-// OnChange registers f to be called after each change of the settings, keys, catalog or registry, one call at a time. f must not
+// OnChange registers f to be called after each change of the settings, keys, catalog, registry or list of prompt parts, one call at a time. f must not
 // block.
 func (c *Client) OnChange(f func()) {
 	c.mu.Lock()
--- a/internal/watch/propose.go
+++ b/internal/watch/propose.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/guavastack/guavastack/internal/core/poison"
 	"github.com/guavastack/guavastack/internal/core/state"
 	"github.com/guavastack/guavastack/internal/rpcpool"
 	"github.com/guavastack/guavastack/proto/controlpb"
@@ -58,10 +59,10 @@
 }
 
 // isIdempotent reports whether a command that is committed twice takes effect once and returns its first outcome. Claims are
-// deduplicated by request id, settings by change id.
+// deduplicated by request id, settings by change id, reports on prompt parts by server and part.
 func isIdempotent(cmd state.Command) bool {
 	switch cmd.Module {
-	case "claim":
+	case "claim", poison.ModuleName:
 		return true
 	case "settings":
 		var body struct {
@@ -72,6 +73,16 @@
 	return false
 }
 
+// ReportPromptParts commits observations on parts of prompts.
+func (c *Client) ReportPromptParts(ctx context.Context, report poison.Command) error {
+	body, err := json.Marshal(report)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, err = c.Propose(ctx, state.Command{Module: poison.ModuleName, Body: body, Actor: c.cfg.ProcessID})
+	return err
+}
+
 // proposeTo sends a command to one member. unknown is true if the command may have been committed in spite of an error.
 func (c *Client) proposeTo(ctx context.Context, address string, data []byte) (result json.RawMessage, unknown bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.AttemptTimeout)
--- a/internal/watch/session.go
+++ b/internal/watch/session.go
@@ -9,6 +9,7 @@
 	"github.com/guavastack/guavastack/internal/core/catalog"
 	"github.com/guavastack/guavastack/internal/core/limit"
 	"github.com/guavastack/guavastack/internal/core/member"
+	"github.com/guavastack/guavastack/internal/core/poison"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/lanemsg"
 	"github.com/guavastack/guavastack/internal/rpcpool"
@@ -183,6 +184,9 @@
 	if s.mergeBackends(u) {
 		changed = true
 	}
+	if s.applyPromptParts(u) {
+		changed = true
+	}
 	if len(u.Members) > 0 {
 		s.client.mergeMembers(u.Members, s.client.cfg.Control)
 	}
@@ -342,6 +346,19 @@
 	s.client.lanePlans.Store(&plans)
 }
 
+// applyPromptParts stores the list of prompt parts if it is newer than the current one.
+func (s *session) applyPromptParts(u *controlpb.WatchUpdate) bool {
+	if u.PromptParts == nil || u.PromptParts.Version <= s.client.PromptParts().Version {
+		return false
+	}
+	list := &poison.List{Version: u.PromptParts.Version}
+	for _, part := range u.PromptParts.Parts {
+		list.Suspects = append(list.Suspects, poison.Suspect{Part: part.Id, Answered: part.Answered, BlockedAtMS: part.BlockedAtMs})
+	}
+	s.client.promptParts.Store(list)
+	return true
+}
+
 // applyLimitShares stores the shares of limits, as of when the confirmed query was sent.
 func (s *session) applyLimitShares(u *controlpb.WatchUpdate) {
 	if !u.SharesCurrent {
