gateway: streams that end inside an event, or unframed before their first event, are broken off

Callers saw, or could have: a complete, empty 200 where a server had crashed after the head of an unframed stream; a complete stream whose last event was cut, if the server ended the framing properly. Cause: framing alone decided whether a stream was complete, and an unframed one without any byte counted as being between events. Change: a stream is complete only between events, and an unframed one only with data. Blank lines may end with CRLF, which proper framing hid before.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -129,7 +129,7 @@
 			}
 		}
 		switch {
-		case err == io.EOF && (answer.Framed || t.stream.isBetweenEvents()):
+		case err == io.EOF && t.stream.isComplete(answer.Framed):
 			t.stream.finish()
 			return attemptOutcome{sent: true, ran: true, done: true}
 		case err != nil:
@@ -150,6 +150,7 @@
 	resumable bool // another server can resume the stream
 
 	started bool        // the header was sent to the caller
+	hasData bool        // some of the current answer's body has arrived
 	status  int         // of the first answer of which data was sent
 	header  http.Header // of the same answer
 	partial []byte      // of a resumable stream: the incomplete event at its end
@@ -164,28 +165,44 @@
 // setHead stores the status and header of an answer. They are sent with the first event: until then, those of another server's
 // answer replace them.
 func (s *streamWriter) setHead(status int, header http.Header) {
+	s.hasData = false
 	if !s.started {
 		s.status, s.header = status, header
 	}
 }
 
-// eventEnd terminates an event.
-var eventEnd = []byte("\n\n")
+// An event ends with a blank line, of which the line ends are of either kind.
+var (
+	eventEnd     = []byte("\n\n")
+	eventEndCRLF = []byte("\r\n\r\n")
+)
+
+// completeEvents returns the length of the complete events at the beginning of data.
+func completeEvents(data []byte) int {
+	n := 0
+	for _, end := range [][]byte{eventEnd, eventEndCRLF} {
+		if i := bytes.LastIndex(data, end); i >= 0 {
+			n = max(n, i+len(end))
+		}
+	}
+	return n
+}
 
 // write relays received data.
 func (s *streamWriter) write(data []byte) {
+	s.hasData = true
 	if !s.resumable {
 		s.send(data)
-		s.tail = append(s.tail, data[max(0, len(data)-len(eventEnd)):]...)
-		s.tail = append(s.tail[:0], s.tail[max(0, len(s.tail)-len(eventEnd)):]...)
+		s.tail = append(s.tail, data[max(0, len(data)-len(eventEndCRLF)):]...)
+		s.tail = append(s.tail[:0], s.tail[max(0, len(s.tail)-len(eventEndCRLF)):]...)
 		return
 	}
 	s.partial = append(s.partial, data...)
-	end := bytes.LastIndex(s.partial, eventEnd)
-	if end < 0 {
+	end := completeEvents(s.partial)
+	if end == 0 {
 		return
 	}
-	events := s.partial[:end+len(eventEnd)]
+	events := s.partial[:end]
 	if id := lastEventID(events); id != "" {
 		s.lastID = id
 	}
@@ -209,7 +226,13 @@
 	if s.resumable {
 		return len(s.partial) == 0
 	}
-	return len(s.tail) == 0 || bytes.Equal(s.tail, eventEnd)
+	return len(s.tail) == 0 || completeEvents(s.tail) == len(s.tail)
+}
+
+// isComplete reports whether an answer whose body has ended is a complete stream. The body must not end inside an event. If only the
+// end of the connection marks its end, an answer without any event was broken off.
+func (s *streamWriter) isComplete(framed bool) bool {
+	return s.isBetweenEvents() && (framed || s.hasData)
 }
 
 // isEventTooLarge reports whether the incomplete event exceeds maxEventBytes.
