gateway: show the rate limits that servers state

Change: the adapter parses the header, the table of servers keeps the limit until an answer to a later request lacks it, 'backend server rate limit' logs each change and gateway_limited_servers counts the servers. Nothing decides by it yet.

--- a/internal/core/route/state.go
+++ b/internal/core/route/state.go
@@ -11,6 +11,7 @@
 	FirstTokenWait time.Duration // moving average of the time to the first token; 0: none yet
 	InFlight       int           // requests of this process in flight
 	SilentFor      time.Duration // time without any data while requests of this process are in flight
+	RateLimit      float64       // stated by the server, requests per second from all processes; 0: none
 }
 
 // Health determines how much work a backend server gets from this process.
@@ -39,6 +40,7 @@
 	state := ServerState{
 		ID: s.ID, Health: HealthGood, Failures: s.health.failures, InFlight: s.inFlight,
 		FirstTokenWait: time.Duration(s.health.firstToken * float64(time.Second)), SilentFor: s.silence(now),
+		RateLimit: s.limit.perSecond,
 	}
 	switch {
 	case s.health.state == quarantined:
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -93,6 +93,7 @@
 	activity    Activity    // nil until the first request was sent
 	gapAt       time.Time   // time of the last gap in its cache events
 	membership  laneMembership
+	limit       rateLimit
 }
 
 // NewTable returns an empty table.
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -57,6 +57,7 @@
 	Misdirected bool // the address belongs to another server
 	Signed      bool // the answer bears the server's signature
 	Load        Load
+	RateLimit   float64 // requests per second that the server takes from all gateways together; 0: not limited
 }
 
 // Load is the load that a backend server reports, in requests. Slots is 0 if it reports none.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -218,6 +218,9 @@
 	}
 	reply := s.cfg.Dialect.ParseReply(answer.Status, answer.Header)
 	s.recordLoad(server, reply)
+	if !reply.Misdirected {
+		s.servers.RecordRateLimit(server.ID, t.current.sentAt, reply.RateLimit)
+	}
 	if reply.NotRun || reply.Misdirected {
 		s.servers.RecordEnd(server.ID, route.Outcome{Result: route.Refused})
 		s.logAttemptEnd(x, server, "not_run", answer.Status, nil)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -60,9 +60,10 @@
 }
 
 func (plainDialect) ParseReply(status int, h http.Header) Reply {
+	limit, _ := strconv.ParseFloat(h.Get("X-Limit"), 64)
 	return Reply{
 		RequestID: h.Get("X-Id"), NotRun: h.Get("X-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest,
-		Signed: h.Get("X-Seal") != "",
+		Signed: h.Get("X-Seal") != "", RateLimit: limit,
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,19 +11,20 @@
 
 // Names of the gateway's metrics. Times are histograms in microseconds, by class, which is the name of the route.
 const (
-	metricRequests     = "gateway_requests"       // by class, organisation, result and verdict
-	metricRefusals     = "gateway_refusals"       // the gateway's own answers, by class and reason
-	metricTries        = "gateway_tries"          // by class and result
-	metricFurtherTries = "gateway_further_tries"  // by class
-	metricNoBudget     = "gateway_no_budget"      // retries prevented by the retry budget, by service
-	metricQueue        = "gateway_queue_us"       // from the arrival to the first send
-	metricFirst        = "gateway_first_us"       // from the arrival to the beginning of the answer
-	metricGap          = "gateway_longest_gap_us" // longest interval between two parts of a stream
-	metricTotal        = "gateway_total_us"       // from the arrival to the end
-	metricServers      = "gateway_servers"        // ready backend servers, by health
-	metricCrashes      = "gateway_server_crashes" // crashes of backend servers under requests of this gateway, by service
-	metricFresh        = "gateway_keys_fresh_ms"  // how long the keys may still be used; below 0: they have expired
-	metricBlockedParts = "gateway_blocked_parts"  // parts of prompts with which requests are refused
+	metricRequests     = "gateway_requests"        // by class, organisation, result and verdict
+	metricRefusals     = "gateway_refusals"        // the gateway's own answers, by class and reason
+	metricTries        = "gateway_tries"           // by class and result
+	metricFurtherTries = "gateway_further_tries"   // by class
+	metricNoBudget     = "gateway_no_budget"       // retries prevented by the retry budget, by service
+	metricQueue        = "gateway_queue_us"        // from the arrival to the first send
+	metricFirst        = "gateway_first_us"        // from the arrival to the beginning of the answer
+	metricGap          = "gateway_longest_gap_us"  // longest interval between two parts of a stream
+	metricTotal        = "gateway_total_us"        // from the arrival to the end
+	metricServers      = "gateway_servers"         // ready backend servers, by health
+	metricLimited      = "gateway_limited_servers" // ready backend servers that state a rate limit
+	metricCrashes      = "gateway_server_crashes"  // crashes of backend servers under requests of this gateway, by service
+	metricFresh        = "gateway_keys_fresh_ms"   // how long the keys may still be used; below 0: they have expired
+	metricBlockedParts = "gateway_blocked_parts"   // parts of prompts with which requests are refused
 	metricCatalog      = "gateway_catalog_version"
 	metricInFlight     = "gateway_in_flight"
 )
@@ -116,18 +117,26 @@
 
 // healthMonitor logs changes of the health of backend servers as this gateway sees it.
 type healthMonitor struct {
-	known map[string]route.Health
+	known  map[string]route.Health
+	limits map[string]float64 // rate limits, by id; servers without one are left out
 }
 
 // observe logs the changes since the last call, with the values that decided them, and updates the number of servers of each
-// health.
+// health and of those with a rate limit.
 func (t *healthMonitor) observe(s *Server) {
 	counts := map[route.Health]int64{
 		route.HealthGood: 0, route.HealthQuarantined: 0, route.HealthProbing: 0, route.HealthSilent: 0,
 	}
 	known := make(map[string]route.Health)
+	limits := make(map[string]float64)
 	for _, state := range s.servers.States() {
 		known[state.ID] = state.Health
+		if state.RateLimit > 0 {
+			limits[state.ID] = state.RateLimit
+		}
+		if before := t.limits[state.ID]; before != state.RateLimit {
+			s.cfg.Logger.Info("backend server rate limit", telemetry.KeyBackendServer, state.ID, "per_second", state.RateLimit, "before", before)
+		}
 		counts[state.Health]++
 		before, ok := t.known[state.ID]
 		if before == state.Health || (!ok && state.Health == route.HealthGood) {
@@ -137,10 +146,11 @@
 			"failures", state.Failures, "first_ms", state.FirstTokenWait.Milliseconds(), "in_flight", state.InFlight,
 			"silent_ms", state.SilentFor.Milliseconds())
 	}
-	t.known = known
+	t.known, t.limits = known, limits
 	if m := s.cfg.Metrics; m != nil {
 		for health, n := range counts {
 			m.Gauge(metricServers, telemetry.Label{Name: "health", Value: string(health)}).Update(n)
 		}
+		m.Gauge(metricLimited).Update(int64(len(limits)))
 	}
 }
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -34,6 +34,9 @@
 			`guavastack_gateway_first_us_count{class="stream"} 1`,
 			`guavastack_gateway_requests{class="stream",organisation="one",result="served",verdict="ran"} 1`,
 		}},
+		{"server with a rate limit", "/safe/x", func(r *http.Request, _ string) string { return fullAnswer(r, 200, seal+"X-Limit: 1.5\r\n", "x") }, []string{
+			`guavastack_gateway_limited_servers 1`,
+		}},
 		{"wrong key", "/safe/x?wrong", nil, []string{
 			`guavastack_gateway_refusals{class="safe",reason="invalid_key"} 1`,
 			`guavastack_gateway_requests{class="safe",organisation="",result="invalid_key",verdict="not_run"} 1`,
--- a/internal/serverset/serverset.go
+++ b/internal/serverset/serverset.go
@@ -133,6 +133,14 @@
 	s.table.RecordLoad(time.Now(), id, l)
 }
 
+// RecordRateLimit records the rate limit that a backend server stated in its answer to a request sent at the given time, in requests
+// per second from all processes; 0: none.
+func (s *Set) RecordRateLimit(id string, sentAt time.Time, perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.RecordRateLimit(time.Now(), id, sentAt, perSecond)
+}
+
 // RecordAgentLoad records the load that the agent at addr reported. Reports of unknown agents are ignored.
 func (s *Set) RecordAgentLoad(addr string, l *linkpb.Load) {
 	s.mu.Lock()
