Poisonous parts: a part of which an answer has begun needs five crashes

Only complete answers spoke for a part. Change: the first data of an answer counts too, as an answer from before did: five crashes instead of three. A server that crashes when it begins to write gives none; one that crashes later is found after five crashes, which the users' bound allows. Test: TestLongStreamsCutByCrashesAreNoQueryOfDeath, fails before, passes after.

--- a/internal/control/promptparts.go
+++ b/internal/control/promptparts.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		if next != nil {
-			s.cfg.Logger.Warn("prompt part blocked", "part", poison.Format(next.Part), "crashes", next.Crashes, "answered_before", next.Answered)
+			s.cfg.Logger.Warn("prompt part blocked", "part", poison.Format(next.Part), "crashes", next.Crashes, "answer_begun", next.Begun)
 		}
 	}
 }
@@ -80,7 +80,7 @@
 	m := &controlpb.PromptPartList{Version: list.Version}
 	for i := range list.Suspects {
 		s := &list.Suspects[i]
-		m.Parts = append(m.Parts, &controlpb.PromptPart{Id: s.Part, Answered: s.Answered, BlockedAtMs: s.BlockedAtMS})
+		m.Parts = append(m.Parts, &controlpb.PromptPart{Id: s.Part, Begun: s.Begun, BlockedAtMs: s.BlockedAtMS})
 	}
 	return m
 }
--- a/internal/core/poison/module.go
+++ b/internal/core/poison/module.go
@@ -18,8 +18,8 @@
 // harm.
 type Command struct {
 	Crashes  []ServerCrash `json:"crashes,omitempty"`
-	Known    []uint64      `json:"known,omitempty"`    // listed parts that were answered before they were listed
-	Answered []uint64      `json:"answered,omitempty"` // listed parts that were answered since they were listed
+	Begun    []uint64      `json:"begun,omitempty"`    // listed parts of which an answer has begun
+	Answered []uint64      `json:"answered,omitempty"` // listed parts that were answered completely since they were listed
 	Block    []uint64      `json:"block,omitempty"`    // parts to block
 	Expire   bool          `json:"expire,omitempty"`   // remove what has expired at AtMS of the command
 }
@@ -32,14 +32,14 @@
 
 // CrashedPart is a part of the prompt of a request that a crash broke off.
 type CrashedPart struct {
-	Part     uint64 `json:"part"`
-	Depth    int    `json:"depth"`    // position in the prompt; 0 is the first part
-	Answered bool   `json:"answered"` // the gateway has had an answer to another request with it
+	Part  uint64 `json:"part"`
+	Depth int    `json:"depth"` // position in the prompt; 0 is the first part
+	Begun bool   `json:"begun"` // an answer to a request with it has begun at the gateway
 }
 
 // IsEmpty reports whether the command does nothing.
 func (c *Command) IsEmpty() bool {
-	return len(c.Crashes)+len(c.Known)+len(c.Answered)+len(c.Block) == 0 && !c.Expire
+	return len(c.Crashes)+len(c.Begun)+len(c.Answered)+len(c.Block) == 0 && !c.Expire
 }
 
 // Module is the list of parts in the replicated state machine.
@@ -78,9 +78,9 @@
 	for _, crash := range c.Crashes {
 		m.recordCrash(crash)
 	}
-	for _, part := range c.Known {
+	for _, part := range c.Begun {
 		if s := m.byPart[part]; s != nil {
-			s.Answered = true
+			s.Begun = true
 		}
 	}
 	for _, part := range c.Answered {
@@ -115,7 +115,7 @@
 			m.byPart[p.Part] = s
 		}
 		s.Depth = max(s.Depth, p.Depth)
-		s.Answered = s.Answered || p.Answered
+		s.Begun = s.Begun || p.Begun
 		s.addCrash(c.Crash)
 	}
 	m.enforceBound()
--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// minCrashes is the number of crashes after which a part without any answer is poisonous.
+	// minCrashes is the number of crashes after which a part is poisonous if no answer to a request with it has ever begun.
 	minCrashes = 3
-	// minCrashesAnswered is the number for a part that was answered before its first crash.
-	minCrashesAnswered = 5
+	// minCrashesBegun is the number for a part of which an answer has begun before.
+	minCrashesBegun = 5
 	// crashSpacing is the minimum time between crashes that count separately. Servers that crash together have another cause.
 	crashSpacing = 100 * time.Millisecond
 	// suspicionTime is how long a part without further crashes is suspected.
@@ -36,9 +36,9 @@
 // Suspect is a part of a prompt under which servers crashed.
 type Suspect struct {
 	Part        uint64  `json:"part"`
-	Depth       int     `json:"depth"`    // position in the prompt; 0 is the first part
-	Answered    bool    `json:"answered"` // a request with it was answered before the part was listed
-	Crashes     []Crash `json:"crashes"`  // oldest first
+	Depth       int     `json:"depth"`   // position in the prompt; 0 is the first part
+	Begun       bool    `json:"begun"`   // an answer to a request with it has begun, before a crash or until then
+	Crashes     []Crash `json:"crashes"` // oldest first
 	BlockedAtMS int64   `json:"blocked_at_ms,omitempty"`
 }
 
@@ -53,8 +53,8 @@
 
 // isPoisonous reports whether the part has caused enough crashes to be blocked.
 func (s *Suspect) isPoisonous() bool {
-	if s.Answered {
-		return s.separateCrashes() >= minCrashesAnswered
+	if s.Begun {
+		return s.separateCrashes() >= minCrashesBegun
 	}
 	return s.separateCrashes() >= minCrashes
 }
@@ -145,8 +145,8 @@
 
 // isMoreLikelyThan reports whether s rather than o is the cause of crashes that both could explain.
 func (s *Suspect) isMoreLikelyThan(o *Suspect) bool {
-	if s.Answered != o.Answered {
-		return o.Answered
+	if s.Begun != o.Begun {
+		return o.Begun
 	}
 	if a, b := s.separateCrashes(), o.separateCrashes(); a != b {
 		return a > b
--- a/internal/gateway/promptparts.go
+++ b/internal/gateway/promptparts.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// maxAnsweredParts bounds the prompt parts of which the last answer is remembered.
-	maxAnsweredParts = 4096
+	// maxKnownParts bounds the prompt parts of which answers are remembered.
+	maxKnownParts = 4096
 	// answerReportDelay bounds the random delay of a report on answered parts. One gateway's report makes those of the others needless.
 	answerReportDelay = 300 * time.Millisecond
 	// partReportTimeout bounds one attempt to report on prompt parts.
@@ -45,21 +45,21 @@
 	logger *slog.Logger
 	wake   chan struct{} // receives a value when there may be something to report
 
-	mu       sync.Mutex
-	answered *simplelru.LRU[uint64, time.Time] // time of the last answer, by part
-	listed   map[uint64]time.Time              // when this process first saw a part in the list
-	blocked  map[uint64]bool                   // parts last logged as blocked
-	crashes  []poison.ServerCrash              // not reported yet
+	mu      sync.Mutex
+	answers *simplelru.LRU[uint64, time.Time] // of the parts of which an answer has begun: when one was last complete; zero: not yet
+	listed  map[uint64]time.Time              // when this process first saw a part in the list
+	blocked map[uint64]bool                   // parts last logged as blocked
+	crashes []poison.ServerCrash              // not reported yet
 }
 
 func newPromptParts(group PromptParts, wall func() time.Time, logger *slog.Logger) *promptParts {
-	answered, err := simplelru.NewLRU[uint64, time.Time](maxAnsweredParts, nil)
+	answers, err := simplelru.NewLRU[uint64, time.Time](maxKnownParts, nil)
 	if err != nil {
 		panic(err) // the size is positive
 	}
 	return &promptParts{
 		group: group, wall: wall, logger: logger, wake: make(chan struct{}, 1),
-		answered: answered, listed: make(map[uint64]time.Time), blocked: make(map[uint64]bool),
+		answers: answers, listed: make(map[uint64]time.Time), blocked: make(map[uint64]bool),
 	}
 }
 
@@ -72,21 +72,32 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, part := range slices.Sorted(maps.Keys(c.parts)) {
-		_, answered := p.answered.Peek(part)
-		report.Parts = append(report.Parts, poison.CrashedPart{Part: part, Depth: c.parts[part], Answered: answered})
+		_, begun := p.answers.Peek(part)
+		report.Parts = append(report.Parts, poison.CrashedPart{Part: part, Depth: c.parts[part], Begun: begun})
 	}
 	p.crashes = append(p.crashes, report)
 	p.crashes = p.crashes[max(0, len(p.crashes)-maxPendingCrashes):]
 	p.signal()
 }
 
+// recordBegun records that the answer to a request with the given parts has begun.
+func (p *promptParts) recordBegun(parts []uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, part := range parts {
+		if _, known := p.answers.Get(part); !known {
+			p.answers.Add(part, time.Time{})
+		}
+	}
+}
+
 // recordAnswered records that a request with the given parts was answered completely.
 func (p *promptParts) recordAnswered(now time.Time, parts []uint64) {
 	list := p.group.PromptParts()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, part := range parts {
-		p.answered.Add(part, now)
+		p.answers.Add(part, now)
 		if list.Find(part) != nil {
 			p.signal()
 		}
@@ -180,13 +191,13 @@
 	p.crashes = nil
 	for i := range list.Suspects {
 		s := &list.Suspects[i]
-		at, ok := p.answered.Peek(s.Part)
+		answered, begun := p.answers.Peek(s.Part)
 		switch {
-		case !ok:
-		case p.isAnsweredSinceListed(s.Part, at):
+		case !begun:
+		case p.isAnsweredSinceListed(s.Part, answered):
 			report.Answered = append(report.Answered, s.Part)
-		case !s.Answered && !s.IsBlocked():
-			report.Known = append(report.Known, s.Part)
+		case !s.Begun && !s.IsBlocked():
+			report.Begun = append(report.Begun, s.Part)
 		}
 	}
 	return report
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -106,6 +106,7 @@
 		return
 	}
 	x.firstAfter = at.Sub(x.arrived)
+	s.parts.recordBegun(x.sharedParts)
 	s.paces.recordStart(x)
 	s.lanes.recordDelay(x, x.firstAfter, x.route.LatencyTarget)
 }
--- a/internal/watch/session.go
+++ b/internal/watch/session.go
@@ -354,7 +354,7 @@
 	}
 	list := &poison.List{Version: u.PromptParts.Version}
 	for _, part := range u.PromptParts.Parts {
-		list.Suspects = append(list.Suspects, poison.Suspect{Part: part.Id, Answered: part.Answered, BlockedAtMS: part.BlockedAtMs})
+		list.Suspects = append(list.Suspects, poison.Suspect{Part: part.Id, Begun: part.Begun, BlockedAtMS: part.BlockedAtMs})
 	}
 	s.client.promptParts.Store(list)
 	return true
