--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/guavastack/guavastack/internal/core/route"
 	"github.com/guavastack/guavastack/internal/serverset"
 )
 
@@ -10,14 +11,15 @@
 type attempt struct {
 	servers  *serverset.Set
 	serverID string
+	address  string // of the server
 	sentAt   time.Time
 	activity *serverset.Activity
 	firstAt  time.Time // when the first part of the answer arrived; zero: none yet
 }
 
-func startAttempt(servers *serverset.Set, server string) *attempt {
-	since, activity := servers.BeginWait(server)
-	return &attempt{servers: servers, serverID: server, sentAt: since, activity: activity}
+func startAttempt(servers *serverset.Set, server route.Backend) *attempt {
+	since, activity := servers.BeginWait(server.ID)
+	return &attempt{servers: servers, serverID: server.ID, address: server.Address, sentAt: since, activity: activity}
 }
 
 // recordData records that a part of the answer arrived.
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -25,8 +25,8 @@
 // crashDetector tells the crash of a backend server from other reasons why its answers break off: after a crash its instance refuses
 // connections. It is safe for concurrent use.
 type crashDetector struct {
-	refusesConnections func(ctx context.Context, address string) bool
-	onCrash            func(crash)
+	hasCrashed func(ctx context.Context, id, address string) bool
+	onCrash    func(crash)
 
 	mu     sync.Mutex
 	broken map[serverKey]*brokenServer // not checked yet
@@ -41,8 +41,8 @@
 	parts    map[uint64]int // position in the prompts, by id of a shared part
 }
 
-func newCrashDetector(refuses func(ctx context.Context, address string) bool, onCrash func(crash)) *crashDetector {
-	return &crashDetector{refusesConnections: refuses, onCrash: onCrash, broken: make(map[serverKey]*brokenServer)}
+func newCrashDetector(hasCrashed func(ctx context.Context, id, address string) bool, onCrash func(crash)) *crashDetector {
+	return &crashDetector{hasCrashed: hasCrashed, onCrash: onCrash, broken: make(map[serverKey]*brokenServer)}
 }
 
 // recordBroken records that a backend server broke off its answer to a request with the given shared parts.
@@ -62,19 +62,26 @@
 	}
 }
 
-// check reports a crash if the server refuses connections.
+// check reports a crash if the server has crashed.
 func (d *crashDetector) check(server route.Backend) {
-	refuses := d.refusesConnections(context.Background(), server.Address)
+	crashed := d.hasCrashed(context.Background(), server.ID, server.Address)
 	key := serverKey{server.ID, server.Incarnation}
 	d.mu.Lock()
 	b := d.broken[key]
 	delete(d.broken, key)
 	d.mu.Unlock()
-	if refuses {
+	if crashed {
 		d.onCrash(crash{server: server, requests: b.requests, parts: b.parts})
 	}
 }
 
+// hasCrashed reports whether a backend server that ended a connection has crashed: its instance refuses connections although it had not
+// said that it leaves.
+func (s *Server) hasCrashed(ctx context.Context, id, address string) bool {
+	server, known := s.servers.Find(id)
+	return known && server.Lifecycle == route.LifecycleReady && s.client.RefusesConnections(ctx, address)
+}
+
 // recordCrash logs, counts and reports a crash.
 func (s *Server) recordCrash(c crash) {
 	s.cfg.Logger.Warn("backend server crashed", telemetry.KeyBackendServer, c.server.ID, "incarnation", c.server.Incarnation,
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -49,13 +49,12 @@
 			b.gw.cfg.Logger = slog.New(slog.NewTextHandler(&logs, nil))
 			b.gw.cfg.Metrics = telemetry.NewRegistry(telemetry.DefaultMaxSeries)
 			checked := make(chan struct{}, 1)
-			refuses := b.gw.crashes.refusesConnections
-			b.gw.crashes.refusesConnections = func(ctx context.Context, address string) bool {
-				refused := refuses(ctx, address)
-				if !refused {
+			b.gw.crashes.hasCrashed = func(ctx context.Context, id, address string) bool {
+				crashed := b.gw.hasCrashed(ctx, id, address)
+				if !crashed {
 					checked <- struct{}{}
 				}
-				return refused
+				return crashed
 			}
 			b.gw.crashes.onCrash = func(found crash) { b.gw.recordCrash(found); checked <- struct{}{} }
 			_, _, _ = b.do(http.MethodPost, "/stream/x", func(r *http.Request) { r.Header.Set("X-Parts", "a1,b2,c3") })
@@ -77,7 +76,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		reports := make(chan crash, 4)
 		refuses := map[string]bool{"a:1": true, "b:1": false}
-		d := newCrashDetector(func(_ context.Context, address string) bool { return refuses[address] }, func(c crash) { reports <- c })
+		d := newCrashDetector(func(_ context.Context, _, address string) bool { return refuses[address] }, func(c crash) { reports <- c })
 		first := route.Backend{ID: "a", Incarnation: "1", Address: "a:1"}
 		second := route.Backend{ID: "a", Incarnation: "2", Address: "a:1"}
 		sound := route.Backend{ID: "b", Incarnation: "1", Address: "b:1"}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,7 +132,7 @@
 		paces:   newPaces(),
 	}
 	s.parts = newPromptParts(dir, dir.Wall, cfg.Logger)
-	s.crashes = newCrashDetector(s.client.RefusesConnections, s.recordCrash)
+	s.crashes = newCrashDetector(s.hasCrashed, s.recordCrash)
 	s.addresses.Store(&map[string]bool{})
 	s.registerGauges()
 	dir.OnChange(s.directoryChanged)
--- a/internal/gateway/streamend_test.go
+++ b/internal/gateway/streamend_test.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"testing"
+
+	"github.com/guavastack/guavastack/internal/core/route"
 )
 
 // TestStreamWithoutItsEndIsBrokenOff guards against streams that the caller takes for complete although the server broke them off: a
@@ -56,3 +58,39 @@
 		}
 	}
 }
+
+// TestUnframedAnswerOfCrashedServerIsBrokenOff guards against an answer without length and chunks that the caller takes for complete
+// although its server crashed: the end of the connection marks the end of the answer only if the server lives on.
+func TestUnframedAnswerOfCrashedServerIsBrokenOff(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/resume/x", "/unsafe/x"} {
+		cases := []struct {
+			name    string
+			refuses bool // the server refuses connections after its answer
+			leaves  bool // it has said that it leaves
+		}{{"crash", true, false}, {"the server lives on", false, false}, {"planned end", true, true}}
+		for _, c := range cases {
+			t.Run(c.name+path, func(t *testing.T) {
+				crashes := c.refuses && !c.leaves
+				var b *fixture
+				b = newFixture(t, newBackend(t, closesWith(&b, c.refuses, func(r *http.Request) string {
+					if c.leaves {
+						b.dir.backends[0].Lifecycle = route.LifecycleLeaving
+						b.dir.onChange()
+					}
+					return "HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") + "\r\n" + seal + "\r\nid: 1\n\n"
+				})))
+				b.report(crashOf("other", 0xb))
+				res, body, err := b.do(http.MethodPost, path, withParts("a,b,c"))
+				if complete := err == nil && res.StatusCode == http.StatusOK; complete == crashes {
+					t.Errorf("answer %v, body %q, error %v; want it complete: %v", res, body, err, !crashes)
+				}
+				b.gw.parts.mu.Lock()
+				answered, _ := b.gw.parts.answers.Peek(0xb)
+				b.gw.parts.mu.Unlock()
+				if !answered.IsZero() && crashes {
+					t.Error("the part of the request counts as answered")
+				}
+			})
+		}
+	}
+}
