--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -53,9 +53,10 @@
 	return tree, nil
 }
 
-// Tree returns the newest settings that this member has applied. They may be stale.
+// Tree returns the newest settings that this member has applied. They may be stale. The hub's copy may lag behind them.
 func (s *Service) Tree() *settings.Tree {
-	tree, _ := s.hub.newest()
+	var tree *settings.Tree
+	s.cfg.Group.View(func() { tree = s.cfg.Settings.Tree() })
 	return tree
 }
 
