--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"go.uber.org/goleak"
@@ -150,3 +151,43 @@
 		t.Errorf("got status %d, error %v; want status 0, an error with verdict may_have_run", c.status, err)
 	}
 }
+
+// TestRequestIsNotResentOnReusedConnection guards against a request that reaches the engine twice: the engine reads it on a reused
+// connection and closes that without an answer, for which net/http repeats what it takes for idempotent.
+func TestRequestIsNotResentOnReusedConnection(t *testing.T) {
+	cases := map[string]Request{
+		"GET":                              {Method: http.MethodGet, Path: "/x"},
+		"POST without a body, with a key":  {Method: http.MethodPost, Path: "/x", Headers: []Header{{"Idempotency-Key", "k"}}},
+		"POST with a body and a key":       {Method: http.MethodPost, Path: "/x", Headers: []Header{{"Idempotency-Key", "k"}}, Body: []byte("b")},
+		"POST without a body, without key": {Method: http.MethodPost, Path: "/x"},
+	}
+	for name, r := range cases {
+		t.Run(name, func(t *testing.T) {
+			var arrivals atomic.Int64
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get(headerRequestID) == "first" {
+					fmt.Fprint(w, "{}")
+					return
+				}
+				arrivals.Add(1)
+				panic(http.ErrAbortHandler) // closes the connection
+			}))
+			defer s.Close()
+			e := NewEngine(Config{URL: s.URL})
+			defer e.Close()
+			first := r
+			first.ID = "first"
+			if _, err := e.Do(t.Context(), &first, &collector{}); err != nil {
+				t.Fatal(err)
+			}
+			r.ID = "second"
+			_, err := e.Do(t.Context(), &r, &collector{})
+			if err == nil || verdict.Of(err) != verdict.MayHaveRun {
+				t.Errorf("error %v, want one that says that the request may have run", err)
+			}
+			if n := arrivals.Load(); n != 1 {
+				t.Errorf("the request reached the engine %d times, want once", n)
+			}
+		})
+	}
+}
--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -34,8 +34,8 @@
 // orders.
 type Engine struct {
 	cfg           Config
-	client        client // for requests; reuses connections, but never sends a request twice
-	controlClient client // for control calls and resumes; opens a new connection each time, because a reused one may be broken
+	client        client // for requests with a body; reuses connections, but never sends a request twice
+	controlClient client // for all others; opens a new connection each time, because a reused one may be broken
 }
 
 // NewEngine returns a client of the engine at cfg.URL.
@@ -108,7 +108,15 @@
 		{headerOwner, r.Owner},
 		{headerPriority, strconv.Itoa(r.Priority)},
 	}, r.Headers...)
-	return s.read(ctx, s.engine.client, r.Method, r.Path, headers, r.Body)
+	return s.read(ctx, s.engine.clientFor(r), r.Method, r.Path, headers, r.Body)
+}
+
+// clientFor returns the client that sends r. The transport may repeat a request without a body, but only on a reused connection.
+func (e *Engine) clientFor(r *Request) client {
+	if len(r.Body) == 0 {
+		return e.controlClient
+	}
+	return e.client
 }
 
 func (s *stream) resume(ctx context.Context) error {
