--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -15,7 +15,7 @@
 	graceMargin = 300 * time.Millisecond
 	// drainEstimateFactor is the multiple of the estimated length of an answer that must remain for a request to be admitted during
 	// a shutdown, since a server may become busier than it was during the answers before.
-	drainEstimateFactor = 2
+	drainEstimateFactor = 3
 	// drainPollInterval is the time between checks of the remaining connections.
 	drainPollInterval = 50 * time.Millisecond
 	// drainRetryAfter is the Retry-After of a refusal during a shutdown. It is short since other gateways serve the request at once.
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -23,6 +23,7 @@
 		{"short stream", time.Second, 100, time.Minute, 5 * time.Second, true},
 		{"stream as long as the time left", 6 * time.Second, 100, time.Minute, 5 * time.Second, false},
 		{"stream that ends in time only if the server stays as idle as before", 3 * time.Second, 100, time.Minute, 5 * time.Second, false},
+		{"stream that takes more than twice as long when a burst fills the servers", 2 * time.Second, 100, time.Minute, 5 * time.Second, false},
 		{"more tokens than before", time.Second, 1000, time.Minute, 5 * time.Second, false},
 		{"slow streams, but the deadline is near", 6 * time.Second, 100, 4 * time.Second, 5 * time.Second, true},
 		{"nothing observed, late deadline", 0, 100, time.Minute, 5 * time.Second, false},
