route: tight streams leave a home at which a request has waited for longer than the target (TIER)

A report counts requests, not the work before them, and a server that is busy with prompts sends no answer and so no report; in the bound for a home each gateway allows four requests more than the mean. Change: a stream of a tight lane leaves its home, and any request prefers another server, while a request of this gateway has waited there for longer than the target for its first event.

--- a/internal/core/route/affinity.go
+++ b/internal/core/route/affinity.go
@@ -33,7 +33,7 @@
 		return g.lastResort(now, req, rnd)
 	}
 	if req.Session != 0 {
-		if s := r.home(now, servers, req); s != nil {
+		if s := r.home(now, servers, req, lane < len(g.lanes)-1); s != nil {
 			return s
 		}
 	}
@@ -98,13 +98,15 @@
 	return nil
 }
 
-// home returns the highest-ranked home of the session whose load is within bounds, or nil if all are overloaded.
-func (r *Router) home(now time.Time, lane []*server, req *Request) *server {
+// home returns the highest-ranked home of the session whose load is within bounds, or nil if all are overloaded. Streams with a tight
+// target also leave a home that is held up. Others stay: their shared parts are long, and reading them again elsewhere holds up more.
+func (r *Router) home(now time.Time, lane []*server, req *Request, isTight bool) *server {
 	bound := homeLoadFactor*r.meanLoad(now, lane) + homeLoadSlack
 	for _, s := range homeServers(req.Session, lane) {
-		if s != nil && r.load(now, s) <= bound {
-			return s
+		if s == nil || r.load(now, s) > bound || (isTight && s.isHeldUp(now, req.FirstTokenTarget)) {
+			continue
 		}
+		return s
 	}
 	return nil
 }
@@ -142,6 +144,9 @@
 		if s.Zone != req.Zone {
 			score += zonePenalty
 		}
+		if s.isHeldUp(now, req.FirstTokenTarget) {
+			score += heldUpPenalty
+		}
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
@@ -149,6 +154,9 @@
 	return best
 }
 
+// heldUpPenalty is the penalty for a server that is held up, as a share of a server's slots.
+const heldUpPenalty = 0.5
+
 // zonePenalty is the penalty for a dispatch to another availability zone, as a share of a server's slots.
 const zonePenalty = 0.01
 
--- a/internal/core/route/silence.go
+++ b/internal/core/route/silence.go
@@ -30,14 +30,17 @@
 	}
 	s.activity = activity
 	s.sentAt = append(s.sentAt, now)
+	s.pendingAt = append(s.pendingAt, now)
 }
 
-// RecordFirstData records how long a request waited for the start of its answer.
-func (t *Table) RecordFirstData(id string, took time.Duration) {
+// RecordFirstData records that the answer to the request that was sent at since began at now.
+func (t *Table) RecordFirstData(now time.Time, id string, since time.Time) {
 	s := t.servers[id]
 	if s == nil {
 		return
 	}
+	s.pendingAt = removeTime(s.pendingAt, since)
+	took := now.Sub(since)
 	g := s.group
 	if g.answerWait == 0 {
 		g.answerWait = took
@@ -52,9 +55,26 @@
 	if s == nil {
 		return
 	}
-	if i := slices.IndexFunc(s.sentAt, since.Equal); i >= 0 {
-		s.sentAt = slices.Delete(s.sentAt, i, i+1)
+	s.sentAt = removeTime(s.sentAt, since)
+	s.pendingAt = removeTime(s.pendingAt, since)
+}
+
+// removeTime removes the first element that equals at, if any.
+func removeTime(times []time.Time, at time.Time) []time.Time {
+	i := slices.IndexFunc(times, at.Equal)
+	if i < 0 {
+		return times
+	}
+	return slices.Delete(times, i, i+1)
+}
+
+// isHeldUp reports whether a request of this process has waited at the server for longer than the given target for the first event, for
+// example behind long prompts. The server's reports tell how many requests it has, not how much work they are.
+func (s *server) isHeldUp(now time.Time, target time.Duration) bool {
+	if target <= 0 || len(s.pendingAt) == 0 {
+		return false
 	}
+	return now.Sub(s.pendingAt[0]) > target
 }
 
 // isSilent reports whether the server has requests of this process in flight and has sent no data for longer than usual.
--- a/internal/core/route/silence_test.go
+++ b/internal/core/route/silence_test.go
@@ -68,7 +68,7 @@
 		}},
 		{name: "answers usually take that long", after: silentAfter + time.Millisecond, setUp: func(table *Table, id string) {
 			for range 200 {
-				table.RecordFirstData(id, silentAfter)
+				table.RecordFirstData(epoch.Add(silentAfter), id, epoch)
 			}
 			table.BeginWait(epoch, id, noActivity)
 		}},
@@ -82,7 +82,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			table := newLoadedTable(6, 4)
 			id := firstServerID(table)
-			table.RecordFirstData(id, answerWait)
+			table.RecordFirstData(epoch.Add(answerWait), id, epoch)
 			c.setUp(table, id)
 			got := chosenBySession(t, table, epoch.Add(c.after))
 			if gotSilent := got[id] == 0; gotSilent != c.isSilent {
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -96,6 +96,7 @@
 	sinceReport int // of them, those sent since the last load report
 	health      health
 	sentAt      []time.Time // send times of the requests of this process in flight, oldest first
+	pendingAt   []time.Time // those of sentAt whose answer has not begun
 	activity    Activity    // nil until the first request was sent
 	gapAt       time.Time   // time of the last gap in its cache events
 	membership  laneMembership
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,7 +27,7 @@
 	a.activity.Record(now)
 	if a.firstAt.IsZero() {
 		a.firstAt = now
-		a.servers.RecordFirstData(a.serverID, now.Sub(a.sentAt))
+		a.servers.RecordFirstData(now, a.serverID, a.sentAt)
 	}
 }
 
--- a/internal/serverset/serverset.go
+++ b/internal/serverset/serverset.go
@@ -205,11 +205,11 @@
 	return now, activity
 }
 
-// RecordFirstData records that the answer of a backend server to a request began after the given time.
-func (s *Set) RecordFirstData(id string, took time.Duration) {
+// RecordFirstData records that the answer of a backend server to the request sent at since began at now.
+func (s *Set) RecordFirstData(now time.Time, id string, since time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.RecordFirstData(id, took)
+	s.table.RecordFirstData(now, id, since)
 }
 
 // EndWait records the end of the request that was sent at since.
