--- a/internal/core/limit/counter.go
+++ b/internal/core/limit/counter.go
@@ -74,12 +74,13 @@
 	lastArrivals []time.Time   // time of the last arrival by tier
 }
 
-// recordArrival records an arrival of a tier.
+// recordArrival records an arrival of a tier. A tier below 0 counts as the highest.
 func (c *counter) recordArrival(now time.Time, tier int) {
+	tier = max(0, tier)
 	for len(c.lastArrivals) <= tier {
 		c.lastArrivals = append(c.lastArrivals, time.Time{})
 	}
-	c.lastArrivals[max(0, tier)] = now
+	c.lastArrivals[tier] = now
 }
 
 // hasHigherActive reports whether a higher tier is active.
--- a/internal/core/limit/limit_test.go
+++ b/internal/core/limit/limit_test.go
@@ -309,3 +309,13 @@
 		l.Release(now, lease)
 	}
 }
+
+// TestNegativeTierCountsAsHighest checks that a request with a tier below 0 is admitted like one of the highest tier.
+func TestNegativeTierCountsAsHighest(t *testing.T) {
+	l := NewLimiter()
+	now := time.Unix(1000, 0)
+	scope := Scope{Kind: ScopeOrganisation, Name: "one", Limits: Limits{RequestsPerMinute: 8}}
+	if _, refusal := l.Acquire(now, Request{Organisation: "one", Scopes: []Scope{scope}, Tier: -1}); refusal != nil {
+		t.Errorf("refused: %v", refusal)
+	}
+}
