Poisonous parts: gateways are told only of parts with two separate crashes

Cause: each crash, reported by up to hundreds of gateways, gave new versions of the list of up to 256 parts; each version went to every watcher, and each gateway then renewed its whole table of servers. Change: a part is listed from its second separate crash on, so that servers that crash together make no list; the version grows only with what gateways see; a change of the list no longer runs what a change of the registry runs. Each command removes what has expired.

--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -80,7 +80,7 @@
 		if h.catalog != nil {
 			doc = document{h.catalog.Version(), h.catalog.Document()}
 		}
-		if h.poison != nil && h.poison.Version() != parts.Version {
+		if h.poison != nil {
 			parts = h.poison.List()
 		}
 	})
@@ -88,9 +88,8 @@
 	if doc.version > h.document.version {
 		h.document, changed = doc, true
 	}
-	if parts != h.parts {
-		h.parts, changed = parts, true
-	}
+	changed = changed || parts.Version != h.parts.Version
+	h.parts = parts
 	if changed {
 		close(h.changed)
 		h.changed = make(chan struct{})
--- a/internal/core/poison/module.go
+++ b/internal/core/poison/module.go
@@ -21,7 +21,7 @@
 	Begun    []uint64      `json:"begun,omitempty"`    // listed parts of which an answer has begun
 	Answered []uint64      `json:"answered,omitempty"` // listed parts that were answered completely since they were listed
 	Block    []uint64      `json:"block,omitempty"`    // parts to block
-	Expire   bool          `json:"expire,omitempty"`   // remove what has expired at AtMS of the command
+	Expire   bool          `json:"expire,omitempty"`   // nothing else: each command removes what has expired at its AtMS
 }
 
 // ServerCrash is the crash of one incarnation of a server, with the parts under which it crashed as one gateway observed it.
@@ -44,28 +44,43 @@
 
 // Module is the list of parts in the replicated state machine.
 type Module struct {
-	version uint64 // grows with each change
-	byPart  map[uint64]*Suspect
+	byPart map[uint64]*Suspect
+	list   *List // what gateways are told
 }
 
 // NewModule returns a module with an empty list.
-func NewModule() *Module { return &Module{byPart: make(map[uint64]*Suspect)} }
+func NewModule() *Module {
+	m := &Module{}
+	m.Reset()
+	return m
+}
 
 // Name implements state.Module.
 func (m *Module) Name() string { return ModuleName }
 
-// Version returns the version of the list.
-func (m *Module) Version() uint64 { return m.version }
+// List returns the current list. A list of the same version may have other crashes.
+func (m *Module) List() *List { return m.list }
 
-// List returns the current list.
-func (m *Module) List() *List {
-	l := &List{Version: m.version}
+// suspects returns copies of the suspects for which keep returns true, by ascending part.
+func (m *Module) suspects(keep func(*Suspect) bool) []Suspect {
+	var out []Suspect
 	for _, part := range slices.Sorted(maps.Keys(m.byPart)) {
-		s := *m.byPart[part]
-		s.Crashes = slices.Clone(s.Crashes)
-		l.Suspects = append(l.Suspects, s)
+		if s := m.byPart[part]; keep(s) {
+			suspect := *s
+			suspect.Crashes = slices.Clone(s.Crashes)
+			out = append(out, suspect)
+		}
 	}
-	return l
+	return out
+}
+
+// renewList renews the list after a command. Its version grows only if gateways would see a difference.
+func (m *Module) renewList() {
+	next := &List{Version: m.list.Version, Suspects: m.suspects((*Suspect).isListed)}
+	if !next.hasSameParts(m.list) {
+		next.Version++
+	}
+	m.list = next
 }
 
 // Apply implements state.Module.
@@ -74,7 +89,7 @@
 	if err := json.Unmarshal(cmd.Body, &c); err != nil {
 		return nil, errors.NewNotValid(err, "command for poisonous parts")
 	}
-	m.version++
+	maps.DeleteFunc(m.byPart, func(_ uint64, s *Suspect) bool { return s.expiresAt() <= cmd.AtMS })
 	for _, crash := range c.Crashes {
 		m.recordCrash(crash)
 	}
@@ -89,9 +104,7 @@
 	for _, part := range c.Block {
 		m.block(part, cmd.AtMS)
 	}
-	if c.Expire {
-		maps.DeleteFunc(m.byPart, func(_ uint64, s *Suspect) bool { return s.expiresAt() <= cmd.AtMS })
-	}
+	m.renewList()
 	return json.RawMessage(`{}`), nil
 }
 
@@ -186,7 +199,7 @@
 
 // Snapshot implements state.Module.
 func (m *Module) Snapshot() (json.RawMessage, error) {
-	return json.Marshal(snapshot{m.version, m.List().Suspects})
+	return json.Marshal(snapshot{m.list.Version, m.suspects(func(*Suspect) bool { return true })})
 }
 
 // Restore implements state.Module.
@@ -196,12 +209,12 @@
 		return errors.NewNotValid(err, "snapshot of poisonous parts")
 	}
 	m.Reset()
-	m.version = s.Version
 	for i := range s.Suspects {
 		m.byPart[s.Suspects[i].Part] = &s.Suspects[i]
 	}
+	m.list = &List{Version: s.Version, Suspects: m.suspects((*Suspect).isListed)}
 	return nil
 }
 
 // Reset implements state.Resetter: snapshots of earlier versions of the program do not contain the module.
-func (m *Module) Reset() { m.version, m.byPart = 0, make(map[uint64]*Suspect) }
+func (m *Module) Reset() { m.byPart, m.list = make(map[uint64]*Suspect), &List{} }
--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -12,6 +12,9 @@
 )
 
 const (
+	// minCrashesListed is the number of crashes from which gateways are told of a part. A part that was only in use when servers crashed
+	// together, whatever their number, has one: thousands of such parts must cost nothing.
+	minCrashesListed = 2
 	// minCrashes is the number of crashes after which a part is poisonous if no answer to a request with it has ever begun.
 	minCrashes = 3
 	// minCrashesBegun is the number for a part of which an answer has begun before.
@@ -24,7 +27,7 @@
 	BlockTime = 15 * time.Minute
 	// DecisionTime is the minimum time from the first report of a suspected part to its blocking. All gateways can report answers in it.
 	DecisionTime = time.Second
-	// maxSuspects bounds the listed parts.
+	// maxSuspects bounds the suspected parts, listed or not.
 	maxSuspects = 256
 	// maxCrashes bounds the crashes that are kept of a part, the latest ones.
 	maxCrashes = 8
@@ -51,6 +54,9 @@
 // IsBlocked reports whether no request with the part may be sent.
 func (s *Suspect) IsBlocked() bool { return s.BlockedAtMS != 0 }
 
+// isListed reports whether gateways are told of the part.
+func (s *Suspect) isListed() bool { return s.IsBlocked() || s.separateCrashes() >= minCrashesListed }
+
 // isPoisonous reports whether the part has caused enough crashes to be blocked.
 func (s *Suspect) isPoisonous() bool {
 	if s.Begun {
@@ -91,12 +97,19 @@
 	return s.Crashes[len(s.Crashes)-1].AtMS + suspicionTime.Milliseconds()
 }
 
-// List is one version of the listed parts. It is immutable.
+// List is one version of the parts of which gateways are told. It is immutable.
 type List struct {
-	Version  uint64
+	Version  uint64    // grows with each change that gateways must receive
 	Suspects []Suspect // by ascending part
 }
 
+// hasSameParts reports whether gateways would see the same in both lists.
+func (l *List) hasSameParts(o *List) bool {
+	return slices.EqualFunc(l.Suspects, o.Suspects, func(a, b Suspect) bool {
+		return a.Part == b.Part && a.Begun == b.Begun && a.BlockedAtMS == b.BlockedAtMS
+	})
+}
+
 // Find returns the suspect with the given part, or nil.
 func (l *List) Find(part uint64) *Suspect {
 	i, ok := slices.BinarySearchFunc(l.Suspects, part, func(s Suspect, part uint64) int {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,7 +67,7 @@
 	Turns() limit.Turns
 	meter.Sink
 	PromptParts
-	// OnChange registers a function that runs after each change of the catalog, the registry or the list of prompt parts.
+	// OnChange registers a function that runs after each change of the catalog or the registry.
 	OnChange(f func())
 }
 
@@ -136,11 +136,12 @@
 	s.addresses.Store(&map[string]bool{})
 	s.registerGauges()
 	dir.OnChange(s.directoryChanged)
+	dir.OnPromptParts(s.parts.listChanged)
 	dir.SetLaneWork(s.lanes.work)
 	return s
 }
 
-// directoryChanged applies a change of the registry or the list of prompt parts.
+// directoryChanged applies a change of the registry.
 func (s *Server) directoryChanged() {
 	backends := newestByAddress(s.dir.Backends())
 	addresses := make(map[string]bool, len(backends))
@@ -150,7 +151,6 @@
 	s.addresses.Store(&addresses)
 	s.logServerChanges(backends)
 	s.servers.Update(time.Now(), backends)
-	s.parts.listChanged()
 }
 
 // logServerChanges logs which backend servers were added, changed their lifecycle or were removed.
--- a/internal/gateway/promptparts.go
+++ b/internal/gateway/promptparts.go
@@ -33,6 +33,8 @@
 type PromptParts interface {
 	// PromptParts returns the newest list received. It is immutable.
 	PromptParts() *poison.List
+	// OnPromptParts sets a function that runs after each change of the list.
+	OnPromptParts(f func())
 	// ReportPromptParts commits observations on prompt parts. They may be committed twice without harm.
 	ReportPromptParts(ctx context.Context, report poison.Command) error
 }
--- a/internal/watch/client.go
+++ b/internal/watch/client.go
@@ -122,9 +122,10 @@
 	freshness *member.FreshnessTracker
 	wall      wallclock.OffsetEstimator
 
-	mu       sync.Mutex
-	changed  chan struct{}
-	onChange []func()
+	mu            sync.Mutex
+	changed       chan struct{}
+	onChange      []func()
+	onPromptParts func() // nil: none
 }
 
 // New returns a client without data. It needs Run to connect.
@@ -247,14 +248,31 @@
 // Wall returns the wall clock time that the control group agrees on, or the local one while that is unknown.
 func (c *Client) Wall() time.Time { return clock.Wall().Add(time.Duration(c.wallOffset.Load())) }
 
-// Changed returns a channel that is closed at the next change of the settings, keys, catalog, registry or list of prompt parts.
+// OnPromptParts sets f to be called after each change of the list of prompt parts. f must not block.
+func (c *Client) OnPromptParts(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onPromptParts = f
+}
+
+// notifyPromptParts calls the function set by OnPromptParts.
+func (c *Client) notifyPromptParts() {
+	c.mu.Lock()
+	f := c.onPromptParts
+	c.mu.Unlock()
+	if f != nil {
+		f()
+	}
+}
+
+// Changed returns a channel that is closed at the next change of the settings, keys, catalog or registry.
 func (c *Client) Changed() <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.changed
 }
 
-// OnChange registers f to be called after each change of the settings, keys, catalog, registry or list of prompt parts, one call at a time. f must not
+// OnChange registers f to be called after each change of the settings, keys, catalog or registry, one call at a time. f must not
 // block.
 func (c *Client) OnChange(f func()) {
 	c.mu.Lock()
--- a/internal/watch/session.go
+++ b/internal/watch/session.go
@@ -185,7 +185,7 @@
 		changed = true
 	}
 	if s.applyPromptParts(u) {
-		changed = true
+		s.client.notifyPromptParts()
 	}
 	if len(u.Members) > 0 {
 		s.client.mergeMembers(u.Members, s.client.cfg.Control)
