--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -179,11 +179,11 @@
 func (s *Service) digest(have peerState, now time.Time) (*controlpb.Digest, peerState) {
 	d := &controlpb.Digest{Member: s.cfg.Group.Self().ID, Incarnation: s.cfg.Incarnation, WallUs: clock.Wall().UnixMicro()}
 	next := peerState{heard: make(map[string]time.Time, len(have.heard))}
-	next.registry = s.soft.forEachDirectReport(have.registry, func(reg member.Registration[*controlpb.BackendServer]) {
+	next.registry = s.soft.forEachDirectReport(have.registry, func(reg *member.Registration[*controlpb.BackendServer]) {
 		id := reg.Report.ID
 		next.heard[id] = reg.Heard
 		if reg.Changed > have.registry {
-			d.Backends = append(d.Backends, backendOf(reg))
+			d.Backends = append(d.Backends, backendOf(*reg))
 			return
 		}
 		if last, ok := have.heard[id]; ok && reg.Heard.Sub(last) < renewalInterval {
@@ -210,14 +210,14 @@
 // forEachDirectReport calls f for each backend server that reports to this member, and returns the registry version. Servers that
 // are gone are left out unless they changed after since. Servers without recent reports are left out too: every member detects
 // missing reports by itself.
-func (s *softState) forEachDirectReport(since uint64, f func(member.Registration[*controlpb.BackendServer])) uint64 {
+func (s *softState) forEachDirectReport(since uint64, f func(*member.Registration[*controlpb.BackendServer])) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, reg := range s.registry.Since(0) {
+	s.registry.Each(func(reg *member.Registration[*controlpb.BackendServer]) {
 		if reg.Direct && !reg.IsSilent() && (reg.ReportedLifecycle != member.Gone || reg.Changed > since) {
 			f(reg)
 		}
-	}
+	})
 	return s.registry.Version()
 }
 
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -3,6 +3,8 @@
 package member
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 )
@@ -64,6 +66,13 @@
 	started       time.Time
 	version       uint64
 	registrations map[string]*Registration[T]
+	changes       []change // by ascending version; holds at least the last change of each registration
+}
+
+// change is one change that watchers must receive.
+type change struct {
+	version uint64
+	id      string
 }
 
 // NewRegistry returns an empty registry. It marks backend servers as Gone after ttl without a report.
@@ -103,21 +112,38 @@
 			reg.Heard = old.Heard
 		}
 	}
+	r.registrations[report.ID] = reg
 	if changed {
-		r.version++
-		reg.Changed = r.version
+		r.markChanged(reg)
 	}
-	r.registrations[report.ID] = reg
 	return true
 }
 
+// markChanged records that watchers must receive a registration.
+func (r *Registry[T]) markChanged(reg *Registration[T]) {
+	r.version++
+	reg.Changed = r.version
+	r.changes = append(r.changes, change{r.version, reg.Report.ID})
+	if len(r.changes) > 2*len(r.registrations)+minKeptChanges {
+		r.changes = slices.DeleteFunc(r.changes, func(c change) bool { return !r.isLast(c) })
+	}
+}
+
+// minKeptChanges is the number of changes that are kept even if there are few registrations.
+const minKeptChanges = 64
+
+// isLast reports whether c is the last change of a registration.
+func (r *Registry[T]) isLast(c change) bool {
+	reg, ok := r.registrations[c.id]
+	return ok && reg.Changed == c.version
+}
+
 // advanceLifecycle applies the lifecycle of a report that isn't newer, if it is further along in the same incarnation.
 func (r *Registry[T]) advanceLifecycle(reg *Registration[T], report Report[T], direct bool) bool {
 	if reg.Report.Incarnation != report.Incarnation || report.Lifecycle.progress() <= reg.ReportedLifecycle.progress() {
 		return false
 	}
-	r.version++
-	reg.Changed = r.version
+	r.markChanged(reg)
 	reg.ReportedLifecycle = report.Lifecycle
 	reg.Direct = reg.Direct || direct
 	if reg.Report.Lifecycle != Gone {
@@ -167,8 +193,8 @@
 		reg := r.registrations[id]
 		silent := now.Sub(reg.Heard)
 		if reg.Report.Lifecycle != Gone && silent >= r.ttl {
-			r.version++
-			reg.Report.Lifecycle, reg.Changed = Gone, r.version
+			reg.Report.Lifecycle = Gone
+			r.markChanged(reg)
 		}
 		if reg.Report.Lifecycle == Gone && silent >= 4*r.ttl {
 			delete(r.registrations, id)
@@ -185,17 +211,26 @@
 	return *reg, true
 }
 
-// Since returns the registrations that changed after a registry version, sorted by id.
+// Since returns the registrations that changed after a registry version, sorted by id. Its cost depends on the number of changes since.
 func (r *Registry[T]) Since(version uint64) []Registration[T] {
+	first, _ := slices.BinarySearchFunc(r.changes, version+1, func(c change, v uint64) int { return cmp.Compare(c.version, v) })
 	var out []Registration[T]
-	for _, id := range r.ids() {
-		if reg := r.registrations[id]; reg.Changed > version {
-			out = append(out, *reg)
+	for _, c := range r.changes[first:] {
+		if r.isLast(c) {
+			out = append(out, *r.registrations[c.id])
 		}
 	}
+	slices.SortFunc(out, func(a, b Registration[T]) int { return cmp.Compare(a.Report.ID, b.Report.ID) })
 	return out
 }
 
+// Each calls f for each registration, in no particular order.
+func (r *Registry[T]) Each(f func(*Registration[T])) {
+	for _, reg := range r.registrations {
+		f(reg)
+	}
+}
+
 func (r *Registry[T]) ids() []string {
 	ids := make([]string, 0, len(r.registrations))
 	for id := range r.registrations {
