poison: one piece of code keeps when a part was first seen in the list

The gateway and the control group each recorded new parts of the list and forgot those that left it, and a test did so a third time; now FirstSeen does. List.Find compares with cmp.Compare. The meaning of Command.Expire is said plainly. No change of behaviour; the tests keep their assertions.

--- a/internal/control/promptparts.go
+++ b/internal/control/promptparts.go
@@ -14,7 +14,7 @@
 
 // decideOnPromptParts blocks poisonous parts of prompts and removes expired ones from the list, while this member leads.
 func (s *Service) decideOnPromptParts(ctx context.Context) {
-	listed := make(map[uint64]time.Time) // when this member first saw a part, as the leader
+	listed := make(poison.FirstSeen) // by this member as the leader
 	for wait.For(ctx, promptPartInterval) {
 		if !s.leads() {
 			clear(listed)
@@ -22,7 +22,7 @@
 		}
 		now := time.Now()
 		list := s.hub.promptParts()
-		trackListed(listed, list, now)
+		listed.Update(list, now)
 		var command poison.Command
 		next := list.NextToBlock(func(part uint64) bool { return now.Sub(listed[part]) >= poison.DecisionTime })
 		if next != nil {
@@ -42,21 +42,6 @@
 	}
 }
 
-// trackListed records when parts were first seen in the list, and forgets those that are no longer in it.
-func trackListed(listed map[uint64]time.Time, list *poison.List, now time.Time) {
-	for part := range listed {
-		if list.Find(part) == nil {
-			delete(listed, part)
-		}
-	}
-	for i := range list.Suspects {
-		part := list.Suspects[i].Part
-		if _, ok := listed[part]; !ok {
-			listed[part] = now
-		}
-	}
-}
-
 // promptPartsMessage converts a list to a message for watchers.
 func promptPartsMessage(list *poison.List) *controlpb.PromptPartList {
 	m := &controlpb.PromptPartList{Version: list.Version}
--- a/internal/core/poison/module.go
+++ b/internal/core/poison/module.go
@@ -21,7 +21,7 @@
 	Begun    []uint64      `json:"begun,omitempty"`    // listed parts of which an answer has begun
 	Answered []uint64      `json:"answered,omitempty"` // listed parts that were answered completely since they were listed
 	Block    []uint64      `json:"block,omitempty"`    // parts to block
-	Expire   bool          `json:"expire,omitempty"`   // nothing else: each command removes what has expired at its AtMS
+	Expire   bool          `json:"expire,omitempty"`   // for a command that only removes what has expired, as every command does
 }
 
 // ServerCrash is the crash of one incarnation of a server, with the parts under which it crashed as one gateway observed it.
--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -6,7 +6,9 @@
 package poison
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -112,16 +114,7 @@
 
 // Find returns the suspect with the given part, or nil.
 func (l *List) Find(part uint64) *Suspect {
-	i, ok := slices.BinarySearchFunc(l.Suspects, part, func(s Suspect, part uint64) int {
-		switch {
-		case s.Part < part:
-			return -1
-		case s.Part > part:
-			return 1
-		default:
-			return 0
-		}
-	})
+	i, ok := slices.BinarySearchFunc(l.Suspects, part, func(s Suspect, part uint64) int { return cmp.Compare(s.Part, part) })
 	if !ok {
 		return nil
 	}
@@ -171,3 +164,17 @@
 func (l *List) HasExpired(atMS int64) bool {
 	return slices.ContainsFunc(l.Suspects, func(s Suspect) bool { return s.expiresAt() <= atMS })
 }
+
+// FirstSeen holds when a process first saw each listed part.
+type FirstSeen map[uint64]time.Time
+
+// Update records the parts of list that are new at now, and forgets those that it no longer holds.
+func (f FirstSeen) Update(list *List, now time.Time) {
+	maps.DeleteFunc(f, func(part uint64, _ time.Time) bool { return list.Find(part) == nil })
+	for i := range list.Suspects {
+		part := list.Suspects[i].Part
+		if _, ok := f[part]; !ok {
+			f[part] = now
+		}
+	}
+}
--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -259,7 +259,7 @@
 			random := rand.New(rand.NewPCG(seed, 1))
 			m := NewModule()
 			answered := make(map[uint64]bool) // since the start
-			listedAt := make(map[uint64]time.Duration)
+			listed := make(FirstSeen)
 			var running []request
 			crashes := 0
 			var fifth time.Duration
@@ -271,7 +271,7 @@
 					}
 					for _, part := range []uint64{common, r.second} {
 						answered[part] = true
-						if _, ok := listedAt[part]; ok {
+						if _, ok := listed[part]; ok {
 							apply(t, m, ms, Command{Answered: []uint64{part}})
 						}
 					}
@@ -303,8 +303,9 @@
 					apply(t, m, ms, Command{Crashes: []ServerCrash{report}})
 				}
 				list := m.List()
-				trackTestList(listedAt, list, now)
-				if next := list.NextToBlock(func(part uint64) bool { return now-listedAt[part] >= DecisionTime }); next != nil {
+				wall := time.UnixMilli(ms)
+				listed.Update(list, wall)
+				if next := list.NextToBlock(func(part uint64) bool { return wall.Sub(listed[part]) >= DecisionTime }); next != nil {
 					if next.Part != bad {
 						t.Fatalf("%v a second, seed %d: sound part %d is blocked after %d crashes", badHz, seed, next.Part, crashes)
 					}
@@ -317,16 +318,3 @@
 		}
 	}
 }
-
-func trackTestList(listedAt map[uint64]time.Duration, list *List, now time.Duration) {
-	for part := range listedAt {
-		if list.Find(part) == nil {
-			delete(listedAt, part)
-		}
-	}
-	for _, s := range list.Suspects {
-		if _, ok := listedAt[s.Part]; !ok {
-			listedAt[s.Part] = now
-		}
-	}
-}
--- a/internal/gateway/promptparts.go
+++ b/internal/gateway/promptparts.go
@@ -49,9 +49,9 @@
 
 	mu      sync.Mutex
 	answers *simplelru.LRU[uint64, time.Time] // of the parts of which an answer has begun: when one was last complete; zero: not yet
-	listed  map[uint64]time.Time              // when this process first saw a part in the list
-	blocked map[uint64]bool                   // parts last logged as blocked
-	crashes []poison.ServerCrash              // not reported yet
+	listed  poison.FirstSeen
+	blocked map[uint64]bool      // parts last logged as blocked
+	crashes []poison.ServerCrash // not reported yet
 }
 
 func newPromptParts(group PromptParts, wall func() time.Time, logger *slog.Logger) *promptParts {
@@ -61,7 +61,7 @@
 	}
 	return &promptParts{
 		group: group, wall: wall, logger: logger, wake: make(chan struct{}, 1),
-		answers: answers, listed: make(map[uint64]time.Time), blocked: make(map[uint64]bool),
+		answers: answers, listed: make(poison.FirstSeen), blocked: make(map[uint64]bool),
 	}
 }
 
@@ -120,12 +120,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	maps.DeleteFunc(p.listed, func(part uint64, _ time.Time) bool { return list.Find(part) == nil })
-	for i := range list.Suspects {
-		if _, ok := p.listed[list.Suspects[i].Part]; !ok {
-			p.listed[list.Suspects[i].Part] = now
-		}
-	}
+	p.listed.Update(list, now)
 	p.logBlocked(list)
 	if len(list.Suspects) > 0 {
 		p.signal()
