--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,8 +10,7 @@
 // attempt tracks one attempt at a backend server, from the send to the end of the answer.
 type attempt struct {
 	servers  *serverset.Set
-	serverID string
-	address  string // of the server
+	server   route.Backend
 	sentAt   time.Time
 	activity *serverset.Activity
 	firstAt  time.Time // when the first part of the answer arrived; zero: none yet
@@ -19,7 +18,7 @@
 
 func startAttempt(servers *serverset.Set, server route.Backend) *attempt {
 	since, activity := servers.BeginWait(server.ID)
-	return &attempt{servers: servers, serverID: server.ID, address: server.Address, sentAt: since, activity: activity}
+	return &attempt{servers: servers, server: server, sentAt: since, activity: activity}
 }
 
 // recordData records that a part of the answer arrived.
@@ -27,9 +26,9 @@
 	a.activity.Record(now)
 	if a.firstAt.IsZero() {
 		a.firstAt = now
-		a.servers.RecordFirstData(now, a.serverID, a.sentAt)
+		a.servers.RecordFirstData(now, a.server.ID, a.sentAt)
 	}
 }
 
 // end ends the tracking of the attempt.
-func (a *attempt) end() { a.servers.EndWait(a.serverID, a.sentAt) }
+func (a *attempt) end() { a.servers.EndWait(a.server.ID, a.sentAt) }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -25,7 +25,7 @@
 // crashDetector tells the crash of a backend server from other reasons why its answers break off: after a crash its instance refuses
 // connections. It is safe for concurrent use.
 type crashDetector struct {
-	hasCrashed func(ctx context.Context, id, address string) bool
+	hasCrashed func(ctx context.Context, server route.Backend) bool
 	onCrash    func(crash)
 
 	mu     sync.Mutex
@@ -41,7 +41,7 @@
 	parts    map[uint64]int // position in the prompts, by id of a shared part
 }
 
-func newCrashDetector(hasCrashed func(ctx context.Context, id, address string) bool, onCrash func(crash)) *crashDetector {
+func newCrashDetector(hasCrashed func(ctx context.Context, server route.Backend) bool, onCrash func(crash)) *crashDetector {
 	return &crashDetector{hasCrashed: hasCrashed, onCrash: onCrash, broken: make(map[serverKey]*brokenServer)}
 }
 
@@ -64,7 +64,7 @@
 
 // check reports a crash if the server has crashed.
 func (d *crashDetector) check(server route.Backend) {
-	crashed := d.hasCrashed(context.Background(), server.ID, server.Address)
+	crashed := d.hasCrashed(context.Background(), server)
 	key := serverKey{server.ID, server.Incarnation}
 	d.mu.Lock()
 	b := d.broken[key]
@@ -77,15 +77,15 @@
 
 // hasCrashed reports whether a backend server that ended a connection has crashed: its instance refuses connections although it had not
 // said that it leaves.
-func (s *Server) hasCrashed(ctx context.Context, id, address string) bool {
-	server, known := s.servers.Find(id)
-	return known && server.Lifecycle == route.LifecycleReady && s.client.RefusesConnections(ctx, address)
+func (s *Server) hasCrashed(ctx context.Context, server route.Backend) bool {
+	registered, known := s.servers.Find(server.ID)
+	return known && registered.Lifecycle == route.LifecycleReady && s.client.RefusesConnections(ctx, server.Address)
 }
 
 // recordCrash logs, counts and reports a crash.
 func (s *Server) recordCrash(c crash) {
 	s.cfg.Logger.Warn("backend server crashed", telemetry.KeyBackendServer, c.server.ID, "incarnation", c.server.Incarnation,
-		"address", c.server.Address, "broken_requests", c.requests, "prompt_parts", formatParts(slices.Sorted(maps.Keys(c.parts))))
+		"address", c.server.Address, "broken_requests", c.requests, "prompt_parts", partIDs(slices.Sorted(maps.Keys(c.parts))))
 	if m := s.cfg.Metrics; m != nil {
 		m.Counter(metricCrashes, telemetry.Label{Name: "service", Value: c.server.Model}).Inc(1)
 	}
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -49,8 +49,8 @@
 			b.gw.cfg.Logger = slog.New(slog.NewTextHandler(&logs, nil))
 			b.gw.cfg.Metrics = telemetry.NewRegistry(telemetry.DefaultMaxSeries)
 			checked := make(chan struct{}, 1)
-			b.gw.crashes.hasCrashed = func(ctx context.Context, id, address string) bool {
-				crashed := b.gw.hasCrashed(ctx, id, address)
+			b.gw.crashes.hasCrashed = func(ctx context.Context, server route.Backend) bool {
+				crashed := b.gw.hasCrashed(ctx, server)
 				if !crashed {
 					checked <- struct{}{}
 				}
@@ -76,7 +76,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		reports := make(chan crash, 4)
 		refuses := map[string]bool{"a:1": true, "b:1": false}
-		d := newCrashDetector(func(_ context.Context, _, address string) bool { return refuses[address] }, func(c crash) { reports <- c })
+		d := newCrashDetector(func(_ context.Context, server route.Backend) bool { return refuses[server.Address] }, func(c crash) { reports <- c })
 		first := route.Backend{ID: "a", Incarnation: "1", Address: "a:1"}
 		second := route.Backend{ID: "a", Incarnation: "2", Address: "a:1"}
 		sound := route.Backend{ID: "b", Incarnation: "1", Address: "b:1"}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -117,8 +117,7 @@
 
 // healthMonitor logs changes of the health of backend servers as this gateway sees it.
 type healthMonitor struct {
-	known  map[string]route.Health
-	limits map[string]float64 // rate limits, by id; servers without one are left out
+	known map[string]route.ServerState // as last observed, by id
 }
 
 // observe logs the changes since the last call, with the values that decided them, and updates the number of servers of each
@@ -127,30 +126,30 @@
 	counts := map[route.Health]int64{
 		route.HealthGood: 0, route.HealthQuarantined: 0, route.HealthProbing: 0, route.HealthSilent: 0,
 	}
-	known := make(map[string]route.Health)
-	limits := make(map[string]float64)
+	known := make(map[string]route.ServerState)
+	limited := int64(0)
 	for _, state := range s.servers.States() {
-		known[state.ID] = state.Health
+		known[state.ID] = state
+		before, ok := t.known[state.ID]
 		if state.RateLimit > 0 {
-			limits[state.ID] = state.RateLimit
+			limited++
 		}
-		if before := t.limits[state.ID]; before != state.RateLimit {
-			s.cfg.Logger.Info("backend server rate limit", telemetry.KeyBackendServer, state.ID, "per_second", state.RateLimit, "before", before)
+		if before.RateLimit != state.RateLimit {
+			s.cfg.Logger.Info("backend server rate limit", telemetry.KeyBackendServer, state.ID, "per_second", state.RateLimit, "before", before.RateLimit)
 		}
 		counts[state.Health]++
-		before, ok := t.known[state.ID]
-		if before == state.Health || (!ok && state.Health == route.HealthGood) {
+		if before.Health == state.Health || (!ok && state.Health == route.HealthGood) {
 			continue
 		}
-		s.cfg.Logger.Info("backend server health", telemetry.KeyBackendServer, state.ID, "health", state.Health, "before", before,
+		s.cfg.Logger.Info("backend server health", telemetry.KeyBackendServer, state.ID, "health", state.Health, "before", before.Health,
 			"failures", state.Failures, "first_ms", state.FirstTokenWait.Milliseconds(), "in_flight", state.InFlight,
 			"silent_ms", state.SilentFor.Milliseconds())
 	}
-	t.known, t.limits = known, limits
+	t.known = known
 	if m := s.cfg.Metrics; m != nil {
 		for health, n := range counts {
 			m.Gauge(metricServers, telemetry.Label{Name: "health", Value: string(health)}).Update(n)
 		}
-		m.Gauge(metricLimited).Update(int64(len(limits)))
+		m.Gauge(metricLimited).Update(limited)
 	}
 }
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"log/slog"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,13 +63,16 @@
 	return ids
 }
 
-// formatParts returns the ids of prompt parts in hexadecimal, for logs.
-func formatParts(ids []uint64) []string {
+// partIDs are ids of prompt parts, which are formatted only if they are logged.
+type partIDs []uint64
+
+// LogValue implements slog.LogValuer.
+func (ids partIDs) LogValue() slog.Value {
 	out := make([]string, len(ids))
 	for i, id := range ids {
 		out[i] = poison.Format(id)
 	}
-	return out
+	return slog.AnyValue(out)
 }
 
 // unsharedTokens returns the number of tokens after the shared prefix of a prompt.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -97,7 +97,7 @@
 // hasCrashedAfter reports whether the server of an answer that only the end of its connection ends has crashed, so that the answer may
 // be incomplete.
 func (s *Server) hasCrashedAfter(ctx context.Context, answer *upstream.Answer, t *attempts) bool {
-	return !answer.Framed && s.hasCrashed(ctx, t.current.serverID, t.current.address)
+	return !answer.Framed && s.hasCrashed(ctx, t.current.server)
 }
 
 // truncatedAnswer returns the refusal to send instead of an answer that can't be relayed: it was truncated, exceeds
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -96,7 +96,7 @@
 		slog.String(telemetry.KeyOrganisation, x.organisation), slog.Int("rank", x.rank),
 		slog.Uint64("catalog_version", x.catalog.Version()), slog.Int64("keys_fresh_ms", s.dir.FreshFor(clock.Now()).Milliseconds()),
 		slog.Int64("deadline_ms", x.remaining().Milliseconds()), slog.Int("prompt_tokens", x.call.Prompt.Tokens),
-		slog.Any("prompt_parts", formatParts(x.sharedParts)),
+		slog.Any("prompt_parts", partIDs(x.sharedParts)),
 		slog.Int64("gap_target_ms", x.route.GapTarget.Milliseconds()))
 	return x, nil
 }
--- a/internal/process/crashing_prompt_test.go
+++ b/internal/process/crashing_prompt_test.go
@@ -232,7 +232,7 @@
 // other parts.
 func TestRequestsWithPartThatCrashesServersAreRefused(t *testing.T) {
 	const (
-		pause      = 300 * time.Millisecond // between requests with the part, three times as many a second as in the incident
+		pause      = 300 * time.Millisecond // between requests with the part
 		maxCrashes = 30                     // the part is not recognized
 		further    = 20                     // requests with the part after all gateways refuse them
 	)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -276,22 +276,22 @@
 
 // AcceptsConnections reports whether a new connection to a server can be opened within the dial timeout.
 func (c *Client) AcceptsConnections(ctx context.Context, address string) bool {
-	cn, err := dial(ctx, address, c.dialTimeout)
-	if err != nil {
-		return false
-	}
-	_ = cn.Close()
-	return true
+	return c.tryConnection(ctx, address) == nil
 }
 
 // RefusesConnections reports whether the host of a server refuses a new connection, so that no process listens at the address.
 func (c *Client) RefusesConnections(ctx context.Context, address string) bool {
+	return errors.Is(c.tryConnection(ctx, address), unix.ECONNREFUSED)
+}
+
+// tryConnection opens a new connection to a server and closes it, and returns why that failed.
+func (c *Client) tryConnection(ctx context.Context, address string) error {
 	cn, err := dial(ctx, address, c.dialTimeout)
 	if err != nil {
-		return errors.Is(err, unix.ECONNREFUSED)
+		return err
 	}
 	_ = cn.Close()
-	return false
+	return nil
 }
 
 // CloseExpired closes connections that were idle for too long, and all idle ones to addresses for which inUse returns false.
--- a/internal/watch/propose.go
+++ b/internal/watch/propose.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"time"
 
+	"github.com/guavastack/guavastack/internal/core/claim"
 	"github.com/guavastack/guavastack/internal/core/poison"
+	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/core/state"
 	"github.com/guavastack/guavastack/internal/rpcpool"
 	"github.com/guavastack/guavastack/proto/controlpb"
@@ -62,9 +64,9 @@
 // deduplicated by request id, settings by change id, reports on prompt parts by server and part.
 func isIdempotent(cmd state.Command) bool {
 	switch cmd.Module {
-	case "claim", poison.ModuleName:
+	case claim.ModuleName, poison.ModuleName:
 		return true
-	case "settings":
+	case settings.ModuleName:
 		var body struct {
 			ChangeID string `json:"change_id"`
 		}
