--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -4,8 +4,8 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
-	"sort"
 	"time"
 )
 
@@ -231,11 +231,4 @@
 	}
 }
 
-func (r *Registry[T]) ids() []string {
-	ids := make([]string, 0, len(r.registrations))
-	for id := range r.registrations {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	return ids
-}
+func (r *Registry[T]) ids() []string { return slices.Sorted(maps.Keys(r.registrations)) }
--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -2,8 +2,9 @@
 package pace
 
 import (
-	"math"
 	"time"
+
+	"github.com/guavastack/guavastack/internal/core/decay"
 )
 
 // halfLife is the half-life of an observed maximum, so that one slow answer does not determine the estimate for ever.
@@ -71,5 +72,5 @@
 }
 
 func (m *decayingMax) value(now time.Time) float64 {
-	return m.max * math.Exp2(-float64(max(0, now.Sub(m.at)))/float64(halfLife))
+	return m.max * decay.Weight(now.Sub(m.at), halfLife)
 }
--- a/internal/core/pace/prefill.go
+++ b/internal/core/pace/prefill.go
@@ -1,8 +1,9 @@
 package pace
 
 import (
-	"math"
 	"time"
+
+	"github.com/guavastack/guavastack/internal/core/decay"
 )
 
 const (
@@ -40,5 +41,5 @@
 }
 
 func (p *Prefill) seconds(now time.Time) float64 {
-	return p.perToken * math.Exp2(float64(max(0, now.Sub(p.at)))/float64(prefillHalfLife))
+	return p.perToken / decay.Weight(now.Sub(p.at), prefillHalfLife)
 }
--- a/internal/core/route/lanes.go
+++ b/internal/core/route/lanes.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/guavastack/guavastack/internal/core/decay"
 )
 
 const (
@@ -94,7 +96,7 @@
 
 // decay returns the share of the observed tokens that still counts at now.
 func (o *gapObservation) decay(now time.Time) float64 {
-	return math.Exp2(-float64(now.Sub(o.at)) / float64(laneHalfLife))
+	return decay.Weight(now.Sub(o.at), laneHalfLife)
 }
 
 // Work returns the recent work, by ascending gap target. Gap targets without recent work are forgotten.
--- a/internal/core/route/score.go
+++ b/internal/core/route/score.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/guavastack/guavastack/internal/core/decay"
 )
 
 // score implements the score stage: the expected time to the first token plus penalties for zone distance and past failures.
@@ -62,7 +64,7 @@
 
 // confidence returns the probability that the server still caches the prefix.
 func (p placement) confidence(now time.Time, s *server) float64 {
-	c := math.Exp2(-float64(max(0, now.Sub(p.at))) / float64(placementHalfLife))
+	c := decay.Weight(now.Sub(p.at), placementHalfLife)
 	if p.at.Before(s.gapAt) {
 		c /= 2
 	}
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -2,13 +2,13 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"sort"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"github.com/guavastack/guavastack/internal/core/decay"
 	"github.com/guavastack/guavastack/internal/core/limit"
 )
 
@@ -278,11 +278,7 @@
 	if !s.hasLoad {
 		return 0
 	}
-	age := now.Sub(s.loadAt)
-	if age <= 0 {
-		return 1
-	}
-	return math.Exp2(-float64(age) / float64(t.cfg.LoadHalfLife))
+	return decay.Weight(now.Sub(s.loadAt), t.cfg.LoadHalfLife)
 }
 
 // meanBusy returns the mean number of requests at the group's servers according to their reports.
--- a/internal/core/sched/learn.go
+++ b/internal/core/sched/learn.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/guavastack/guavastack/internal/core/decay"
 )
 
 const (
@@ -69,7 +71,7 @@
 	if d.value == 0 || !now.After(d.at) {
 		return d.value
 	}
-	return d.value * math.Exp2(-float64(now.Sub(d.at))/float64(burstHalfLife))
+	return d.value * decay.Weight(now.Sub(d.at), burstHalfLife)
 }
 
 func (d *decayingCount) add(now time.Time, x float64) {
