--- a/review/harness/system.go
+++ b/review/harness/system.go
@@ -109,6 +109,7 @@
 func (s *system) operatorAddress(m *machine) string {
 	return fmt.Sprintf("%s:%d", m.ip, s.ports.operators)
 }
+
 func (s *system) frontAddress(m *machine) string { return fmt.Sprintf("%s:%d", m.ip, s.ports.front) }
 
 // newMachines returns machines, of which the first start as the seeds.
