--- a/cmd/guavastack/templates_test.go
+++ b/cmd/guavastack/templates_test.go
@@ -15,7 +15,7 @@
 	"nodeName": "front-trd-a-1", "zone": "trd-a", "ip": "10.1.0.19", "dataDir": "/data/control", "bootstrap": "true",
 	"internalPorts.0": "7340", "listen.front": "10.1.0.19:8227", "listen.readiness": "10.1.0.19:8220",
 	"listen.control": "10.1.0.19:8229", "limits.memoryMb": "134", "bounds.revokeMs": "5000", "bounds.configApplyMs": "2000", "bounds.graceS": "8",
-	"bounds.reportWindowS": "5", "bounds.retryBudgetRatio": "0.2", "bounds.leaseMs": "3000", "cloudApi.address": "10.200.0.61:8223",
+	"faultTolerance.machines": "2", "bounds.reportWindowS": "5", "bounds.retryBudgetRatio": "0.2", "bounds.leaseMs": "3000", "cloudApi.address": "10.200.0.61:8223",
 	"seeds": `["10.1.0.19:8229","10.2.0.36:8229","10.3.0.3:8229"]`,
 }
 
@@ -80,11 +80,14 @@
 			return c.Gateway != nil && c.ControlMembers[1] == "10.2.0.36:7340" && c.Gateway.RetryRatio == 0.2
 		}},
 		{"bootstrap member", "control.json.tmpl", templateFields, func(c *config.Config) bool {
-			return c.Control != nil && !c.Control.Join && len(c.Control.Peers) == 3 && c.Control.Platform != nil
+			return c.Control != nil && !c.Control.Join && len(c.Control.Peers) == 3 && c.Control.Platform != nil && c.Control.FaultTolerance == 2
 		}},
 		{"joining member", "control.json.tmpl", without("bootstrap"), func(c *config.Config) bool {
 			return c.Control != nil && c.Control.Join && len(c.Control.Peers) == 0
 		}},
+		{"without a stated tolerance", "control.json.tmpl", without("faultTolerance.machines"), func(c *config.Config) bool {
+			return c.Control != nil && c.Control.FaultTolerance == 0
+		}},
 		{"without the platform's API", "control.json.tmpl", without("cloudApi.address"), func(c *config.Config) bool {
 			return c.Control != nil && c.Control.Platform == nil
 		}},
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -117,6 +117,7 @@
 	MinFreeMB       int             `json:"min_free_mb"`      // free disk space below which changes are refused; 0: the default
 	CompactMB       int             `json:"compact_mb"`       // size of the log after which it is compacted; 0: the default
 	OperatorListen  string          `json:"operators"`        // address of the platform adapter's API for operators and backend servers
+	FaultTolerance  int             `json:"fault_tolerance"`  // with discover: members whose loss at the same time must be tolerated; 0: one
 	Join            bool            `json:"join"`             // wait to be added to an existing group instead of bootstrapping a new one
 	Bootstrap       string          `json:"bootstrap"`        // file of the first settings document; applied only if the group has no settings
 }
@@ -421,6 +422,7 @@
 	ch.optionalAddress("control.operators", ctl.OperatorListen)
 	ch.notNegative("control.min_free_mb", ctl.MinFreeMB)
 	ch.notNegative("control.compact_mb", ctl.CompactMB)
+	ch.notNegative("control.fault_tolerance", ctl.FaultTolerance)
 	c.checkPeers(ch)
 	if ctl.Platform != nil {
 		ch.url("control.platform.url", ctl.Platform.URL)
--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -67,6 +67,7 @@
 // lacks the full report of a renewal.
 func (s *Service) Exchange(_ context.Context, d *controlpb.Digest) (*controlpb.DigestAck, error) {
 	now := time.Now()
+	s.cfg.PeerHeard(d.Member)
 	s.clocks.record(d.Member, d.WallUs)
 	for _, b := range d.Backends {
 		s.soft.putBackend(b, now, false)
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -12,9 +12,12 @@
 type JoinHandler interface {
 	// Announce reports whether the member is a voter with this incarnation. If it is not, the announcement is recorded.
 	Announce(id uint64, address string, incarnation uint64) (isVoter bool)
+	// Leave records that the process of a member is about to end. It reports whether the member is still a voter that is going
+	// to be removed, so that the process should ask again and end only then.
+	Leave(id, incarnation uint64) (wait bool)
 }
 
-// Join handles the announcement of a control member. If another member leads, the announcement is forwarded to it once.
+// Join handles the announcement of a control member that joins or leaves. If another member leads, the announcement is forwarded to it once.
 func (s *Service) Join(ctx context.Context, req *controlpb.JoinRequest) (*controlpb.JoinReply, error) {
 	if s.cfg.JoinHandler == nil {
 		return nil, errors.NotSupportedf("joining by announcement")
@@ -27,6 +30,9 @@
 		return nil, err
 	}
 	if leader == s.cfg.Group.Self() {
+		if req.Leaving {
+			return &controlpb.JoinReply{Member: s.cfg.JoinHandler.Leave(req.Id, req.Incarnation)}, nil
+		}
 		return &controlpb.JoinReply{Member: s.cfg.JoinHandler.Announce(req.Id, req.Address, req.Incarnation)}, nil
 	}
 	req.Forwarded = true
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -49,6 +49,7 @@
 	Peers       func() []string  // addresses of the other control members' services; nil: none
 	Members     func() []string  // addresses of all control members, sent to watchers; nil: not sent
 	JoinHandler JoinHandler      // nil: announcements are rejected, operators add members
+	PeerHeard   func(id string)  // called for each digest of another control member; nil: not called
 
 	Usage      UsageSink                              // nil: usage reports are rejected
 	OpenWindow func() uint64                          // open billing window; nil: 0
@@ -82,6 +83,9 @@
 	if c.Peers == nil {
 		c.Peers = func() []string { return nil }
 	}
+	if c.PeerHeard == nil {
+		c.PeerHeard = func(string) {}
+	}
 	if c.Members == nil {
 		c.Members = func() []string { return nil }
 	}
--- a/internal/core/raft/status.go
+++ b/internal/core/raft/status.go
@@ -9,6 +9,8 @@
 	Incarnation uint64 `json:"incarnation"` // incarnation in the member's latest reply; 0: no reply yet
 	// AnsweredAt is when the latest heartbeat confirmed by the member was sent. It is zero if none was confirmed in this term.
 	AnsweredAt time.Time `json:"answered_at"`
+	// HasCaughtUp reports whether the member had the log, and answered, at the latest heartbeat, as Promote requires.
+	HasCaughtUp bool `json:"has_caught_up"`
 }
 
 // Status is the state of a member at one moment.
@@ -37,10 +39,14 @@
 		Configuration: n.conf(), IsTransferring: n.transfer != nil,
 		HasCommittedInTerm: n.role == Leader && n.hasCommittedInTerm(),
 	}
+	latestRound, _ := n.rounds.sentAt(n.rounds.last)
 	for _, id := range n.peerIDs() {
 		pr := n.peers[id]
 		answered, _ := n.rounds.sentAt(pr.ackedRound)
-		s.Peers = append(s.Peers, PeerStatus{ID: id, Match: pr.match, Incarnation: pr.incarnation, AnsweredAt: answered})
+		s.Peers = append(s.Peers, PeerStatus{
+			ID: id, Match: pr.match, Incarnation: pr.incarnation, AnsweredAt: answered,
+			HasCaughtUp: n.hasCaughtUp(latestRound, id),
+		})
 	}
 	for _, m := range s.Configuration.Members {
 		if got := n.observed[m.ID]; got != 0 && m.Incarnation != 0 && got != m.Incarnation {
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -1,5 +1,5 @@
 // Package roster decides the membership of the control group: it adds members that announce themselves and removes those
-// that no longer answer. It decides one step at a time; the caller executes the step and calls NextStep again.
+// that are lost or leave. It decides one step at a time; the caller executes the step and calls NextStep again.
 package roster
 
 import (
@@ -12,10 +12,13 @@
 const (
 	// AnnouncementLifetime is how long an announcement is valid. Members repeat theirs while they have no vote.
 	AnnouncementLifetime = 3 * time.Second
-	// SilenceLimit is how long a member may be silent before it can be removed.
-	SilenceLimit = 6 * time.Second
-	// MinVoters is the minimum number of voters left by a removal for silence: a smaller group would not tolerate the
-	// loss of another voter.
+	// SilenceLimit is how long a member may be silent before it counts as lost.
+	SilenceLimit = 2 * time.Second
+	// UnresponsiveLimit is how long a member that is still heard may leave the leader's heartbeats unanswered before it can be
+	// removed. Its disk may hang.
+	UnresponsiveLimit = 6 * time.Second
+	// MinVoters is the minimum number of voters left by a removal: a smaller group would not tolerate the loss of another
+	// voter.
 	MinVoters = 3
 	// MaxVoters is the maximum number of voters; further members are learners.
 	MaxVoters = 7
@@ -56,18 +59,32 @@
 	Self          uint64
 	Configuration raft.Configuration
 	Announcements []Announcement
-	// Silent returns how long a member other than the leader has not answered.
+	// FaultTolerance is the number of voters whose loss at the same time the group must tolerate.
+	FaultTolerance int
+	// HasCaughtUp reports whether a learner has the whole log and answers, so that it can get a vote.
+	HasCaughtUp func(id uint64) bool
+	// Silent returns how long nothing has been heard from a member other than the leader, across changes of the leader.
 	Silent func(id uint64) time.Duration
+	// Unresponsive returns how long a member other than the leader has not answered this leader.
+	Unresponsive func(id uint64) time.Duration
+	// IsLeaving reports whether a member has said that its process is about to end.
+	IsLeaving func(id uint64) bool
 }
 
 // NextStep returns the next step, with action None if there is nothing to do.
+//
+// A vote is given before one is taken away, so that a member that was lost only for a moment still counts until its successor
+// does. The lost member's vote is then taken away at once: until then the quorum is larger, and another loss could end the group.
 func NextStep(now time.Time, v View) Step {
 	for _, a := range validAnnouncements(now, v.Announcements) {
 		if step := admit(v.Configuration, a.Member); step.Action != None {
 			return step
 		}
 	}
-	return removeSilent(v)
+	if step := v.promote(); step.Action != None {
+		return step
+	}
+	return v.removeAbsent()
 }
 
 // validAnnouncements returns the valid announcements, sorted by member id.
@@ -82,14 +99,12 @@
 	return out
 }
 
-// admit returns the next step towards a vote for an announced member.
+// admit returns the step that lets an announced member receive the log, if it does not yet.
 func admit(conf raft.Configuration, m raft.Member) Step {
 	known, ok := conf.Member(m.ID)
 	switch {
 	case !ok:
 		return Step{AddLearner, m, "announced itself"}
-	case known.Learner && len(conf.Voters()) < MaxVoters:
-		return Step{Promote, known, "announced itself"}
 	case known.Learner || known.Incarnation == m.Incarnation:
 		return Step{}
 	default:
@@ -97,16 +112,75 @@
 	}
 }
 
-// removeSilent returns the step that removes a silent member.
-func removeSilent(v View) Step {
-	voters := len(v.Configuration.Voters())
+// promote returns the step that gives a learner a vote, if the group has room for one.
+func (v View) promote() Step {
+	if len(v.Configuration.Voters()) >= MaxVoters {
+		return Step{}
+	}
 	for _, m := range v.Configuration.Members {
-		if m.ID == v.Self || v.Silent(m.ID) < SilenceLimit {
+		if v.isReady(m) {
+			return Step{Promote, m, "caught up"}
+		}
+	}
+	return Step{}
+}
+
+// isReady reports whether a member is a learner that can get a vote.
+func (v View) isReady(m raft.Member) bool {
+	return m.Learner && v.absence(m) == "" && v.HasCaughtUp(m.ID)
+}
+
+// removeAbsent returns the step that removes a member that is lost or leaves.
+func (v View) removeAbsent() Step {
+	for _, m := range v.Configuration.Members {
+		if m.ID == v.Self || !m.Learner && !v.canSpare() {
 			continue
 		}
-		if m.Learner || voters > MinVoters {
-			return Step{Remove, m, "silent"}
+		if reason := v.absence(m); reason != "" {
+			return Step{Remove, m, reason}
 		}
 	}
 	return Step{}
 }
+
+// absence returns why a member counts as absent, or "" if it does not.
+func (v View) absence(m raft.Member) string {
+	switch {
+	case v.Silent(m.ID) >= SilenceLimit:
+		return "silent"
+	case v.Unresponsive(m.ID) >= UnresponsiveLimit:
+		return "does not answer"
+	case v.IsLeaving(m.ID):
+		return "leaves"
+	default:
+		return ""
+	}
+}
+
+// canSpare reports whether the group may do without one of its voters: those left tolerate the losses that the group must
+// tolerate, or a learner can get the vote.
+func (v View) canSpare() bool {
+	voters := len(v.Configuration.Voters())
+	return voters > v.minVoters() || voters >= MaxVoters && v.hasReadyLearner()
+}
+
+// minVoters returns the number of voters below which removals must not shrink the group.
+func (v View) minVoters() int {
+	return min(max(2*v.FaultTolerance+1, MinVoters), MaxVoters)
+}
+
+func (v View) hasReadyLearner() bool {
+	for _, m := range v.Configuration.Members {
+		if v.isReady(m) {
+			return true
+		}
+	}
+	return false
+}
+
+// ReleasesLeaving reports whether the member that says that its process is about to end is going to be removed, so that it should
+// wait for that before it ends.
+func (v View) ReleasesLeaving(id uint64) bool {
+	m, ok := v.Configuration.Member(id)
+	return ok && !m.Learner && id != v.Self && v.canSpare()
+}
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -128,6 +128,7 @@
 	if c.Discover {
 		ctl.membership = newMembershipManager(base, r)
 		cfg.Peers, cfg.Members, cfg.JoinHandler = ctl.membership.peerAddresses, ctl.membership.memberAddresses, ctl.membership
+		cfg.PeerHeard = ctl.membership.peerHeard
 	}
 	if c.Platform != nil {
 		operator, err := newOperator(base, s, r, fleetView{
@@ -334,7 +335,7 @@
 // transferTimeout bounds the transfer of leadership when this member shuts down.
 const transferTimeout = 3 * time.Second
 
-// Run implements Role. At shutdown it first transfers leadership to another member.
+// Run implements Role. At shutdown it first transfers leadership to another member and leaves a group that can spare it.
 func (c *Control) Run(ctx context.Context) error {
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -369,6 +370,9 @@
 	select {
 	case <-ctx.Done():
 		c.transferLeadership()
+		if c.membership != nil {
+			c.membership.leave(serveCtx)
+		}
 	case <-serveCtx.Done():
 	}
 	stop()
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -1,11 +1,15 @@
 package process
 
 import (
+	"cmp"
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/control"
 	"github.com/guavastack/guavastack/internal/core/raft"
@@ -24,24 +28,39 @@
 	membershipChangeTimeout = 2 * time.Second
 	// announceTimeout bounds one announcement to one member.
 	announceTimeout = 700 * time.Millisecond
+	// maxMembershipSteps is the maximum number of membership changes between two checks.
+	maxMembershipSteps = 4
+	// leaveTimeout bounds how long a member that shuts down waits for its removal from the group.
+	leaveTimeout = 3 * time.Second
+	// leavePollInterval is the time between two requests of a member that waits for its removal.
+	leavePollInterval = 50 * time.Millisecond
+	// defaultFaultTolerance applies if the settings name none.
+	defaultFaultTolerance = 1
 )
 
 // membershipManager manages the membership of a group with control.discover. While this member is not a voter, it
-// announces itself to the group; while it is the leader, it carries out the changes that core/roster selects.
+// announces itself to the group; while it is the leader, it carries out the changes that core/roster selects. Whatever its role,
+// it records when it heard the other members.
 type membershipManager struct {
 	base    *Base
 	replica *replica.Replica
 	pool    *rpcpool.Pool
+	wake    chan struct{} // requests a check of the membership at once
 
 	mu        sync.Mutex
 	announced map[uint64]roster.Announcement
+	leaving   map[uint64]roster.Announcement
+	contacts  *roster.Contacts
 	seeds     []string // control_members of the settings
 }
 
 func newMembershipManager(base *Base, r *replica.Replica) *membershipManager {
 	return &membershipManager{
 		base: base, replica: r, pool: rpcpool.New(base.Network.Dial),
+		wake:      make(chan struct{}, 1),
 		announced: make(map[uint64]roster.Announcement),
+		leaving:   make(map[uint64]roster.Announcement),
+		contacts:  roster.NewContacts(r.Status().ID, clock.Now()),
 		seeds:     base.Config.ControlMembers,
 	}
 }
@@ -68,20 +87,111 @@
 	return false
 }
 
+// Leave implements control.JoinHandler.
+func (m *membershipManager) Leave(id, incarnation uint64) (wait bool) {
+	st := m.replica.Status()
+	member, ok := st.Configuration.Member(id)
+	if !ok || member.Incarnation != incarnation || !m.view(st, clock.Now()).ReleasesLeaving(id) {
+		return false
+	}
+	m.mu.Lock()
+	m.leaving[id] = roster.Announcement{Member: member, Heard: clock.Now()}
+	m.mu.Unlock()
+	m.requestCheck()
+	return true
+}
+
+func (m *membershipManager) requestCheck() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// peerHeard records that a digest of another member arrived.
+func (m *membershipManager) peerHeard(member string) {
+	id, err := strconv.ParseUint(member, 10, 64)
+	if err != nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.contacts.Record(id, clock.Now())
+}
+
 // run manages the membership until ctx is done.
 func (m *membershipManager) run(ctx context.Context) error {
 	defer m.pool.Close()
-	for wait.For(ctx, membershipInterval) {
-		st := m.replica.Status()
-		if st.Role == raft.Leader {
-			m.changeMembership(ctx, st)
-			continue
+	tick := time.NewTicker(membershipInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		case <-m.wake:
 		}
-		if !isVoter(st) {
+		st := m.replica.Status()
+		m.observe(st)
+		switch {
+		case st.Role == raft.Leader:
+			m.changeMembership(ctx)
+		case !isVoter(st):
 			m.announce(ctx, st)
 		}
 	}
-	return ctx.Err()
+}
+
+// observe updates the contacts with the messages of the other members.
+func (m *membershipManager) observe(st replica.Status) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, member := range st.Configuration.Members {
+		m.contacts.Record(member.ID, m.replica.HeardAt(member.ID))
+	}
+	m.contacts.Observe(clock.Now(), st.Configuration)
+}
+
+// leave announces that this process is about to end, and waits until the group has removed this member, if it is going to. A group
+// that can spare the member keeps its tolerance of losses this way. The member announces itself again after its next start.
+func (m *membershipManager) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	for {
+		st := m.replica.Status()
+		member, ok := st.Configuration.Member(st.ID)
+		if !ok || member.Learner || len(st.Members()) <= roster.MinVoters {
+			return
+		}
+		reply, err := m.announceLeaving(ctx, st)
+		if err == nil && !reply.Member {
+			return
+		}
+		if !wait.For(ctx, leavePollInterval) {
+			m.base.Logger.Warn("the control group did not remove this member before its shutdown", telemetry.KeyError, errorText(err))
+			return
+		}
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// announceLeaving sends the announcement to the leader, if it is known and another member.
+func (m *membershipManager) announceLeaving(ctx context.Context, st replica.Status) (*controlpb.JoinReply, error) {
+	leader, ok := m.replica.Leader()
+	if !ok || leader.ID == st.ID {
+		return nil, errors.NotFoundf("another member that leads the control group")
+	}
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	return control.AnnounceTo(ctx, m.pool, leader.Address, &controlpb.JoinRequest{
+		Id: st.ID, Address: m.base.Config.Control.Listen, Incarnation: st.Incarnation, Leaving: true,
+	})
 }
 
 // isVoter reports whether, according to the member's own status, it is a voter with its current incarnation in a group
@@ -140,25 +250,55 @@
 	return slices.DeleteFunc(m.memberAddresses(), func(a string) bool { return a == m.base.Config.Control.Listen })
 }
 
-// changeMembership carries out the next membership change, if one is due.
-func (m *membershipManager) changeMembership(ctx context.Context, st replica.Status) {
-	now := clock.Now()
-	next := roster.NextStep(now, roster.View{
-		Self: st.ID, Configuration: st.Configuration, Announcements: m.announcements(),
-		Silent: func(id uint64) time.Duration { return timeSinceAnswer(st, id, now) },
-	})
-	if next.Action == roster.None {
-		return
+// changeMembership carries out the membership changes that are due.
+func (m *membershipManager) changeMembership(ctx context.Context) {
+	for range maxMembershipSteps {
+		st := m.replica.Status()
+		now := clock.Now()
+		next := roster.NextStep(now, m.view(st, now))
+		if st.Role != raft.Leader || next.Action == roster.None || !m.carryOut(ctx, next) {
+			return
+		}
 	}
+}
+
+// carryOut carries out a membership change and reports whether it is committed.
+func (m *membershipManager) carryOut(ctx context.Context, next roster.Step) bool {
 	ctx, cancel := context.WithTimeout(ctx, membershipChangeTimeout)
 	defer cancel()
 	err := m.applyStep(ctx, next)
 	args := []any{"action", next.Action.String(), "member", next.Member.ID, "address", next.Member.Address, "reason", next.Reason}
 	if err != nil {
 		m.base.Logger.Info("control group membership change failed", append(args, telemetry.KeyError, err.Error())...)
-		return
+		return false
 	}
 	m.base.Logger.Info("control group membership changed", args...)
+	return true
+}
+
+// view returns the view of the group from which core/roster decides.
+func (m *membershipManager) view(st replica.Status, now time.Time) roster.View {
+	return roster.View{
+		Self: st.ID, Configuration: st.Configuration, Announcements: m.announcements(),
+		FaultTolerance: cmp.Or(m.base.Config.Control.FaultTolerance, defaultFaultTolerance),
+		HasCaughtUp:    func(id uint64) bool { return hasCaughtUp(st, id) },
+		Silent:         func(id uint64) time.Duration { return m.silence(id, now) },
+		Unresponsive:   func(id uint64) time.Duration { return timeSinceAnswer(st, id, now) },
+		IsLeaving:      func(id uint64) bool { return m.isLeaving(id, now) },
+	}
+}
+
+func (m *membershipManager) silence(id uint64, now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.contacts.Silence(now, id)
+}
+
+func (m *membershipManager) isLeaving(id uint64, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	a, ok := m.leaving[id]
+	return ok && now.Sub(a.Heard) < roster.AnnouncementLifetime
 }
 
 func (m *membershipManager) applyStep(ctx context.Context, s roster.Step) error {
@@ -184,6 +324,11 @@
 	return out
 }
 
+func hasCaughtUp(st replica.Status, id uint64) bool {
+	i := slices.IndexFunc(st.Peers, func(p raft.PeerStatus) bool { return p.ID == id })
+	return i >= 0 && st.Peers[i].HasCaughtUp
+}
+
 // timeSinceAnswer returns the time since the member with the given id last answered this leader, or since this member
 // became leader if it has not answered yet.
 func timeSinceAnswer(st replica.Status, id uint64, now time.Time) time.Duration {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -100,8 +100,8 @@
 	hasLease bool
 	changed  chan struct{} // closed when role, term or leader change
 
-	streams       streamTable
-	peerAddresses addressBook
+	streams streamTable
+	senders senderBook
 }
 
 // Open locks and reads the data directory. The replica does nothing until Run is called.
@@ -278,7 +278,7 @@
 	}
 	m, ok := r.status.Configuration.Member(id)
 	if !ok || m.Address == "" {
-		m.Address = r.peerAddresses.address(id)
+		m.Address = r.senders.sender(id).address
 	}
 	return Member{ID: id, Address: m.Address}
 }
@@ -290,6 +290,9 @@
 	return r.status
 }
 
+// HeardAt returns when the latest message of another member arrived, as a time of clock.Now, or the zero time if none has.
+func (r *Replica) HeardAt(id uint64) time.Time { return r.senders.sender(id).heard }
+
 // Changed returns a channel that is closed at the next change of the role, the term or the leader.
 func (r *Replica) Changed() <-chan struct{} {
 	r.viewMu.RLock()
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -8,6 +8,7 @@
 
 	"storj.io/drpc/drpcconn"
 
+	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/core/raft"
 	"github.com/guavastack/guavastack/internal/wal"
 	"github.com/guavastack/guavastack/proto/peerpb"
@@ -81,7 +82,7 @@
 	if m, _ := r.node.Member(id); m.Address != "" {
 		return m.Address
 	}
-	return r.peerAddresses.address(id)
+	return r.senders.sender(id).address
 }
 
 func (l *link) offer(m *peerpb.Message) {
@@ -240,7 +241,7 @@
 
 // enqueue passes one message to the loop, a snapshot once all of its parts have arrived.
 func (s peerServer) enqueue(pb *peerpb.Message, assembler *snapshotAssembler) error {
-	s.r.peerAddresses.record(pb.From, pb.FromAddress)
+	s.r.senders.record(pb.From, pb.FromAddress, clock.Now())
 	m := fromProto(pb)
 	if m.Kind == raft.InstallSnapshot {
 		m.Context = 0
@@ -258,32 +259,40 @@
 	}
 }
 
-// addressBook holds the addresses that members sent with their messages.
-type addressBook struct {
-	mu        sync.Mutex
-	addresses map[uint64]string
+// senderBook holds what is known of the members from their messages.
+type senderBook struct {
+	mu      sync.Mutex
+	senders map[uint64]sender
 }
 
-// maxAddresses is the maximum size of an addressBook. When it is reached, the book is cleared.
-const maxAddresses = 64
+// sender is a member that has sent a message.
+type sender struct {
+	address string    // "" if its messages have none
+	heard   time.Time // when its latest message arrived
+}
 
-func (b *addressBook) record(id uint64, address string) {
-	if address == "" {
-		return
-	}
+// maxSenders is the maximum size of a senderBook. A further sender clears it.
+const maxSenders = 64
+
+func (b *senderBook) record(id uint64, address string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.addresses == nil || len(b.addresses) >= maxAddresses {
-		b.addresses = make(map[uint64]string)
+	s, ok := b.senders[id]
+	if b.senders == nil || !ok && len(b.senders) >= maxSenders {
+		b.senders = make(map[uint64]sender)
+	}
+	if address != "" {
+		s.address = address
 	}
-	b.addresses[id] = address
+	s.heard = now
+	b.senders[id] = s
 }
 
-// address returns the address of a member, or "" if it has not sent one.
-func (b *addressBook) address(id uint64) string {
+// sender returns what is known of a member, or the zero value if it has sent nothing.
+func (b *senderBook) sender(id uint64) sender {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.addresses[id]
+	return b.senders[id]
 }
 
 // streamTable holds the newest incoming stream of each sender. A new stream closes the previous one, which might otherwise hang
