ORDER, MIXED: only the rest of a stream goes on with a begun stream

Operators of similar systems found errors in the middle of their callers' streams, or streams that ended as complete, when the next server answered with an error.

It could happen here for answers that say success: the gateway looked at the status (2xx) and the signature only, the agent's client of engines at the status 200. Text of another media type was spliced in, 202 and 204 ended the stream as complete.

Change: once a stream has begun, status and media type must be those that the caller got; a resume at an engine must be an event stream.

Ruled out: answers with an error status (broken off before, as tested).

--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -146,7 +146,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode >= http.StatusInternalServerError || resp.StatusCode == http.StatusTooManyRequests ||
-		(s.resumed && resp.StatusCode != http.StatusOK) {
+		(s.resumed && (resp.StatusCode != http.StatusOK || !isEventStream(resp))) {
 		s.failed = true
 		return verdict.New(verdict.MayHaveRun, codeEngineRefused, "engine answered with status %d", resp.StatusCode)
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -108,7 +108,7 @@
 
 // relayStream relays the events of a stream as they arrive.
 func (s *Server) relayStream(ctx context.Context, x *exchange, answer *upstream.Answer, reply Reply, t *attempts) attemptOutcome {
-	if !reply.Signed {
+	if !reply.Signed || !t.stream.isContinuedBy(answer.Status, answer.Header) {
 		return attemptOutcome{sent: true, ran: true, refusal: truncatedAnswer(ctx)}
 	}
 	t.stream.setHead(answer.Status, answer.Header)
@@ -174,6 +174,18 @@
 	}
 }
 
+// isContinuedBy reports whether an answer with the given head can go on with the stream: once the stream has begun, the status and the
+// media type must be those that were sent. Anything else is not the rest of the stream, even if it says success.
+func (s *streamWriter) isContinuedBy(status int, header http.Header) bool {
+	return !s.started || status == s.status && mediaType(header) == mediaType(s.header)
+}
+
+// mediaType returns the media type of an answer without its parameters, in lower case; empty: none is stated.
+func mediaType(header http.Header) string {
+	value, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(value))
+}
+
 // An event ends with a blank line, of which the line ends are of either kind.
 var (
 	eventEnd     = []byte("\n\n")
