--- a/internal/core/route/affinity.go
+++ b/internal/core/route/affinity.go
@@ -75,7 +75,9 @@
 	return list
 }
 
-func (s *server) isReadyFor(req *Request) bool { return s.Lifecycle == LifecycleReady && s.serves(req) }
+func (s *server) isReadyFor(now time.Time, req *Request) bool {
+	return s.takesWork(now) && s.serves(req)
+}
 
 // fullUtilisation is the utilisation from which a server is expected to queue requests.
 const fullUtilisation = 0.9
@@ -91,7 +93,7 @@
 	offset := int((rnd >> 32) % uint64(len(g.servers)))
 	for i := range g.servers {
 		s := g.servers[(i+offset)%len(g.servers)]
-		if s.isReadyFor(req) && s.isWithinLimit(now) && !slices.Contains(req.Exclude, s.ID) {
+		if s.isReadyFor(now, req) && s.isWithinLimit(now) && !slices.Contains(req.Exclude, s.ID) {
 			return s
 		}
 	}
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -56,7 +56,8 @@
 func NewRouter(table *Table, cfg RouterConfig) *Router { return &Router{table: table, cfg: cfg} }
 
 // Choose returns the backend server for the request. rnd is a random number that seeds the draws. The error is ErrUnknownModel
-// if no known server can serve the request, and ErrNoCandidate if none of those is available.
+// if no known server can serve the request, and ErrNoCandidate if none of those is available; it is a *PausedError if one will be at
+// the end of a pause.
 func (r *Router) Choose(now time.Time, req Request, rnd uint64) (Backend, error) {
 	g := r.table.groups[groupKey{req.Kind, req.Model}]
 	if g == nil || len(g.servers) == 0 {
@@ -80,6 +81,9 @@
 	if !slices.ContainsFunc(g.servers, func(s *server) bool { return s.serves(&req) }) {
 		return Backend{}, ErrUnknownModel
 	}
+	if left := g.firstPauseLeft(now, &req); left > 0 {
+		return Backend{}, &PausedError{Left: left}
+	}
 	return Backend{}, ErrNoCandidate
 }
 
@@ -99,9 +103,9 @@
 	return s.isUsable(now, req) && s.isWithinLimit(now)
 }
 
-// isUsable reports whether the server is ready, healthy and not excluded, whatever its rate limit.
+// isUsable reports whether the server takes new work, is healthy and not excluded, whatever its rate limit.
 func (s *server) isUsable(now time.Time, req *Request) bool {
-	return s.isReadyFor(req) && s.isAvailable(now) && !slices.Contains(req.Exclude, s.ID)
+	return s.isReadyFor(now, req) && s.isAvailable(now) && !slices.Contains(req.Exclude, s.ID)
 }
 
 func (g *group) nextInTurn(now time.Time, req *Request) *server {
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -54,8 +54,9 @@
 	servers map[string]*server
 	groups  map[groupKey]*group
 
-	turns      limit.Turns   // by which the processes share the rate limits of servers
-	clockAhead time.Duration // how far the clock of the turns is ahead
+	words      map[string]*ownWord // by server ID, also of servers that are no longer registered
+	turns      limit.Turns         // by which the processes share the rate limits of servers
+	clockAhead time.Duration       // how far the clock of the turns is ahead
 }
 
 type groupKey struct{ kind, model string }
@@ -101,12 +102,13 @@
 	gapAt       time.Time   // time of the last gap in its cache events
 	membership  laneMembership
 	limit       rateLimit
+	word        *ownWord // nil: it has said nothing
 }
 
 // NewTable returns an empty table.
 func NewTable(cfg Config) *Table {
 	return &Table{
-		cfg: cfg.withDefaults(), servers: make(map[string]*server), groups: make(map[groupKey]*group),
+		cfg: cfg.withDefaults(), servers: make(map[string]*server), groups: make(map[groupKey]*group), words: make(map[string]*ownWord),
 		turns: limit.Turns{Count: limit.AssumedProcesses},
 	}
 }
@@ -124,7 +126,7 @@
 		t.Remove(b.ID)
 	}
 	g := t.group(groupKey{b.Kind, b.Model})
-	s := &server{Backend: b, group: g, order: orderHash(b.ID), slotInterval: defaultSlotInterval}
+	s := &server{Backend: b, group: g, order: orderHash(b.ID), slotInterval: defaultSlotInterval, word: t.knownWord(b)}
 	t.servers[b.ID] = s
 	i := sort.Search(len(g.servers), func(i int) bool { return g.servers[i].ID >= b.ID })
 	g.servers = append(g.servers, nil)
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -58,6 +58,9 @@
 	Signed      bool // the answer bears the server's signature
 	Load        Load
 	RateLimit   float64 // requests per second that the server takes from all gateways together; 0: not limited
+	Leaves      bool    // the server says that it leaves and takes no new work
+	// Pause is the time for which the server wants nothing from this gateway; 0: none.
+	Pause time.Duration
 }
 
 // Load is the load that a backend server reports, in requests. Slots is 0 if it reports none.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -157,7 +157,12 @@
 
 // recordNoServer records that no backend server is left to try.
 func (t *attempts) recordNoServer(err error) {
-	if t.refusal == nil {
+	var paused *route.PausedError
+	switch {
+	case errors.As(err, &paused) && (t.refusal == nil || t.refusal.verdict == verdict.NotRun):
+		t.refusal = notRun(http.StatusServiceUnavailable, "backend_paused", err.Error())
+		t.refusal.retryAfter = afterPause(paused.Left)
+	case t.refusal == nil:
 		t.refusal = notRun(http.StatusServiceUnavailable, "no_backend_server", err.Error())
 	}
 }
@@ -239,6 +244,7 @@
 	s.recordLoad(server, reply)
 	if !reply.Misdirected {
 		s.servers.RecordRateLimit(server.ID, t.current.sentAt, reply.RateLimit)
+		s.recordOwnWord(x, server, reply)
 	}
 	if reply.NotRun || reply.Misdirected {
 		s.servers.RecordEnd(server.ID, route.Outcome{Result: route.Refused})
@@ -316,6 +322,18 @@
 	}
 }
 
+// recordOwnWord records what a backend server said with its answer about the work that it takes.
+func (s *Server) recordOwnWord(x *exchange, server route.Backend, reply Reply) {
+	if reply.Leaves && s.servers.RecordLeaving(server.ID, server.Incarnation) {
+		s.cfg.Logger.Info("backend server says that it leaves", telemetry.KeyBackendServer, server.ID, "incarnation", server.Incarnation,
+			telemetry.KeyRequestID, x.call.ID)
+	}
+	if reply.Pause > 0 && s.servers.RecordPause(server.ID, server.Incarnation, reply.Pause) {
+		s.cfg.Logger.Info("backend server asks for a pause", telemetry.KeyBackendServer, server.ID, "incarnation", server.Incarnation,
+			telemetry.KeyRequestID, x.call.ID, "pause_ms", reply.Pause.Milliseconds())
+	}
+}
+
 // recordLoad records the load that a backend server reports with its answer.
 func (s *Server) recordLoad(server route.Backend, reply Reply) {
 	if reply.Load.Slots <= 0 {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -25,6 +25,8 @@
 	retryAfterShare = 0.3
 	// defaultRetryAfter is used if the deadline of the request is unknown.
 	defaultRetryAfter = 300 * time.Millisecond
+	// pauseSpread is the shortest time over which callers return after a pause of all backend servers.
+	pauseSpread = 500 * time.Millisecond
 )
 
 // exchange is one caller's request and the state of serving it.
@@ -150,6 +152,13 @@
 	return max(0, time.Duration(float64(x.remaining())*retryAfterShare*spread))
 }
 
+// afterPause returns when a refused caller should retry whose backend servers take work again after the given time. The callers return
+// spread over pauseSpread or a quarter of the pause, if that is longer, so that they don't cause the next pause at once.
+func afterPause(left time.Duration) time.Duration {
+	spread := max(pauseSpread, left/4)
+	return left + time.Duration(rand.Int64N(int64(spread)))
+}
+
 // routeRequest returns the criteria by which the router selects a server for x, other than those in exclude.
 func (x *exchange) routeRequest(exclude []string) route.Request {
 	return route.Request{
--- a/internal/serverset/serverset.go
+++ b/internal/serverset/serverset.go
@@ -142,6 +142,28 @@
 	s.table.RecordRateLimit(time.Now(), id, sentAt, perSecond)
 }
 
+// RecordLeaving records that an incarnation of a backend server said in an answer that it leaves. The result is false if this was known.
+func (s *Set) RecordLeaving(id, incarnation string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.RecordLeaving(id, incarnation)
+}
+
+// RecordPause records that an incarnation of a backend server asked in an answer to be sent nothing for a time. The result is false if
+// that changes nothing.
+func (s *Set) RecordPause(id, incarnation string, pause time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.RecordPause(time.Now(), id, incarnation, pause)
+}
+
+// TakesWork reports whether a backend server takes new work according to the registry and its own word.
+func (s *Set) TakesWork(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.TakesWork(time.Now(), id)
+}
+
 // SetTurns sets the turns by which all processes share the rate limits of backend servers, and the time now on the clock that they share.
 func (s *Set) SetTurns(turns limit.Turns, wall time.Time) {
 	ahead := time.Duration(wall.UnixNano() - time.Now().UnixNano())
