--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -130,6 +130,8 @@
 	script func(r *http.Request, body string) string
 	stream func(r *http.Request, conn net.Conn) // answers instead of script, if set
 
+	dropsNew atomic.Bool // closes new connections at once
+
 	mu           sync.Mutex
 	seen         []*http.Request
 	disconnected chan struct{} // receives a value when a connection is closed during holdAnswer
@@ -160,6 +162,9 @@
 
 func (b *backend) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
+	if b.dropsNew.Load() {
+		return
+	}
 	reader := bufio.NewReader(conn)
 	for {
 		r, err := http.ReadRequest(reader)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -77,7 +77,7 @@
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes+1))
 	failed := attemptOutcome{sent: true, ran: true, refusal: truncatedAnswer(ctx)}
 	switch {
-	case err != nil || s.hasCrashedAfter(ctx, answer, t):
+	case err != nil || s.mayBeCut(ctx, answer, t):
 		return failed
 	case len(body) > maxBufferedBytes:
 		return failed
@@ -94,10 +94,10 @@
 	return attemptOutcome{sent: true, ran: true, done: true}
 }
 
-// hasCrashedAfter reports whether the server of an answer that only the end of its connection ends has crashed, so that the answer may
-// be incomplete.
-func (s *Server) hasCrashedAfter(ctx context.Context, answer *upstream.Answer, t *attempts) bool {
-	return !answer.Framed && s.hasCrashed(ctx, t.current.server)
+// mayBeCut reports whether an answer that only the end of its connection ends may be incomplete: its server has ended too. Whether the
+// server had said that it leaves makes no difference: it may have been killed before its time.
+func (s *Server) mayBeCut(ctx context.Context, answer *upstream.Answer, t *attempts) bool {
+	return !answer.Framed && s.client.HasEnded(ctx, t.current.server.Address, crashCheckDelay)
 }
 
 // truncatedAnswer returns the refusal to send instead of an answer that can't be relayed: it was truncated, exceeds
@@ -132,7 +132,7 @@
 			}
 		}
 		switch {
-		case err == io.EOF && t.stream.isComplete(answer.Framed) && !s.hasCrashedAfter(ctx, answer, t):
+		case err == io.EOF && t.stream.isComplete(answer.Framed) && !s.mayBeCut(ctx, answer, t):
 			t.stream.finish()
 			return attemptOutcome{sent: true, ran: true, done: true}
 		case err != nil:
--- a/internal/gateway/streamend_test.go
+++ b/internal/gateway/streamend_test.go
@@ -60,23 +60,38 @@
 }
 
 // TestUnframedAnswerOfCrashedServerIsBrokenOff guards against an answer without length and chunks that the caller takes for complete
-// although its server crashed: the end of the connection marks the end of the answer only if the server lives on.
+// although its server ended in the middle of it (review/3): the end of the connection marks the end of the answer only if the server
+// lives on, also if it had said that it leaves or is no longer registered.
 func TestUnframedAnswerOfCrashedServerIsBrokenOff(t *testing.T) {
 	for _, path := range []string{"/stream/x", "/resume/x", "/unsafe/x"} {
 		cases := []struct {
 			name    string
 			refuses bool // the server refuses connections after its answer
 			leaves  bool // it has said that it leaves
-		}{{"crash", true, false}, {"the server lives on", false, false}, {"planned end", true, true}}
+			gone    bool // it is no longer registered
+			drops   bool // it still accepts connections and closes them at once
+		}{
+			{"crash", true, false, false, false},
+			{"the server lives on", false, false, false, false},
+			{"killed after it said that it leaves", true, true, false, false},
+			{"killed after it was deregistered", true, false, true, false},
+			{"leaves and lives on", false, true, false, false},
+			{"killed, its listener ends last", false, false, false, true},
+		}
 		for _, c := range cases {
 			t.Run(c.name+path, func(t *testing.T) {
-				crashes := c.refuses && !c.leaves
+				crashes := c.refuses || c.drops
 				var b *fixture
 				b = newFixture(t, newBackend(t, closesWith(&b, c.refuses, func(r *http.Request) string {
 					if c.leaves {
 						b.dir.backends[0].Lifecycle = route.LifecycleLeaving
 						b.dir.onChange()
 					}
+					b.servers[0].dropsNew.Store(c.drops)
+					if c.gone {
+						b.dir.backends = nil
+						b.dir.onChange()
+					}
 					return "HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") + "\r\n" + seal + "\r\nid: 1\n\n"
 				})))
 				b.report(crashesOf(2, 0xb))
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -284,6 +285,19 @@
 	return errors.Is(c.tryConnection(ctx, address), unix.ECONNREFUSED)
 }
 
+// HasEnded reports whether the process at an address has ended or is about to: a new connection is refused, or closed again within the given
+// time. The connections of a process that is killed end one after the other, and its listener may be the last.
+func (c *Client) HasEnded(ctx context.Context, address string, within time.Duration) bool {
+	cn, err := dial(ctx, address, c.dialTimeout)
+	if err != nil {
+		return errors.Is(err, unix.ECONNREFUSED)
+	}
+	defer func() { _ = cn.Close() }()
+	_ = cn.SetReadDeadline(time.Now().Add(within))
+	_, err = cn.Conn.Read(make([]byte, 1))
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // tryConnection opens a new connection to a server and closes it, and returns why that failed.
 func (c *Client) tryConnection(ctx context.Context, address string) error {
 	cn, err := dial(ctx, address, c.dialTimeout)
