--- a/internal/core/route/ownword.go
+++ b/internal/core/route/ownword.go
@@ -99,6 +99,12 @@
 	return s != nil && s.takesWork(now)
 }
 
+// IsStaying reports whether a server is registered as ready and has not said that it leaves.
+func (t *Table) IsStaying(id string) bool {
+	s := t.servers[id]
+	return s != nil && s.isStaying()
+}
+
 // takesWork is the one place that decides whether a server may be sent new work at all, whatever its health and load.
 func (s *server) takesWork(now time.Time) bool { return s.isStaying() && s.pauseLeft(now) <= 0 }
 
--- a/internal/serverset/serverset.go
+++ b/internal/serverset/serverset.go
@@ -164,6 +164,13 @@
 	return s.table.TakesWork(time.Now(), id)
 }
 
+// IsStaying reports whether a backend server is registered as ready and has not said that it leaves.
+func (s *Set) IsStaying(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.IsStaying(id)
+}
+
 // SetTurns sets the turns by which all processes share the rate limits of backend servers, and the time now on the clock that they share.
 func (s *Set) SetTurns(turns limit.Turns, wall time.Time) {
 	ahead := time.Duration(wall.UnixNano() - time.Now().UnixNano())
