membership: a member that restarts does not count as leaving; notices of servers get the usual name

Found in reading the change: a member that announced its end and started again within 3 s still counted as leaving, so that the leader added it as a learner and removed it again until the mark expired; and a member that was removed while it shut down announced itself once more before it ended. The mark ends with an announcement now, and a process that ends makes none.

Test, seen failing without the change: process TestRestartedMemberDoesNotCountAsLeaving.

--- a/internal/core/route/ownword.go
+++ b/internal/core/route/notice.go
@@ -8,13 +8,13 @@
 const (
 	// MaxPause is the longest pause that a server is granted. A longer one counts as this.
 	MaxPause = time.Hour
-	// maxOwnWords is the number of servers up to which the words of servers that are no longer registered are kept.
-	maxOwnWords = 4096
+	// maxNotices is the number of servers up to which the notices of servers that are no longer registered are kept.
+	maxNotices = 4096
 )
 
-// ownWord is what one incarnation of a server said in its answers about the work that it takes. It outlasts the server's absence from
+// notice is what one incarnation of a server said in its answers about the work that it takes. It outlasts the server's absence from
 // the registry.
-type ownWord struct {
+type notice struct {
 	incarnation string
 	leaves      bool      // takes no new work any more
 	pausedUntil time.Time // takes no new work before
@@ -36,64 +36,64 @@
 // RecordLeaving records that an incarnation of a server said in an answer that it leaves. It gets no new work from then on. The result is
 // false if this was known.
 func (t *Table) RecordLeaving(id, incarnation string) bool {
-	w := t.wordOf(id, incarnation)
-	if w == nil || w.leaves {
+	n := t.noticeOf(id, incarnation)
+	if n == nil || n.leaves {
 		return false
 	}
-	w.leaves = true
+	n.leaves = true
 	return true
 }
 
 // RecordPause records that an incarnation of a server asked in an answer at now to be sent nothing for a time. A shorter pause than the
 // one under way changes nothing. The result is false in this case.
 func (t *Table) RecordPause(now time.Time, id, incarnation string, pause time.Duration) bool {
-	w := t.wordOf(id, incarnation)
+	n := t.noticeOf(id, incarnation)
 	until := now.Add(min(pause, MaxPause))
-	if w == nil || !until.After(w.pausedUntil) || !until.After(now) {
+	if n == nil || !until.After(n.pausedUntil) || !until.After(now) {
 		return false
 	}
-	w.pausedUntil = until
+	n.pausedUntil = until
 	return true
 }
 
-// wordOf returns the word of an incarnation, or nil if another one is registered or was heard.
-func (t *Table) wordOf(id, incarnation string) *ownWord {
+// noticeOf returns the notice of an incarnation, or nil if another one is registered.
+func (t *Table) noticeOf(id, incarnation string) *notice {
 	if s := t.servers[id]; s != nil && s.Incarnation != incarnation {
 		return nil
 	}
-	w := t.words[id]
-	if w == nil || w.incarnation != incarnation {
+	n := t.notices[id]
+	if n == nil || n.incarnation != incarnation {
 		t.forgetUnregistered()
-		w = &ownWord{incarnation: incarnation}
-		t.words[id] = w
+		n = &notice{incarnation: incarnation}
+		t.notices[id] = n
 		if s := t.servers[id]; s != nil {
-			s.word = w
+			s.notice = n
 		}
 	}
-	return w
+	return n
 }
 
-// forgetUnregistered bounds the number of words.
+// forgetUnregistered bounds the number of notices.
 func (t *Table) forgetUnregistered() {
-	if len(t.words) < maxOwnWords {
+	if len(t.notices) < maxNotices {
 		return
 	}
-	for id := range t.words {
+	for id := range t.notices {
 		if t.servers[id] == nil {
-			delete(t.words, id)
+			delete(t.notices, id)
 		}
 	}
 }
 
-// knownWord returns the word of a server that is being registered, or nil if it has said nothing.
-func (t *Table) knownWord(b Backend) *ownWord {
-	if w := t.words[b.ID]; w != nil && w.incarnation == b.Incarnation {
-		return w
+// knownNotice returns the notice of a server that is being registered, or nil if it has said nothing.
+func (t *Table) knownNotice(b Backend) *notice {
+	if n := t.notices[b.ID]; n != nil && n.incarnation == b.Incarnation {
+		return n
 	}
 	return nil
 }
 
-// TakesWork reports whether a server takes new work according to the registry and its own word.
+// TakesWork reports whether a server takes new work according to the registry and its notices.
 func (t *Table) TakesWork(now time.Time, id string) bool {
 	s := t.servers[id]
 	return s != nil && s.takesWork(now)
@@ -110,15 +110,15 @@
 
 // isStaying reports whether the server is ready and has not said that it leaves.
 func (s *server) isStaying() bool {
-	return s.Lifecycle == LifecycleReady && (s.word == nil || !s.word.leaves)
+	return s.Lifecycle == LifecycleReady && (s.notice == nil || !s.notice.leaves)
 }
 
 // pauseLeft returns how much of the server's pause is left; 0 or less: none.
 func (s *server) pauseLeft(now time.Time) time.Duration {
-	if s.word == nil {
+	if s.notice == nil {
 		return 0
 	}
-	return s.word.pausedUntil.Sub(now)
+	return s.notice.pausedUntil.Sub(now)
 }
 
 // firstPauseLeft returns the time until the first pause ends, if all servers that could take the request are paused, otherwise 0.
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -54,9 +54,9 @@
 	servers map[string]*server
 	groups  map[groupKey]*group
 
-	words      map[string]*ownWord // by server ID, also of servers that are no longer registered
-	turns      limit.Turns         // by which the processes share the rate limits of servers
-	clockAhead time.Duration       // how far the clock of the turns is ahead
+	notices    map[string]*notice // by server ID, also of servers that are no longer registered
+	turns      limit.Turns        // by which the processes share the rate limits of servers
+	clockAhead time.Duration      // how far the clock of the turns is ahead
 }
 
 type groupKey struct{ kind, model string }
@@ -102,13 +102,13 @@
 	gapAt       time.Time   // time of the last gap in its cache events
 	membership  laneMembership
 	limit       rateLimit
-	word        *ownWord // nil: it has said nothing
+	notice      *notice // nil: it has said nothing
 }
 
 // NewTable returns an empty table.
 func NewTable(cfg Config) *Table {
 	return &Table{
-		cfg: cfg.withDefaults(), servers: make(map[string]*server), groups: make(map[groupKey]*group), words: make(map[string]*ownWord),
+		cfg: cfg.withDefaults(), servers: make(map[string]*server), groups: make(map[groupKey]*group), notices: make(map[string]*notice),
 		turns: limit.Turns{Count: limit.AssumedProcesses},
 	}
 }
@@ -126,7 +126,7 @@
 		t.Remove(b.ID)
 	}
 	g := t.group(groupKey{b.Kind, b.Model})
-	s := &server{Backend: b, group: g, order: orderHash(b.ID), slotInterval: defaultSlotInterval, word: t.knownWord(b)}
+	s := &server{Backend: b, group: g, order: orderHash(b.ID), slotInterval: defaultSlotInterval, notice: t.knownNotice(b)}
 	t.servers[b.ID] = s
 	i := sort.Search(len(g.servers), func(i int) bool { return g.servers[i].ID >= b.ID })
 	g.servers = append(g.servers, nil)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -244,7 +244,7 @@
 	s.recordLoad(server, reply)
 	if !reply.Misdirected {
 		s.servers.RecordRateLimit(server.ID, t.current.sentAt, reply.RateLimit)
-		s.recordOwnWord(x, server, reply)
+		s.recordNotice(x, server, reply)
 	}
 	if reply.NotRun || reply.Misdirected {
 		s.servers.RecordEnd(server.ID, route.Outcome{Result: route.Refused})
@@ -322,8 +322,8 @@
 	}
 }
 
-// recordOwnWord records what a backend server said with its answer about the work that it takes.
-func (s *Server) recordOwnWord(x *exchange, server route.Backend, reply Reply) {
+// recordNotice records what a backend server said with its answer about the work that it takes.
+func (s *Server) recordNotice(x *exchange, server route.Backend, reply Reply) {
 	if reply.Leaves && s.servers.RecordLeaving(server.ID, server.Incarnation) {
 		s.cfg.Logger.Info("backend server says that it leaves", telemetry.KeyBackendServer, server.ID, "incarnation", server.Incarnation,
 			telemetry.KeyRequestID, x.call.ID)
--- a/internal/process/lost_members_test.go
+++ b/internal/process/lost_members_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/core/raft"
 )
 
@@ -61,13 +62,10 @@
 	d := newDiscoveryGroup(t)
 	members := d.startGroup()
 	d.lose(members[1])
-	survivors := []*runningMember{members[2], members[3], members[4]}
+	delete(members, 1)
 	d.waitUntil("the lost member is removed", func() bool {
-		for _, m := range survivors {
-			if m.replica.Status().Role == raft.Leader {
-				changeLeader(m)
-				break
-			}
+		if leader := leaderOf(members); leader != nil {
+			changeLeader(leader)
 		}
 		time.Sleep(time.Second) // shorter than the silence that a removal takes
 		return members[3].voters() == 3
@@ -82,3 +80,38 @@
 	defer cancel()
 	_ = m.replica.TransferLeadership(ctx)
 }
+
+// Guards against a member that restarts at once and is removed again, since it still counts as leaving.
+func TestRestartedMemberDoesNotCountAsLeaving(t *testing.T) {
+	d := newDiscoveryGroup(t)
+	members := d.startGroup()
+	d.waitUntil("a leader", func() bool { return leaderOf(members) != nil })
+	leader := leaderOf(members).membership
+	st := leader.replica.Status()
+	var other raft.Member
+	for _, m := range st.Configuration.Members {
+		if m.ID != st.ID {
+			other = m
+		}
+	}
+	if !leader.Leave(other.ID, other.Incarnation) {
+		t.Fatal("the leader of four voters does not remove one that leaves")
+	}
+	d.waitUntil("the member is removed", func() bool { return len(leader.replica.Status().Members()) == 3 })
+	if leader.Announce(other.ID, other.Address, other.Incarnation) {
+		t.Error("the removed member counts as a voter")
+	}
+	if leader.isLeaving(other.ID, clock.Now()) {
+		t.Error("a member that announces itself still counts as leaving")
+	}
+}
+
+// leaderOf returns the member that leads, or nil.
+func leaderOf(members map[int]*runningMember) *runningMember {
+	for _, m := range members {
+		if m.replica.Status().Role == raft.Leader {
+			return m
+		}
+	}
+	return nil
+}
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -46,6 +47,8 @@
 	replica *replica.Replica
 	pool    *rpcpool.Pool
 	wake    chan struct{} // requests a check of the membership at once
+	// isEnding is true once this process has announced that it is about to end. It announces itself no more then.
+	isEnding atomic.Bool
 
 	mu        sync.Mutex
 	announced map[uint64]roster.Announcement
@@ -80,6 +83,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	delete(m.leaving, id) // it has started again
 	m.announced[id] = roster.Announcement{
 		Member: raft.Member{ID: id, Address: address, Incarnation: incarnation},
 		Heard:  clock.Now(),
@@ -136,7 +140,7 @@
 		switch {
 		case st.Role == raft.Leader:
 			m.changeMembership(ctx)
-		case !isVoter(st):
+		case !isVoter(st) && !m.isEnding.Load():
 			m.announce(ctx, st)
 		}
 	}
@@ -155,6 +159,7 @@
 // leave announces that this process is about to end, and waits until the group has removed this member, if it is going to. A group
 // that can spare the member keeps its tolerance of losses this way. The member announces itself again after its next start.
 func (m *membershipManager) leave(ctx context.Context) {
+	m.isEnding.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	for {
