--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -71,29 +71,6 @@
 	}
 }
 
-// attemptOutcome is the result of one attempt.
-type attemptOutcome struct {
-	sent       bool            // the request may have reached the server
-	ran        bool            // it may have run
-	status     int             // of the server's answer; set with done
-	done       bool            // the answer was sent to the caller, as far as it still reads
-	heldAnswer *bufferedAnswer // a server's answer that is sent only if no further attempt follows; nil: none
-	refusal    *refusal        // the gateway's answer if no further attempt follows and heldAnswer is nil
-}
-
-// attempts is the state of the attempts at one exchange so far.
-type attempts struct {
-	sent       int
-	ran        bool     // one of them may have run the request
-	exclude    []string // ids of the servers tried
-	stream     *streamWriter
-	current    *attempt
-	backup     route.Backend   // keeps a backup of the current run; zero: none
-	next       route.Backend   // resumes the run from its backup; zero: choose a server
-	heldAnswer *bufferedAnswer // the latest answer that was held back; nil: none
-	refusal    *refusal
-}
-
 // forward sends x to backend servers until one answers, within the limits on retries. It returns a refusal if none did.
 func (s *Server) forward(ctx context.Context, x *exchange, w http.ResponseWriter) *refusal {
 	t := &attempts{stream: newStreamWriter(w, x)}
@@ -133,40 +110,6 @@
 	return s.servers.Choose(x.routeRequest(t.exclude))
 }
 
-// record adds the outcome of an attempt.
-func (t *attempts) record(server string, o attemptOutcome) {
-	t.exclude = append(t.exclude, server)
-	if o.sent {
-		t.sent++
-	}
-	t.ran = t.ran || o.ran
-	if o.heldAnswer != nil {
-		t.heldAnswer = o.heldAnswer
-	}
-	if o.refusal != nil {
-		t.recordRefusal(o.refusal)
-	}
-}
-
-// recordRefusal sets the refusal to send. It never replaces the verdict that the request may have run.
-func (t *attempts) recordRefusal(ref *refusal) {
-	if t.refusal == nil || t.refusal.verdict == verdict.NotRun {
-		t.refusal = ref
-	}
-}
-
-// recordNoServer records that no backend server is left to try.
-func (t *attempts) recordNoServer(err error) {
-	var paused *route.PausedError
-	switch {
-	case errors.As(err, &paused) && (t.refusal == nil || t.refusal.verdict == verdict.NotRun):
-		t.refusal = notRun(http.StatusServiceUnavailable, "backend_paused", err.Error())
-		t.refusal.retryAfter = afterPause(paused.Left)
-	case t.refusal == nil:
-		t.refusal = notRun(http.StatusServiceUnavailable, "no_backend_server", err.Error())
-	}
-}
-
 // mayRetry reports whether another attempt may follow o. If o was sent, the retry uses the retry budget.
 func (s *Server) mayRetry(x *exchange, t *attempts, o attemptOutcome) bool {
 	if t.ran && !x.route.IsIdempotent() {
@@ -322,30 +265,6 @@
 	}
 }
 
-// recordNotice records what a backend server said with its answer about the work that it takes.
-func (s *Server) recordNotice(x *exchange, server route.Backend, reply Reply) {
-	if reply.Leaves && s.servers.RecordLeaving(server.ID, server.Incarnation) {
-		s.cfg.Logger.Info("backend server says that it leaves", telemetry.KeyBackendServer, server.ID, "incarnation", server.Incarnation,
-			telemetry.KeyRequestID, x.call.ID)
-	}
-	if reply.Pause > 0 && s.servers.RecordPause(server.ID, server.Incarnation, reply.Pause) {
-		s.cfg.Logger.Info("backend server asks for a pause", telemetry.KeyBackendServer, server.ID, "incarnation", server.Incarnation,
-			telemetry.KeyRequestID, x.call.ID, "pause_ms", reply.Pause.Milliseconds())
-	}
-}
-
-// recordLoad records the load that a backend server reports with its answer.
-func (s *Server) recordLoad(server route.Backend, reply Reply) {
-	if reply.Load.Slots <= 0 {
-		return
-	}
-	s.servers.RecordLoad(server.ID, route.Load{
-		Slots:   reply.Load.Slots,
-		Running: reply.Load.Running,
-		Waiting: reply.Load.Waiting,
-	})
-}
-
 // logAttemptEnd counts and logs the end of an attempt at x. status is 0 if there is no answer.
 func (s *Server) logAttemptEnd(x *exchange, server route.Backend, result string, status int, err error) {
 	s.countAttempt(x, result)
@@ -358,21 +277,3 @@
 	}
 	s.logStep(x, eventTryEnded, attrs...)
 }
-
-// connectionHeaders apply to one connection only and are not forwarded.
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-	"Proxy-Authenticate", "Proxy-Authorization", "Content-Length", "Expect",
-}
-
-// removeConnectionHeaders removes the headers that apply to one connection, including those named by its Connection header.
-func removeConnectionHeaders(h http.Header) {
-	for _, value := range h.Values("Connection") {
-		for _, name := range splitList(value) {
-			h.Del(name)
-		}
-	}
-	for _, name := range connectionHeaders {
-		h.Del(name)
-	}
-}
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/control"
 	"github.com/guavastack/guavastack/internal/core/raft"
@@ -18,7 +16,6 @@
 	"github.com/guavastack/guavastack/internal/replica"
 	"github.com/guavastack/guavastack/internal/rpcpool"
 	"github.com/guavastack/guavastack/internal/telemetry"
-	"github.com/guavastack/guavastack/internal/wait"
 	"github.com/guavastack/guavastack/proto/controlpb"
 )
 
@@ -31,10 +28,6 @@
 	announceTimeout = 700 * time.Millisecond
 	// maxMembershipSteps is the maximum number of membership changes between two checks.
 	maxMembershipSteps = 4
-	// leaveTimeout bounds how long a member that shuts down waits for its removal from the group.
-	leaveTimeout = 3 * time.Second
-	// leavePollInterval is the time between two requests of a member that waits for its removal.
-	leavePollInterval = 50 * time.Millisecond
 	// defaultFaultTolerance applies if the settings name none.
 	defaultFaultTolerance = 1
 )
@@ -91,20 +84,6 @@
 	return false
 }
 
-// Leave implements control.JoinHandler.
-func (m *membershipManager) Leave(id, incarnation uint64) (wait bool) {
-	st := m.replica.Status()
-	member, ok := st.Configuration.Member(id)
-	if !ok || member.Incarnation != incarnation || !m.view(st, clock.Now()).ReleasesLeaving(id) {
-		return false
-	}
-	m.mu.Lock()
-	m.leaving[id] = roster.Announcement{Member: member, Heard: clock.Now()}
-	m.mu.Unlock()
-	m.requestCheck()
-	return true
-}
-
 func (m *membershipManager) requestCheck() {
 	select {
 	case m.wake <- struct{}{}:
@@ -156,49 +135,6 @@
 	m.contacts.Observe(clock.Now(), st.Configuration)
 }
 
-// leave announces that this process is about to end, and waits until the group has removed this member, if it is going to. A group
-// that can spare the member keeps its tolerance of losses this way. The member announces itself again after its next start.
-func (m *membershipManager) leave(ctx context.Context) {
-	m.isEnding.Store(true)
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
-	defer cancel()
-	for {
-		st := m.replica.Status()
-		member, ok := st.Configuration.Member(st.ID)
-		if !ok || member.Learner || len(st.Members()) <= roster.MinVoters {
-			return
-		}
-		reply, err := m.announceLeaving(ctx, st)
-		if err == nil && !reply.Member {
-			return
-		}
-		if !wait.For(ctx, leavePollInterval) {
-			m.base.Logger.Warn("the control group did not remove this member before its shutdown", telemetry.KeyError, errorText(err))
-			return
-		}
-	}
-}
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
-// announceLeaving sends the announcement to the leader, if it is known and another member.
-func (m *membershipManager) announceLeaving(ctx context.Context, st replica.Status) (*controlpb.JoinReply, error) {
-	leader, ok := m.replica.Leader()
-	if !ok || leader.ID == st.ID {
-		return nil, errors.NotFoundf("another member that leads the control group")
-	}
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
-	return control.AnnounceTo(ctx, m.pool, leader.Address, &controlpb.JoinRequest{
-		Id: st.ID, Address: m.base.Config.Control.Listen, Incarnation: st.Incarnation, Leaving: true,
-	})
-}
-
 // isVoter reports whether, according to the member's own status, it is a voter with its current incarnation in a group
 // that has a leader. A member that lost its disk has a new incarnation and thus no vote.
 func isVoter(st replica.Status) bool {
@@ -299,13 +235,6 @@
 	return m.contacts.Silence(now, id)
 }
 
-func (m *membershipManager) isLeaving(id uint64, now time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	a, ok := m.leaving[id]
-	return ok && now.Sub(a.Heard) < roster.AnnouncementLifetime
-}
-
 func (m *membershipManager) applyStep(ctx context.Context, s roster.Step) error {
 	switch s.Action {
 	case roster.Remove:
