A late deregistration spares a server that has started again under its id

One that arrived late, after the server had started again under its id, took the new incarnation out of use until its next start.

--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -70,15 +70,15 @@
 	s.handleReport(&controlpb.AgentReport{Backend: b})
 }
 
-// MarkBackendLeaving marks a backend server as leaving, so that it gets no new work. It returns false if the
-// server is not registered at this member.
-func (s *Service) MarkBackendLeaving(id string) bool {
-	return s.soft.markLeaving(id, time.Now())
+// MarkBackendLeaving marks a backend server as leaving, so that it gets no new work. startedMS is the start of the incarnation that
+// leaves, in Unix milliseconds; 0: the registered one. It returns false if the server is not registered at this member.
+func (s *Service) MarkBackendLeaving(id string, startedMS int64) bool {
+	return s.soft.markLeaving(id, startedMS, time.Now())
 }
 
-// markLeaving marks a registered backend server as leaving, without waiting for its next report. It returns false if the server
-// is not registered.
-func (s *softState) markLeaving(id string, now time.Time) bool {
+// markLeaving marks a registered backend server as leaving, without waiting for its next report. If the server has started again since
+// the incarnation that leaves, nothing is changed. It returns false if the server is not registered.
+func (s *softState) markLeaving(id string, startedMS int64, now time.Time) bool {
 	known := false
 	s.update(func() {
 		reg, ok := s.registry.Get(id)
@@ -86,6 +86,9 @@
 			return
 		}
 		known = true
+		if startedMS != 0 && startedMS < reg.Report.StartedMS {
+			return
+		}
 		report := reg.Report
 		report.Lifecycle = member.Leaving
 		s.registry.Put(report, now, true, true)
@@ -103,8 +106,9 @@
 	ConfirmCatalog(ctx context.Context) error
 	// ReportBackend registers or updates a backend server that reports without an agent.
 	ReportBackend(b *controlpb.BackendServer)
-	// MarkBackendLeaving marks a backend server as leaving. It returns false if the server is not registered.
-	MarkBackendLeaving(id string) bool
+	// MarkBackendLeaving marks an incarnation of a backend server as leaving. startedMS is its start in Unix milliseconds; 0: the
+	// registered one. It returns false if the server is not registered.
+	MarkBackendLeaving(id string, startedMS int64) bool
 }
 
 var _ Plane = (*Service)(nil)
