--- a/internal/process/leaving.go
+++ b/internal/process/leaving.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// leaveTimeout bounds how long a member that shuts down waits for its removal from the group.
-	leaveTimeout = 3 * time.Second
+	// defaultLeaveTimeout is well below the grace period of a process.
+	defaultLeaveTimeout = 3 * time.Second
 	// leavePollInterval is the time between two requests of a member that waits for its removal.
 	leavePollInterval = 50 * time.Millisecond
 )
@@ -40,7 +40,7 @@
 // that can spare the member keeps its tolerance of losses this way. The member announces itself again after its next start.
 func (m *membershipManager) leave(ctx context.Context) {
 	m.isEnding.Store(true)
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	ctx, cancel := context.WithTimeout(ctx, m.leaveTimeout)
 	defer cancel()
 	for {
 		st := m.replica.Status()
--- a/internal/process/lost_members_test.go
+++ b/internal/process/lost_members_test.go
@@ -52,6 +52,7 @@
 func TestGroupSurvivesLossAfterPlannedReplacement(t *testing.T) {
 	d := newDiscoveryGroup(t)
 	members := d.startGroup()
+	members[1].membership.leaveTimeout = conditionTimeout
 	members[1].stop()
 	d.lose(members[2])
 	d.checkServes(members[3], members[4], 7)
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -40,6 +40,8 @@
 	replica *replica.Replica
 	pool    *rpcpool.Pool
 	wake    chan struct{} // requests a check of the membership at once
+	// leaveTimeout bounds how long this member waits for its removal from the group when it shuts down.
+	leaveTimeout time.Duration
 	// isEnding is true once this process has announced that it is about to end. It announces itself no more then.
 	isEnding atomic.Bool
 
@@ -53,7 +55,7 @@
 func newMembershipManager(base *Base, r *replica.Replica) *membershipManager {
 	return &membershipManager{
 		base: base, replica: r, pool: rpcpool.New(base.Network.Dial),
-		wake:      make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), leaveTimeout: defaultLeaveTimeout,
 		announced: make(map[uint64]roster.Announcement),
 		leaving:   make(map[uint64]roster.Announcement),
 		contacts:  roster.NewContacts(r.Status().ID, clock.Now()),
