process: groups in tests use loopback addresses of their own

At 127.0.0.1 tests of other packages, which run at the same time, listen and connect on ports of their own choice.

Change: members get addresses in a loopback net derived from the process id, where nobody else listens. TestRelayRedirectsToMember compares the whole location with those of the members, where it compared the part behind the address and the length before.

--- a/internal/process/crashing_prompt_test.go
+++ b/internal/process/crashing_prompt_test.go
@@ -182,9 +182,9 @@
 func startPromptGateway(d *discoveryGroup, name string) string {
 	d.t.Helper()
 	cfg, problems := config.Parse("settings", fmt.Appendf(nil, `{
-  "id": %q, "zone": "a", "control_port": %d, "control_members": ["127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1"],
+  "id": %q, "zone": "a", "control_port": %d, "control_members": ["%s:1", "%s:1", "%s:1"],
   "gateway": {"listen": "127.0.0.1:0", "retry_ratio": 0.2}
-}`, name, d.port))
+}`, name, d.port, d.ip(1), d.ip(2), d.ip(3)))
 	if err := problems.Err(); err != nil {
 		d.t.Fatal(err)
 	}
--- a/internal/process/discover_test.go
+++ b/internal/process/discover_test.go
@@ -23,10 +23,18 @@
 // address and all use the same port, like members on separate instances.
 type discoveryGroup struct {
 	t    *testing.T
+	net  string // first three bytes of the members' addresses
 	port int
 	dir  string
 }
 
+// loopbackNet returns the first three bytes of loopback addresses that no other process uses: a port that is free at one of them is free at
+// all. At 127.0.0.1 other processes may have it.
+func loopbackNet() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.", 64+pid%128, pid/128%256)
+}
+
 // runningMember is a control member whose Run has been started.
 type runningMember struct {
 	*Control
@@ -34,24 +42,27 @@
 }
 
 func newDiscoveryGroup(t *testing.T) *discoveryGroup {
-	lis, err := net.Listen("tcp", "127.0.0.9:0")
+	members := loopbackNet()
+	lis, err := net.Listen("tcp", members+"9:0")
 	if err != nil {
 		t.Skipf("this system has no loopback addresses besides 127.0.0.1: %v", err)
 	}
 	defer func() { _ = lis.Close() }()
-	return &discoveryGroup{t: t, port: lis.Addr().(*net.TCPAddr).Port, dir: t.TempDir()}
+	return &discoveryGroup{t: t, net: members, port: lis.Addr().(*net.TCPAddr).Port, dir: t.TempDir()}
 }
 
-func (d *discoveryGroup) address(host int) string { return fmt.Sprintf("127.0.0.%d:%d", host, d.port) }
+func (d *discoveryGroup) ip(host int) string { return fmt.Sprint(d.net, host) }
+
+func (d *discoveryGroup) address(host int) string { return fmt.Sprintf("%s:%d", d.ip(host), d.port) }
 
 // start runs the member at host. newGroup allows the member to bootstrap a group; otherwise it can only join one.
 func (d *discoveryGroup) start(host int, newGroup bool) *runningMember {
 	d.t.Helper()
 	settings := fmt.Sprintf(`{
   "id": "member-%d", "zone": "a", "control_port": %d,
-  "control_members": ["127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1"],
-  "control": {"group": 1, "discover": true, "join": %v, "listen": %q, "operators": "127.0.0.%d:0", "data": %q, "min_free_mb": 1}
-}`, host, d.port, !newGroup, d.address(host), host, d.dataDir(host))
+  "control_members": ["%s:1", "%s:1", "%s:1"], "allowed_peers": ["127.0.0.0/8"],
+  "control": {"group": 1, "discover": true, "join": %v, "listen": %q, "operators": "%s:0", "data": %q, "min_free_mb": 1}
+}`, host, d.port, d.ip(1), d.ip(2), d.ip(3), !newGroup, d.address(host), d.ip(host), d.dataDir(host))
 	cfg, problems := config.Parse("settings", []byte(settings))
 	if err := problems.Err(); err != nil {
 		d.t.Fatal(err)
--- a/internal/process/relay_test.go
+++ b/internal/process/relay_test.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 
 	"github.com/guavastack/guavastack/internal/config"
@@ -42,7 +43,11 @@
 	d.waitUntil("the relay is ready", func() bool { ready, _ := relay.Status(); return ready })
 	res := send()
 	location := res.Header.Get("Location")
-	if res.StatusCode != http.StatusTemporaryRedirect || len(location) < len("http://127.0.0.1:8229/a/b?c=d") || location[len("http://127.0.0.1"):] != ":8229/a/b?c=d" {
-		t.Errorf("got status %d with location %q, want 307 to /a/b?c=d on port 8229 of a member", res.StatusCode, location)
+	var members []string
+	for host := 1; host <= 3; host++ {
+		members = append(members, "http://"+d.ip(host)+":8229/a/b?c=d")
+	}
+	if res.StatusCode != http.StatusTemporaryRedirect || !slices.Contains(members, location) {
+		t.Errorf("got status %d with location %q, want 307 to one of %q", res.StatusCode, location, members)
 	}
 }
