--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -31,7 +31,7 @@
 		{"slow streams, but the deadline is near", 6 * time.Second, 100, 4 * time.Second, 5 * time.Second, false, true},
 		{"nothing observed, late deadline", 0, 100, time.Minute, 5 * time.Second, false, false},
 		{"nothing observed, near deadline", 0, 100, 4 * time.Second, 5 * time.Second, false, true},
-		// Guards against requests on kept connections that were aborted when their server stopped answering (LOST).
+		// Guards against requests on kept connections that were aborted when their server stopped answering.
 		{"short stream on a kept connection, late deadline", time.Second, 100, time.Minute, 5 * time.Second, true, false},
 		{"short stream on a kept connection, near deadline", time.Second, 100, 4 * time.Second, 5 * time.Second, true, true},
 	}
@@ -66,7 +66,7 @@
 	}
 }
 
-// Guards against requests that ran and got no answer (LOST): the end of a shutdown closed their connections while their server did not
+// Guards against requests that ran and got no answer: the end of a shutdown closed their connections while their server did not
 // answer.
 func TestShutdownAnswersRequestsInProgress(t *testing.T) {
 	cases := []struct {
