watch: a replaced member of a test is gone on kept connections too

The test let new connections to the replaced member hang, but not one that was kept from the first round of queries to three members; through that the member answered and confirmed. So the client was right, and the scenario was not what its comment says.

Change: traffic of the replaced member is dropped as well, as for the one that freezes. Ruled out: the code under test.

--- a/internal/watch/scenario_test.go
+++ b/internal/watch/scenario_test.go
@@ -539,6 +539,7 @@
 		w.cluster.SetLeader(leader)
 		time.Sleep(3*watch.DefaultQueryInterval + 10*time.Millisecond) // immediately after a confirmation
 		w.hang(w.addresses[replaced])
+		w.dropTraffic(w.addresses[replaced]) // a connection from the first round of queries may have been kept
 		w.cluster.Isolate(lagging, true)
 		w.hang(w.addresses[watched])
 		w.dropTraffic(w.addresses[watched])
