Control members tell how many losses their group tolerates, since when these are too few, and why

The record of the incident holds only 'no quorum confirmed the read': four hypotheses look the same. Each member now evaluates the group by its own contacts (the leader also by answers) in a goroutine of its own, since the one that changes the membership may wait 8 s for changes. It logs a WARN while the group is below its tolerance, with voters, those reachable and what is awaited, and an INFO with the duration at the end. A member without a vote whose announcements fail everywhere for longer than an announcement is valid logs a WARN with the addresses and the last error; until now one DEBUG line an address. Gauges, counters of membership changes by action and reason, GET /v1/status and 'guavastack status' tell the same. No decision changes.

--- a/cmd/guavastack/status.go
+++ b/cmd/guavastack/status.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/guavastack/guavastack/internal/adminapi"
 	"github.com/guavastack/guavastack/internal/adminclient"
 )
 
@@ -38,7 +40,8 @@
 		return err
 	}
 	return printResult(cmd, st, func(w io.Writer) {
-		_, _ = fmt.Fprintf(w, "leader\t%s\nversion\t%s\nconfirmed\t%v\nin force everywhere\t%v\n\n", st.Leader, st.Version, st.Confirmed, st.InForce)
+		_, _ = fmt.Fprintf(w, "leader\t%s\nversion\t%s\nconfirmed\t%v\nin force everywhere\t%v\n", st.Leader, st.Version, st.Confirmed, st.InForce)
+		writeGroup(w, st.Group)
 		_, _ = fmt.Fprintln(w, "PROCESS\tROLE\tZONE\tVERSION\tHEARD (MS AGO)")
 		for _, p := range st.Processes {
 			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\n", p.ID, p.Role, p.Zone, p.Version, p.AgeMS)
@@ -46,6 +49,19 @@
 	})
 }
 
+// writeGroup prints how many losses the control group tolerates, and an empty line.
+func writeGroup(w io.Writer, g *adminapi.Group) {
+	if g != nil {
+		_, _ = fmt.Fprintf(w, "voters\t%d, %d reachable, quorum %d\n", g.Voters, g.Reachable, g.Quorum)
+		_, _ = fmt.Fprintf(w, "losses tolerated\t%d, must be %d\n", g.LossesTolerated, g.FaultTolerance)
+		_, _ = fmt.Fprintf(w, "waits for\t%s\n", g.WaitsFor)
+		if g.BelowMS > 0 {
+			_, _ = fmt.Fprintf(w, "below tolerance\tfor %d ms; unreachable: %s\n", g.BelowMS, strings.Join(g.Unreachable, ", "))
+		}
+	}
+	_, _ = fmt.Fprintln(w)
+}
+
 func backends(ctx context.Context, cmd *cli.Command, client *adminclient.Client) error {
 	list, err := client.Backends(ctx)
 	if err != nil {
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"log/slog"
 	"net"
 	"net/http"
@@ -61,6 +62,11 @@
 	{Name: "keys", SHA256: hashOf("keys-token"), Role: admin.Operate, Organisation: "camurca"},
 }
 
+// toleranceOfTests is what every member of a group of tests says about its tolerance of losses.
+var toleranceOfTests = adminapi.Group{
+	Voters: 3, Reachable: 2, Unreachable: []string{"10.0.0.3:1"}, Quorum: 2, FaultTolerance: 1, BelowMS: 2500, WaitsFor: "a successor",
+}
+
 // newGroup starts n members with their APIs on loopback TCP listeners.
 func newGroup(t *testing.T, n int) *group {
 	t.Helper()
@@ -85,7 +91,10 @@
 		running.Add(2)
 		go func() { defer running.Done(); _ = s.Run(ctx) }()
 		go func() { defer running.Done(); _ = s.Serve(ctx, listeners[m.Self().Address]) }()
-		api, err := admin.New(admin.Config{Control: s, Tokens: tokens, Logger: slog.New(slog.NewJSONHandler(g.audit, nil))})
+		api, err := admin.New(admin.Config{
+			Control: s, Tokens: tokens, Logger: slog.New(slog.NewJSONHandler(g.audit, nil)),
+			Group: func() adminapi.Group { return toleranceOfTests },
+		})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -369,3 +378,20 @@
 		t.Errorf("got status %d, version %s, want 200 and \"0.1\"", resp.StatusCode, resp.Header.Get("ETag"))
 	}
 }
+
+// TestStatusTellsTolerance checks that the status has the tolerance of losses, in JSON with the documented names.
+func TestStatusTellsTolerance(t *testing.T) {
+	g := newGroup(t, 1)
+	st, err := g.client(0, "root-token").Status(t.Context(), "", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := json.Marshal(st.Group)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const want = `{"voters":3,"reachable":2,"unreachable":["10.0.0.3:1"],"quorum":2,"losses_tolerated":0,"fault_tolerance":1,"below_ms":2500,"waits_for":"a successor"}`
+	if string(got) != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -14,6 +14,7 @@
 	"github.com/emicklei/go-restful/v3"
 	"github.com/juju/errors"
 
+	"github.com/guavastack/guavastack/internal/adminapi"
 	"github.com/guavastack/guavastack/internal/control"
 	"github.com/guavastack/guavastack/internal/core/duty"
 	"github.com/guavastack/guavastack/internal/core/member"
@@ -65,6 +66,7 @@
 	Operations Operations // nil: /v1/usage, /v1/orders and /v1/fleet aren't served
 	Tokens     []Token
 	Replica    func() any                      // status of the replica, to be encoded in JSON; nil: none
+	Group      func() adminapi.Group           // losses that the control group tolerates; nil: not served
 	Membership Membership                      // nil: the routes for changing members aren't served
 	Backup     func() ([]byte, error)          // nil: /v1/backup isn't served
 	Mounts     map[string]http.Handler         // other paths of the same listener, such as /metrics
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -38,6 +38,10 @@
 	if s.cfg.Replica != nil {
 		out.Replica = s.cfg.Replica()
 	}
+	if s.cfg.Group != nil {
+		group := s.cfg.Group()
+		out.Group = &group
+	}
 	out.Behind = processIDs(s.cfg.Control.Behind(requested))
 	out.InForce = len(out.Behind) == 0 && !tree.Version().Less(requested)
 	now := time.Now()
--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -175,6 +175,20 @@
 	Behind    []string  `json:"behind,omitempty"`
 	Processes []Process `json:"processes"`
 	Replica   any       `json:"replica,omitempty"`
+	Group     *Group    `json:"group,omitempty"`
+}
+
+// Group tells how many losses the control group tolerates, as known to one member. The leader knows what the group waits for; another
+// member doesn't know of announced members, nor which learners have caught up.
+type Group struct {
+	Voters          int      `json:"voters"`
+	Reachable       int      `json:"reachable"`             // voters
+	Unreachable     []string `json:"unreachable,omitempty"` // addresses of the other voters
+	Quorum          int      `json:"quorum"`
+	LossesTolerated int      `json:"losses_tolerated"` // below 0: number of voters missing to a quorum
+	FaultTolerance  int      `json:"fault_tolerance"`  // losses that the group must tolerate
+	BelowMS         int64    `json:"below_ms"`         // for how long it has tolerated fewer; 0: it does not
+	WaitsFor        string   `json:"waits_for"`
 }
 
 // Backend is a registered backend server.
--- a/internal/core/roster/tolerance.go
+++ b/internal/core/roster/tolerance.go
@@ -69,7 +69,9 @@
 type Tolerance struct {
 	Voters    int `json:"voters"`
 	Reachable int `json:"reachable"` // voters
-	Quorum    int `json:"quorum"`
+	// Unreachable are the other voters, also those that were heard with another disk.
+	Unreachable []uint64 `json:"unreachable,omitempty"`
+	Quorum      int      `json:"quorum"`
 	// Spare is the number of reachable voters that may be lost with a quorum left; below 0: the number of voters missing to a quorum.
 	Spare    int  `json:"spare"`
 	Required int  `json:"required"` // losses that the group must tolerate
@@ -85,8 +87,12 @@
 		Voters: len(o.Configuration.Voters()), Quorum: o.Configuration.Quorum(), Required: o.FaultTolerance,
 	}
 	for _, m := range o.Configuration.Members {
-		if !m.Learner && o.counts(m) {
+		switch {
+		case m.Learner:
+		case o.counts(m):
 			t.Reachable++
+		default:
+			t.Unreachable = append(t.Unreachable, m.ID)
 		}
 	}
 	t.Spare = t.Reachable - t.Quorum
--- a/internal/core/roster/tolerance_test.go
+++ b/internal/core/roster/tolerance_test.go
@@ -76,6 +76,9 @@
 			if got.Voters != len(tc.conf.Voters()) || got.Reachable != tc.reachable || got.Spare != tc.spare || got.WaitsFor != tc.want {
 				t.Errorf("got %+v, want %d reachable voters, %d to spare and to wait for %q", got, tc.reachable, tc.spare, tc.want)
 			}
+			if lost := slices.Sorted(slices.Values(slices.Concat(tc.unreachable, tc.otherDisk))); !slices.Equal(got.Unreachable, slices.DeleteFunc(lost, func(id uint64) bool { return id > 7 })) {
+				t.Errorf("got unreachable voters %v, want %v and %v", got.Unreachable, tc.unreachable, tc.otherDisk)
+			}
 			if wantBelow := tc.want != roster.WaitNone && tc.want != roster.WaitGroup; got.IsBelow() != wantBelow {
 				t.Errorf("below its tolerance: got %v, want %v", got.IsBelow(), wantBelow)
 			}
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -101,6 +101,7 @@
 	operator   *operate.Operator  // nil if control.platform is not set
 	admin      *admin.Server      // nil if control.admin.listen is empty
 	membership *membershipManager // nil if the settings list the members
+	monitor    *groupMonitor
 	listener   net.Listener
 	adminLis   net.Listener
 	// operatorLis accepts requests to the handler of the platform adapter; nil if control.operators is empty.
@@ -125,10 +126,16 @@
 		Incarnation: base.Incarnation,
 		Logger:      base.Logger,
 	}
+	ctl.monitor = newGroupMonitor(base, r)
+	cfg.PeerHeard = ctl.monitor.peerHeard
 	if c.Discover {
 		ctl.membership = newMembershipManager(base, r)
 		cfg.Peers, cfg.Members, cfg.JoinHandler = ctl.membership.peerAddresses, ctl.membership.memberAddresses, ctl.membership
-		cfg.PeerHeard = ctl.membership.peerHeard
+		cfg.PeerHeard = func(member string) {
+			ctl.membership.peerHeard(member)
+			ctl.monitor.peerHeard(member)
+		}
+		ctl.monitor.announcements = ctl.membership.announcements
 	}
 	if c.Platform != nil {
 		operator, err := newOperator(base, s, r, fleetView{
@@ -171,6 +178,7 @@
 		return
 	}
 	registerReplicationMetrics(c.base.Metrics, func() raft.Status { return c.replica.Status().Status })
+	c.monitor.registerMetrics(c.base.Metrics)
 	c.base.Metrics.GaugeFunc(metricBackends, func() int64 { return int64(len(c.service.Backends())) })
 	c.base.Metrics.GaugeFunc(metricWatchers, func() int64 { return int64(len(c.service.Processes())) })
 }
@@ -184,6 +192,7 @@
 		Control:    c.service,
 		Tokens:     adminTokens(adminCfg.Tokens),
 		Replica:    func() any { return c.replica.Status() },
+		Group:      c.monitor.status,
 		Membership: c.replica,
 		Backup:     c.backup,
 		Mounts:     map[string]http.Handler{"/metrics": mux, "/healthz": mux, "/readyz": mux, "/debug/pprof/": mux},
@@ -349,6 +358,7 @@
 	start(c.replica.Run)
 	start(c.service.Run)
 	start(c.serveRPC)
+	start(c.monitor.run)
 	if c.base.Config.Control.Bootstrap != "" {
 		running.Go(func() error {
 			c.bootstrap(serveCtx)
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -44,6 +44,8 @@
 	leaveTimeout time.Duration
 	// isEnding is true once this process has announced that it is about to end. It announces itself no more then.
 	isEnding atomic.Bool
+	// refusals tells operators that no member accepts this member's announcements.
+	refusals announcementAlarm
 
 	mu        sync.Mutex
 	announced map[uint64]roster.Announcement
@@ -118,6 +120,9 @@
 		}
 		st := m.replica.Status()
 		m.observe(st)
+		if hasVote(st) {
+			m.refusals.end(m.base.Logger, clock.Now())
+		}
 		switch {
 		case st.Role == raft.Leader:
 			m.changeMembership(ctx)
@@ -146,16 +151,23 @@
 
 // announce sends this member's address and incarnation to the other members in turn, until one accepts the announcement.
 func (m *membershipManager) announce(ctx context.Context, st replica.Status) {
-	for _, address := range m.otherAddresses(st) {
+	addresses := m.otherAddresses(st)
+	var lastErr error
+	for _, address := range addresses {
 		ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 		_, err := control.AnnounceTo(ctx, m.pool, address, &controlpb.JoinRequest{
 			Id: st.ID, Address: m.base.Config.Control.Listen, Incarnation: st.Incarnation,
 		})
 		cancel()
 		if err == nil {
+			m.refusals.end(m.base.Logger, clock.Now())
 			return
 		}
 		m.base.Logger.Debug("announcing to a control member failed", "address", address, telemetry.KeyError, err.Error())
+		lastErr = err
+	}
+	if !hasVote(st) {
+		m.refusals.warn(m.base.Logger, clock.Now(), addresses, lastErr)
 	}
 }
 
@@ -213,9 +225,11 @@
 	args := []any{"action", next.Action.String(), "member", next.Member.ID, "address", next.Member.Address, "reason", next.Reason}
 	if err != nil {
 		m.base.Logger.Info("control group membership change failed", append(args, telemetry.KeyError, err.Error())...)
+		countMembershipChange(m.base.Metrics, metricChangesFailed, next)
 		return false
 	}
 	m.base.Logger.Info("control group membership changed", args...)
+	countMembershipChange(m.base.Metrics, metricChanges, next)
 	return true
 }
 
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -7,15 +7,20 @@
 
 // Names of a control member's metrics of replication and of its registry.
 const (
-	metricTerm      = "replication_term"
-	metricLeads     = "replication_leads"      // 1 on the leader
-	metricHasLeader = "replication_has_leader" // 1 if a leader is known
-	metricCommit    = "replication_commit"     // index of the newest committed entry
-	metricUnapplied = "replication_unapplied"  // committed entries that are not yet applied
-	metricBehind    = "replication_behind"     // on the leader: entries by which the slowest member lags
-	metricMembers   = "replication_members"    // voting members
-	metricBackends  = "registry_servers"       // registered backend servers
-	metricWatchers  = "registry_processes"     // processes that watch a control member
+	metricTerm          = "replication_term"
+	metricLeads         = "replication_leads"      // 1 on the leader
+	metricHasLeader     = "replication_has_leader" // 1 if a leader is known
+	metricCommit        = "replication_commit"     // index of the newest committed entry
+	metricUnapplied     = "replication_unapplied"  // committed entries that are not yet applied
+	metricBehind        = "replication_behind"     // on the leader: entries by which the slowest member lags
+	metricMembers       = "replication_members"    // voting members
+	metricReachable     = "replication_reachable_voters"
+	metricSpare         = "replication_losses_tolerated"  // by those reachable; below 0: voters missing to a quorum
+	metricBelow         = "replication_below_tolerance_s" // for how long the group has tolerated fewer losses than it must; 0: it does not
+	metricChanges       = "membership_changes"            // committed, by action and reason
+	metricChangesFailed = "membership_changes_failed"     // by action and reason
+	metricBackends      = "registry_servers"              // registered backend servers
+	metricWatchers      = "registry_processes"            // processes that watch a control member
 )
 
 // registerReplicationMetrics registers gauges that read status.
