--- a/cmd/guavastack/roles.go
+++ b/cmd/guavastack/roles.go
@@ -166,7 +166,7 @@
 		}
 		roles = append(roles, r)
 	}
-	logger.Info("starting", "process", cfg.ID, "incarnation", base.Incarnation, "roles", len(roles))
+	logger.Info("starting", "process", cfg.ID, "incarnation", base.Incarnation, "roles", len(roles), "revision", revision())
 	go watchSettings(ctx, file, hangups, roles, base.Logger)
 	return process.Run(ctx, base, roles...)
 }
