--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -165,7 +165,9 @@
 }
 
 // minVoters returns the number of voters below which removals must not shrink the group.
-func (v View) minVoters() int { return minVoters(v.FaultTolerance) }
+func (v View) minVoters() int {
+	return min(max(2*v.FaultTolerance+1, MinVoters), MaxVoters)
+}
 
 func (v View) hasReadyLearner() bool {
 	for _, m := range v.Configuration.Members {
--- a/internal/core/roster/tolerance.go
+++ b/internal/core/roster/tolerance.go
@@ -115,7 +115,7 @@
 		return WaitLeader
 	case o.hasVoterWithOtherDisk():
 		return WaitReadmission
-	case t.Reachable < t.Voters && t.Voters > minVoters(o.FaultTolerance):
+	case t.Reachable < t.Voters && t.Voters > View{FaultTolerance: o.FaultTolerance}.minVoters():
 		return WaitRemoval
 	case o.hasUnknownAnnouncement(now):
 		return WaitAdmission
@@ -135,8 +135,8 @@
 
 // hasUnknownAnnouncement reports whether a member that is not in the configuration has announced itself.
 func (o Observation) hasUnknownAnnouncement(now time.Time) bool {
-	for _, a := range validAnnouncements(now, o.Announcements) {
-		if _, ok := o.Configuration.Member(a.Member.ID); !ok {
+	for _, a := range o.Announcements {
+		if _, ok := o.Configuration.Member(a.Member.ID); !ok && now.Sub(a.Heard) < AnnouncementLifetime {
 			return true
 		}
 	}
@@ -157,11 +157,6 @@
 	return wait
 }
 
-// minVoters returns the number of voters below which removals must not shrink a group that must tolerate so many losses.
-func minVoters(faultTolerance int) int {
-	return min(max(2*faultTolerance+1, MinVoters), MaxVoters)
-}
-
 // IsHeard reports whether a member was heard within SilenceLimit, or became known within it. Unlike Silence it does not depend on
 // whether the observer hears a quorum.
 func (c *Contacts) IsHeard(now time.Time, id uint64) bool {
--- a/internal/process/group_tolerance_test.go
+++ b/internal/process/group_tolerance_test.go
@@ -153,13 +153,29 @@
 	if got := len(m.lines()); got > want || got < want/2 {
 		t.Errorf("got %d warnings in an hour, want at most %d and no fewer than half of that", got, want)
 	}
-	m.lost = []uint64{2, 3}
-	m.pass(3 * time.Second)
-	lines := m.lines()
-	if len(lines) != 1 {
-		t.Fatalf("got %d lines within 3 s of a second loss, want one: %v", len(lines), lines)
+}
+
+// TestSecondLossIsReportedAtOnce checks that a loss more is reported although the warnings about the first one have become rare, also by a
+// member that hears no quorum itself.
+func TestSecondLossIsReportedAtOnce(t *testing.T) {
+	for _, role := range []raft.Role{raft.Leader, raft.Follower, raft.PreCandidate} {
+		t.Run(role.String(), func(t *testing.T) {
+			m := newMonitoredGroup(t)
+			m.st.Role = role
+			m.lost = []uint64{3}
+			m.pass(time.Hour)
+			m.lines()
+			m.lost = []uint64{2, 3}
+			m.pass(3 * time.Second)
+			lines := m.lines()
+			if len(lines) != 1 {
+				t.Fatalf("got %d lines within 3 s of a second loss, want one: %v", len(lines), lines)
+			}
+			checkLine(t, lines[0], map[string]string{
+				"losses_tolerated": "-1", "waits_for": roster.WaitQuorum.String(), "unreachable": "[10.0.0.2:1 10.0.0.3:1]",
+			})
+		})
 	}
-	checkLine(t, lines[0], map[string]string{"losses_tolerated": "-1", "waits_for": roster.WaitQuorum.String(), "unreachable": "[10.0.0.2:1 10.0.0.3:1]"})
 }
 
 // TestUnansweringVoterIsUnreachable checks that a leader doesn't count a voter that it hears and that doesn't answer, nor one whose disk
