roster: only what happened after its admission removes a member

Meanwhile the group holds one member too few, and the next loss ends it: no leader for good, every read of the configuration 503.

Cause: the evidence for a removal was a duration that the caller computed, and callers counted from before the admission. - timeSinceAnswer counted from the leader's election. A learner that has not answered yet was 'unresponsive' at once under a leader older than UnresponsiveLimit. - Contacts kept what it knew by id. A member that was removed and added again between two calls of Observe (both happen within one check of the leader) was 'silent' since the loss of its former disk. - An announcement did not count as being heard: under a young leader a successor that answers after 2 s was removed as 'silent' though it announced itself. - The same announcement could admit a member again after its removal, so admission and removal repeated without news.

Change, by the shape of the decision: - core/roster gets moments instead of durations (Evidence: admitted, heard, answered, leaves; the leader's election; the start of its observation) and takes the latest of them itself. A member whose admission was not observed is not absent. That a member leaves counts only if it said so after its admission. - A membership is not its id: raft.Member.Added is the index of the entry that added it. It is stored in the configuration, so every member sees a removal and addition between two observations, whoever leads later. Builds that do not know the field drop it; 0 differs from an index, so the observation of the member starts anew once. Beside it, a voter that is a learner now, or has another disk, is a new membership whatever the builds. - An announcement counts as heard. One that is not later than the removal of the same member with the same disk does not admit it. Observations of the configuration are taken in the order in which it changes (observe reads the status itself), and before each decision. Not chosen: a longer limit (the count would still start at the wrong moment); (term, index) as identity: an entry that is truncated and replaced by another leader's addition of the same id at the same index is taken for the same membership, which shortens its time at most by that between the two.

A learner that hangs is still removed after UnresponsiveLimit from its admission or the election, whichever is later; one that is silent after SilenceLimit.

TestRestartedMemberDoesNotCountAsLeaving checks the same through evidence, since isLeaving is gone.

The split of replicaConfig from NewReplica is for the test, which replaces the dialer.

--- a/internal/core/raft/configuration.go
+++ b/internal/core/raft/configuration.go
@@ -15,6 +15,9 @@
 	// member's old ID.
 	Incarnation uint64 `json:"incarnation,omitempty"`
 	Learner     bool   `json:"learner,omitempty"` // receives the log and does not vote
+	// Added is the index of the entry that added the member, so that a member that was removed and added again differs. It is 0
+	// for the first members of a group and in entries of builds that do not write it.
+	Added uint64 `json:"added,omitempty"`
 }
 
 // Configuration is the membership of the group.
--- a/internal/core/raft/membership.go
+++ b/internal/core/raft/membership.go
@@ -11,7 +11,7 @@
 	if _, ok := n.conf().Member(m.ID); ok {
 		return Entry{}, errors.AlreadyExistsf("member %d", m.ID)
 	}
-	return n.changeMembers(n.conf().with(Member{ID: m.ID, Address: m.Address, Learner: true}))
+	return n.changeMembers(n.conf().with(Member{ID: m.ID, Address: m.Address, Learner: true, Added: n.log.last() + 1}))
 }
 
 // Promote makes a learner that has caught up a voter, and records its current incarnation in the configuration. It returns
--- a/internal/core/roster/contacts_test.go
+++ b/internal/core/roster/contacts_test.go
@@ -59,12 +59,12 @@
 				t.Fatalf("%d voters: the lost one still votes %v after its loss", size, o.at.Sub(lostAt))
 			}
 			leader = leader%(size-1) + 1 // another leader at each check
-			step := roster.NextStep(o.at, roster.View{
-				Self: leader, Configuration: o.conf, FaultTolerance: 1,
-				HasCaughtUp:  func(uint64) bool { return true },
-				Silent:       func(id uint64) time.Duration { return o.contacts[leader].Silence(o.at, id) },
-				Unresponsive: func(uint64) time.Duration { return 0 }, // counts from the election
-				IsLeaving:    func(uint64) bool { return false },
+			step := roster.NextStep(roster.View{
+				Now: o.at, Self: leader, LeaderSince: o.at, ObservedSince: o.contacts[leader].ObservedSince(),
+				Configuration: o.conf, FaultTolerance: 1,
+				HasCaughtUp: func(uint64) bool { return true },
+				Evidence:    o.contacts[leader].Evidence,
+				Removal:     o.contacts[leader].Removal,
 			})
 			o.conf = apply(o.conf, step)
 		}
--- /dev/null
+++ b/internal/core/roster/evidence.go
@@ -0,0 +1,70 @@
+package roster
+
+import (
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/raft"
+)
+
+// Evidence is what a leader knows of another member. A zero time means never.
+type Evidence struct {
+	Admitted time.Time // when the leader first observed this membership, before its election if it followed then
+	Heard    time.Time // when the latest message of the member arrived
+	Answered time.Time // when the latest heartbeat was sent that the member confirmed to this leader
+	Leaves   time.Time // when the member last announced that its process is about to end
+}
+
+// absence returns why a member counts as absent, or "" if it does not. Only what happened after the member's admission counts.
+func (v View) absence(m raft.Member) string {
+	e := v.Evidence(m.ID)
+	if e.Admitted.IsZero() {
+		return ""
+	}
+	heard := latest(e.Heard, v.announcedAt(m), e.Admitted, v.ObservedSince)
+	answered := latest(e.Answered, e.Admitted, v.LeaderSince)
+	switch {
+	case v.Now.Sub(heard) >= SilenceLimit:
+		return "silent"
+	case v.Now.Sub(answered) >= UnresponsiveLimit:
+		return "does not answer"
+	case v.Now.Sub(e.Leaves) < AnnouncementLifetime && !e.Leaves.Before(e.Admitted):
+		return "leaves"
+	default:
+		return ""
+	}
+}
+
+// announcedAt returns when a member last announced itself with the disk that it has in the configuration.
+func (v View) announcedAt(m raft.Member) time.Time {
+	for _, a := range v.Announcements {
+		if a.Member.ID == m.ID && !hasOtherDisk(m, a.Member) {
+			return a.Heard
+		}
+	}
+	return time.Time{}
+}
+
+// admits reports whether an announcement may admit a member: it is recent, and later than the removal of the same member with the
+// same disk.
+func (v View) admits(a Announcement) bool {
+	if v.Now.Sub(a.Heard) >= AnnouncementLifetime {
+		return false
+	}
+	removal, ok := v.Removal(a.Member.ID)
+	return !ok || a.Heard.After(removal.At) || hasOtherDisk(removal.Member, a.Member)
+}
+
+// hasOtherDisk reports whether a member announced itself with another disk than the one known. That of a learner is not known.
+func hasOtherDisk(known, announced raft.Member) bool {
+	return known.Incarnation != 0 && known.Incarnation != announced.Incarnation
+}
+
+func latest(times ...time.Time) time.Time {
+	var last time.Time
+	for _, t := range times {
+		if t.After(last) {
+			last = t
+		}
+	}
+	return last
+}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -56,27 +56,31 @@
 
 // View is the leader's view of the group.
 type View struct {
+	Now           time.Time
 	Self          uint64
+	LeaderSince   time.Time
+	ObservedSince time.Time // start of the leader's uninterrupted observation of the others, see Contacts
 	Configuration raft.Configuration
 	Announcements []Announcement
 	// FaultTolerance is the number of voters whose loss at the same time the group must tolerate.
 	FaultTolerance int
 	// HasCaughtUp reports whether a learner has the whole log and answers, so that it can get a vote.
 	HasCaughtUp func(id uint64) bool
-	// Silent returns how long nothing has been heard from a member other than the leader, across changes of the leader.
-	Silent func(id uint64) time.Duration
-	// Unresponsive returns how long a member other than the leader has not answered this leader.
-	Unresponsive func(id uint64) time.Duration
-	// IsLeaving reports whether a member has said that its process is about to end.
-	IsLeaving func(id uint64) bool
+	// Evidence returns what is known of a member other than the leader.
+	Evidence func(id uint64) Evidence
+	// Removal returns the latest removal of a member, or false if none happened within AnnouncementLifetime.
+	Removal func(id uint64) (Removal, bool)
 }
 
 // NextStep returns the next step, with action None if there is nothing to do.
 //
 // A vote is given before one is taken away, so that a member that was lost only for a moment still counts until its successor
 // does. The lost member's vote is then taken away at once: until then the quorum is larger, and another loss could end the group.
-func NextStep(now time.Time, v View) Step {
-	for _, a := range validAnnouncements(now, v.Announcements) {
+//
+// No step undoes the one before it without news between them: a removal for absence takes absence after the admission, and an
+// admission takes an announcement after the removal.
+func NextStep(v View) Step {
+	for _, a := range v.validAnnouncements() {
 		if step := admit(v.Configuration, a.Member); step.Action != None {
 			return step
 		}
@@ -87,11 +91,11 @@
 	return v.removeAbsent()
 }
 
-// validAnnouncements returns the valid announcements, sorted by member id.
-func validAnnouncements(now time.Time, all []Announcement) []Announcement {
+// validAnnouncements returns the announcements that may admit a member, sorted by member id.
+func (v View) validAnnouncements() []Announcement {
 	var out []Announcement
-	for _, a := range all {
-		if now.Sub(a.Heard) < AnnouncementLifetime {
+	for _, a := range v.Announcements {
+		if v.admits(a) {
 			out = append(out, a)
 		}
 	}
@@ -143,20 +147,6 @@
 	return Step{}
 }
 
-// absence returns why a member counts as absent, or "" if it does not.
-func (v View) absence(m raft.Member) string {
-	switch {
-	case v.Silent(m.ID) >= SilenceLimit:
-		return "silent"
-	case v.Unresponsive(m.ID) >= UnresponsiveLimit:
-		return "does not answer"
-	case v.IsLeaving(m.ID):
-		return "leaves"
-	default:
-		return ""
-	}
-}
-
 // canSpare reports whether the group may do without one of its voters: those left tolerate the losses that the group must
 // tolerate, or a learner can get the vote.
 func (v View) canSpare() bool {
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -39,17 +39,27 @@
 	leaving      map[uint64]bool
 }
 
-// view returns the view of member 1.
+// view returns the view of member 1, which has led for an hour. The members were admitted before.
 func (g group) view() roster.View {
 	return roster.View{
-		Self: 1, Configuration: g.conf, Announcements: g.announced, FaultTolerance: max(g.tolerance, 1),
-		HasCaughtUp:  func(id uint64) bool { return !g.lagging[id] },
-		Silent:       func(id uint64) time.Duration { return g.silent[id] },
-		Unresponsive: func(id uint64) time.Duration { return g.unresponsive[id] },
-		IsLeaving:    func(id uint64) bool { return g.leaving[id] },
+		Now: now, Self: 1, LeaderSince: now.Add(-time.Hour), ObservedSince: now.Add(-time.Hour),
+		Configuration: g.conf, Announcements: g.announced, FaultTolerance: max(g.tolerance, 1),
+		HasCaughtUp: func(id uint64) bool { return !g.lagging[id] },
+		Evidence:    g.evidence,
+		Removal:     func(uint64) (roster.Removal, bool) { return roster.Removal{}, false },
 	}
 }
 
+func (g group) evidence(id uint64) roster.Evidence {
+	e := roster.Evidence{
+		Admitted: now.Add(-2 * time.Hour), Heard: now.Add(-g.silent[id]), Answered: now.Add(-g.unresponsive[id]),
+	}
+	if g.leaving[id] {
+		e.Leaves = now
+	}
+	return e
+}
+
 func TestNextStep(t *testing.T) {
 	type step struct {
 		action roster.Action
@@ -111,7 +121,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			got := roster.NextStep(now, tc.view())
+			got := roster.NextStep(tc.view())
 			if got.Action != tc.want.action || got.Member.ID != tc.want.member {
 				t.Errorf("%s of member %d, want %s of member %d", got.Action, got.Member.ID, tc.want.action, tc.want.member)
 			}
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -63,8 +63,13 @@
 
 // NewReplica opens the replica stored in the member's data directory.
 func NewReplica(base *Base, s *State) (*replica.Replica, error) {
+	r, err := replica.Open(replicaConfig(base), s.Machine)
+	return r, errors.Annotate(err, "control.data")
+}
+
+func replicaConfig(base *Base) replica.Config {
 	c := base.Config.Control
-	r, err := replica.Open(replica.Config{
+	return replica.Config{
 		GroupID: c.Group,
 		ID:      c.Member,
 		Members: replicaMembers(c.Peers),
@@ -80,8 +85,7 @@
 
 		MinFreeBytes: uint64(c.MinFreeMB) << 20,
 		CompactBytes: int64(c.CompactMB) << 20,
-	}, s.Machine)
-	return r, errors.Annotate(err, "control.data")
+	}
 }
 
 func replicaMembers(peers []config.Peer) []replica.Member {
--- a/internal/process/discover_test.go
+++ b/internal/process/discover_test.go
@@ -26,6 +26,7 @@
 	net  string // first three bytes of the members' addresses
 	port int
 	dir  string
+	log  *slog.Logger // of all members
 }
 
 // loopbackNet returns the first three bytes of loopback addresses that no other process uses: a port that is free at one of them is free at
@@ -48,7 +49,7 @@
 		t.Skipf("this system has no loopback addresses besides 127.0.0.1: %v", err)
 	}
 	defer func() { _ = lis.Close() }()
-	return &discoveryGroup{t: t, net: members, port: lis.Addr().(*net.TCPAddr).Port, dir: t.TempDir()}
+	return &discoveryGroup{t: t, net: members, port: lis.Addr().(*net.TCPAddr).Port, dir: t.TempDir(), log: slog.New(slog.DiscardHandler)}
 }
 
 func (d *discoveryGroup) ip(host int) string { return fmt.Sprint(d.net, host) }
@@ -57,6 +58,12 @@
 
 // start runs the member at host. newGroup allows the member to bootstrap a group; otherwise it can only join one.
 func (d *discoveryGroup) start(host int, newGroup bool) *runningMember {
+	d.t.Helper()
+	return d.startWith(host, newGroup, BuildControl)
+}
+
+// startWith is start with another function that builds the member.
+func (d *discoveryGroup) startWith(host int, newGroup bool, build func(*Base) (*Control, error)) *runningMember {
 	d.t.Helper()
 	settings := fmt.Sprintf(`{
   "id": "member-%d", "zone": "a", "control_port": %d,
@@ -67,12 +74,12 @@
 	if err := problems.Err(); err != nil {
 		d.t.Fatal(err)
 	}
-	base, err := NewBase(cfg, slog.New(slog.DiscardHandler))
+	base, err := NewBase(cfg, d.log)
 	if err != nil {
 		d.t.Fatal(err)
 	}
 	base.Adapter.ControlHandler = func(control.Plane, *slog.Logger) http.Handler { return http.NotFoundHandler() }
-	c, err := BuildControl(base)
+	c, err := build(base)
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/internal/process/leaving.go
+++ b/internal/process/leaving.go
@@ -24,7 +24,7 @@
 
 // Leave implements control.JoinHandler.
 func (m *membershipManager) Leave(id, incarnation uint64) (wait bool) {
-	st := m.replica.Status()
+	st := m.observe()
 	member, ok := st.Configuration.Member(id)
 	if !ok || member.Incarnation != incarnation || !m.view(st, clock.Now()).ReleasesLeaving(id) {
 		return false
@@ -78,10 +78,3 @@
 		Id: st.ID, Address: m.base.Config.Control.Listen, Incarnation: st.Incarnation, Leaving: true,
 	})
 }
-
-func (m *membershipManager) isLeaving(id uint64, now time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	a, ok := m.leaving[id]
-	return ok && now.Sub(a.Heard) < roster.AnnouncementLifetime
-}
--- a/internal/process/lost_members_test.go
+++ b/internal/process/lost_members_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/core/raft"
 )
 
@@ -102,7 +101,7 @@
 	if leader.Announce(other.ID, other.Address, other.Incarnation) {
 		t.Error("the removed member counts as a voter")
 	}
-	if leader.isLeaving(other.ID, clock.Now()) {
+	if leaves := leader.evidence(leader.replica.Status(), other.ID).Leaves; !leaves.IsZero() {
 		t.Error("a member that announces itself still counts as leaving")
 	}
 }
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -116,8 +116,7 @@
 		case <-tick.C:
 		case <-m.wake:
 		}
-		st := m.replica.Status()
-		m.observe(st)
+		st := m.observe()
 		switch {
 		case st.Role == raft.Leader:
 			m.changeMembership(ctx)
@@ -127,14 +126,17 @@
 	}
 }
 
-// observe updates the contacts with the messages of the other members.
-func (m *membershipManager) observe(st replica.Status) {
+// observe updates the contacts with the current configuration and the messages of the other members. It returns the status that
+// it has observed, never one older than that of an earlier call.
+func (m *membershipManager) observe() replica.Status {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	st := m.replica.Status()
 	for _, member := range st.Configuration.Members {
 		m.contacts.Record(member.ID, m.replica.HeardAt(member.ID))
 	}
 	m.contacts.Observe(clock.Now(), st.Configuration)
+	return st
 }
 
 // isVoter reports whether, according to the member's own status, it is a voter with its current incarnation in a group
@@ -196,9 +198,8 @@
 // changeMembership carries out the membership changes that are due.
 func (m *membershipManager) changeMembership(ctx context.Context) {
 	for range maxMembershipSteps {
-		st := m.replica.Status()
-		now := clock.Now()
-		next := roster.NextStep(now, m.view(st, now))
+		st := m.observe()
+		next := roster.NextStep(m.view(st, clock.Now()))
 		if st.Role != raft.Leader || next.Action == roster.None || !m.carryOut(ctx, next) {
 			return
 		}
@@ -219,22 +220,38 @@
 	return true
 }
 
-// view returns the view of the group from which core/roster decides.
+// view returns the view of the group from which core/roster decides. The status must be the one that observe returned.
 func (m *membershipManager) view(st replica.Status, now time.Time) roster.View {
 	return roster.View{
-		Self: st.ID, Configuration: st.Configuration, Announcements: m.announcements(),
+		Now: now, Self: st.ID, LeaderSince: st.LeaderSince, ObservedSince: m.observedSince(),
+		Configuration: st.Configuration, Announcements: m.announcements(),
 		FaultTolerance: cmp.Or(m.base.Config.Control.FaultTolerance, defaultFaultTolerance),
 		HasCaughtUp:    func(id uint64) bool { return hasCaughtUp(st, id) },
-		Silent:         func(id uint64) time.Duration { return m.silence(id, now) },
-		Unresponsive:   func(id uint64) time.Duration { return timeSinceAnswer(st, id, now) },
-		IsLeaving:      func(id uint64) bool { return m.isLeaving(id, now) },
+		Evidence:       func(id uint64) roster.Evidence { return m.evidence(st, id) },
+		Removal:        m.removal,
 	}
 }
 
-func (m *membershipManager) silence(id uint64, now time.Time) time.Duration {
+func (m *membershipManager) observedSince() time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.contacts.Silence(now, id)
+	return m.contacts.ObservedSince()
+}
+
+// evidence returns what this leader knows of another member.
+func (m *membershipManager) evidence(st replica.Status, id uint64) roster.Evidence {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := m.contacts.Evidence(id)
+	e.Answered = answeredAt(st, id)
+	e.Leaves = m.leaving[id].Heard
+	return e
+}
+
+func (m *membershipManager) removal(id uint64) (roster.Removal, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.contacts.Removal(id)
 }
 
 func (m *membershipManager) applyStep(ctx context.Context, s roster.Step) error {
@@ -265,14 +282,12 @@
 	return i >= 0 && st.Peers[i].HasCaughtUp
 }
 
-// timeSinceAnswer returns the time since the member with the given id last answered this leader, or since this member
-// became leader if it has not answered yet.
-func timeSinceAnswer(st replica.Status, id uint64, now time.Time) time.Duration {
-	answered := st.LeaderSince
+// answeredAt returns when a member last answered this leader, or the zero time if it has not.
+func answeredAt(st replica.Status, id uint64) time.Time {
 	for _, p := range st.Peers {
-		if p.ID == id && p.AnsweredAt.After(answered) {
-			answered = p.AnsweredAt
+		if p.ID == id {
+			return p.AnsweredAt
 		}
 	}
-	return now.Sub(answered)
+	return time.Time{}
 }
