--- a/internal/core/roster/tolerance.go
+++ b/internal/core/roster/tolerance.go
@@ -160,6 +160,6 @@
 // IsHeard reports whether a member was heard within SilenceLimit, or became known within it. Unlike Silence it does not depend on
 // whether the observer hears a quorum.
 func (c *Contacts) IsHeard(now time.Time, id uint64) bool {
-	last, ok := c.heard[id]
-	return id == c.self || ok && now.Sub(last) < SilenceLimit
+	m, ok := c.members[id]
+	return id == c.self || ok && now.Sub(m.heard) < SilenceLimit
 }
