upstream: a reset while the request is written doesn't end an answer as whole

What callers saw: a 200 with an empty or short body that looks whole, where a server answers without a length before it has read a long body, and resets the connection in the middle of its answer.

Cause: the kernel reports a reset once. If the write of the body is the call that gets it, the read of the answer sees an orderly end of the connection, which ends such an answer. The check whether the server has ended doesn't help where only the connection is reset.

Change: an answer without a length ends as whole only if the request was written by then. Price: such an answer that ends in order before its server has read the request is broken off too; it can't be told from a reset one.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -92,7 +92,7 @@
 	address    string
 	conn       *conn
 	body       io.ReadCloser
-	written    <-chan error // receives the result of writing a long body; nil: already written
+	written    <-chan error // receives the result of writing a long body; nil: no write is in progress
 	reusable   bool
 	complete   bool
 	stopCancel func() bool
@@ -203,6 +203,8 @@
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
 	switch {
+	case err == io.EOF && !a.Framed && !a.endWriting():
+		err = errors.Annotate(ErrBroken, "the connection ended before the request was written")
 	case err == io.EOF:
 		a.complete = true
 	case err != nil:
@@ -235,6 +237,18 @@
 	}
 }
 
+// endWriting stops writing the request, and reports whether it was written completely. Of a write and a read that wait, the kernel reports
+// a reset to either one, and an orderly end to the other: an end before the request was written may be a reset.
+func (a *Answer) endWriting() bool {
+	if a.written == nil {
+		return true
+	}
+	_ = a.conn.SetWriteDeadline(time.Now())
+	err := <-a.written
+	a.written = nil
+	return err == nil
+}
+
 // acquire returns an idle connection that is still usable, or a new one.
 func (c *Client) acquire(ctx context.Context, address string) (*conn, error) {
 	for {
