upstream: a server that can't be asked may have ended

What callers would see: a stream or answer without a length whose server was killed in the middle of it ends as complete, if the request's deadline or a shutdown ends its context between the end of the connection and the check, or if the server's address doesn't respond within the dial timeout (a machine that is lost right behind its process).

Cause: the check counted only a refused connection as the end of the server, and any other failure to connect as a sign that it lives on. Only an open connection shows that.

Evidence: TestServerThatCannotBeAskedMayHaveEnded, cases "the request has ended" and "no such address", failed before (false, want true). No run showed it end to end.

The check is named for what it now says. A complete answer whose server can't be reached is broken off too: that is the price.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -97,7 +97,7 @@
 // mayBeCut reports whether an answer that only the end of its connection ends may be incomplete: its server has ended too. Whether the
 // server had said that it leaves makes no difference: it may have been killed before its time.
 func (s *Server) mayBeCut(ctx context.Context, answer *upstream.Answer, t *attempts) bool {
-	return !answer.Framed && s.client.HasEnded(ctx, t.current.server.Address, crashCheckDelay)
+	return !answer.Framed && s.client.MayHaveEnded(ctx, t.current.server.Address, crashCheckDelay)
 }
 
 // truncatedAnswer returns the refusal to send instead of an answer that can't be relayed: it was truncated, exceeds
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/guavastack/guavastack/internal/upstream"
 )
@@ -83,3 +85,36 @@
 		}
 	}
 }
+
+// TestServerThatCannotBeAskedMayHaveEnded guards against a cut answer that counts as whole: its request ends, or its server can't be reached,
+// before it is known whether the server lives on.
+func TestServerThatCannotBeAskedMayHaveEnded(t *testing.T) {
+	const within = 50 * time.Millisecond
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	lives := newServer(t, func(int, *http.Request) string { return "" }).address
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refuses := lis.Addr().String()
+	_ = lis.Close()
+	cases := []struct {
+		name    string
+		ctx     context.Context
+		address string
+		want    bool
+	}{
+		{"lives on", t.Context(), lives, false},
+		{"refuses connections", t.Context(), refuses, true},
+		{"the request has ended", ended, lives, true},
+		{"no such address", t.Context(), "127.0.0.1:99999", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := upstream.New().MayHaveEnded(c.ctx, c.address, within); got != c.want {
+				t.Errorf("may have ended: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -299,12 +299,12 @@
 	return errors.Is(c.tryConnection(ctx, address), unix.ECONNREFUSED)
 }
 
-// HasEnded reports whether the process at an address has ended or is about to: a new connection is refused, or closed again within the given
-// time. The connections of a process that is killed end one after the other, and its listener may be the last.
-func (c *Client) HasEnded(ctx context.Context, address string, within time.Duration) bool {
+// MayHaveEnded reports whether the process at an address has ended, is about to or can't be asked: no new connection can be made, or it is
+// closed again within the given time. The connections of a process that is killed end one after the other, and its listener may be the last.
+func (c *Client) MayHaveEnded(ctx context.Context, address string, within time.Duration) bool {
 	cn, err := dial(ctx, address, c.dialTimeout)
 	if err != nil {
-		return errors.Is(err, unix.ECONNREFUSED)
+		return true
 	}
 	defer func() { _ = cn.Close() }()
 	_ = cn.SetReadDeadline(time.Now().Add(within))
