gateway: a request that arrived with the one before it keeps its connection open

What callers saw: a request that ran, and whose connection a planned stop closed without an answer. The limit on idle connections closed it in the same way.

Cause: a connection counted as busy from a read of its bytes to the end of the answer. Of two requests that arrive together the second one is read from the buffer of net/http: neither a read nor a change of state marked the connection as busy again, so it counted as idle while the request was at a server.

Evidence: TestShutdownAnswersPipelinedRequests failed before ("error unexpected EOF, want an answer with status 504").

Change: each request marks its connection as busy before anything else, and isn't passed on if the connection was closed just before. Our callers don't send requests ahead, as far as the users' pages say; other callers may.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -41,7 +42,7 @@
 	tracker *connTracker
 
 	// Guarded by tracker.mu:
-	busy      bool // part of a request has arrived and its answer is not written yet
+	busy      bool // part of a request has arrived or is served, and its answer is not written yet
 	hasHeader bool // the header of the request is complete
 	closed    bool
 	since     time.Time // when busy last changed
@@ -73,6 +74,27 @@
 	return c.Conn.Close()
 }
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// withConn implements http.Server.ConnContext.
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// beginRequest marks the connection of a request as busy, and reports whether it is open. A request that arrived together with the one before
+// it is read and served without a further read from the connection.
+func beginRequest(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*trackedConn)
+	if !ok {
+		return true
+	}
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	c.busy, c.hasHeader = true, true
+	return !c.closed
+}
+
 // onStateChange implements http.Server.ConnState: a connection becomes active when a complete header has arrived, and idle when
 // its request has been answered.
 func (t *connTracker) onStateChange(conn net.Conn, state http.ConnState) {
--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -78,6 +78,21 @@
 	}
 }
 
+// TestRequestOfClosedConnectionDoesNotBegin closes a connection between two requests that arrived together: the second must not be passed on.
+func TestRequestOfClosedConnectionDoesNotBegin(t *testing.T) {
+	tracker := newConnTracker()
+	_, tracked := newTrackedConn(t, tracker)
+	ctx := withConn(t.Context(), tracked)
+	if !beginRequest(ctx) {
+		t.Error("the request of an open connection doesn't begin")
+	}
+	tracker.onStateChange(tracked, http.StateIdle)
+	tracker.closeIdle()
+	if beginRequest(ctx) {
+		t.Error("the request of a closed connection begins")
+	}
+}
+
 // TestCallerConnectionLimits checks the limits on idle connections and on slow headers.
 func TestCallerConnectionLimits(t *testing.T) {
 	limits := connLimits{idle: 15 * time.Second, header: 3 * time.Second}
@@ -106,6 +121,12 @@
 			startHeader(t, caller, tracked)
 			tracker.onStateChange(tracked, http.StateActive)
 		}, time.Hour, true},
+		{"request in progress that arrived with the one before", func(t *testing.T, tracker *connTracker, caller net.Conn, tracked *trackedConn) {
+			startHeader(t, caller, tracked)
+			tracker.onStateChange(tracked, http.StateActive)
+			tracker.onStateChange(tracked, http.StateIdle)
+			beginRequest(withConn(t.Context(), tracked))
+		}, time.Hour, true},
 		{"idle after an answer, within the limit", func(t *testing.T, tracker *connTracker, caller net.Conn, tracked *trackedConn) {
 			startHeader(t, caller, tracked)
 			tracker.onStateChange(tracked, http.StateActive)
--- /dev/null
+++ b/internal/gateway/drain_conns_test.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// startServing serves the gateway of b with a short grace period, and returns its address and the function that shuts it down and waits.
+func startServing(t *testing.T, b *fixture) (address string, shutDown context.CancelFunc) {
+	t.Helper()
+	b.gw.cfg.GracePeriod = time.Second
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, shutDown := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- b.gw.Serve(ctx, lis) }()
+	t.Cleanup(func() {
+		shutDown()
+		if err := <-served; err != nil {
+			t.Errorf("serve: %v", err)
+		}
+	})
+	return lis.Addr().String(), shutDown
+}
+
+// dialGateway returns a connection of a caller and its reader.
+func dialGateway(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn, bufio.NewReader(conn)
+}
+
+// plainHead is the header of a request that may run once, without its end.
+func plainHead(id string) string {
+	return "POST /unsafe/x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Key: k\r\nX-Id: " + id + "\r\n"
+}
+
+// Guards against requests that ran and got no answer: a request that had arrived together with the one before it on its connection counted
+// as none, so that a shutdown closed its connection.
+func TestShutdownAnswersPipelinedRequests(t *testing.T) {
+	received := make(chan struct{})
+	b := newFixture(t, newBackend(t, func(r *http.Request, _ string) string {
+		if r.Header.Get("X-Id") == "first" {
+			return fullAnswer(r, 200, seal, "first")
+		}
+		close(received)
+		return holdAnswer
+	}))
+	address, shutDown := startServing(t, b)
+	conn, reader := dialGateway(t, address)
+	_, _ = io.WriteString(conn, plainHead("first")+"Content-Length: 0\r\n\r\n"+plainHead("second")+"Content-Length: 0\r\n\r\n")
+	<-received
+	shutDown()
+	for _, want := range []int{http.StatusOK, http.StatusGatewayTimeout} {
+		res, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("error %v, want an answer with status %d", err, want)
+		}
+		_, err = io.Copy(io.Discard, res.Body)
+		if err != nil || res.StatusCode != want {
+			t.Errorf("status %d, error %v; want %d", res.StatusCode, err, want)
+		}
+	}
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -22,6 +22,9 @@
 
 // ServeHTTP serves one request of a caller.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !beginRequest(r.Context()) {
+		panic(http.ErrAbortHandler)
+	}
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	if s.isDraining() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -244,6 +244,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         s.conns.onStateChange,
+		ConnContext:       withConn,
 		ErrorLog:          slog.NewLogLogger(s.cfg.Logger.Handler(), slog.LevelDebug),
 	}
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
