gateway: a shutdown refuses the requests whose body hasn't arrived

What callers saw: at the end of a planned stop the connection of a request whose body still arrived was closed without an answer.

Cause: the end of the grace period ended the requests at servers and the ones that were held, but not the read of a body, which went on until the connection was closed.

Evidence: TestShutdownRefusesBodiesThatArriveLate failed before in the three cases in which the body doesn't end ("error unexpected EOF, want an answer"). The two in which it ends after the listener was closed passed: such requests were refused already.

Change: the abort ends the read, and the request is refused as not run, with status 503 and a Retry-After. A failed read of a body cancels the context of a request in net/http, as a caller that has gone does; after the abort the refusal is sent all the same.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -82,6 +82,11 @@
 	if longest <= left {
 		return nil
 	}
+	return shuttingDown()
+}
+
+// shuttingDown returns the refusal of a request that would not end before the remaining requests are aborted.
+func shuttingDown() *refusal {
 	ref := notRun(http.StatusServiceUnavailable, "shutting_down", "the gateway shuts down before the request would end")
 	ref.retryAfter = drainRetryAfter
 	return ref
--- a/internal/gateway/drain_conns_test.go
+++ b/internal/gateway/drain_conns_test.go
@@ -73,3 +73,51 @@
 		}
 	}
 }
+
+// Guards against requests that get no answer, or one after which they aren't sent again, because a shutdown ends while their body arrives.
+func TestShutdownRefusesBodiesThatArriveLate(t *testing.T) {
+	cases := []struct {
+		name        string
+		head, start string
+		rest        string // sent once the listener is closed
+	}{
+		{"the body never ends", "Content-Length: 8\r\n\r\n", "half", ""},
+		{"chunks never end", "Transfer-Encoding: chunked\r\n\r\n", "4\r\nhalf\r\n", ""},
+		{"the body has not begun", "Content-Length: 8\r\n\r\n", "", ""},
+		{"the body ends late", "Content-Length: 8\r\n\r\n", "half", "half"},
+		{"chunks end late", "Transfer-Encoding: chunked\r\n\r\n", "4\r\nhalf\r\n", lastChunk},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newBackend(t, func(r *http.Request, _ string) string { return fullAnswer(r, 200, seal, "ran") })
+			b := newFixture(t, s)
+			address, shutDown := startServing(t, b)
+			conn, reader := dialGateway(t, address)
+			_, _ = io.WriteString(conn, plainHead("late")+c.head+c.start)
+			awaitTrue(t, func() bool { return b.gw.inFlight.Load() == 1 })
+			shutDown()
+			awaitTrue(t, b.gw.hasStoppedAccepting.Load)
+			_, _ = io.WriteString(conn, c.rest)
+			res, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Fatalf("error %v, want an answer", err)
+			}
+			if res.StatusCode != http.StatusServiceUnavailable || res.Header.Get(headerVerdict) != "not_run" || res.Header.Get("Retry-After") == "" {
+				t.Errorf("status %d, verdict %q, Retry-After %q; want 503, not_run and a time", res.StatusCode, res.Header.Get(headerVerdict), res.Header.Get("Retry-After"))
+			}
+			if n := len(s.requests()); n != 0 {
+				t.Errorf("%d requests at the server, want none", n)
+			}
+		})
+	}
+}
+
+// awaitTrue waits until f returns true.
+func awaitTrue(t *testing.T, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !f(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("a condition was not met in time")
+		}
+	}
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -61,7 +61,8 @@
 // respondRefused sends the gateway's own final answer, unless the caller has disconnected.
 func (s *Server) respondRefused(w http.ResponseWriter, r *http.Request, x *exchange, ref *refusal) {
 	e := requestOutcome{status: ref.status, code: ref.code, reason: ref.message, verdict: ref.verdict}
-	e.callerGone = errors.Is(r.Context().Err(), context.Canceled)
+	// The abort of a shutdown ends the read of a body, which net/http takes for the caller's end.
+	e.callerGone = errors.Is(r.Context().Err(), context.Canceled) && s.aborted.Err() == nil
 	if !e.callerGone {
 		if ref.verdict == verdict.NotRun && ref.status == http.StatusServiceUnavailable && ref.retryAfter == 0 {
 			ref.retryAfter = x.retryAfter()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -75,7 +76,7 @@
 		return x, ref
 	}
 	index := x.catalog
-	if ref := x.readBody(w, r, index.Limits()); ref != nil {
+	if ref := x.readBody(s.aborted, w, r, index.Limits()); ref != nil {
 		return x, ref
 	}
 	if ref := s.refuseBeforeAbort(x); ref != nil {
@@ -111,8 +112,8 @@
 	x.deadline = x.arrived.Add(limit)
 }
 
-// readBody reads the body within the limits on its size and time.
-func (x *exchange) readBody(w http.ResponseWriter, r *http.Request, limits catalog.Limits) *refusal {
+// readBody reads the body within the limits on its size and time, at most until aborted ends.
+func (x *exchange) readBody(aborted context.Context, w http.ResponseWriter, r *http.Request, limits catalog.Limits) *refusal {
 	maxBytes := int64(defaultMaxBodyBytes)
 	if limits.MaxBodyBytes > 0 {
 		maxBytes = int64(limits.MaxBodyBytes)
@@ -122,6 +123,7 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout)) // a test's ResponseWriter may not support deadlines
+	stopAbort := context.AfterFunc(aborted, func() { _ = control.SetReadDeadline(time.Now()) })
 	var err error
 	if r.ContentLength > 0 && r.ContentLength <= maxBytes {
 		x.body = make([]byte, r.ContentLength)
@@ -129,11 +131,15 @@
 	} else {
 		x.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
 	}
-	_ = control.SetReadDeadline(time.Time{})
+	if stopAbort() {
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return notRun(http.StatusRequestEntityTooLarge, "body_too_large", "the body exceeds the size limit")
+	case err != nil && aborted.Err() != nil:
+		return shuttingDown()
 	case err != nil:
 		return notRun(http.StatusBadRequest, "body_incomplete", "the body was not received completely")
 	}
