gateway: every answer sent during a shutdown asks its caller to close the connection

What callers saw: a request on a kept connection to a gateway that shuts down, after an answer that didn't say that the gateway leaves. It was refused, or crossed the close of the connection.

Cause: Connection: close was set when a request arrived. An answer whose request had arrived before the signal didn't carry it, however late it was sent.

Evidence: TestAnswersSentDuringShutdownCloseTheirConnection failed before for a plain request and both kinds of stream.

Change: it is set when the header of the answer is sent.

--- a/internal/gateway/drain_conns_test.go
+++ b/internal/gateway/drain_conns_test.go
@@ -112,12 +112,40 @@
 	}
 }
 
+// Guards against requests that a caller sends on a kept connection to a gateway that shuts down: an answer whose request had begun before the
+// signal didn't ask the caller to leave.
+func TestAnswersSentDuringShutdownCloseTheirConnection(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/stream/x", "/resume/x"} {
+		t.Run(path, func(t *testing.T) {
+			received, answers := make(chan struct{}), make(chan struct{})
+			b := newFixture(t, newBackend(t, func(r *http.Request, _ string) string {
+				close(received)
+				<-answers
+				return streamStart(r, "id: 1\n\n") + lastChunk
+			}))
+			address, shutDown := startServing(t, b)
+			b.http.URL = "http://" + address
+			go func() {
+				<-received
+				shutDown()
+				awaitTrue(t, b.gw.isDraining)
+				close(answers)
+			}()
+			res, _, err := b.do(http.MethodPost, path)
+			if err != nil || res.StatusCode != http.StatusOK || !res.Close {
+				t.Errorf("answer %v, error %v; want it complete, with Connection: close", res, err)
+			}
+		})
+	}
+}
+
 // awaitTrue waits until f returns true.
 func awaitTrue(t *testing.T, f func() bool) {
 	t.Helper()
 	for end := time.Now().Add(10 * time.Second); !f(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatal("a condition was not met in time")
+			t.Error("a condition was not met in time")
+			return
 		}
 	}
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -27,10 +27,8 @@
 	}
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	if s.isDraining() {
-		w.Header().Set("Connection", "close")
-	}
 	x, ref := s.admit(w, r)
+	w = drainWriter{w, s}
 	if ref == nil {
 		s.budgets.recordRequest(x.service)
 		ctx, cancel := s.requestContext(r.Context(), x)
