gateway: the memory of buffered answers is bounded in total

What callers would see: a gateway runs out of memory, and with it end the requests of all its callers, when servers send large answers without ending them on many connections at a time.

Cause: each buffered answer was bounded (1 MiB), their sum wasn't. A gateway with a limit of 128 MiB ends at a hundred such answers.

An answer reserves all that it may need at once (its length, or 1 MiB if that isn't known), so that answers never wait for each other. An error answer above 32 KiB isn't kept for the case that the further attempts fail.

Not covered: callers that read slowly hold the reservations of their answers; the first 32 KiB of each answer aren't counted.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,6 +105,7 @@
 	paces   *paces
 	crashes *crashDetector
 	parts   *promptParts
+	answers *answerMemory
 
 	addresses atomic.Pointer[map[string]bool] // of the registered backend servers
 	abortAt   atomic.Pointer[time.Time]       // when a shutdown aborts the requests in progress; nil: not shutting down
@@ -134,6 +135,7 @@
 		budgets: newBudgets(cfg.RetryRatio),
 		lanes:   newLanes(dir.LanePlan),
 		paces:   newPaces(),
+		answers: newAnswerMemory(),
 	}
 	s.aborted, s.abort = context.WithCancel(context.Background())
 	s.parts = newPromptParts(dir, dir.Wall, cfg.Logger)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -17,8 +17,6 @@
 )
 
 const (
-	// maxBufferedBytes bounds an answer that is buffered until it is complete. A larger one is not relayed.
-	maxBufferedBytes = 1 << 20
 	// maxEventBytes bounds an event of a stream of which only complete events are relayed.
 	maxEventBytes = 256 << 10
 	// streamBufferBytes is the size of the buffers in which streams are read.
@@ -74,13 +72,12 @@
 // relayBuffered buffers an answer until it is complete, then sends it to the caller. It returns a 5xx answer to an idempotent
 // request instead, so that it is sent only if no further attempt follows.
 func (s *Server) relayBuffered(ctx context.Context, x *exchange, answer *upstream.Answer, reply Reply, t *attempts) attemptOutcome {
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes+1))
+	body, release, err := s.answers.readBuffered(ctx, t.current.server.ID, answer)
+	defer release()
 	failed := attemptOutcome{sent: true, ran: true, refusal: truncatedAnswer(ctx)}
 	switch {
 	case err != nil || s.mayBeCut(ctx, answer, t):
 		return failed
-	case len(body) > maxBufferedBytes:
-		return failed
 	case answer.Status/100 == 2 && !reply.Signed:
 		return failed
 	case t.stream.started:
@@ -88,6 +85,9 @@
 	}
 	complete := &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
 	if answer.Status >= http.StatusInternalServerError && x.route.IsIdempotent() {
+		if len(body) > smallAnswerBytes {
+			return failed // it would stay in memory during the further attempts
+		}
 		return attemptOutcome{sent: true, ran: true, heldAnswer: complete}
 	}
 	complete.write(t.stream.w)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -87,6 +87,8 @@
 	Header http.Header
 	// Framed is false if the end of the body is marked only by the end of the connection.
 	Framed bool
+	// Length is the length of the body, -1 if it isn't known.
+	Length int64
 
 	client     *Client
 	address    string
@@ -130,8 +132,12 @@
 		return nil, errors.WithType(err, ErrBroken)
 	}
 	framed := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
+	length := res.ContentLength
+	if res.Body == http.NoBody {
+		length = 0 // of an answer to HEAD, the header states the length that another answer would have
+	}
 	return &Answer{
-		Status: res.StatusCode, Header: res.Header, Framed: framed,
+		Status: res.StatusCode, Header: res.Header, Framed: framed, Length: length,
 		client: c, address: address, conn: cn, body: res.Body, written: written, reusable: framed && !res.Close,
 	}, nil
 }
