upstream: the number of lines of an answer's header is bounded

What callers would see: a gateway runs out of memory, and with it end the requests of all its callers, when a faulty server sends headers of many short lines.

Cause: the header was bounded by its bytes (64 KiB) only. In memory a line takes far more than its bytes.

TestHeadOfManyShortLinesFails failed before (8000 lines: error <nil>, want one).

Change: no more is read after 256 lines, informational answers included. The lines of one read (4 KiB) may come on top.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -38,18 +39,22 @@
 	idleUntil time.Time
 }
 
-// errHeadTooLarge means that a server sent more than maxHeadBytes without completing the header of an answer.
+// lineEnd ends each line of a header.
+var lineEnd = []byte("\n")
+
+// errHeadTooLarge means that a server sent more than maxHeadBytes or maxHeadLines without completing the header of an answer.
 const errHeadTooLarge = errors.ConstError("header of the answer exceeds the size limit")
 
-// limitedInput reads from a connection, and fails once a limit on the bytes read is exceeded.
+// limitedInput reads from a connection, and fails once a limit on the bytes or lines read is exceeded.
 type limitedInput struct {
-	conn    net.Conn
-	limited bool
-	left    int // bytes that may still be read; valid if limited
+	conn      net.Conn
+	limited   bool
+	left      int // bytes that may still be read; valid if limited
+	leftLines int // lines after which no more is read; valid if limited
 }
 
-// limit allows n more bytes.
-func (in *limitedInput) limit(n int) { in.limited, in.left = true, n }
+// limit allows n more bytes, and no further read after the given number of lines.
+func (in *limitedInput) limit(n, lines int) { in.limited, in.left, in.leftLines = true, n, lines }
 
 // unlimit removes the limit.
 func (in *limitedInput) unlimit() { in.limited = false }
@@ -59,11 +64,12 @@
 	if !in.limited {
 		return in.conn.Read(p)
 	}
-	if in.left <= 0 {
+	if in.left <= 0 || in.leftLines <= 0 {
 		return 0, errHeadTooLarge
 	}
 	n, err := in.conn.Read(p[:min(len(p), in.left)])
 	in.left -= n
+	in.leftLines -= bytes.Count(p[:n], lineEnd)
 	return n, err
 }
 
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -105,3 +107,20 @@
 		})
 	}
 }
+
+// TestHeadOfManyShortLinesFails guards against running out of memory: a head of short lines takes many times its size.
+func TestHeadOfManyShortLinesFails(t *testing.T) {
+	for lines, fails := range map[int]bool{200: false, 8000: true} {
+		t.Run(strconv.Itoa(lines)+" lines", func(t *testing.T) {
+			var head strings.Builder
+			head.WriteString("HTTP/1.1 200 OK\r\nRequest-Id: one\r\nContent-Length: 0\r\n")
+			for i := range lines {
+				head.WriteString(strconv.FormatInt(int64(i), 36) + ":\n")
+			}
+			s := newServer(t, func(int, *http.Request) string { return head.String() + "\r\n" })
+			if _, err := do(upstream.New(), s, "one"); (err != nil) != fails {
+				t.Errorf("error %v, want one: %v", err, fails)
+			}
+		})
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -29,6 +29,9 @@
 	inlineBodyBytes = 8 << 10
 	// maxHeadBytes bounds the header of an answer, including informational answers before it.
 	maxHeadBytes = 64 << 10
+	// maxHeadLines bounds the lines of the same, since each one takes far more memory than its bytes. The lines of the last read, which may
+	// contain the beginning of the body, aren't bounded.
+	maxHeadLines = 256
 	// maxInformationalAnswers bounds the informational answers (1xx) before the answer to a request.
 	maxInformationalAnswers = 5
 	// maxForeignAnswers bounds the answers to other requests that are skipped before the answer to a request.
@@ -191,7 +194,7 @@
 
 // readFinalHead reads the header of the next answer that isn't informational.
 func readFinalHead(cn *conn, method string) (*http.Response, error) {
-	cn.input.limit(maxHeadBytes)
+	cn.input.limit(maxHeadBytes, maxHeadLines)
 	defer cn.input.unlimit()
 	for range maxInformationalAnswers + 1 {
 		res, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
