upstream: a long request isn't allocated twice

Each request with a body above 8 KiB allocated the size of the body once more, for a buffer that holds only its header, until the header was written. Found while looking for memory that many connections take.

Evidence: TestLongBodyIsNotCopied failed before (33,614,960 bytes allocated for a body of 16,777,216, net/http's reading at the test's server included).

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -27,6 +27,8 @@
 	// inlineBodyBytes is the largest body that is written before reading of the answer begins. A longer body is written
 	// concurrently, since a server may answer before it has read all of it.
 	inlineBodyBytes = 8 << 10
+	// headBytes is the expected size of the header of a request.
+	headBytes = 1 << 10
 	// maxHeadBytes bounds the header of an answer, including informational answers before it.
 	maxHeadBytes = 64 << 10
 	// maxHeadLines bounds the lines of the same, since each one takes far more memory than its bytes. The lines of the last read, which may
@@ -149,7 +151,9 @@
 // channel is nil.
 func send(cn *conn, r *Request) (<-chan error, error) {
 	var head bytes.Buffer
-	head.Grow(1024 + len(r.Body))
+	if len(r.Body) <= inlineBodyBytes {
+		head.Grow(headBytes + len(r.Body))
+	}
 	head.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		head.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -264,3 +265,22 @@
 		}
 	}
 }
+
+// TestLongBodyIsNotCopied guards against twice the memory for each long request that waits for its answer.
+func TestLongBodyIsNotCopied(t *testing.T) {
+	const bodyBytes = 16 << 20
+	s := newServer(t, func(int, *http.Request) string { return answer("one", "ok") })
+	r := request("one")
+	r.Body = make([]byte, bodyBytes)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	a, err := upstream.New().Do(t.Context(), s.address, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.Close()
+	runtime.ReadMemStats(&after)
+	if n := after.TotalAlloc - before.TotalAlloc; n > bodyBytes/2 {
+		t.Errorf("%d bytes were allocated for a request with a body of %d, want less than half of it", n, bodyBytes)
+	}
+}
