--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -27,8 +27,13 @@
 	// inlineBodyBytes is the largest body that is written before reading of the answer begins. A longer body is written
 	// concurrently, since a server may answer before it has read all of it.
 	inlineBodyBytes = 8 << 10
+	// headBytes is the expected size of the header of a request.
+	headBytes = 1 << 10
 	// maxHeadBytes bounds the header of an answer, including informational answers before it.
 	maxHeadBytes = 64 << 10
+	// maxHeadLines bounds the lines of the same, since each one takes far more memory than its bytes. The lines of the last read, which may
+	// contain the beginning of the body, aren't bounded.
+	maxHeadLines = 256
 	// maxInformationalAnswers bounds the informational answers (1xx) before the answer to a request.
 	maxInformationalAnswers = 5
 	// maxForeignAnswers bounds the answers to other requests that are skipped before the answer to a request.
@@ -87,12 +92,14 @@
 	Header http.Header
 	// Framed is false if the end of the body is marked only by the end of the connection.
 	Framed bool
+	// Length is the length of the body, -1 if it isn't known.
+	Length int64
 
 	client     *Client
 	address    string
 	conn       *conn
 	body       io.ReadCloser
-	written    <-chan error // receives the result of writing a long body; nil: already written
+	written    <-chan error // receives the result of writing a long body; nil: no write is in progress
 	reusable   bool
 	complete   bool
 	stopCancel func() bool
@@ -130,8 +137,12 @@
 		return nil, errors.WithType(err, ErrBroken)
 	}
 	framed := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
+	length := res.ContentLength
+	if res.Body == http.NoBody {
+		length = 0 // of an answer to HEAD, the header states the length that another answer would have
+	}
 	return &Answer{
-		Status: res.StatusCode, Header: res.Header, Framed: framed,
+		Status: res.StatusCode, Header: res.Header, Framed: framed, Length: length,
 		client: c, address: address, conn: cn, body: res.Body, written: written, reusable: framed && !res.Close,
 	}, nil
 }
@@ -140,7 +151,9 @@
 // channel is nil.
 func send(cn *conn, r *Request) (<-chan error, error) {
 	var head bytes.Buffer
-	head.Grow(1024 + len(r.Body))
+	if len(r.Body) <= inlineBodyBytes {
+		head.Grow(headBytes + len(r.Body))
+	}
 	head.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		head.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
@@ -185,7 +198,7 @@
 
 // readFinalHead reads the header of the next answer that isn't informational.
 func readFinalHead(cn *conn, method string) (*http.Response, error) {
-	cn.input.limit(maxHeadBytes)
+	cn.input.limit(maxHeadBytes, maxHeadLines)
 	defer cn.input.unlimit()
 	for range maxInformationalAnswers + 1 {
 		res, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
@@ -203,6 +216,8 @@
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
 	switch {
+	case err == io.EOF && !a.Framed && !a.endWriting():
+		err = errors.Annotate(ErrBroken, "the connection ended before the request was written")
 	case err == io.EOF:
 		a.complete = true
 	case err != nil:
@@ -235,6 +250,18 @@
 	}
 }
 
+// endWriting stops writing the request, and reports whether it was written completely. Of a write and a read that wait, the kernel reports
+// a reset to either one, and an orderly end to the other: an end before the request was written may be a reset.
+func (a *Answer) endWriting() bool {
+	if a.written == nil {
+		return true
+	}
+	_ = a.conn.SetWriteDeadline(time.Now())
+	err := <-a.written
+	a.written = nil
+	return err == nil
+}
+
 // acquire returns an idle connection that is still usable, or a new one.
 func (c *Client) acquire(ctx context.Context, address string) (*conn, error) {
 	for {
@@ -285,12 +312,12 @@
 	return errors.Is(c.tryConnection(ctx, address), unix.ECONNREFUSED)
 }
 
-// HasEnded reports whether the process at an address has ended or is about to: a new connection is refused, or closed again within the given
-// time. The connections of a process that is killed end one after the other, and its listener may be the last.
-func (c *Client) HasEnded(ctx context.Context, address string, within time.Duration) bool {
+// MayHaveEnded reports whether the process at an address has ended, is about to or can't be asked: no new connection can be made, or it is
+// closed again within the given time. The connections of a process that is killed end one after the other, and its listener may be the last.
+func (c *Client) MayHaveEnded(ctx context.Context, address string, within time.Duration) bool {
 	cn, err := dial(ctx, address, c.dialTimeout)
 	if err != nil {
-		return errors.Is(err, unix.ECONNREFUSED)
+		return true
 	}
 	defer func() { _ = cn.Close() }()
 	_ = cn.SetReadDeadline(time.Now().Add(within))
