roster: a new leader does not remove a learner that only the last one heard

A successor that still loads announces itself, which only the leader hears. After an election the new leader has heard nothing of it since its admission and removes it as 'silent' before its next announcement.

Cause: silence counts across leaders for members that all members hear; what a learner sends before its first answer reaches the leader alone. Change: for a learner it counts from the leader's election at the earliest. That a silent learner stays longer while leaders change costs nothing: it has no vote. The promotion does not wait for it.

--- a/internal/core/roster/evidence.go
+++ b/internal/core/roster/evidence.go
@@ -21,6 +21,9 @@
 		return ""
 	}
 	heard := latest(e.Heard, v.announcedAt(m), e.Admitted, v.ObservedSince)
+	if m.Learner { // announcements reach the leader only
+		heard = latest(heard, v.LeaderSince)
+	}
 	answered := latest(e.Answered, e.Admitted, v.LeaderSince)
 	switch {
 	case v.Now.Sub(heard) >= SilenceLimit:
--- a/internal/core/roster/simulation_test.go
+++ b/internal/core/roster/simulation_test.go
@@ -35,15 +35,16 @@
 	answersEvery time.Duration // time between two answers; 0: each tick
 	hangs        bool          // never answers; it is heard
 	isLeaving    bool
+	pausedUntil  time.Time // it neither sends nor observes before
 	contacts     *roster.Contacts
 	announced    map[uint64]roster.Announcement // heard from others while it led
 	leaves       map[uint64]time.Time           // announced by others while it led
 
+	started    time.Time
 	hadVote    bool
 	admitted   time.Time // true time of its latest admission; zero if it is no member
 	heard      time.Time // true time of its latest message to the leader
 	answered   time.Time // true time of its latest answer to the leader
-	said       time.Time // true time of its latest announcement that reached a leader
 	answeredIn int       // number of the leadership of its latest answer
 }
 
@@ -62,13 +63,14 @@
 	unheard     bool // announcements are lost
 	steps       []string
 	removed     map[uint64]roster.Removal // true times
+	said        map[uint64]time.Time      // true times of the latest announcements that reached a leader
 }
 
 // newSimulation returns a group of the given size that has been led by member 1 for observedAfter.
 func newSimulation(t testingT, size uint64, tolerance int) *simulation {
 	s := &simulation{
 		t: t, at: now, conf: voters(size), tolerance: tolerance, index: size,
-		processes: make(map[uint64]*process), removed: make(map[uint64]roster.Removal),
+		processes: make(map[uint64]*process), removed: make(map[uint64]roster.Removal), said: make(map[uint64]time.Time),
 	}
 	for _, m := range s.conf.Members {
 		s.start(&process{id: m.ID, incarnation: m.Incarnation, hadVote: true})
@@ -79,6 +81,7 @@
 }
 
 func (s *simulation) start(p *process) *process {
+	p.started = s.at
 	p.contacts = roster.NewContacts(p.id, s.at)
 	p.announced = make(map[uint64]roster.Announcement)
 	p.leaves = make(map[uint64]time.Time)
@@ -137,14 +140,23 @@
 		for _, p := range s.processes {
 			s.exchange(p)
 		}
-		if s.at.Sub(now)%checkInterval == 0 {
-			s.check()
+		for _, p := range s.processes {
+			s.check(p)
 		}
 	}
 }
 
+// isDue reports whether a process does now what it does at each check. Processes do so at different times.
+func (s *simulation) isDue(p *process) bool {
+	phase := time.Duration(p.id) * tickInterval
+	return (s.at.Sub(now)+phase)%checkInterval == 0
+}
+
 // exchange lets a process send what it would send at this time.
 func (s *simulation) exchange(p *process) {
+	if s.at.Before(p.pausedUntil) {
+		return
+	}
 	m, ok := s.conf.Member(p.id)
 	if ok && m.Learner || !ok || m.Incarnation != p.incarnation {
 		s.announce(p)
@@ -162,25 +174,31 @@
 }
 
 func (s *simulation) announce(p *process) {
-	if s.at.Sub(now)%checkInterval != 0 || s.unheard || p.isLeaving {
+	if !s.isDue(p) || s.unheard || p.isLeaving {
 		return
 	}
 	leader := s.processes[s.leader]
 	leader.announced[p.id] = announcementOf(p, s.at)
 	delete(leader.leaves, p.id)
-	p.said = s.at
+	s.said[p.id] = s.at
 }
 
 func announcementOf(p *process, at time.Time) roster.Announcement {
 	return roster.Announcement{Member: raft.Member{ID: p.id, Incarnation: p.incarnation, Address: "a"}, Heard: at}
 }
 
-// check lets every member observe the configuration and the leader change it.
-func (s *simulation) check() {
-	for _, p := range s.processes {
-		p.contacts.Observe(s.at, s.conf)
+// check lets a process observe the configuration and change it if it leads.
+func (s *simulation) check(p *process) {
+	if !s.isDue(p) || s.at.Before(p.pausedUntil) {
+		return
 	}
-	leader := s.processes[s.leader]
+	p.contacts.Observe(s.at, s.conf)
+	if p.id == s.leader {
+		s.changeMembership(p)
+	}
+}
+
+func (s *simulation) changeMembership(leader *process) {
 	for range maxStepsPerCheck {
 		leader.contacts.Observe(s.at, s.conf)
 		step := roster.NextStep(s.view(leader))
@@ -233,9 +251,11 @@
 	p, m := s.processes[step.Member.ID], step.Member
 	switch step.Action {
 	case roster.AddLearner:
-		s.checkAdmission(p, m)
+		s.checkAdmission(m)
 		m.Learner, m.Incarnation, m.Added = true, 0, s.index
-		p.admitted = s.at
+		if p != nil {
+			p.admitted = s.at
+		}
 	case roster.Promote:
 		m.Learner, m.Incarnation = false, p.incarnation
 		p.hadVote = true
@@ -247,13 +267,13 @@
 }
 
 // checkAdmission fails the test unless the member has announced itself since its last removal, or then had another disk.
-func (s *simulation) checkAdmission(p *process, m raft.Member) {
+func (s *simulation) checkAdmission(m raft.Member) {
 	s.t.Helper()
 	r, ok := s.removed[m.ID]
 	if !ok || r.Member.Incarnation != 0 && r.Member.Incarnation != m.Incarnation {
 		return
 	}
-	if p == nil || !p.said.After(r.At) {
+	if !s.said[m.ID].After(r.At) {
 		s.t.Fatalf("member %d is admitted %v after its removal without an announcement since: %q", m.ID, s.at.Sub(r.At), s.steps)
 	}
 }
@@ -265,7 +285,7 @@
 	if p == nil || p.isLeaving || !step.Member.Learner && step.Member.Incarnation != p.incarnation {
 		return
 	}
-	silence := min(s.at.Sub(p.admitted), s.at.Sub(p.heard), s.at.Sub(p.said))
+	silence := min(s.at.Sub(p.admitted), s.at.Sub(p.heard), s.at.Sub(s.said[p.id]))
 	wait := min(s.at.Sub(p.admitted), s.at.Sub(p.answered), s.at.Sub(s.leaderSince))
 	if silence < roster.SilenceLimit && wait < roster.UnresponsiveLimit {
 		s.t.Fatalf("member %d is removed, silent for %v and without an answer for %v: %q", p.id, silence, wait, s.steps)
--- a/internal/core/roster/successors_test.go
+++ b/internal/core/roster/successors_test.go
@@ -49,6 +49,23 @@
 	}
 }
 
+// Guards against a successor that a new leader removes as silent at its election, since only the previous leader heard its
+// announcements (issue 40).
+func TestNewLeaderWaitsForAnnouncements(t *testing.T) {
+	for at := roster.SilenceLimit; at < roster.SilenceLimit+2*checkInterval; at += tickInterval {
+		t.Run(fmt.Sprint("new leader after ", at), func(t *testing.T) {
+			s := newSimulation(t, 3, 1)
+			s.start(&process{id: 9, incarnation: 9, answersAfter: roster.UnresponsiveLimit - checkInterval})
+			s.run(at)
+			s.leadAnother()
+			s.run(roster.UnresponsiveLimit)
+			if m, ok := s.conf.Member(9); !ok || m.Learner {
+				t.Errorf("the successor has no vote: %q", s.steps)
+			}
+		})
+	}
+}
+
 // Guards against a learner that stays in the group for ever though it does not answer, or sends nothing at all.
 func TestLearnerThatNeverAnswersIsRemoved(t *testing.T) {
 	cases := []struct {
