--- /dev/null
+++ b/test/soak/run.go
@@ -0,0 +1,329 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// breakKind is an invariant that was broken.
+type breakKind string
+
+const (
+	brokenRead       breakKind = "read older or changed"
+	brokenAnswer     breakKind = "answer changed"
+	brokenRevocation breakKind = "former key served"
+	brokenTwice      breakKind = "request run twice"
+	brokenAfterLoss  breakKind = "no new version after a loss"
+	brokenForce      breakKind = "version not in force"
+	brokenRecovery   breakKind = "not read back after the final fault"
+	brokenService    breakKind = "not served after the final fault"
+	brokenMembership breakKind = "membership change undone"
+	orderPause                 = 100 * time.Millisecond
+	pollPause                  = 100 * time.Millisecond
+	extraObservation           = contactTime
+)
+
+// broken is an invariant that was broken in a run.
+type broken struct {
+	Kind   breakKind `json:"kind"`
+	Detail string    `json:"detail"`
+}
+
+// run is one run of a plan.
+type run struct {
+	plan    Plan
+	bound   time.Duration
+	sys     *system
+	record  *record
+	ledger  *ledger
+	watch   *watcher
+	backend *backend
+
+	mu     sync.Mutex
+	broken []broken
+}
+
+// fail adds a broken invariant, each kind once.
+func (r *run) fail(kind breakKind, detail string) {
+	r.record.event("broken", "", string(kind), ": ", detail)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, b := range r.broken {
+		if b.Kind == kind {
+			return
+		}
+	}
+	r.broken = append(r.broken, broken{kind, detail})
+}
+
+func (r *run) isBroken() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.broken) > 0
+}
+
+// play plays the plan. An error means that the run could not be played.
+func (r *run) play(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, runTimeout)
+	defer cancel()
+	if err := r.begin(ctx); err != nil {
+		return errors.Annotate(err, "first start")
+	}
+	defer r.backend.close()
+	var watchers sync.WaitGroup
+	watchCtx, stop := context.WithCancel(ctx)
+	for _, f := range []func(context.Context){r.watch.reads, r.watch.clients, r.watch.formerKeys} {
+		watchers.Go(func() { f(watchCtx) })
+	}
+	err := r.series(ctx)
+	stop()
+	watchers.Wait()
+	if id := r.backend.twice(); id != "" {
+		r.fail(brokenTwice, id)
+	}
+	return err
+}
+
+// begin starts all machines and the backend server, and sends the first configuration.
+func (r *run) begin(ctx context.Context) error {
+	for _, m := range r.sys.current() {
+		if err := r.sys.startMachine(m); err != nil {
+			return err
+		}
+	}
+	var err error
+	if r.backend, err = startBackend(ctx, r.sys); err != nil {
+		return err
+	}
+	version, err := r.order(ctx, time.Now().Add(firstTimeout))
+	if err != nil {
+		return err
+	}
+	return r.awaitForce(ctx, version, time.Now().Add(firstTimeout))
+}
+
+// series plays the rounds and the final fault, until an invariant is broken.
+func (r *run) series(ctx context.Context) error {
+	if err := sleep(ctx, r.plan.Calm); err != nil {
+		return err
+	}
+	for i, round := range r.plan.Rounds {
+		if err := r.round(ctx, i+1, round); err != nil || r.isBroken() {
+			return err
+		}
+	}
+	return r.final(ctx)
+}
+
+// round plays one round: the losses, a configuration and the time to catch up.
+func (r *run) round(ctx context.Context, number int, round Round) error {
+	r.record.event("round", "", fmt.Sprint(number))
+	var events errgroup.Group
+	var hit sync.WaitGroup // until all members of the round are lost
+	for _, l := range round.Losses {
+		hit.Add(1)
+		events.Go(func() error { return r.lose(ctx, l, hit.Done) })
+	}
+	if p := round.Pause; p != nil {
+		events.Go(func() error {
+			if err := sleep(ctx, p.After); err != nil {
+				return err
+			}
+			r.sys.pause(r.sys.member(p.Member), p.Length)
+			return nil
+		})
+	}
+	hit.Wait()
+	type ack struct {
+		version int
+		err     error
+	}
+	orderCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	acks := make(chan ack, 1)
+	go func() {
+		version, err := r.order(orderCtx, time.Time{})
+		acks <- ack{version, err}
+	}()
+	if err := events.Wait(); err != nil {
+		return err
+	}
+	calmSince := time.Now()
+	var a ack
+	select {
+	case a = <-acks:
+	case <-time.After(r.bound):
+		cancel()
+		<-acks
+		r.fail(brokenAfterLoss, fmt.Sprintf("round %d: not within %v", number, r.bound))
+		return nil
+	}
+	if a.err != nil {
+		return a.err
+	}
+	if err := r.awaitForce(ctx, a.version, time.Now().Add(r.bound)); err != nil {
+		r.fail(brokenForce, fmt.Sprintf("round %d: %v", number, err))
+		return nil
+	}
+	return sleep(ctx, time.Until(calmSince.Add(round.Calm)))
+}
+
+// lose plays one loss. It calls hit when the member is lost, and returns when its successor has been started.
+func (r *run) lose(ctx context.Context, l Loss, hit func()) error {
+	var once sync.Once
+	defer once.Do(hit)
+	old := r.sys.member(l.Member)
+	if l.Kind == Planned {
+		if err := r.sys.startMachine(r.sys.addMember(l.Successor)); err != nil {
+			return err
+		}
+		if err := sleep(ctx, l.Delay); err != nil {
+			return err
+		}
+		once.Do(hit)
+		r.sys.remove(old)
+		r.sys.terminateMachine(old)
+		return nil
+	}
+	r.sys.killMachine(old)
+	once.Do(hit)
+	if l.Kind == Replaced {
+		r.sys.remove(old)
+	}
+	if l.Kind == Emptied {
+		if err := r.sys.emptyDisk(old); err != nil {
+			return err
+		}
+	}
+	if err := sleep(ctx, l.Delay); err != nil {
+		return err
+	}
+	if l.Kind == Replaced {
+		old = r.sys.addMember(l.Successor)
+	}
+	return r.sys.startMachine(old)
+}
+
+// final plays the final fault right after an acknowledgement.
+func (r *run) final(ctx context.Context) error {
+	version, err := r.order(ctx, time.Now().Add(r.bound))
+	if err != nil {
+		r.fail(brokenAfterLoss, fmt.Sprintf("before the final fault: %v", err))
+		return nil
+	}
+	r.record.event("kill all", "")
+	r.sys.killAll()
+	killed := time.Now()
+	for _, number := range r.plan.Final.Emptied {
+		if err := r.sys.emptyDisk(r.sys.member(number)); err != nil {
+			return err
+		}
+	}
+	var starts errgroup.Group
+	for i, m := range r.restartOrder() {
+		starts.Go(func() error {
+			if err := sleep(ctx, time.Until(killed.Add(r.plan.Final.Delays[i]))); err != nil {
+				return err
+			}
+			return r.sys.startMachine(m)
+		})
+	}
+	if err := starts.Wait(); err != nil {
+		return err
+	}
+	return r.recover(ctx, version, time.Now().Add(r.bound))
+}
+
+// restartOrder returns the machines that run at the end: the members, then the instances.
+func (r *run) restartOrder() []*machine {
+	var members []*machine
+	for _, m := range r.sys.current() {
+		if m.hasDisk {
+			members = append(members, m)
+		}
+	}
+	return append(members, r.sys.instances...)
+}
+
+// recover checks that the configuration is read back and served within the bound, and watches on for a while.
+func (r *run) recover(ctx context.Context, version int, end time.Time) error {
+	got, err := r.readBack(ctx, end)
+	if err != nil {
+		return err
+	}
+	if got < version {
+		r.fail(brokenRecovery, fmt.Sprintf("version %d within %v: got %d", version, r.bound, got))
+		return nil
+	}
+	r.record.event("read back", "", fmt.Sprint(got))
+	if err := r.awaitForce(ctx, version, end); err != nil {
+		r.fail(brokenService, err.Error())
+		return nil
+	}
+	return sleep(ctx, extraObservation)
+}
+
+// readBack reads the configuration at one machine after another until one answers, and returns its version, or 0 at the end.
+func (r *run) readBack(ctx context.Context, end time.Time) (int, error) {
+	for time.Now().Before(end) {
+		for _, m := range r.sys.current() {
+			if version := r.watch.read(m); version > 0 {
+				return version, nil
+			}
+		}
+		if err := sleep(ctx, pollPause); err != nil {
+			return 0, err
+		}
+	}
+	return 0, nil
+}
+
+// awaitForce waits until all instances serve what only a version has.
+func (r *run) awaitForce(ctx context.Context, version int, end time.Time) error {
+	for {
+		missing := r.watch.isInForce(version)
+		if missing == "" {
+			r.record.event("in force", "", fmt.Sprint(version))
+			return nil
+		}
+		if time.Now().After(end) {
+			return errors.Errorf("version %d not in force: %s", version, missing)
+		}
+		if err := sleep(ctx, pollPause); err != nil {
+			return err
+		}
+	}
+}
+
+// order sends the next version to one machine of the operator's list after another until one acknowledges it. A zero end means no end.
+func (r *run) order(ctx context.Context, end time.Time) (version int, err error) {
+	version = r.ledger.next()
+	body, err := json.Marshal(newDocument(version))
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	r.record.event("order", "", fmt.Sprint(version))
+	last := ""
+	for end.IsZero() || time.Now().Before(end) {
+		machines := r.sys.listed(time.Now())
+		m := machines[rand.IntN(len(machines))]
+		status, _, err := callControl(http.MethodPost, address(m, operatorPort), pathReplace, body)
+		if err == nil && status == http.StatusOK {
+			r.ledger.acknowledge(version, r.record.event("acknowledged", m.name, fmt.Sprint(version)))
+			return version, nil
+		}
+		last = fmt.Sprintf("%s: status %d, error %v", m.name, status, err)
+		if err := sleep(ctx, orderPause); err != nil {
+			return 0, errors.Annotate(err, last)
+		}
+	}
+	return 0, errors.Errorf("version %d not acknowledged: %s", version, last)
+}
--- /dev/null
+++ b/test/soak/template.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// fields are the values that are filled into a settings template.
+type fields map[string]any
+
+var (
+	sectionTag = regexp.MustCompile(`\{\{([#^])([A-Za-z0-9_.]+)\}\}`)
+	valueTag   = regexp.MustCompile(`\{\{([A-Za-z0-9_.]+)(\|json)?\}\}`)
+)
+
+// render fills in the part of the template language that the templates in deploy use: values, values as JSON, and sections for a
+// value that is present or absent.
+func render(template string, f fields) (string, error) {
+	template, err := renderSections(template, f)
+	if err != nil {
+		return "", err
+	}
+	var failed error
+	out := valueTag.ReplaceAllStringFunc(template, func(tag string) string {
+		m := valueTag.FindStringSubmatch(tag)
+		text, err := f.format(m[1], m[2] != "")
+		if err != nil {
+			failed = err
+		}
+		return text
+	})
+	return out, errors.Trace(failed)
+}
+
+func renderSections(template string, f fields) (string, error) {
+	for {
+		at := sectionTag.FindStringSubmatchIndex(template)
+		if at == nil {
+			return template, nil
+		}
+		kind, name := template[at[2]:at[3]], template[at[4]:at[5]]
+		inner, rest, ok := strings.Cut(template[at[1]:], "{{/"+name+"}}")
+		if !ok {
+			return "", errors.NotValidf("template: section %s without an end", name)
+		}
+		if f.isPresent(name) != (kind == "#") {
+			inner = ""
+		}
+		template = template[:at[0]] + inner + rest
+	}
+}
+
+// get returns the value of a name with dots, or nil.
+func (f fields) get(name string) any {
+	var at any = f
+	for part := range strings.SplitSeq(name, ".") {
+		switch v := at.(type) {
+		case fields:
+			at = v[part]
+		case []int:
+			i, err := strconv.Atoi(part)
+			if err != nil || i >= len(v) {
+				return nil
+			}
+			at = v[i]
+		default:
+			return nil
+		}
+	}
+	return at
+}
+
+func (f fields) isPresent(name string) bool {
+	switch v := f.get(name).(type) {
+	case nil:
+		return false
+	case bool:
+		return v
+	default:
+		return true
+	}
+}
+
+func (f fields) format(name string, asJSON bool) (string, error) {
+	v := f.get(name)
+	if asJSON {
+		data, err := json.Marshal(v)
+		return string(data), err
+	}
+	if v == nil {
+		return "", nil
+	}
+	return fmt.Sprint(v), nil
+}
