--- a/test/soak/controllog.go
+++ b/test/soak/controllog.go
@@ -124,9 +124,10 @@
 
 // promotion is how long a successor waited for its vote.
 type promotion struct {
-	Member string
-	After  time.Duration
-	Never  bool // it had none when it was lost in turn, or at the final fault
+	Member     string
+	After      time.Duration
+	Never      bool // it had none when it was lost in turn, or at the final fault
+	IsAdmitted bool // it was added as a learner
 }
 
 // promotions returns the time from the start of each successor to its vote. It looks at starts after the first configuration and
@@ -137,10 +138,10 @@
 		end := endOf(events, start)
 		p := promotion{Member: start.Where, Never: true}
 		for _, l := range lines {
-			isVote := l.Message == messageChanged && l.Action == actionPromote && l.Address == addresses[start.Where]
-			if isVote && l.Time.After(start.Time) && l.Time.Before(end) {
+			isOwn := l.Message == messageChanged && l.Address == addresses[start.Where] && l.Time.After(start.Time) && l.Time.Before(end)
+			p.IsAdmitted = p.IsAdmitted || isOwn && l.Action == actionAdd
+			if isOwn && l.Action == actionPromote && p.Never {
 				p.After, p.Never = l.Time.Sub(start.Time), false
-				break
 			}
 		}
 		out = append(out, p)
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -26,11 +26,14 @@
 	brokenRecovery   breakKind = "not read back after the final fault"
 	brokenService    breakKind = "not served after the final fault"
 	brokenMembership breakKind = "membership change undone"
-	orderPause                 = 100 * time.Millisecond
-	pollPause                  = 100 * time.Millisecond
-	extraObservation           = contactTime
 )
 
+// pollPause is the time between two tries of a call.
+const pollPause = 100 * time.Millisecond
+
+// outageKinds are those of a service that is lost.
+var outageKinds = []breakKind{brokenAfterLoss, brokenForce, brokenRecovery, brokenService}
+
 // broken is an invariant that was broken in a run.
 type broken struct {
 	Kind   breakKind `json:"kind"`
@@ -268,7 +271,7 @@
 		r.fail(brokenService, err.Error())
 		return nil
 	}
-	return sleep(ctx, extraObservation)
+	return sleep(ctx, contactTime)
 }
 
 // readBack reads the configuration at one machine after another until one answers, and returns its version, or 0 at the end.
@@ -321,7 +324,7 @@
 			return version, nil
 		}
 		last = fmt.Sprintf("%s: status %d, error %v", m.name, status, err)
-		if err := sleep(ctx, orderPause); err != nil {
+		if err := sleep(ctx, pollPause); err != nil {
 			return 0, errors.Annotate(err, last)
 		}
 	}
--- a/test/soak/summary.go
+++ b/test/soak/summary.go
@@ -33,48 +33,77 @@
 	return code
 }
 
+// counts are sums over all runs.
+type counts struct {
+	ok, broken, notRun int
+	outages            int // broken runs in which the service was lost
+	undoneRuns         int // runs with a membership change that was undone
+	kinds              map[breakKind]int
+	ages               []time.Duration // of the leader when it undid a membership change
+	waits              []time.Duration // of successors for their vote
+	late, never        int             // successors whose vote came after the time to catch up, or not at all
+	neverAdmitted      int             // those of them that were not even admitted
+}
+
+func (c *counts) add(res result) {
+	switch {
+	case len(res.broken) > 0:
+		c.broken++
+	case res.err != nil:
+		c.notRun++
+	default:
+		c.ok++
+	}
+	isOutage := false
+	for _, b := range res.broken {
+		c.kinds[b.Kind]++
+		isOutage = isOutage || slices.Contains(outageKinds, b.Kind)
+	}
+	if isOutage {
+		c.outages++
+	}
+	if len(res.undone) > 0 {
+		c.undoneRuns++
+	}
+	for _, u := range res.undone {
+		c.ages = append(c.ages, u.LeaderAge)
+	}
+	for _, p := range res.promotions {
+		c.addPromotion(p, res.plan.catchUp())
+	}
+}
+
+func (c *counts) addPromotion(p promotion, catchUp time.Duration) {
+	switch {
+	case !p.Never:
+		c.waits = append(c.waits, p.After)
+		if p.After > catchUp {
+			c.late++
+		}
+	case p.IsAdmitted:
+		c.never++
+	default:
+		c.never++
+		c.neverAdmitted++
+	}
+}
+
 // summary returns the counts of all runs.
 func (s *series) summary() string {
-	var ok, isBroken, notRun int
-	kinds := make(map[breakKind]int)
-	var waits []time.Duration
-	var ages []time.Duration
-	never, late := 0, 0
+	c := counts{kinds: make(map[breakKind]int)}
 	for _, res := range s.results {
-		switch {
-		case len(res.broken) > 0:
-			isBroken++
-		case res.err != nil:
-			notRun++
-		default:
-			ok++
-		}
-		for _, b := range res.broken {
-			kinds[b.Kind]++
-		}
-		for _, u := range res.undone {
-			ages = append(ages, u.LeaderAge)
-		}
-		for _, p := range res.promotions {
-			switch {
-			case p.Never:
-				never++
-			default:
-				waits = append(waits, p.After)
-				if p.After > res.plan.catchUp() {
-					late++
-				}
-			}
-		}
+		c.add(res)
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "seeds %d: ok %d, broken %d, not run %d; %.0f s\n", len(s.results), ok, isBroken, notRun, time.Since(s.start).Seconds())
-	for _, kind := range slices.Sorted(maps.Keys(kinds)) {
-		fmt.Fprintf(&b, "  %s: %d\n", kind, kinds[kind])
+	fmt.Fprintf(&b, "seeds %d: ok %d, broken %d (service lost in %d), not run %d; %.0f s\n",
+		len(s.results), c.ok, c.broken, c.outages, c.notRun, time.Since(s.start).Seconds())
+	for _, kind := range slices.Sorted(maps.Keys(c.kinds)) {
+		fmt.Fprintf(&b, "  %s: %d\n", kind, c.kinds[kind])
 	}
-	fmt.Fprintf(&b, "membership changes undone: %d; age of the leader: %s\n", len(ages), quantiles(ages))
-	fmt.Fprintf(&b, "successors with a vote: %d, after %s; later than the time to catch up: %d; never: %d\n", len(waits), quantiles(waits), late, never)
-	if isBroken+notRun > 0 {
+	fmt.Fprintf(&b, "membership changes undone: %d in %d runs; age of the leader: %s\n", len(c.ages), c.undoneRuns, quantiles(c.ages))
+	fmt.Fprintf(&b, "successors with a vote: %d, after %s; later than the time to catch up: %d; never: %d, of which not admitted: %d\n",
+		len(c.waits), quantiles(c.waits), c.late, c.never, c.neverAdmitted)
+	if c.broken+c.notRun > 0 {
 		fmt.Fprintf(&b, "records: %s\n", s.out)
 	}
 	return b.String()
