--- a/test/soak/controllog_test.go
+++ b/test/soak/controllog_test.go
@@ -51,7 +51,10 @@
 		{Time: at(1), What: "round"},
 		{Time: at(2), What: "start", Where: "control-4"},
 		{Time: at(6), What: "kill", Where: "control-4"},
+		{Time: at(6), What: "empty", Where: "control-4"},
 		{Time: at(7), What: "start", Where: "control-4"},
+		{Time: at(8), What: "kill", Where: "control-1"},
+		{Time: at(9), What: "start", Where: "control-1"}, // with its disk
 		{Time: at(12), What: "kill all"},
 		{Time: at(13), What: "start", Where: "control-4"},
 	}
--- a/test/soak/kept.go
+++ b/test/soak/kept.go
@@ -3,6 +3,7 @@
 import (
 	_ "embed"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/juju/errors"
@@ -18,6 +19,21 @@
 	cause     string
 }
 
+// keptPlans returns the plans of the seeds in seeds.txt, all or those with one number.
+func keptPlans(only ...uint64) ([]Plan, error) {
+	kept, err := keptSeeds(keptText)
+	if err != nil {
+		return nil, err
+	}
+	var out []Plan
+	for _, k := range kept {
+		if len(only) == 0 || slices.Contains(only, k.seed) {
+			out = append(out, NewPlan(k.seed, k.overrides))
+		}
+	}
+	return out, nil
+}
+
 // keptSeeds returns the seeds of seeds.txt.
 func keptSeeds(text string) ([]keptSeed, error) {
 	var out []keptSeed
