--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -120,15 +120,15 @@
 		}
 		st := m.replica.Status()
 		m.observe(st)
-		if hasVote(st) {
-			m.refusals.end(m.base.Logger, clock.Now())
-		}
 		switch {
 		case st.Role == raft.Leader:
 			m.changeMembership(ctx)
 		case !isVoter(st) && !m.isEnding.Load():
 			m.announce(ctx, st)
 		}
+		if hasVote(st) {
+			m.refusals.end(m.base.Logger, clock.Now())
+		}
 	}
 }
 
