--- a/internal/process/group_tolerance_test.go
+++ b/internal/process/group_tolerance_test.go
@@ -255,12 +255,24 @@
 }
 
 // announcingMember is a member without a vote. All its calls end with err.
-func announcingMember(log io.Writer, seeds []string, err error) *membershipManager {
-	dial := func(context.Context, string) (net.Conn, error) { return nil, err }
-	return &membershipManager{
-		base: &Base{Config: &config.Config{Control: &config.Control{Listen: "10.0.0.9:1"}}, Logger: slog.New(slog.NewJSONHandler(log, nil))},
-		pool: rpcpool.New(dial), seeds: seeds,
+func announcingMember(t *testing.T, log io.Writer, seeds []string, err error) *membershipManager {
+	t.Helper()
+	const own = "10.0.0.9:1"
+	state, stateErr := NewState()
+	if stateErr != nil {
+		t.Fatal(stateErr)
+	}
+	r, openErr := replica.Open(replica.Config{GroupID: 1, ID: 9, Address: own, Join: true, DataDir: t.TempDir(), MinFreeBytes: 1}, state.Machine)
+	if openErr != nil {
+		t.Fatal(openErr)
 	}
+	t.Cleanup(func() { _ = r.Close() })
+	base := &Base{
+		Config: &config.Config{Control: &config.Control{Listen: own}, ControlMembers: seeds}, Logger: slog.New(slog.NewJSONHandler(log, nil)),
+	}
+	m := newMembershipManager(base, r)
+	m.pool = rpcpool.New(func(context.Context, string) (net.Conn, error) { return nil, err })
+	return m
 }
 
 // Guards against a member that announces itself to nobody, of which no log at the usual level tells (issue 40).
@@ -275,7 +287,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				var log bytes.Buffer
-				m := announcingMember(&log, tc.seeds, errors.New("host is down"))
+				m := announcingMember(t, &log, tc.seeds, errors.New("host is down"))
 				for start := time.Now(); time.Since(start) < time.Minute; time.Sleep(membershipInterval) {
 					m.announce(t.Context(), replica.Status{})
 				}
@@ -301,7 +313,7 @@
 func TestVoterWithoutLeaderDoesNotReportAnnouncements(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var log bytes.Buffer
-		m := announcingMember(&log, []string{"10.0.0.1:1"}, errors.New("no leader is known"))
+		m := announcingMember(t, &log, []string{"10.0.0.1:1"}, errors.New("no leader is known"))
 		st := replica.Status{Status: raft.Status{ID: 9}, Incarnation: 5}
 		st.Configuration.Members = []raft.Member{{ID: 9, Address: "10.0.0.9:1", Incarnation: 5}}
 		for start := time.Now(); time.Since(start) < time.Minute; time.Sleep(membershipInterval) {
