--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -119,15 +119,15 @@
 		case <-m.wake:
 		}
 		st := m.observe()
-		if hasVote(st) {
-			m.refusals.end(m.base.Logger, clock.Now())
-		}
 		switch {
 		case st.Role == raft.Leader:
 			m.changeMembership(ctx)
 		case !isVoter(st) && !m.isEnding.Load():
 			m.announce(ctx, st)
 		}
+		if hasVote(st) {
+			m.refusals.end(m.base.Logger, clock.Now())
+		}
 	}
 }
 
