process: a member whose seeds are all gone learns the group from the leader's messages

A member that loses its disk starts again with the control_members of the first start. When those three members have been replaced, it announces itself to nobody, and the group stays one voter short for good. The next loss ends it: every read 503, "no quorum confirmed the read".

Cause: announcements go to the addresses of the member's own configuration, which is empty, and to control_members. The leader goes on sending to the member's address, and its messages carry the leader's address, but the log's protocol drops them as addressed to another incarnation, and nothing else reads the address.

Change: the senders that the replica records are candidates for announcements, before the configuration and the seeds. Messages of another group no longer enter the senders at all: before, they counted as contact with the member of the same id and could replace its address.

What identifies a deployment: control.group, in every message, and the group's epoch for a member that knows one. Both are checked. A blank member knows no epoch, so two deployments that use the same control.group and let each other through allowed_peers can't be told apart by it; that was so before (a foreign leader's AddLearner was accepted by it too). No settings field is added: control.group is that field, and deployments that can reach each other need different ones.

Not fixed by this: a member that was removed as silent before it came back hears no messages any more.

--- a/internal/peernet/peernet.go
+++ b/internal/peernet/peernet.go
@@ -110,11 +110,20 @@
 	if err != nil {
 		return false
 	}
-	ip := ap.Addr().Unmap()
+	return isAllowed(ap.Addr(), l.allowed)
+}
+
+// Allows reports whether a process at an address may be a peer. With TLS the certificate decides, so any address may.
+func (n *Network) Allows(ip netip.Addr) bool {
+	return n.server != nil || isAllowed(ip, n.allowed)
+}
+
+func isAllowed(ip netip.Addr, allowed []netip.Prefix) bool {
+	ip = ip.Unmap()
 	if ip.IsLoopback() {
 		return true
 	}
-	for _, p := range l.allowed {
+	for _, p := range allowed {
 		if p.Contains(ip) {
 			return true
 		}
--- /dev/null
+++ b/internal/process/announce.go
@@ -0,0 +1,97 @@
+package process
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/clock"
+	"github.com/guavastack/guavastack/internal/config"
+	"github.com/guavastack/guavastack/internal/control"
+	"github.com/guavastack/guavastack/internal/replica"
+	"github.com/guavastack/guavastack/internal/telemetry"
+	"github.com/guavastack/guavastack/proto/controlpb"
+)
+
+// announce sends this member's address and incarnation to the other members in turn, until one accepts the announcement.
+func (m *membershipManager) announce(ctx context.Context, st replica.Status) {
+	m.learnFromSenders(st)
+	for _, address := range m.otherAddresses(st) {
+		ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+		_, err := control.AnnounceTo(ctx, m.pool, address, &controlpb.JoinRequest{
+			Id: st.ID, Address: m.base.Config.Control.Listen, Incarnation: st.Incarnation,
+		})
+		cancel()
+		if err == nil {
+			return
+		}
+		m.base.Logger.Debug("announcing to a control member failed", "address", address, telemetry.KeyError, err.Error())
+	}
+}
+
+// otherAddresses returns the addresses of other members without duplicates: those learned from messages before those of the
+// configuration, and the seeds last.
+func (m *membershipManager) otherAddresses(st replica.Status) []string {
+	own := m.base.Config.Control.Listen
+	m.mu.Lock()
+	learned, seeds := m.known.List(clock.Now()), m.seeds
+	m.mu.Unlock()
+	var out []string
+	for _, address := range slices.Concat(learned, addressesOf(st.Configuration), seeds) {
+		if address != own && !slices.Contains(out, address) {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// learnFromSenders learns the addresses of the members that send messages of the log's protocol to this one. After the loss of
+// this member's disk they are still addressed to its old incarnation.
+func (m *membershipManager) learnFromSenders(st replica.Status) {
+	for _, s := range m.replica.Senders() {
+		if !isSameEpoch(s.Epoch, st.Epoch) || m.checkSender(s.ID, s.Address) != nil {
+			continue
+		}
+		m.learn(s.Address, s.Heard, true)
+	}
+}
+
+func (m *membershipManager) learn(address string, at time.Time, isSender bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.known.Record(address, at, isSender)
+}
+
+// isSameEpoch reports whether two epochs may be those of one group. An epoch of 0 is not known yet.
+func isSameEpoch(a, b uint64) bool { return a == 0 || b == 0 || a == b }
+
+// checkSender returns an error unless another member with this id may have this address.
+func (m *membershipManager) checkSender(id uint64, address string) error {
+	a, err := m.checkAddress(address)
+	if err != nil {
+		return err
+	}
+	if config.MemberID(a) != id {
+		return errors.NotValidf("member %d at %s, which has the id %d,", id, a, config.MemberID(a))
+	}
+	return nil
+}
+
+// checkAddress returns an error unless another member may have this address.
+func (m *membershipManager) checkAddress(address string) (netip.AddrPort, error) {
+	a, err := netip.ParseAddrPort(address)
+	switch {
+	case err != nil || a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast():
+		return a, errors.NotValidf("address %q of a control member", address)
+	case a == netip.MustParseAddrPort(m.base.Config.Control.Listen):
+		return a, errors.NotValidf("this member's own address %s", a)
+	case m.base.Config.ControlPort != 0 && int(a.Port()) != m.base.Config.ControlPort:
+		return a, errors.NotValidf("port of %s, expected control_port %d", a, m.base.Config.ControlPort)
+	case !m.base.Network.Allows(a.Addr()):
+		return a, errors.Forbiddenf("address %s, which is not among allowed_peers,", a)
+	}
+	return a, nil
+}
--- /dev/null
+++ b/internal/process/announce_test.go
@@ -0,0 +1,50 @@
+package process
+
+import (
+	"os"
+	"testing"
+)
+
+// startSuccessors starts a group of members 1 to 3, which control_members names, and replaces them by members 4 to last.
+func (d *discoveryGroup) startSuccessors(last int) map[int]*runningMember {
+	d.t.Helper()
+	members := d.startGroup()
+	for host := 5; host <= last; host++ {
+		members[host] = d.start(host, false)
+	}
+	for _, m := range members {
+		d.waitUntil("all members vote", func() bool { return m.voters() == last })
+	}
+	for host := 1; host <= 3; host++ {
+		members[host].membership.leaveTimeout = conditionTimeout
+		members[host].stop()
+		delete(members, host)
+	}
+	d.waitUntil("the first three members are removed", func() bool { return members[4].voters() == last-3 })
+	return members
+}
+
+// loseDisk ends a member suddenly and removes its data directory.
+func (d *discoveryGroup) loseDisk(m *runningMember, host int) {
+	d.t.Helper()
+	d.lose(m)
+	if err := os.RemoveAll(d.dataDir(host)); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// waitForVote waits until a member votes with its current disk.
+func (d *discoveryGroup) waitForVote(m *runningMember) {
+	d.t.Helper()
+	d.waitUntil("the member votes with its new disk", func() bool { return isVoter(m.replica.Status()) })
+}
+
+// Guards against a member that lost its disk and announces itself to nobody, since all of its control_members are gone (issue 40).
+func TestEmptyMemberLearnsGroupFromLeader(t *testing.T) {
+	d := newDiscoveryGroup(t)
+	members := d.startSuccessors(6)
+	d.loseDisk(members[6], 6)
+	members[6] = d.start(6, false)
+	d.waitForVote(members[6])
+	d.checkCatalog(members[6], 7)
+}
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -10,13 +10,11 @@
 	"time"
 
 	"github.com/guavastack/guavastack/internal/clock"
-	"github.com/guavastack/guavastack/internal/control"
 	"github.com/guavastack/guavastack/internal/core/raft"
 	"github.com/guavastack/guavastack/internal/core/roster"
 	"github.com/guavastack/guavastack/internal/replica"
 	"github.com/guavastack/guavastack/internal/rpcpool"
 	"github.com/guavastack/guavastack/internal/telemetry"
-	"github.com/guavastack/guavastack/proto/controlpb"
 )
 
 const (
@@ -50,6 +48,7 @@
 	leaving   map[uint64]roster.Announcement
 	contacts  *roster.Contacts
 	seeds     []string // control_members of the settings
+	known     roster.KnownAddresses
 }
 
 func newMembershipManager(base *Base, r *replica.Replica) *membershipManager {
@@ -144,37 +143,6 @@
 	return ok && !m.Learner && m.Incarnation == st.Incarnation && st.Leader != 0
 }
 
-// announce sends this member's address and incarnation to the other members in turn, until one accepts the announcement.
-func (m *membershipManager) announce(ctx context.Context, st replica.Status) {
-	for _, address := range m.otherAddresses(st) {
-		ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-		_, err := control.AnnounceTo(ctx, m.pool, address, &controlpb.JoinRequest{
-			Id: st.ID, Address: m.base.Config.Control.Listen, Incarnation: st.Incarnation,
-		})
-		cancel()
-		if err == nil {
-			return
-		}
-		m.base.Logger.Debug("announcing to a control member failed", "address", address, telemetry.KeyError, err.Error())
-	}
-}
-
-// otherAddresses returns the addresses of other members without duplicates, those of the configuration before the
-// seeds.
-func (m *membershipManager) otherAddresses(st replica.Status) []string {
-	own := m.base.Config.Control.Listen
-	m.mu.Lock()
-	seeds := m.seeds
-	m.mu.Unlock()
-	var out []string
-	for _, address := range append(addressesOf(st.Configuration), seeds...) {
-		if address != own && !slices.Contains(out, address) {
-			out = append(out, address)
-		}
-	}
-	return out
-}
-
 func addressesOf(c raft.Configuration) []string {
 	out := make([]string, len(c.Members))
 	for i, m := range c.Members {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -278,7 +278,7 @@
 	}
 	m, ok := r.status.Configuration.Member(id)
 	if !ok || m.Address == "" {
-		m.Address = r.senders.sender(id).address
+		m.Address = r.senders.sender(id).Address
 	}
 	return Member{ID: id, Address: m.Address}
 }
@@ -291,7 +291,7 @@
 }
 
 // HeardAt returns when the latest message of another member arrived, as a time of clock.Now, or the zero time if none has.
-func (r *Replica) HeardAt(id uint64) time.Time { return r.senders.sender(id).heard }
+func (r *Replica) HeardAt(id uint64) time.Time { return r.senders.sender(id).Heard }
 
 // Changed returns a channel that is closed at the next change of the role, the term or the leader.
 func (r *Replica) Changed() <-chan struct{} {
--- /dev/null
+++ b/internal/replica/senders.go
@@ -0,0 +1,60 @@
+package replica
+
+import (
+	"sync"
+	"time"
+
+	"github.com/guavastack/guavastack/proto/peerpb"
+)
+
+// Sender is a member of the group that has sent a message.
+type Sender struct {
+	ID      uint64
+	Address string    // "" if its messages have none
+	Epoch   uint64    // of the group according to its latest message; 0: not known to it
+	Heard   time.Time // when its latest message arrived
+}
+
+// senderBook holds what is known of the members from their messages.
+type senderBook struct {
+	mu      sync.Mutex
+	senders map[uint64]Sender
+}
+
+// maxSenders is the maximum size of a senderBook. A further sender clears it.
+const maxSenders = 64
+
+func (b *senderBook) record(m *peerpb.Message, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.senders[m.From]
+	if b.senders == nil || !ok && len(b.senders) >= maxSenders {
+		b.senders = make(map[uint64]Sender)
+	}
+	if m.FromAddress != "" {
+		s.Address = m.FromAddress
+	}
+	s.ID, s.Epoch, s.Heard = m.From, m.Epoch, now
+	b.senders[m.From] = s
+}
+
+// sender returns what is known of a member, or the zero value if it has sent nothing.
+func (b *senderBook) sender(id uint64) Sender {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.senders[id]
+}
+
+func (b *senderBook) all() []Sender {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]Sender, 0, len(b.senders))
+	for _, s := range b.senders {
+		out = append(out, s)
+	}
+	return out
+}
+
+// Senders returns the members of this member's group that have sent it messages, also messages for another incarnation of it, which
+// it ignores. They are in no particular order.
+func (r *Replica) Senders() []Sender { return r.senders.all() }
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -82,7 +82,7 @@
 	if m, _ := r.node.Member(id); m.Address != "" {
 		return m.Address
 	}
-	return r.senders.sender(id).address
+	return r.senders.sender(id).Address
 }
 
 func (l *link) offer(m *peerpb.Message) {
@@ -241,7 +241,9 @@
 
 // enqueue passes one message to the loop, a snapshot once all of its parts have arrived.
 func (s peerServer) enqueue(pb *peerpb.Message, assembler *snapshotAssembler) error {
-	s.r.senders.record(pb.From, pb.FromAddress, clock.Now())
+	if pb.Group == s.r.cfg.GroupID {
+		s.r.senders.record(pb, clock.Now())
+	}
 	m := fromProto(pb)
 	if m.Kind == raft.InstallSnapshot {
 		m.Context = 0
@@ -259,42 +261,6 @@
 	}
 }
 
-// senderBook holds what is known of the members from their messages.
-type senderBook struct {
-	mu      sync.Mutex
-	senders map[uint64]sender
-}
-
-// sender is a member that has sent a message.
-type sender struct {
-	address string    // "" if its messages have none
-	heard   time.Time // when its latest message arrived
-}
-
-// maxSenders is the maximum size of a senderBook. A further sender clears it.
-const maxSenders = 64
-
-func (b *senderBook) record(id uint64, address string, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s, ok := b.senders[id]
-	if b.senders == nil || !ok && len(b.senders) >= maxSenders {
-		b.senders = make(map[uint64]sender)
-	}
-	if address != "" {
-		s.address = address
-	}
-	s.heard = now
-	b.senders[id] = s
-}
-
-// sender returns what is known of a member, or the zero value if it has sent nothing.
-func (b *senderBook) sender(id uint64) sender {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.senders[id]
-}
-
 // streamTable holds the newest incoming stream of each sender. A new stream closes the previous one, which might otherwise hang
 // forever.
 type streamTable struct {
