process: the leader introduces itself to addresses that left the group

Cause: the messages of the log's protocol and the digests go to members of the configuration only.

Change: every member remembers the addresses that left the configuration (core/roster.FormerMembers: at most 16, an hour). The leader sends an empty digest each second to those and to the seeds that are not in the configuration, so whoever leads, a member that starts there hears of the group. Digests carry the sender's group, epoch and address. A member that gets one learns the address by the same checks as for the log's messages. A digest of another group or epoch is refused and no longer merged, counted as a contact or used for the agreed wall clock. Digests of older builds have none of the fields, are taken as before and teach no address.

What remains: a process that has led or followed for less time than the member has been gone doesn't remember it, for example after all of them restarted in between.

--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -6,12 +6,12 @@
 	"sync"
 	"time"
 
-	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/core/member"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/lanemsg"
 	"github.com/guavastack/guavastack/internal/wait"
 	"github.com/guavastack/guavastack/proto/controlpb"
+	"github.com/juju/errors"
 )
 
 // Register stores each report of an agent in the registry and replies with a directive, until the stream ends or no
@@ -66,8 +66,11 @@
 // Exchange merges another member's digest into the soft state. The reply has no incarnation if this member
 // lacks the full report of a renewal.
 func (s *Service) Exchange(_ context.Context, d *controlpb.Digest) (*controlpb.DigestAck, error) {
+	if err := s.checkGroup(d.Group, d.Epoch); err != nil {
+		return nil, errors.Annotatef(err, "digest of member %q", d.Member)
+	}
 	now := time.Now()
-	s.cfg.PeerHeard(d.Member)
+	s.cfg.PeerHeard(Contact{ID: d.Member, Address: d.Address})
 	s.clocks.record(d.Member, d.WallUs)
 	for _, b := range d.Backends {
 		s.soft.putBackend(b, now, false)
@@ -178,7 +181,7 @@
 // digest returns the soft state that was reported to this member directly, and the peer's state once it has that. It holds full
 // reports only of the backend servers that changed since, and renewals of the others, at renewalInterval.
 func (s *Service) digest(have peerState, now time.Time) (*controlpb.Digest, peerState) {
-	d := &controlpb.Digest{Member: s.cfg.Group.Self().ID, Incarnation: s.cfg.Incarnation, WallUs: clock.Wall().UnixMicro()}
+	d := s.Introduction()
 	next := peerState{heard: make(map[string]time.Time, len(have.heard))}
 	next.registry = s.soft.forEachDirectReport(have.registry, func(reg *member.Registration[*controlpb.BackendServer]) {
 		id := reg.Report.ID
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -49,7 +49,9 @@
 	Peers       func() []string  // addresses of the other control members' services; nil: none
 	Members     func() []string  // addresses of all control members, sent to watchers; nil: not sent
 	JoinHandler JoinHandler      // nil: announcements are rejected, operators add members
-	PeerHeard   func(id string)  // called for each digest of another control member; nil: not called
+	PeerHeard   func(Contact)    // called for each digest of another control member; nil: not called
+	GroupID     uint64           // number of the control group; 0: not checked
+	Epoch       func() uint64    // of the control group, 0 while it is not known; nil: not checked
 
 	Usage      UsageSink                              // nil: usage reports are rejected
 	OpenWindow func() uint64                          // open billing window; nil: 0
@@ -84,7 +86,10 @@
 		c.Peers = func() []string { return nil }
 	}
 	if c.PeerHeard == nil {
-		c.PeerHeard = func(string) {}
+		c.PeerHeard = func(Contact) {}
+	}
+	if c.Epoch == nil {
+		c.Epoch = func() uint64 { return 0 }
 	}
 	if c.Members == nil {
 		c.Members = func() []string { return nil }
--- a/internal/process/announce_test.go
+++ b/internal/process/announce_test.go
@@ -48,3 +48,15 @@
 	d.waitForVote(members[6])
 	d.checkCatalog(members[6], 7)
 }
+
+// Guards against a member that lost its disk, was removed as silent before it started again, and hears nothing of the group since
+// (issue 40).
+func TestEmptyMemberRemovedAsSilentLearnsGroup(t *testing.T) {
+	d := newDiscoveryGroup(t)
+	members := d.startSuccessors(7)
+	d.loseDisk(members[7], 7)
+	d.waitUntil("the lost member is removed", func() bool { return members[4].voters() == 3 })
+	members[7] = d.start(7, false)
+	d.waitForVote(members[7])
+	d.checkCatalog(members[7], 7)
+}
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -124,6 +124,8 @@
 		Dial:        base.Network.Dial,
 		Incarnation: base.Incarnation,
 		Logger:      base.Logger,
+		GroupID:     c.Group,
+		Epoch:       func() uint64 { return r.Status().Epoch },
 	}
 	if c.Discover {
 		ctl.membership = newMembershipManager(base, r)
@@ -149,6 +151,9 @@
 		return n
 	}
 	ctl.service = control.New(cfg)
+	if ctl.membership != nil {
+		ctl.membership.introduction = ctl.service.Introduction
+	}
 	ctl.registerMetrics()
 	if c.Admin.Listen != "" {
 		if err := ctl.buildAdmin(); err != nil {
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/guavastack/guavastack/internal/replica"
 	"github.com/guavastack/guavastack/internal/rpcpool"
 	"github.com/guavastack/guavastack/internal/telemetry"
+	"github.com/guavastack/guavastack/proto/controlpb"
 )
 
 const (
@@ -49,6 +49,9 @@
 	contacts  *roster.Contacts
 	seeds     []string // control_members of the settings
 	known     roster.KnownAddresses
+	former    roster.FormerMembers
+
+	introduction func() *controlpb.Digest // what this member sends to introduce itself
 }
 
 func newMembershipManager(base *Base, r *replica.Replica) *membershipManager {
@@ -92,20 +95,12 @@
 	}
 }
 
-// peerHeard records that a digest of another member arrived.
-func (m *membershipManager) peerHeard(member string) {
-	id, err := strconv.ParseUint(member, 10, 64)
-	if err != nil {
-		return
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.contacts.Record(id, clock.Now())
-}
-
 // run manages the membership until ctx is done.
 func (m *membershipManager) run(ctx context.Context) error {
 	defer m.pool.Close()
+	var introducing sync.WaitGroup
+	defer introducing.Wait()
+	introducing.Go(func() { m.introduceWhileLeading(ctx) })
 	tick := time.NewTicker(membershipInterval)
 	defer tick.Stop()
 	for {
@@ -134,6 +129,7 @@
 		m.contacts.Record(member.ID, m.replica.HeardAt(member.ID))
 	}
 	m.contacts.Observe(clock.Now(), st.Configuration)
+	m.former.Observe(clock.Now(), st.Configuration)
 }
 
 // isVoter reports whether, according to the member's own status, it is a voter with its current incarnation in a group
