process: the leader checks an announcement before it changes the group

Any process that can reach a control member could announce any member. The leader recorded the announcement without a check and acted on it: an announcement with the id of a live voter and another incarnation removed that voter ("rejoined with another disk"), one from another deployment or from an address without a member added a learner that never answers.

Cause: JoinRequest named no group, and nothing compared the announcement with what runs at the address.

Change: announcements carry group and epoch. The leader refuses one of another group or epoch, one whose address isn't valid, is its own, isn't among allowed_peers, has another port than control_port or doesn't give the announced id. If the announcement would change the membership, it also calls the address (new call Identify: group, epoch, id, incarnation) and refuses it unless the answer matches. The call ends after 400 ms, below the 700 ms of the announcement; questions about one address share a call; there are at most 16 calls at a time, further announcements are refused until the next attempt. A member whose build lacks the call is accepted, as is an announcement without group and epoch. Refusals carry their reason in the error, are counted in announcements_refused{reason} and logged as a WARN at most once in 10 s for each reason.

What remains: an announcement to leave is checked for group, epoch, id and address, and needs the right incarnation, but its sender isn't called back. At the address of a live member of an older build a forged announcement still counts.

--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -10,6 +10,8 @@
 
 // JoinHandler handles announcements of control members. It is called on the leader only.
 type JoinHandler interface {
+	// CheckAnnouncement returns an error if an announcement is refused. It may take as long as a call to the announced member.
+	CheckAnnouncement(ctx context.Context, req *controlpb.JoinRequest) error
 	// Announce reports whether the member is a voter with this incarnation. If it is not, the announcement is recorded.
 	Announce(id uint64, address string, incarnation uint64) (isVoter bool)
 	// Leave records that the process of a member is about to end. It reports whether the member is still a voter that is going
@@ -30,6 +32,9 @@
 		return nil, err
 	}
 	if leader == s.cfg.Group.Self() {
+		if err := s.cfg.JoinHandler.CheckAnnouncement(ctx, req); err != nil {
+			return nil, err
+		}
 		if req.Leaving {
 			return &controlpb.JoinReply{Member: s.cfg.JoinHandler.Leave(req.Id, req.Incarnation)}, nil
 		}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -43,15 +43,16 @@
 // Config is the configuration of a Service.
 type Config struct {
 	Group       Group
-	Settings    *settings.Module // part of the Group's state machine; read within Group.View only
-	Catalog     *catalog.Module  // like Settings; nil: none
-	Poison      *poison.Module   // like Settings; nil: none
-	Peers       func() []string  // addresses of the other control members' services; nil: none
-	Members     func() []string  // addresses of all control members, sent to watchers; nil: not sent
-	JoinHandler JoinHandler      // nil: announcements are rejected, operators add members
-	PeerHeard   func(Contact)    // called for each digest of another control member; nil: not called
-	GroupID     uint64           // number of the control group; 0: not checked
-	Epoch       func() uint64    // of the control group, 0 while it is not known; nil: not checked
+	Settings    *settings.Module           // part of the Group's state machine; read within Group.View only
+	Catalog     *catalog.Module            // like Settings; nil: none
+	Poison      *poison.Module             // like Settings; nil: none
+	Peers       func() []string            // addresses of the other control members' services; nil: none
+	Members     func() []string            // addresses of all control members, sent to watchers; nil: not sent
+	JoinHandler JoinHandler                // nil: announcements are rejected, operators add members
+	PeerHeard   func(Contact)              // called for each digest of another control member; nil: not called
+	GroupID     uint64                     // number of the control group; 0: not checked
+	Epoch       func() uint64              // of the control group, 0 while it is not known; nil: not checked
+	Identity    func() *controlpb.Identity // of this member; nil: Identify is rejected
 
 	Usage      UsageSink                              // nil: usage reports are rejected
 	OpenWindow func() uint64                          // open billing window; nil: 0
--- a/internal/process/announce.go
+++ b/internal/process/announce.go
@@ -23,6 +23,7 @@
 		ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 		_, err := control.AnnounceTo(ctx, m.pool, address, &controlpb.JoinRequest{
 			Id: st.ID, Address: m.base.Config.Control.Listen, Incarnation: st.Incarnation,
+			Group: m.base.Config.Control.Group, Epoch: st.Epoch,
 		})
 		cancel()
 		if err == nil {
--- a/internal/process/leaving.go
+++ b/internal/process/leaving.go
@@ -76,6 +76,7 @@
 	defer cancel()
 	return control.AnnounceTo(ctx, m.pool, leader.Address, &controlpb.JoinRequest{
 		Id: st.ID, Address: m.base.Config.Control.Listen, Incarnation: st.Incarnation, Leaving: true,
+		Group: m.base.Config.Control.Group, Epoch: st.Epoch,
 	})
 }
 
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/guavastack/guavastack/internal/clock"
+	"github.com/guavastack/guavastack/internal/control"
 	"github.com/guavastack/guavastack/internal/core/raft"
 	"github.com/guavastack/guavastack/internal/core/roster"
 	"github.com/guavastack/guavastack/internal/replica"
@@ -43,6 +44,9 @@
 	// isEnding is true once this process has announced that it is about to end. It announces itself no more then.
 	isEnding atomic.Bool
 
+	identifier identifier
+	refusals   refusalLog
+
 	mu        sync.Mutex
 	announced map[uint64]roster.Announcement
 	leaving   map[uint64]roster.Announcement
@@ -55,7 +59,7 @@
 }
 
 func newMembershipManager(base *Base, r *replica.Replica) *membershipManager {
-	return &membershipManager{
+	m := &membershipManager{
 		base: base, replica: r, pool: rpcpool.New(base.Network.Dial),
 		wake: make(chan struct{}, 1), leaveTimeout: defaultLeaveTimeout,
 		announced: make(map[uint64]roster.Announcement),
@@ -63,6 +67,16 @@
 		contacts:  roster.NewContacts(r.Status().ID, clock.Now()),
 		seeds:     base.Config.ControlMembers,
 	}
+	m.identifier.call = func(ctx context.Context, address string) (*controlpb.Identity, error) {
+		return control.IdentifyAt(ctx, m.pool, address)
+	}
+	return m
+}
+
+// identity returns who this member is, for a leader that asks.
+func (m *membershipManager) identity() *controlpb.Identity {
+	st := m.replica.Status()
+	return &controlpb.Identity{Group: m.base.Config.Control.Group, Epoch: st.Epoch, Id: st.ID, Incarnation: st.Incarnation}
 }
 
 // setSeeds replaces the addresses to which this member sends announcements in addition to those of the configuration.
