process: an empty member learns the group from gateways and relays that watch it

A gateway or relay that opens a watch to it knows the group's members and didn't say so.

Cause: WatchRequest had no field for the members that the watcher knows.

Change: an update that lists the members also names their control group; the watcher repeats both in its requests. A member that doesn't vote takes the addresses as candidates for announcements, after those of members that it has heard itself, by the same checks. A list with more than 16 addresses is refused as a whole and ends the watch; a list of another group, and an address that isn't valid, isn't among allowed_peers or has another port than control_port, is ignored. Each is counted in named_members_refused{reason} and logged as a WARN at most once in 10 s for each reason. Builds without the fields send and read nothing of this. A list without a group is taken: the members at the addresses check the announcement.

TestNamedMembersAreChecked covers the refusals; it can't be compiled on the code before.

What remains: a watcher that has a member that confirms speaks to no other, so this path acts when the watcher looks for one.

--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -43,16 +43,19 @@
 // Config is the configuration of a Service.
 type Config struct {
 	Group       Group
-	Settings    *settings.Module           // part of the Group's state machine; read within Group.View only
-	Catalog     *catalog.Module            // like Settings; nil: none
-	Poison      *poison.Module             // like Settings; nil: none
-	Peers       func() []string            // addresses of the other control members' services; nil: none
-	Members     func() []string            // addresses of all control members, sent to watchers; nil: not sent
-	JoinHandler JoinHandler                // nil: announcements are rejected, operators add members
-	PeerHeard   func(Contact)              // called for each digest of another control member; nil: not called
-	GroupID     uint64                     // number of the control group; 0: not checked
-	Epoch       func() uint64              // of the control group, 0 while it is not known; nil: not checked
-	Identity    func() *controlpb.Identity // of this member; nil: Identify is rejected
+	Settings    *settings.Module // part of the Group's state machine; read within Group.View only
+	Catalog     *catalog.Module  // like Settings; nil: none
+	Poison      *poison.Module   // like Settings; nil: none
+	Peers       func() []string  // addresses of the other control members' services; nil: none
+	Members     func() []string  // addresses of all control members, sent to watchers; nil: not sent
+	JoinHandler JoinHandler      // nil: announcements are rejected, operators add members
+	PeerHeard   func(Contact)    // called for each digest of another control member; nil: not called
+	// MembersNamed is called for each list of the members of a control group that a watcher sends. An error ends the watch. nil: not
+	// called.
+	MembersNamed func(group uint64, addresses []string) error
+	GroupID      uint64                     // number of the control group; 0: not checked
+	Epoch        func() uint64              // of the control group, 0 while it is not known; nil: not checked
+	Identity     func() *controlpb.Identity // of this member; nil: Identify is rejected
 
 	Usage      UsageSink                              // nil: usage reports are rejected
 	OpenWindow func() uint64                          // open billing window; nil: 0
@@ -92,6 +95,9 @@
 	if c.Epoch == nil {
 		c.Epoch = func() uint64 { return 0 }
 	}
+	if c.MembersNamed == nil {
+		c.MembersNamed = func(uint64, []string) error { return nil }
+	}
 	if c.Members == nil {
 		c.Members = func() []string { return nil }
 	}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -75,6 +75,9 @@
 		if len(req.Demand) > maxDemandOrganisations {
 			return errors.NotValidf("demand of %d organisations", len(req.Demand))
 		}
+		if err := w.service.cfg.MembersNamed(req.ControlGroup, req.ControlMembers); err != nil {
+			return errors.Annotatef(err, "watcher %q", req.ProcessId)
+		}
 		w.handleRequest(req)
 	}
 }
@@ -225,6 +228,7 @@
 		return false
 	}
 	w.members, u.Members = members, members
+	u.ControlGroup = w.service.cfg.GroupID
 	return true
 }
 
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -130,6 +130,7 @@
 	if c.Discover {
 		ctl.membership = newMembershipManager(base, r)
 		cfg.Peers, cfg.Members, cfg.JoinHandler = ctl.membership.peerAddresses, ctl.membership.memberAddresses, ctl.membership
+		cfg.MembersNamed = ctl.membership.membersNamed
 		cfg.PeerHeard, cfg.Identity = ctl.membership.peerHeard, ctl.membership.identity
 	}
 	if c.Platform != nil {
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -44,8 +44,9 @@
 	// isEnding is true once this process has announced that it is about to end. It announces itself no more then.
 	isEnding atomic.Bool
 
-	identifier identifier
-	refusals   refusalLog
+	identifier    identifier
+	refusals      refusalLog // of announcements
+	namedRefusals refusalLog // of members named by watchers
 
 	mu        sync.Mutex
 	announced map[uint64]roster.Announcement
--- a/internal/watch/client.go
+++ b/internal/watch/client.go
@@ -103,6 +103,7 @@
 	catalog       atomic.Pointer[catalog.Index] // nil: no catalog yet
 	member        atomic.Pointer[string]        // address of the member of the current session, once it has confirmed; "": none
 	control       atomic.Pointer[[]string]      // addresses of the control members; once set, never empty
+	group         atomic.Pointer[controlGroup]  // as last received from a control member
 	freshUntil    atomic.Pointer[time.Time]
 	openWindow    atomic.Uint64
 	shares        atomic.Pointer[confirmedShares]
@@ -141,6 +142,7 @@
 	c.leader.Store(int64(cfg.firstMember()))
 	c.control.Store(&cfg.Control)
 	c.member.Store(new(string))
+	c.group.Store(&controlGroup{})
 	c.lanePlans.Store(&route.LanePlans{})
 	c.promptParts.Store(&poison.List{})
 	c.turns.Store(&limit.Turns{Position: cfg.firstMember() % limit.AssumedProcesses, Count: limit.AssumedProcesses})
--- a/internal/watch/session.go
+++ b/internal/watch/session.go
@@ -159,6 +159,7 @@
 		HaveEpoch: have.Epoch, HaveVersion: have.Version, HaveCatalog: s.client.Catalog().Version(),
 		Query: s.client.freshness.StartQuery(clock.Now()), FreshnessMs: cfg.FreshnessLimit.Milliseconds(),
 	}
+	s.nameMembers(q)
 	if f := s.client.demand.Load(); f != nil {
 		q.Demand = (*f)()
 	}
@@ -187,9 +188,7 @@
 	if s.applyPromptParts(u) {
 		s.client.notifyPromptParts()
 	}
-	if len(u.Members) > 0 {
-		s.client.mergeMembers(u.Members, s.client.cfg.Control)
-	}
+	s.applyMembers(u)
 	if u.OpenWindow > s.client.openWindow.Load() {
 		s.client.openWindow.Store(u.OpenWindow)
 	}
