--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -129,15 +129,18 @@
 		Dial:        base.Network.Dial,
 		Incarnation: base.Incarnation,
 		Logger:      base.Logger,
+		GroupID:     c.Group,
+		Epoch:       func() uint64 { return r.Status().Epoch },
 	}
 	ctl.monitor = newGroupMonitor(base, r)
 	cfg.PeerHeard = ctl.monitor.peerHeard
 	if c.Discover {
 		ctl.membership = newMembershipManager(base, r)
 		cfg.Peers, cfg.Members, cfg.JoinHandler = ctl.membership.peerAddresses, ctl.membership.memberAddresses, ctl.membership
-		cfg.PeerHeard = func(member string) {
-			ctl.membership.peerHeard(member)
-			ctl.monitor.peerHeard(member)
+		cfg.MembersNamed, cfg.Identity = ctl.membership.membersNamed, ctl.membership.identity
+		cfg.PeerHeard = func(c control.Contact) {
+			ctl.membership.peerHeard(c)
+			ctl.monitor.peerHeard(c)
 		}
 		ctl.monitor.announcements = ctl.membership.announcements
 	}
@@ -160,6 +163,9 @@
 		return n
 	}
 	ctl.service = control.New(cfg)
+	if ctl.membership != nil {
+		ctl.membership.introduction = ctl.service.Introduction
+	}
 	ctl.registerMetrics()
 	if c.Admin.Listen != "" {
 		if err := ctl.buildAdmin(); err != nil {
--- a/internal/process/group_tolerance.go
+++ b/internal/process/group_tolerance.go
@@ -12,6 +12,7 @@
 	"github.com/guavastack/guavastack/internal/adminapi"
 	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/config"
+	"github.com/guavastack/guavastack/internal/control"
 	"github.com/guavastack/guavastack/internal/core/raft"
 	"github.com/guavastack/guavastack/internal/core/roster"
 	"github.com/guavastack/guavastack/internal/replica"
@@ -67,8 +68,8 @@
 }
 
 // peerHeard records that a digest of another member arrived.
-func (g *groupMonitor) peerHeard(member string) {
-	id, err := strconv.ParseUint(member, 10, 64)
+func (g *groupMonitor) peerHeard(c control.Contact) {
+	id, err := strconv.ParseUint(c.ID, 10, 64)
 	if err != nil {
 		return
 	}
--- a/internal/process/group_tolerance_test.go
+++ b/internal/process/group_tolerance_test.go
@@ -299,7 +299,7 @@
 				checkLine(t, lines[0], map[string]string{
 					"level": "WARN", "msg": "announcements of this control member are not accepted", "addresses": tc.addresses, "error": tc.cause,
 				})
-				m.refusals.end(m.base.Logger, clock.Now())
+				m.unaccepted.end(m.base.Logger, clock.Now())
 				if lines := logLines(t, &log); len(lines) != 1 || lines[0]["level"] != "INFO" {
 					t.Errorf("at the end: got %v, want one line of level INFO", lines)
 				}
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,18 +43,26 @@
 	leaveTimeout time.Duration
 	// isEnding is true once this process has announced that it is about to end. It announces itself no more then.
 	isEnding atomic.Bool
-	// refusals tells operators that no member accepts this member's announcements.
-	refusals announcementAlarm
+	// unaccepted tells operators that no member accepts this member's announcements.
+	unaccepted announcementAlarm
+
+	identifier    identifier
+	refusals      refusalLog // of announcements
+	namedRefusals refusalLog // of members named by watchers
 
 	mu        sync.Mutex
 	announced map[uint64]roster.Announcement
 	leaving   map[uint64]roster.Announcement
 	contacts  *roster.Contacts
 	seeds     []string // control_members of the settings
+	known     roster.KnownAddresses
+	former    roster.FormerMembers
+
+	introduction func() *controlpb.Digest // what this member sends to introduce itself
 }
 
 func newMembershipManager(base *Base, r *replica.Replica) *membershipManager {
-	return &membershipManager{
+	m := &membershipManager{
 		base: base, replica: r, pool: rpcpool.New(base.Network.Dial),
 		wake: make(chan struct{}, 1), leaveTimeout: defaultLeaveTimeout,
 		announced: make(map[uint64]roster.Announcement),
@@ -63,6 +70,16 @@
 		contacts:  roster.NewContacts(r.Status().ID, clock.Now()),
 		seeds:     base.Config.ControlMembers,
 	}
+	m.identifier.call = func(ctx context.Context, address string) (*controlpb.Identity, error) {
+		return control.IdentifyAt(ctx, m.pool, address)
+	}
+	return m
+}
+
+// identity returns who this member is, for a leader that asks.
+func (m *membershipManager) identity() *controlpb.Identity {
+	st := m.replica.Status()
+	return &controlpb.Identity{Group: m.base.Config.Control.Group, Epoch: st.Epoch, Id: st.ID, Incarnation: st.Incarnation}
 }
 
 // setSeeds replaces the addresses to which this member sends announcements in addition to those of the configuration.
@@ -95,20 +112,12 @@
 	}
 }
 
-// peerHeard records that a digest of another member arrived.
-func (m *membershipManager) peerHeard(member string) {
-	id, err := strconv.ParseUint(member, 10, 64)
-	if err != nil {
-		return
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.contacts.Record(id, clock.Now())
-}
-
 // run manages the membership until ctx is done.
 func (m *membershipManager) run(ctx context.Context) error {
 	defer m.pool.Close()
+	var introducing sync.WaitGroup
+	defer introducing.Wait()
+	introducing.Go(func() { m.introduceWhileLeading(ctx) })
 	tick := time.NewTicker(membershipInterval)
 	defer tick.Stop()
 	for {
@@ -126,7 +135,7 @@
 			m.announce(ctx, st)
 		}
 		if hasVote(st) {
-			m.refusals.end(m.base.Logger, clock.Now())
+			m.unaccepted.end(m.base.Logger, clock.Now())
 		}
 	}
 }
@@ -141,6 +150,7 @@
 		m.contacts.Record(member.ID, m.replica.HeardAt(member.ID))
 	}
 	m.contacts.Observe(clock.Now(), st.Configuration)
+	m.former.Observe(clock.Now(), st.Configuration)
 	return st
 }
 
@@ -151,44 +161,6 @@
 	return ok && !m.Learner && m.Incarnation == st.Incarnation && st.Leader != 0
 }
 
-// announce sends this member's address and incarnation to the other members in turn, until one accepts the announcement.
-func (m *membershipManager) announce(ctx context.Context, st replica.Status) {
-	addresses := m.otherAddresses(st)
-	var lastErr error
-	for _, address := range addresses {
-		ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-		_, err := control.AnnounceTo(ctx, m.pool, address, &controlpb.JoinRequest{
-			Id: st.ID, Address: m.base.Config.Control.Listen, Incarnation: st.Incarnation,
-		})
-		cancel()
-		if err == nil {
-			m.refusals.end(m.base.Logger, clock.Now())
-			return
-		}
-		m.base.Logger.Debug("announcing to a control member failed", "address", address, telemetry.KeyError, err.Error())
-		lastErr = err
-	}
-	if !hasVote(st) {
-		m.refusals.warn(m.base.Logger, clock.Now(), addresses, lastErr)
-	}
-}
-
-// otherAddresses returns the addresses of other members without duplicates, those of the configuration before the
-// seeds.
-func (m *membershipManager) otherAddresses(st replica.Status) []string {
-	own := m.base.Config.Control.Listen
-	m.mu.Lock()
-	seeds := m.seeds
-	m.mu.Unlock()
-	var out []string
-	for _, address := range append(addressesOf(st.Configuration), seeds...) {
-		if address != own && !slices.Contains(out, address) {
-			out = append(out, address)
-		}
-	}
-	return out
-}
-
 func addressesOf(c raft.Configuration) []string {
 	out := make([]string, len(c.Members))
 	for i, m := range c.Members {
--- a/internal/process/successors_test.go
+++ b/internal/process/successors_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -92,17 +91,14 @@
 	return members, changes
 }
 
-// loseDisk loses a member with its disk and waits until the leader of the others is older than UnresponsiveLimit.
-func (d *discoveryGroup) loseDisk(members map[int]*runningMember, host int) {
+// loseDiskUnderOldLeader loses a member with its disk and waits until the leader of the others is older than UnresponsiveLimit.
+func (d *discoveryGroup) loseDiskUnderOldLeader(members map[int]*runningMember, host int) {
 	d.t.Helper()
 	if leader := leaderOf(members); leader == members[host] {
 		changeLeader(leader)
 	}
-	d.lose(members[host])
+	d.loseDisk(members[host], host)
 	delete(members, host)
-	if err := os.RemoveAll(d.dataDir(host)); err != nil {
-		d.t.Fatal(err)
-	}
 	d.waitUntil("a leader older than the limit for answers", func() bool {
 		leader := leaderOf(members)
 		return leader != nil && clock.Since(leader.replica.Status().LeaderSince) > roster.UnresponsiveLimit
@@ -125,7 +121,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			d := newDiscoveryGroup(t)
 			members, changes := d.startSmallGroup()
-			d.loseDisk(members, 2)
+			d.loseDiskUnderOldLeader(members, 2)
 			release := make(chan struct{})
 			successor := d.startHeld(tc.host, release)
 			id := successor.replica.Status().ID
--- a/internal/watch/session.go
+++ b/internal/watch/session.go
@@ -25,6 +25,7 @@
 	onConfirmed   func() // called at each confirmation
 	onUnconfirmed func() // called if a query is not confirmed within confirmationDelay
 
+	hasNamed      bool        // the members of the control group
 	unconfirmed   *time.Timer // calls onUnconfirmed
 	lastHeard     time.Time
 	lastConfirmed time.Time
@@ -159,6 +160,7 @@
 		HaveEpoch: have.Epoch, HaveVersion: have.Version, HaveCatalog: s.client.Catalog().Version(),
 		Query: s.client.freshness.StartQuery(clock.Now()), FreshnessMs: cfg.FreshnessLimit.Milliseconds(),
 	}
+	s.nameMembers(q)
 	if f := s.client.demand.Load(); f != nil {
 		q.Demand = (*f)()
 	}
@@ -187,9 +189,7 @@
 	if s.applyPromptParts(u) {
 		s.client.notifyPromptParts()
 	}
-	if len(u.Members) > 0 {
-		s.client.mergeMembers(u.Members, s.client.cfg.Control)
-	}
+	s.applyMembers(u)
 	if u.OpenWindow > s.client.openWindow.Load() {
 		s.client.openWindow.Store(u.OpenWindow)
 	}
