replica, process: tests that members of other groups at reused addresses stay out

They guard the condition of that messages of another group don't enter the senders, and the refusals after it.

--- a/internal/process/announce_test.go
+++ b/internal/process/announce_test.go
@@ -1,8 +1,12 @@
 package process
 
 import (
+	"context"
 	"os"
+	"slices"
 	"testing"
+
+	"github.com/guavastack/guavastack/internal/clock"
 )
 
 // startSuccessors starts a group of members 1 to 3, which control_members names, and replaces them by members 4 to last.
@@ -60,3 +64,27 @@
 	d.waitForVote(members[7])
 	d.checkCatalog(members[7], 7)
 }
+
+// Guards against a member of another deployment, at an address that a member of the group had before, that learns this group or gets
+// into it (issue 40).
+func TestMemberOfOtherGroupAtReusedAddressStaysOut(t *testing.T) {
+	d := newDiscoveryGroup(t)
+	members := d.startGroup()
+	d.loseDisk(members[4], 4)
+	delete(members, 4)
+	d.waitUntil("the lost member is removed", func() bool { return members[1].voters() == 3 })
+	d.number = 2
+	other := d.start(4, false)
+	d.waitUntil("the announcement of the other group's member is refused", func() bool { return refusalsOf(members, refusedGroup) > 0 })
+	d.waitUntil("a leader", func() bool { return leaderOf(members) != nil })
+	leader := leaderOf(members).membership
+	d.waitUntil("the lost member counts as a former one", func() bool { return slices.Equal(leader.absentAddresses(), []string{d.address(4)}) })
+	leader.introduceToAbsent(context.Background(), leader.introduction())
+	other.membership.learnFromSenders(other.replica.Status())
+	if known := other.membership.known.List(clock.Now()); len(known) > 0 {
+		t.Errorf("the other group's member has learned the addresses %q, want none", known)
+	}
+	if _, ok := leader.replica.Status().Configuration.Member(d.id(4)); ok {
+		t.Error("the other group's member is in the configuration")
+	}
+}
--- a/internal/process/discover_test.go
+++ b/internal/process/discover_test.go
@@ -26,6 +26,8 @@
 	net  string // first three bytes of the members' addresses
 	port int
 	dir  string
+
+	number int // control.group of the members that are started next
 }
 
 // loopbackNet returns the first three bytes of loopback addresses that no other process uses: a port that is free at one of them is free at
@@ -48,7 +50,7 @@
 		t.Skipf("this system has no loopback addresses besides 127.0.0.1: %v", err)
 	}
 	defer func() { _ = lis.Close() }()
-	return &discoveryGroup{t: t, net: members, port: lis.Addr().(*net.TCPAddr).Port, dir: t.TempDir()}
+	return &discoveryGroup{t: t, net: members, port: lis.Addr().(*net.TCPAddr).Port, dir: t.TempDir(), number: 1}
 }
 
 func (d *discoveryGroup) ip(host int) string { return fmt.Sprint(d.net, host) }
@@ -61,8 +63,8 @@
 	settings := fmt.Sprintf(`{
   "id": "member-%d", "zone": "a", "control_port": %d,
   "control_members": ["%s:1", "%s:1", "%s:1"], "allowed_peers": ["127.0.0.0/8"],
-  "control": {"group": 1, "discover": true, "join": %v, "listen": %q, "operators": "%s:0", "data": %q, "min_free_mb": 1}
-}`, host, d.port, d.ip(1), d.ip(2), d.ip(3), !newGroup, d.address(host), d.ip(host), d.dataDir(host))
+  "control": {"group": %d, "discover": true, "join": %v, "listen": %q, "operators": "%s:0", "data": %q, "min_free_mb": 1}
+}`, host, d.port, d.ip(1), d.ip(2), d.ip(3), d.number, !newGroup, d.address(host), d.ip(host), d.dataDir(host))
 	cfg, problems := config.Parse("settings", []byte(settings))
 	if err := problems.Err(); err != nil {
 		d.t.Fatal(err)
