--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -77,16 +77,20 @@
 func (r *run) play(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, runTimeout)
 	defer cancel()
+	var err error
+	if r.backend, err = startBackend(ctx, r.sys); err != nil {
+		return err
+	}
+	defer r.backend.close()
 	if err := r.begin(ctx); err != nil {
 		return errors.Annotate(err, "first start")
 	}
-	defer r.backend.close()
 	var watchers sync.WaitGroup
 	watchCtx, stop := context.WithCancel(ctx)
 	for _, f := range []func(context.Context){r.watch.reads, r.watch.clients, r.watch.formerKeys} {
 		watchers.Go(func() { f(watchCtx) })
 	}
-	err := r.series(ctx)
+	err = r.series(ctx)
 	stop()
 	watchers.Wait()
 	if id := r.backend.twice(); id != "" {
@@ -95,22 +99,22 @@
 	return err
 }
 
-// begin starts all machines and the backend server, and sends the first configuration.
+// begin starts all machines and sends the first configuration.
 func (r *run) begin(ctx context.Context) error {
 	for _, m := range r.sys.current() {
 		if err := r.sys.startMachine(m); err != nil {
 			return err
 		}
 	}
-	var err error
-	if r.backend, err = startBackend(ctx, r.sys); err != nil {
-		return err
-	}
 	version, err := r.order(ctx, time.Now().Add(firstTimeout))
 	if err != nil {
 		return err
 	}
-	return r.awaitForce(ctx, version, time.Now().Add(firstTimeout))
+	missing, err := r.awaitForce(ctx, version, time.Now().Add(firstTimeout))
+	if err == nil && missing != "" {
+		err = errors.Errorf("version %d not in force: %s", version, missing)
+	}
+	return err
 }
 
 // series plays the rounds and the final fault, until an invariant is broken.
@@ -129,8 +133,38 @@
 // round plays one round: the losses, a configuration and the time to catch up.
 func (r *run) round(ctx context.Context, number int, round Round) error {
 	r.record.event("round", "", fmt.Sprint(number))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	events := r.disturb(ctx, round)
+	acks := r.orderBehind(ctx)
+	if err := events.Wait(); err != nil {
+		return err
+	}
+	calmSince := time.Now()
+	var version int
+	select {
+	case version = <-acks:
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	case <-time.After(r.bound):
+		r.fail(brokenAfterLoss, fmt.Sprintf("round %d: not within %v", number, r.bound))
+		return nil
+	}
+	missing, err := r.awaitForce(ctx, version, time.Now().Add(r.bound))
+	if err != nil {
+		return err
+	}
+	if missing != "" {
+		r.fail(brokenForce, fmt.Sprintf("round %d: version %d: %s", number, version, missing))
+		return nil
+	}
+	return sleep(ctx, time.Until(calmSince.Add(round.Calm)))
+}
+
+// disturb starts the losses and the pause of a round. It returns when all members of the round are lost.
+func (r *run) disturb(ctx context.Context, round Round) *errgroup.Group {
 	var events errgroup.Group
-	var hit sync.WaitGroup // until all members of the round are lost
+	var hit sync.WaitGroup
 	for _, l := range round.Losses {
 		hit.Add(1)
 		events.Go(func() error { return r.lose(ctx, l, hit.Done) })
@@ -145,38 +179,18 @@
 		})
 	}
 	hit.Wait()
-	type ack struct {
-		version int
-		err     error
-	}
-	orderCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	acks := make(chan ack, 1)
+	return &events
+}
+
+// orderBehind orders the next version until ctx is done, and sends its number when it is acknowledged.
+func (r *run) orderBehind(ctx context.Context) <-chan int {
+	acks := make(chan int, 1)
 	go func() {
-		version, err := r.order(orderCtx, time.Time{})
-		acks <- ack{version, err}
+		if version, err := r.order(ctx, time.Time{}); err == nil {
+			acks <- version
+		}
 	}()
-	if err := events.Wait(); err != nil {
-		return err
-	}
-	calmSince := time.Now()
-	var a ack
-	select {
-	case a = <-acks:
-	case <-time.After(r.bound):
-		cancel()
-		<-acks
-		r.fail(brokenAfterLoss, fmt.Sprintf("round %d: not within %v", number, r.bound))
-		return nil
-	}
-	if a.err != nil {
-		return a.err
-	}
-	if err := r.awaitForce(ctx, a.version, time.Now().Add(r.bound)); err != nil {
-		r.fail(brokenForce, fmt.Sprintf("round %d: %v", number, err))
-		return nil
-	}
-	return sleep(ctx, time.Until(calmSince.Add(round.Calm)))
+	return acks
 }
 
 // lose plays one loss. It calls hit when the member is lost, and returns when its successor has been started.
@@ -218,6 +232,9 @@
 // final plays the final fault right after an acknowledgement.
 func (r *run) final(ctx context.Context) error {
 	version, err := r.order(ctx, time.Now().Add(r.bound))
+	if ctx.Err() != nil {
+		return errors.Trace(ctx.Err())
+	}
 	if err != nil {
 		r.fail(brokenAfterLoss, fmt.Sprintf("before the final fault: %v", err))
 		return nil
@@ -267,8 +284,12 @@
 		return nil
 	}
 	r.record.event("read back", "", fmt.Sprint(got))
-	if err := r.awaitForce(ctx, version, end); err != nil {
-		r.fail(brokenService, err.Error())
+	missing, err := r.awaitForce(ctx, version, end)
+	if err != nil {
+		return err
+	}
+	if missing != "" {
+		r.fail(brokenService, fmt.Sprintf("version %d not in force within %v: %s", version, r.bound, missing))
 		return nil
 	}
 	return sleep(ctx, contactTime)
@@ -289,19 +310,19 @@
 	return 0, nil
 }
 
-// awaitForce waits until all instances serve what only a version has.
-func (r *run) awaitForce(ctx context.Context, version int, end time.Time) error {
+// awaitForce waits until all instances serve what only a version has. At the end it returns which one doesn't.
+func (r *run) awaitForce(ctx context.Context, version int, end time.Time) (missing string, err error) {
 	for {
-		missing := r.watch.isInForce(version)
+		missing = r.watch.notInForce(version)
 		if missing == "" {
 			r.record.event("in force", "", fmt.Sprint(version))
-			return nil
+			return "", nil
 		}
 		if time.Now().After(end) {
-			return errors.Errorf("version %d not in force: %s", version, missing)
+			return missing, nil
 		}
 		if err := sleep(ctx, pollPause); err != nil {
-			return err
+			return missing, err
 		}
 	}
 }
--- a/test/soak/watch.go
+++ b/test/soak/watch.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// isInForce reports whether all instances serve the route and the key that only a version has.
-func (w *watcher) isInForce(version int) (missing string) {
+// notInForce returns an instance that does not serve the route and the key that only a version has, or "".
+func (w *watcher) notInForce(version int) (missing string) {
 	for _, m := range w.sys.instances {
 		if status := w.request(m, versionPath(version), versionKey(version)); status != http.StatusOK {
 			return fmt.Sprintf("%s: status %d", m.name, status)
