--- a/test/soak/controllog.go
+++ b/test/soak/controllog.go
@@ -128,6 +128,7 @@
 	After      time.Duration
 	Never      bool // it had none when it was lost in turn, or at the final fault
 	IsAdmitted bool // it was added as a learner
+	WasPaused  bool // a member was paused while it waited
 }
 
 // promotions returns the time from the start of each successor to its vote. It looks at starts after the first configuration and
@@ -142,6 +143,7 @@
 			p.IsAdmitted = p.IsAdmitted || isOwn && l.Action == actionAdd
 			if isOwn && l.Action == actionPromote && p.Never {
 				p.After, p.Never = l.Time.Sub(start.Time), false
+				p.WasPaused = hasPause(events, start.Time, l.Time)
 			}
 		}
 		out = append(out, p)
@@ -149,6 +151,13 @@
 	return out
 }
 
+// hasPause reports whether a pause began or ended between two times.
+func hasPause(events []event, from, to time.Time) bool {
+	return slices.ContainsFunc(events, func(e event) bool {
+		return (e.What == "pause" || e.What == "resume") && e.Time.After(from) && e.Time.Before(to)
+	})
+}
+
 // successorStarts returns the starts of empty machines between the first round and the final fault.
 func successorStarts(events []event) []event {
 	var out []event
