raft: the time of a member's answer outlasts the reads that follow

What operators would see: under many reads, a voter that is a little slower than the others is removed as 'does not answer' although it has just answered, and a learner that answers is not promoted.

Cause: the leader kept the number of the last confirmed heartbeat round and looked up when it was sent. rounds keeps the last 512 to 1024; each read that is not batched with another starts one. After so many reads within the slower member's delay (0.25 to 0.5 s at 2000 a second) the time was gone, AnsweredAt zero, and the roster counted from the election of the leader: the evidence was lost and the age of the leadership stood in for it.

Change: the time is stored with the member's progress when the reply arrives. A reply to a round that is forgotten already still sets no time: a member that is always more than 512 rounds late counts as not answering, as before.

--- a/internal/core/raft/membership.go
+++ b/internal/core/raft/membership.go
@@ -42,8 +42,7 @@
 
 // isResponsive reports whether a member confirmed a heartbeat that was sent within the last election timeout.
 func (n *Node) isResponsive(now time.Time, pr *progress) bool {
-	sent, ok := n.rounds.sentAt(pr.ackedRound)
-	return ok && now.Sub(sent) <= n.cfg.ElectionTimeout
+	return !pr.answeredAt.IsZero() && now.Sub(pr.answeredAt) <= n.cfg.ElectionTimeout
 }
 
 // Remove removes a member from the group. The leader cannot remove itself: it must transfer the leadership first.
--- a/internal/core/raft/replication.go
+++ b/internal/core/raft/replication.go
@@ -15,6 +15,7 @@
 	isInstalling bool      // a snapshot is in flight
 	sentAt       time.Time // when the last Append or InstallSnapshot was sent
 	ackedRound   uint64    // latest heartbeat round confirmed by the member
+	answeredAt   time.Time // when that round was sent
 	incarnation  uint64    // incarnation in the member's latest reply
 	commitSent   uint64
 }
@@ -126,13 +127,22 @@
 	if pr == nil {
 		return
 	}
-	pr.ackedRound = max(pr.ackedRound, m.Context)
+	pr.confirm(m.Context, n.rounds)
 	n.extendLease()
 	n.answerReads()
 	n.detectLoss(pr, m)
 	n.sendAppend(now, m.From, pr)
 }
 
+// confirm records that the member confirmed a heartbeat round. Its time is kept here, since rounds forgets it while many reads are
+// confirmed.
+func (pr *progress) confirm(round uint64, sent rounds) {
+	pr.ackedRound = max(pr.ackedRound, round)
+	if at, ok := sent.sentAt(round); ok && at.After(pr.answeredAt) {
+		pr.answeredAt = at
+	}
+}
+
 // detectLoss resumes sending after the last acknowledged entry if a reply to a heartbeat arrives while an earlier Append or
 // snapshot is unanswered. A connection delivers messages in order, so the earlier one was probably lost, and a duplicate is
 // harmless.
--- a/internal/core/raft/status.go
+++ b/internal/core/raft/status.go
@@ -42,9 +42,8 @@
 	latestRound, _ := n.rounds.sentAt(n.rounds.last)
 	for _, id := range n.peerIDs() {
 		pr := n.peers[id]
-		answered, _ := n.rounds.sentAt(pr.ackedRound)
 		s.Peers = append(s.Peers, PeerStatus{
-			ID: id, Match: pr.match, Incarnation: pr.incarnation, AnsweredAt: answered,
+			ID: id, Match: pr.match, Incarnation: pr.incarnation, AnsweredAt: pr.answeredAt,
 			HasCaughtUp: n.hasCaughtUp(latestRound, id),
 		})
 	}
