raft: a quorum counts as lost only since there is one

What callers would see: right after a successor gets its vote, or after another change of the voters, the leader steps down and the group has no leader for an election, although every member of the quorum runs.

Cause: hasLostQuorum takes the send time of the latest round that a quorum of the configuration in effect has confirmed. A promotion makes the quorum larger, and the round of the new voter may be up to an election timeout old: the new quorum counts as lost from before the new configuration took effect. The same holds for a removal that takes out one of those who had answered last.

Change: the wait counts from the latest of the confirmation, the election and the entry of the configuration in effect. A leader whose new quorum does not confirm still steps down after the election timeout. The lease does not depend on this: it counts from confirmed rounds alone, and still does.

TestLeaderStaysAfterAPromotion failed before: the leader stepped down though its quorum could not yet confirm a heartbeat. TestSafetyUnderFaults passes.

--- a/internal/core/raft/election.go
+++ b/internal/core/raft/election.go
@@ -158,7 +158,7 @@
 
 func (n *Node) becomeLeader(now time.Time) {
 	n.role, n.leader = Leader, n.cfg.ID
-	n.leaderSince = now
+	n.quorumIndex, n.quorumSince = n.log.configuration().index, now
 	n.transfer, n.reads = nil, nil
 	n.rounds = rounds{}
 	n.peers = make(map[uint64]*progress)
--- a/internal/core/raft/raft.go
+++ b/internal/core/raft/raft.go
@@ -146,7 +146,8 @@
 	out               Output
 	hardStateDirty    bool
 	nextHeartbeat     time.Time
-	leaderSince       time.Time
+	quorumIndex       uint64    // leader: entry of the configuration in effect
+	quorumSince       time.Time // leader: its election, or when the latest configuration took effect
 }
 
 // New returns a member that starts as a follower.
@@ -303,6 +304,7 @@
 // Output returns the work that has accumulated since the last call. The caller must call Synced once it has synced the output.
 func (n *Node) Output(now time.Time) Output {
 	if n.role == Leader {
+		n.observeQuorum(now)
 		n.startReadRound(now)
 		n.broadcastAppend(now)
 	}
--- a/internal/core/raft/replication.go
+++ b/internal/core/raft/replication.go
@@ -76,15 +76,23 @@
 	n.advanceTransfer(now)
 }
 
-// hasLostQuorum reports whether no quorum has confirmed a heartbeat that was sent within the last election timeout.
+// hasLostQuorum reports whether no quorum has confirmed a heartbeat within the last election timeout, though the members could: the
+// leader and the configuration in effect are older than that.
 func (n *Node) hasLostQuorum(now time.Time) bool {
-	since := n.leaderSince
-	if sent, ok := n.confirmedAt(); ok {
+	since := n.quorumSince
+	if sent, ok := n.confirmedAt(); ok && sent.After(since) {
 		since = sent
 	}
 	return now.Sub(since) > n.cfg.ElectionTimeout
 }
 
+// observeQuorum records since when the leader needs the quorum of the configuration in effect.
+func (n *Node) observeQuorum(now time.Time) {
+	if index := n.log.configuration().index; index != n.quorumIndex {
+		n.quorumIndex, n.quorumSince = index, now
+	}
+}
+
 // confirmedRound returns the latest heartbeat round confirmed by a quorum.
 func (n *Node) confirmedRound() uint64 {
 	var acked []uint64
