route: the outcome of a request to a former incarnation does not count

What callers would see: a backend server that has restarted is quarantined at once, or its share of failures is raised, for requests that its former incarnation broke or never accepted, when their timeouts end after the new one has registered. Its requests in flight are counted one too few for each of them, so it gets more than its share.

Cause: Upsert gives a new incarnation a fresh record, but RecordEnd found it by id. Notices (leaving, pauses) name the incarnation already. Change: RecordEnd names it too, and ignores any other. Waits (EndWait, RecordFirstData) match the time of their own request, which the new record does not have.

--- a/internal/core/route/lanes_test.go
+++ b/internal/core/route/lanes_test.go
@@ -315,14 +315,14 @@
 	r := NewRouter(table, RouterConfig{Policy: PolicySessionLanes})
 	req := Request{Kind: KindEngine, Model: "m"}
 	table.RecordDispatch(epoch, "s000", 0, nil)
-	table.RecordEnd(epoch, "s000", Outcome{Result: Unreachable})
+	table.RecordEnd(epoch, "s000", "", Outcome{Result: Unreachable})
 	for rnd := range uint64(20) {
 		if b, err := r.Choose(epoch, req, rnd); err != nil || b.ID != "s001" {
 			t.Fatalf("got %s, %v, want s001", b.ID, err)
 		}
 	}
 	table.RecordDispatch(epoch, "s001", 0, nil)
-	table.RecordEnd(epoch, "s001", Outcome{Result: Unreachable})
+	table.RecordEnd(epoch, "s001", "", Outcome{Result: Unreachable})
 	if _, err := r.Choose(epoch, req, 1); err != nil {
 		t.Errorf("got %v, want one of the two servers", err)
 	}
--- a/internal/core/route/prefill_sim_test.go
+++ b/internal/core/route/prefill_sim_test.go
@@ -91,7 +91,7 @@
 					g.table.RecordFirstData(now, e.server, e.sentAt)
 					g.table.RecordLoad(now, e.server, Load{Slots: 64, Running: e.running})
 				default:
-					g.table.RecordEnd(now, e.server, Outcome{Result: OK, FirstToken: time.Millisecond})
+					g.table.RecordEnd(now, e.server, "1", Outcome{Result: OK, FirstToken: time.Millisecond})
 					g.table.EndWait(e.server, e.sentAt)
 				}
 			}
--- a/internal/core/route/ratelimit_sim_test.go
+++ b/internal/core/route/ratelimit_sim_test.go
@@ -60,7 +60,7 @@
 			for len(g.answers) > 0 && now.Sub(g.answers[0].sentAt) >= simAnswer {
 				a := g.answers[0]
 				g.answers = g.answers[1:]
-				g.table.RecordEnd(now, a.server, Outcome{Result: OK})
+				g.table.RecordEnd(now, a.server, "1", Outcome{Result: OK})
 				stated := 0.0
 				if a.server == "s0" {
 					stated = l.limit
--- a/internal/core/route/router_test.go
+++ b/internal/core/route/router_test.go
@@ -215,7 +215,7 @@
 func completeRequests(table *Table, now time.Time, id string, n int, o Outcome) {
 	for range n {
 		table.RecordDispatch(now, id, 0, nil)
-		table.RecordEnd(now, id, o)
+		table.RecordEnd(now, id, "", o)
 	}
 }
 
@@ -280,7 +280,7 @@
 	if s.isAvailable(now) {
 		t.Error("more than one probe at a time")
 	}
-	table.RecordEnd(now, "s000", Outcome{Result: Failed})
+	table.RecordEnd(now, "s000", "", Outcome{Result: Failed})
 	if s.isAvailable(now.Add(minQuarantine)) {
 		t.Error("available too soon after a failed probe, want a longer quarantine")
 	}
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -231,10 +231,10 @@
 	t.RecordCached(now, id, prefix)
 }
 
-// RecordEnd records the outcome of a dispatch.
-func (t *Table) RecordEnd(now time.Time, id string, o Outcome) {
+// RecordEnd records the outcome of a dispatch to an incarnation of a server. It does not count for another incarnation.
+func (t *Table) RecordEnd(now time.Time, id, incarnation string, o Outcome) {
 	s := t.servers[id]
-	if s == nil {
+	if s == nil || s.Incarnation != incarnation {
 		return
 	}
 	s.inFlight = max(0, s.inFlight-1)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -438,7 +438,7 @@
 	if !a.first.IsZero() {
 		o.FirstToken = max(0, a.first.Sub(a.began)-a.queueWait) // the wait in the queue depends on the tier, not on the server
 	}
-	s.servers.RecordEnd(a.server.ID, o)
+	s.servers.RecordEnd(a.server.ID, a.server.Incarnation, o)
 	if !r.complete {
 		s.cfg.Logger.Info("attempt failed",
 			telemetry.KeyRequestID, a.id.String(),
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -190,7 +190,7 @@
 		s.recordNotice(x, server, reply)
 	}
 	if reply.NotRun || reply.Misdirected {
-		s.servers.RecordEnd(server.ID, route.Outcome{Result: route.Refused})
+		s.servers.RecordEnd(server.ID, server.Incarnation, route.Outcome{Result: route.Refused})
 		s.logAttemptEnd(x, server, "not_run", answer.Status, nil)
 		return attemptOutcome{sent: true, refusal: notRun(http.StatusServiceUnavailable, "backend_full", "the backend server did not accept the request")}
 	}
@@ -237,7 +237,7 @@
 	if isCallerGone(ctx) {
 		o = route.Outcome{Result: route.Refused}
 	}
-	s.servers.RecordEnd(server.ID, o)
+	s.servers.RecordEnd(server.ID, server.Incarnation, o)
 }
 
 // upstreamRequest returns the request for the backend server.
--- a/internal/policybench/entry.go
+++ b/internal/policybench/entry.go
@@ -10,6 +10,9 @@
 	"github.com/guavastack/guavastack/internal/core/verdict"
 )
 
+// noIncarnation is the incarnation of the simulated servers, which do not restart.
+const noIncarnation = ""
+
 // request is a simulated request.
 type request struct {
 	id           string
@@ -80,7 +83,7 @@
 // handleRefusal handles a refused or returned request: it is retried on another server or lost.
 func (e *entry) handleRefusal(s *server, r *request, a sched.Action) {
 	now := e.sim.clock.now
-	e.table.RecordEnd(now, s.id, route.Outcome{Result: route.Refused})
+	e.table.RecordEnd(now, s.id, noIncarnation, route.Outcome{Result: route.Refused})
 	if a.Reason == sched.DeadlineUnreachable || a.Started {
 		e.sim.recordLost(r)
 		return
@@ -104,7 +107,7 @@
 	if !complete {
 		result = route.Refused // a missed deadline must not count as a failure of the backend server
 	}
-	e.table.RecordEnd(e.sim.clock.now, s.id, route.Outcome{Result: result, FirstToken: r.first.Sub(r.started)})
+	e.table.RecordEnd(e.sim.clock.now, s.id, noIncarnation, route.Outcome{Result: result, FirstToken: r.first.Sub(r.started)})
 	if complete {
 		e.budget.OnSuccess()
 		e.sim.recordCompleted(r)
--- a/internal/serverset/serverset.go
+++ b/internal/serverset/serverset.go
@@ -248,11 +248,11 @@
 	s.table.EndWait(id, since)
 }
 
-// RecordEnd records the outcome of a dispatch.
-func (s *Set) RecordEnd(id string, o route.Outcome) {
+// RecordEnd records the outcome of a dispatch to an incarnation of a backend server.
+func (s *Set) RecordEnd(id, incarnation string, o route.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.RecordEnd(time.Now(), id, o)
+	s.table.RecordEnd(time.Now(), id, incarnation, o)
 }
 
 // Models returns the models and adapters that engines serve, sorted.
