--- a/internal/core/raft/replication.go
+++ b/internal/core/raft/replication.go
@@ -15,6 +15,7 @@
 	isInstalling bool      // a snapshot is in flight
 	sentAt       time.Time // when the last Append or InstallSnapshot was sent
 	ackedRound   uint64    // latest heartbeat round confirmed by the member
+	answeredAt   time.Time // when that round was sent
 	incarnation  uint64    // incarnation in the member's latest reply
 	commitSent   uint64
 }
@@ -75,15 +76,23 @@
 	n.advanceTransfer(now)
 }
 
-// hasLostQuorum reports whether no quorum has confirmed a heartbeat that was sent within the last election timeout.
+// hasLostQuorum reports whether no quorum has confirmed a heartbeat within the last election timeout, though the members could: the
+// leader and the configuration in effect are older than that.
 func (n *Node) hasLostQuorum(now time.Time) bool {
-	since := n.leaderSince
-	if sent, ok := n.confirmedAt(); ok {
+	since := n.quorumSince
+	if sent, ok := n.confirmedAt(); ok && sent.After(since) {
 		since = sent
 	}
 	return now.Sub(since) > n.cfg.ElectionTimeout
 }
 
+// observeQuorum records since when the leader needs the quorum of the configuration in effect.
+func (n *Node) observeQuorum(now time.Time) {
+	if index := n.log.configuration().index; index != n.quorumIndex {
+		n.quorumIndex, n.quorumSince = index, now
+	}
+}
+
 // confirmedRound returns the latest heartbeat round confirmed by a quorum.
 func (n *Node) confirmedRound() uint64 {
 	var acked []uint64
@@ -126,13 +135,22 @@
 	if pr == nil {
 		return
 	}
-	pr.ackedRound = max(pr.ackedRound, m.Context)
+	pr.confirm(m.Context, n.rounds)
 	n.extendLease()
 	n.answerReads()
 	n.detectLoss(pr, m)
 	n.sendAppend(now, m.From, pr)
 }
 
+// confirm records that the member confirmed a heartbeat round. Its time is kept here, since rounds forgets it while many reads are
+// confirmed.
+func (pr *progress) confirm(round uint64, sent rounds) {
+	pr.ackedRound = max(pr.ackedRound, round)
+	if at, ok := sent.sentAt(round); ok && at.After(pr.answeredAt) {
+		pr.answeredAt = at
+	}
+}
+
 // detectLoss resumes sending after the last acknowledged entry if a reply to a heartbeat arrives while an earlier Append or
 // snapshot is unanswered. A connection delivers messages in order, so the earlier one was probably lost, and a duplicate is
 // harmless.
