platformclient: what the platform sends without end is given up early

What callers would see: a leader runs out of memory and ends, with the duties that it holds, when the platform answers a call without end. And a usage report that was answered 200 without end counted as reported.

Cause: every response was read up to 64 MiB, also of calls whose answer is a line; the excess was cut off without an error.

Evidence: TestAnswersWithoutEndAreGivenUp failed before for bodies without a length, with one, in chunks and of errors (68 to 90 MiB sent until the connection was closed, want at most 24; usage report and reported usage: error <nil>). Heads, chunk sizes, trailers and informational answers passed before.

Change: responses are bounded by what they hold (64 KiB; lists 8 MiB), a longer one is an error after which the outcome is unknown, and no encoding is asked for, which could make a large body of a small one.

--- a/internal/platformclient/client.go
+++ b/internal/platformclient/client.go
@@ -41,9 +41,12 @@
 }
 
 const (
-	maxResponseBytes = 64 << 20
-	defaultTimeout   = time.Second
-	defaultBackoff   = time.Second // after a rate limit response without a retry time
+	// maxReplyBytes bounds the responses that concern one order or report, and error responses.
+	maxReplyBytes = 64 << 10
+	// maxListBytes bounds the inventory and the reported usage of a window.
+	maxListBytes   = 8 << 20
+	defaultTimeout = time.Second
+	defaultBackoff = time.Second // after a rate limit response without a retry time
 )
 
 // Config configures a Client.
@@ -89,6 +92,8 @@
 			DisableKeepAlives: true,
 			ForceAttemptHTTP2: false,
 
+			DisableCompression: true,
+
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 			Protocols:              http1Only(),
 		},
@@ -109,31 +114,31 @@
 		return Outcome{}, errors.Trace(err)
 	}
 	var out Outcome
-	err = c.call(ctx, http.MethodPut, "/v1/orders/"+url.PathEscape(order.ID), &order.Sender, body, &out)
+	err = c.call(ctx, http.MethodPut, "/v1/orders/"+url.PathEscape(order.ID), &order.Sender, body, maxReplyBytes, &out)
 	return out, err
 }
 
 // Inventory implements Platform.
 func (c *Client) Inventory(ctx context.Context) (Inventory, error) {
 	var inv Inventory
-	err := c.call(ctx, http.MethodGet, "/v1/inventory", nil, nil, &inv)
+	err := c.call(ctx, http.MethodGet, "/v1/inventory", nil, nil, maxListBytes, &inv)
 	return inv, err
 }
 
 // ReportUsage implements Platform.
 func (c *Client) ReportUsage(ctx context.Context, r UsageReport) error {
-	return c.call(ctx, http.MethodPut, usagePath(r.Window), &r.Sender, r.Body, nil)
+	return c.call(ctx, http.MethodPut, usagePath(r.Window), &r.Sender, r.Body, maxReplyBytes, nil)
 }
 
 // ReportedUsage implements Platform.
 func (c *Client) ReportedUsage(ctx context.Context, window uint64) ([]byte, error) {
-	return c.send(ctx, http.MethodGet, usagePath(window), nil, nil)
+	return c.send(ctx, http.MethodGet, usagePath(window), nil, nil, maxListBytes)
 }
 
 // WeightStore implements Platform.
 func (c *Client) WeightStore(ctx context.Context) (WeightStore, error) {
 	var w WeightStore
-	err := c.call(ctx, http.MethodGet, "/v1/weights", nil, nil, &w)
+	err := c.call(ctx, http.MethodGet, "/v1/weights", nil, nil, maxReplyBytes, &w)
 	return w, err
 }
 
@@ -141,9 +146,9 @@
 	return "/v1/usage/" + strconv.FormatUint(window, 10)
 }
 
-// call sends one request and decodes the JSON response into out, unless out is nil.
-func (c *Client) call(ctx context.Context, method, path string, from *Sender, body []byte, out any) error {
-	data, err := c.send(ctx, method, path, from, body)
+// call sends one request and decodes the JSON response of up to maxBytes into out, unless out is nil.
+func (c *Client) call(ctx context.Context, method, path string, from *Sender, body []byte, maxBytes int64, out any) error {
+	data, err := c.send(ctx, method, path, from, body, maxBytes)
 	if err != nil {
 		return err
 	}
@@ -153,9 +158,9 @@
 	return errors.Annotatef(json.Unmarshal(data, out), "decode response to %s %s", method, path)
 }
 
-// send sends one request and returns the response body. With a sender, the request carries the headers that identify it.
-// A status other than 200 is returned as an error.
-func (c *Client) send(ctx context.Context, method, path string, from *Sender, body []byte) ([]byte, error) {
+// send sends one request and returns the response body, which must not exceed maxBytes. With a sender, the request carries the headers
+// that identify it. A status other than 200 is returned as an error.
+func (c *Client) send(ctx context.Context, method, path string, from *Sender, body []byte, maxBytes int64) ([]byte, error) {
 	ctx, cancel := withDeadline(ctx)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
@@ -176,7 +181,10 @@
 		return nil, errors.Annotatef(err, "%s %s", method, path)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	if resp.StatusCode != http.StatusOK {
+		maxBytes = maxReplyBytes
+	}
+	data, err := readLimited(resp.Body, maxBytes)
 	if err != nil {
 		return nil, errors.Annotatef(err, "read response to %s %s", method, path)
 	}
@@ -186,6 +194,18 @@
 	return data, nil
 }
 
+// readLimited reads all of r, or fails if that exceeds maxBytes.
+func readLimited(r io.Reader, maxBytes int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, maxBytes+1))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if int64(len(data)) > maxBytes {
+		return nil, errors.Errorf("response exceeds %d bytes", maxBytes)
+	}
+	return data, nil
+}
+
 // withDeadline adds defaultTimeout to a context without a deadline.
 func withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
 	if _, ok := ctx.Deadline(); ok {
