gateway: a caller that doesn't read is given up after its deadline

What callers would see: a gateway that keeps requests, with their connections and buffers, as long as callers leave their answers unread: it runs out of memory, or ends its shutdown only at the end of the grace period.

Cause: the deadline of a request ends the exchange with its server, but not a write to its caller, which waits while the caller's window is closed.

Evidence: TestCallerThatDoesNotRead failed before for both kinds of stream (the request was still in progress ten seconds after its deadline of 500 ms). Its other half, that the gateway reads no more than the caller takes, passed before.

Change: writes end two seconds after the deadline. A caller that reads slowly but in time is not affected.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -20,6 +20,9 @@
 	errShutdown = errors.ConstError("the gateway has shut down")
 )
 
+// writeMargin is the time after the deadline of a request in which its caller must have taken the answer.
+const writeMargin = 2 * time.Second
+
 // ServeHTTP serves one request of a caller.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !beginRequest(r.Context()) {
@@ -31,6 +34,7 @@
 	w = drainWriter{w, s}
 	if ref == nil {
 		s.budgets.recordRequest(x.service)
+		_ = http.NewResponseController(w).SetWriteDeadline(x.deadline.Add(writeMargin)) // a test's ResponseWriter may not support deadlines
 		ctx, cancel := s.requestContext(r.Context(), x)
 		defer cancel()
 		ref = s.forward(ctx, x, w)
