raft: a leadership transfer is advanced, and times out, under steady reads

What callers would see: a leader that is stopped as planned goes on leading without a lease while reads keep coming, so that duties stop until its process ends.

Cause: each read round puts off the next heartbeat, and the checks of the transfer and of the quorum were made with a heartbeat that was due. One read per heartbeat interval is enough to put them off for ever. Entries that are committed advanced the transfer all the same, but did not time it out.

Change: the leader checks its quorum and its transfer at moments of their own; read rounds still replace heartbeats.

TestTransferAdvancesUnderSteadyReads failed before in both cases: 'the target was asked to campaign: false', 'the leader still leads 9 s after a transfer began that can't succeed'. core/raft (with TestSafetyUnderFaults) and replica pass with the race detector.

--- a/internal/core/raft/election.go
+++ b/internal/core/raft/election.go
@@ -164,5 +164,6 @@
 	n.peers = make(map[uint64]*progress)
 	n.updatePeers()
 	n.appendOwn(EntryNoop, nil)
+	n.nextCheck = now.Add(n.cfg.HeartbeatInterval)
 	n.broadcastHeartbeat(now)
 }
--- a/internal/core/raft/raft.go
+++ b/internal/core/raft/raft.go
@@ -146,6 +146,7 @@
 	out               Output
 	hardStateDirty    bool
 	nextHeartbeat     time.Time
+	nextCheck         time.Time // when the leader checks its quorum and its transfer next; read rounds do not put it off
 	quorumIndex       uint64    // leader: entry of the configuration in effect
 	quorumSince       time.Time // leader: its election, or when the latest configuration took effect
 }
@@ -187,7 +188,7 @@
 func (n *Node) Deadline() time.Time {
 	switch {
 	case n.role == Leader:
-		return n.nextHeartbeat
+		return earlier(n.nextHeartbeat, n.nextCheck)
 	case n.canBootstrap():
 		return n.nextHello
 	case n.isSoleVoter():
@@ -197,6 +198,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // Tick handles the timeouts that have expired at now. It must be called at Deadline.
 func (n *Node) Tick(now time.Time) {
 	switch {
--- a/internal/core/raft/replication.go
+++ b/internal/core/raft/replication.go
@@ -65,14 +65,16 @@
 }
 
 func (n *Node) tickLeader(now time.Time) {
-	if now.Before(n.nextHeartbeat) {
-		return
+	if !now.Before(n.nextCheck) {
+		n.nextCheck = now.Add(n.cfg.HeartbeatInterval)
+		if n.hasLostQuorum(now) || n.isTransferOverdue(now) {
+			n.becomeFollower(now, n.term, 0)
+			return
+		}
 	}
-	if n.hasLostQuorum(now) || n.isTransferOverdue(now) {
-		n.becomeFollower(now, n.term, 0)
-		return
+	if !now.Before(n.nextHeartbeat) {
+		n.broadcastHeartbeat(now)
 	}
-	n.broadcastHeartbeat(now)
 	n.advanceTransfer(now)
 }
 
