gateway: the buffer of a large answer takes no more than its reservation

TestManyLargeAnswersAtATimeAreBounded failed once beside other tests: the heap grew by 49 MiB, want at most 48, answers without a length. Cause: a buffer that grows by itself may hold twice the bytes of its answer, and its former array besides, so that the reservations (16 MiB) didn't bound what was allocated. The bound of the test is right and stays as it is. Change: the buffer gets its full size once the reservation is made, also if the length isn't known.

--- a/internal/gateway/answermemory.go
+++ b/internal/gateway/answermemory.go
@@ -106,9 +106,7 @@
 	if release, err = m.reserve(ctx, server, size); err != nil {
 		return nil, func() {}, err
 	}
-	if answer.Length >= 0 {
-		buffer.Grow(size - buffer.Len() + bytes.MinRead)
-	}
+	buffer.Grow(size - buffer.Len() + bytes.MinRead) // a buffer that grows by itself may take twice its size
 	_, err = buffer.ReadFrom(io.LimitReader(answer, maxBufferedBytes+1-smallAnswerBytes))
 	if err == nil && buffer.Len() > maxBufferedBytes {
 		err = errAnswerTooLarge
