upstream: one timeout of a connection doesn't show that a server may have ended

Change: the server counts as unreachable once four attempts in a row time out. A refusal still counts at once. No test of its own: the timeout of a connection can't be caused without real time here.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -22,6 +22,8 @@
 
 const (
 	defaultDialTimeout = 300 * time.Millisecond
+	// maxDialTimeouts is the number of attempts to connect that must time out before a server counts as unreachable.
+	maxDialTimeouts = 4
 	// maxIdleConns bounds the idle connections to one server.
 	maxIdleConns = 64
 	// inlineBodyBytes is the largest body that is written before reading of the answer begins. A longer body is written
@@ -315,7 +317,7 @@
 // MayHaveEnded reports whether the process at an address has ended, is about to or can't be asked: no new connection can be made, or it is
 // closed again within the given time. The connections of a process that is killed end one after the other, and its listener may be the last.
 func (c *Client) MayHaveEnded(ctx context.Context, address string, within time.Duration) bool {
-	cn, err := dial(ctx, address, c.dialTimeout)
+	cn, err := c.dialRepeatedly(ctx, address)
 	if err != nil {
 		return true
 	}
@@ -325,6 +327,23 @@
 	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// dialRepeatedly opens a connection to a server. It tries again if that takes too long: the server or this host may be busy.
+func (c *Client) dialRepeatedly(ctx context.Context, address string) (*conn, error) {
+	for range maxDialTimeouts - 1 {
+		cn, err := dial(ctx, address, c.dialTimeout)
+		if !isTimeout(err) {
+			return cn, err
+		}
+	}
+	return dial(ctx, address, c.dialTimeout)
+}
+
+// isTimeout reports whether err, which may be nil, is a timeout.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // tryConnection opens a new connection to a server and closes it, and returns why that failed.
 func (c *Client) tryConnection(ctx context.Context, address string) error {
 	cn, err := dial(ctx, address, c.dialTimeout)
