--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -203,6 +203,9 @@
 		rounds = 3
 		p.plan.Calm += leaderAge
 	}
+	if p.plan.Tolerance == maxTolerance {
+		p.plan.Calm += p.plan.catchUp() // until the group has grown from the seeds to the members that two losses take
+	}
 	if o.Rounds > 0 {
 		rounds = o.Rounds
 	}
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -39,6 +39,9 @@
 	if p.Tolerance == 2 {
 		catchUp = 6 * time.Second
 	}
+	if p.Tolerance == 2 && p.Calm < catchUp {
+		fail("two losses before the group has grown")
+	}
 	var alive []int
 	for i := range p.Members {
 		alive = append(alive, i+1)
