gateway: the memory of incomplete events counts too

What callers would see: a gateway runs out of memory when servers begin large events of resumable streams without ending them, on many connections at a time.

Cause: an incomplete event was bounded (256 KiB), the sum of them wasn't, and the memory of a large event stayed with its stream.

Change: an incomplete event above 32 KiB needs a reservation like the rest of a large answer; it ends with the event.

--- a/internal/gateway/answermemory.go
+++ b/internal/gateway/answermemory.go
@@ -21,7 +21,7 @@
 	serverAnswerBytes = answerMemoryBytes / 4
 )
 
-// answerMemory bounds the memory of buffered answers, however many backend servers send large ones at a time. An answer holds at most one
+// answerMemory bounds the memory of buffered answers and events, however many backend servers send large ones at a time. An answer holds at most one
 // reservation, for all that it may need, so that each one that has it can be completed. It is safe for concurrent use.
 type answerMemory struct {
 	mu       sync.Mutex
@@ -115,3 +115,29 @@
 	}
 	return buffer.Bytes(), release, err
 }
+
+// eventMemory is the reservation for the incomplete event of a stream.
+type eventMemory struct {
+	memory  *answerMemory
+	server  string
+	release func() // nil: nothing is reserved
+}
+
+// adjust makes or ends the reservation for an incomplete event of the given size.
+func (e *eventMemory) adjust(ctx context.Context, size int) (err error) {
+	switch {
+	case size <= smallAnswerBytes:
+		e.end()
+	case e.release == nil:
+		e.release, err = e.memory.reserve(ctx, e.server, maxEventBytes)
+	}
+	return err
+}
+
+// end ends the reservation, if there is one.
+func (e *eventMemory) end() {
+	if e.release != nil {
+		e.release()
+		e.release = nil
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -115,6 +115,8 @@
 	var last time.Time
 	buffer := streamBuffers.Get().(*[streamBufferBytes]byte)
 	defer streamBuffers.Put(buffer)
+	event := eventMemory{memory: s.answers, server: t.current.server.ID}
+	defer event.end()
 	for {
 		n, err := answer.Read(buffer[:])
 		if n > 0 {
@@ -130,6 +132,9 @@
 			if t.stream.isEventTooLarge() {
 				err = errEventTooLarge
 			}
+			if failure := event.adjust(ctx, len(t.stream.partial)); failure != nil {
+				err = failure
+			}
 		}
 		switch {
 		case err == io.EOF && t.stream.isComplete(answer.Framed) && !s.mayBeCut(ctx, answer, t):
@@ -222,7 +227,11 @@
 		s.lastID = id
 	}
 	s.send(events)
-	s.partial = append(s.partial[:0], s.partial[len(events):]...)
+	if cap(s.partial) > smallAnswerBytes {
+		s.partial = bytes.Clone(s.partial[end:])
+		return
+	}
+	s.partial = append(s.partial[:0], s.partial[end:]...)
 }
 
 // send writes data to the caller and flushes it.
@@ -254,7 +263,7 @@
 func (s *streamWriter) isEventTooLarge() bool { return len(s.partial) > maxEventBytes }
 
 // dropPartial discards an incomplete event.
-func (s *streamWriter) dropPartial() { s.partial = s.partial[:0] }
+func (s *streamWriter) dropPartial() { s.partial = nil }
 
 // finish ends a complete stream. It sends the header if the stream had no event.
 func (s *streamWriter) finish() {
