replica: a message of another disk or epoch is no contact with a member

What callers would see: a lost voter keeps its vote as long as a process with an empty disk sends messages under its id and its announcements don't get through; the next loss ends the group.

Cause: the time at which a member was heard was kept by its id alone, from any message of the group, before its epoch and incarnation are checked.

Change: HeardAt takes the member of the configuration and ignores messages of another disk or epoch. The address of such a sender is still learned: a member without its disk finds the group by it.

Open: a voter whose disk hangs keeps its vote under leaders that each last less than UnresponsiveLimit (docs/incidents/configuration-not-read.md).

--- a/internal/process/group_tolerance.go
+++ b/internal/process/group_tolerance.go
@@ -24,7 +24,7 @@
 type groupMonitor struct {
 	logger        *slog.Logger
 	replicaStatus func() replica.Status
-	heardAt       func(id uint64) time.Time
+	heardAt       func(m raft.Member) time.Time
 	announcements func() []roster.Announcement
 	required      int // losses that the group must tolerate
 
@@ -85,7 +85,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, m := range st.Configuration.Members {
-		g.contacts.Record(m.ID, g.heardAt(m.ID))
+		g.contacts.Record(m.ID, g.heardAt(m))
 	}
 	g.contacts.Observe(now, st.Configuration)
 	g.conf = st.Configuration
--- a/internal/process/group_tolerance_test.go
+++ b/internal/process/group_tolerance_test.go
@@ -61,8 +61,8 @@
 	}
 }
 
-func (m *monitoredGroup) heard(id uint64) time.Time {
-	if slices.Contains(m.lost, id) {
+func (m *monitoredGroup) heard(member raft.Member) time.Time {
+	if slices.Contains(m.lost, member.ID) {
 		return time.Time{}
 	}
 	return m.now
@@ -182,7 +182,7 @@
 // is another, nor its own vote if its own disk is.
 func TestUnansweringVoterIsUnreachable(t *testing.T) {
 	for name, change := range map[string]func(m *monitoredGroup){
-		"does not answer":      func(m *monitoredGroup) { m.heardAt = func(uint64) time.Time { return m.now }; m.lost = []uint64{3} },
+		"does not answer":      func(m *monitoredGroup) { m.heardAt = func(raft.Member) time.Time { return m.now }; m.lost = []uint64{3} },
 		"has another disk":     func(m *monitoredGroup) { m.st.IncarnationMismatches = []uint64{3} },
 		"has itself lost disk": func(m *monitoredGroup) { m.st.Role, m.st.Incarnation = raft.Follower, 99 },
 	} {
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -147,7 +147,7 @@
 	defer m.mu.Unlock()
 	st := m.replica.Status()
 	for _, member := range st.Configuration.Members {
-		m.contacts.Record(member.ID, m.replica.HeardAt(member.ID))
+		m.contacts.Record(member.ID, m.replica.HeardAt(member))
 	}
 	m.contacts.Observe(clock.Now(), st.Configuration)
 	m.former.Observe(clock.Now(), st.Configuration)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -290,9 +290,6 @@
 	return r.status
 }
 
-// HeardAt returns when the latest message of another member arrived, as a time of clock.Now, or the zero time if none has.
-func (r *Replica) HeardAt(id uint64) time.Time { return r.senders.sender(id).Heard }
-
 // Changed returns a channel that is closed at the next change of the role, the term or the leader.
 func (r *Replica) Changed() <-chan struct{} {
 	r.viewMu.RLock()
--- a/internal/replica/senders.go
+++ b/internal/replica/senders.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/guavastack/guavastack/internal/core/raft"
 	"github.com/guavastack/guavastack/proto/peerpb"
 )
 
@@ -13,6 +14,8 @@
 	Address string    // "" if its messages have none
 	Epoch   uint64    // of the group according to its latest message; 0: not known to it
 	Heard   time.Time // when its latest message arrived
+
+	Incarnation uint64 // of its disk according to that message
 }
 
 // senderBook holds what is known of the members from their messages.
@@ -34,7 +37,7 @@
 	if m.FromAddress != "" {
 		s.Address = m.FromAddress
 	}
-	s.ID, s.Epoch, s.Heard = m.From, m.Epoch, now
+	s.ID, s.Epoch, s.Heard, s.Incarnation = m.From, m.Epoch, now, m.FromIncarnation
 	b.senders[m.From] = s
 }
 
@@ -55,6 +58,18 @@
 	return out
 }
 
+// HeardAt returns when the latest message of another member arrived, as a time of clock.Now. It is the zero time if none has, or if the message
+// came from another disk than the one in the configuration or from a group with another epoch. The disk of a learner is not known.
+func (r *Replica) HeardAt(m raft.Member) time.Time {
+	s := r.senders.sender(m.ID)
+	epoch := r.Status().Epoch
+	isOther := m.Incarnation != 0 && s.Incarnation != m.Incarnation || epoch != 0 && s.Epoch != 0 && s.Epoch != epoch
+	if isOther {
+		return time.Time{}
+	}
+	return s.Heard
+}
+
 // Senders returns the members of this member's group that have sent it messages, also messages for another incarnation of it, which
 // it ignores. They are in no particular order.
 func (r *Replica) Senders() []Sender { return r.senders.all() }
