test/soak: no run starts after an interrupt

Seen with SIGINT after 8 s and two runs at a time: both ended with their processes and files gone, a third one began and ended at once.

--- a/test/soak/series.go
+++ b/test/soak/series.go
@@ -40,10 +40,10 @@
 	var jobs errgroup.Group
 	jobs.SetLimit(s.jobs)
 	for _, plan := range plans {
-		if ctx.Err() != nil {
-			break
-		}
 		jobs.Go(func() error {
+			if ctx.Err() != nil {
+				return nil
+			}
 			res := s.play(ctx, plan)
 			s.mu.Lock()
 			defer s.mu.Unlock()
