process: the check of an announcement waits for connections that take long to set up

Cause: the call back had 400 ms with the dial, while messages of the log's protocol have 1 s for theirs. The announcer's 700 ms are no bound: the check ends on its own and records the announcement. No new test: the bound and the sharing of calls are tested with the constant (TestIdentificationsAreSharedAndBounded).

--- a/internal/process/identify.go
+++ b/internal/process/identify.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// identifyTimeout bounds the call to an announced address. It is below announceTimeout, so that the announcer gets the reason of a
-	// refusal.
-	identifyTimeout = 400 * time.Millisecond
+	// identifyTimeout bounds the call to an announced address, with the connection to it. The answer counts even if the announcer has given
+	// up by then, which tries again: the address may be far away.
+	identifyTimeout = 1500 * time.Millisecond
 	// maxIdentifications is the maximum number of such calls at the same time.
 	maxIdentifications = 16
 )
