process: announcements go to all known addresses at once, and those of a new group to its seeds only

Now the latest contact is tried first, then all others at the same time. TestAddressesThatNeverAnswerDoNotDelayAnnouncements failed before: 'one round took 11.2s'. - A new deployment with the same control.group whose first member starts at an address that an older group remembers was taken into that group, with its other members. A member that may form a new group and has none yet now announces itself to its seeds only. TestMemberOfNewGroupAnnouncesItselfToItsSeedsOnly failed before (the learned address came first).

--- a/internal/process/announce.go
+++ b/internal/process/announce.go
@@ -16,28 +16,54 @@
 	"github.com/guavastack/guavastack/proto/controlpb"
 )
 
-// announce sends this member's address and incarnation to the other members in turn, until one accepts the announcement.
+// announce sends this member's address and incarnation to the most recent contact, and if that does not accept the announcement to all
+// other members at once: most of them may be gone.
 func (m *membershipManager) announce(ctx context.Context, st replica.Status) {
 	m.learnFromSenders(st)
 	addresses := m.otherAddresses(st)
-	var lastErr error
+	first := addresses[:min(1, len(addresses))]
+	err := m.announceToAny(ctx, st, first)
+	if err != nil && len(addresses) > 1 {
+		err = m.announceToAny(ctx, st, addresses[1:])
+	}
+	switch {
+	case err == nil:
+		m.unaccepted.end(m.base.Logger, clock.Now())
+	case !hasVote(st):
+		m.unaccepted.warn(m.base.Logger, clock.Now(), addresses, err)
+	}
+}
+
+// errNobodyKnown is returned if a member knows no address to which it could announce itself.
+const errNobodyKnown = errors.ConstError("no other control member is known")
+
+// announceToAny announces this member to the given addresses at the same time. It returns nil once one accepts the announcement, or
+// an error if none does.
+func (m *membershipManager) announceToAny(ctx context.Context, st replica.Status, addresses []string) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	results := make(chan error, len(addresses))
 	for _, address := range addresses {
-		ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-		_, err := control.AnnounceTo(ctx, m.pool, address, &controlpb.JoinRequest{
-			Id: st.ID, Address: m.base.Config.Control.Listen, Incarnation: st.Incarnation,
-			Group: m.base.Config.Control.Group, Epoch: st.Epoch,
-		})
-		cancel()
-		if err == nil {
-			m.unaccepted.end(m.base.Logger, clock.Now())
-			return
+		go func() { results <- m.announceTo(ctx, st, address) }()
+	}
+	err := error(errNobodyKnown)
+	for range addresses {
+		if err = <-results; err == nil {
+			return nil
 		}
-		m.base.Logger.Debug("announcing to a control member failed", "address", address, telemetry.KeyError, err.Error())
-		lastErr = err
 	}
-	if !hasVote(st) {
-		m.unaccepted.warn(m.base.Logger, clock.Now(), addresses, lastErr)
+	return err
+}
+
+func (m *membershipManager) announceTo(ctx context.Context, st replica.Status, address string) error {
+	_, err := control.AnnounceTo(ctx, m.pool, address, &controlpb.JoinRequest{
+		Id: st.ID, Address: m.base.Config.Control.Listen, Incarnation: st.Incarnation,
+		Group: m.base.Config.Control.Group, Epoch: st.Epoch,
+	})
+	if err != nil {
+		m.base.Logger.Debug("announcing to a control member failed", "address", address, telemetry.KeyError, err.Error())
 	}
+	return err
 }
 
 // otherAddresses returns the addresses of other members without duplicates: those learned from messages before those of the
@@ -47,6 +73,9 @@
 	m.mu.Lock()
 	learned, seeds := m.known.List(clock.Now()), m.seeds
 	m.mu.Unlock()
+	if !m.base.Config.Control.Join && st.Epoch == 0 {
+		learned = nil // of a group that had this address before; this member belongs to the one that its seeds form
+	}
 	var out []string
 	for _, address := range slices.Concat(learned, addressesOf(st.Configuration), seeds) {
 		if address != own && !slices.Contains(out, address) {
--- a/internal/process/announce_test.go
+++ b/internal/process/announce_test.go
@@ -2,11 +2,21 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
 	"os"
 	"slices"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/guavastack/guavastack/internal/clock"
+	"github.com/guavastack/guavastack/internal/core/roster"
+	"github.com/guavastack/guavastack/internal/replica"
+	"github.com/guavastack/guavastack/internal/rpcpool"
 )
 
 // startSuccessors starts a group of members 1 to 3, which control_members names, and replaces them by members 4 to last.
@@ -88,3 +98,50 @@
 		t.Error("the other group's member is in the configuration")
 	}
 }
+
+// Guards against a new group whose first members are taken into an older group that had one of their addresses before.
+func TestMemberOfNewGroupAnnouncesItselfToItsSeedsOnly(t *testing.T) {
+	const seed, learned = "10.0.0.1:1", "10.0.0.5:1"
+	cases := []struct {
+		name  string
+		join  bool
+		epoch uint64
+		want  []string
+	}{
+		{"may form a new group", false, 0, []string{seed}},
+		{"may only join", true, 0, []string{learned, seed}},
+		{"has a group", false, 5, []string{learned, seed}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			m := announcingMember(t, io.Discard, []string{seed}, errors.New("host is down"))
+			m.base.Config.Control.Join = tc.join
+			m.learn(learned, clock.Now(), true)
+			if got := m.otherAddresses(replica.Status{Epoch: tc.epoch}); !slices.Equal(got, tc.want) {
+				t.Errorf("got %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against a successor that is admitted late, since it tries many addresses that accept connections and never answer one after the other.
+func TestAddressesThatNeverAnswerDoNotDelayAnnouncements(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var dials atomic.Int32
+		m := announcingMember(t, io.Discard, nil, nil)
+		m.base.Config.Control.Join = true
+		m.pool = rpcpool.New(func(ctx context.Context, _ string) (net.Conn, error) {
+			dials.Add(1)
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		for i := range roster.MaxKnownAddresses {
+			m.learn(fmt.Sprintf("10.0.0.%d:1", 10+i), clock.Now(), false)
+		}
+		start := time.Now()
+		m.announce(t.Context(), replica.Status{})
+		if took := time.Since(start); took > 2*announceTimeout || dials.Load() != roster.MaxKnownAddresses {
+			t.Errorf("one round took %v and tried %d addresses, want at most %v and %d", took, dials.Load(), 2*announceTimeout, roster.MaxKnownAddresses)
+		}
+	})
+}
