--- a/internal/process/announce.go
+++ b/internal/process/announce.go
@@ -89,7 +89,7 @@
 // this member's disk they are still addressed to its old incarnation.
 func (m *membershipManager) learnFromSenders(st replica.Status) {
 	for _, s := range m.replica.Senders() {
-		if !isSameEpoch(s.Epoch, st.Epoch) || m.checkSender(s.ID, s.Address) != nil {
+		if !isSameEpoch(s.Epoch, st.Epoch) || m.checkMember(s.ID, s.Address) != nil {
 			continue
 		}
 		m.learn(s.Address, s.Heard, true)
@@ -105,8 +105,8 @@
 // isSameEpoch reports whether two epochs may be those of one group. An epoch of 0 is not known yet.
 func isSameEpoch(a, b uint64) bool { return a == 0 || b == 0 || a == b }
 
-// checkSender returns an error unless another member with this id may have this address.
-func (m *membershipManager) checkSender(id uint64, address string) error {
+// checkMember returns an error unless another member with this id may have this address. It checks senders and announced members alike.
+func (m *membershipManager) checkMember(id uint64, address string) error {
 	a, err := m.checkAddress(address)
 	if err != nil {
 		return err
--- a/internal/process/check_announcement.go
+++ b/internal/process/check_announcement.go
@@ -51,7 +51,7 @@
 	case !isSameEpoch(req.Epoch, st.Epoch):
 		return refusedEpoch, errors.NotValidf("epoch %d at the leader of a control group with epoch %d", req.Epoch, st.Epoch)
 	}
-	if err := m.checkSender(req.Id, req.Address); err != nil {
+	if err := m.checkMember(req.Id, req.Address); err != nil {
 		return refusedAddress, err
 	}
 	member, ok := st.Configuration.Member(req.Id)
--- a/internal/process/group_tolerance.go
+++ b/internal/process/group_tolerance.go
@@ -178,12 +178,6 @@
 	}
 }
 
-// hasVote reports whether, according to its own configuration, a member has a vote, whether or not a leader is known.
-func hasVote(st replica.Status) bool {
-	m, ok := st.Configuration.Member(st.ID)
-	return ok && !m.Learner && m.Incarnation == st.Incarnation
-}
-
 // announcementAlarm reports that no member accepts the announcements of this one.
 type announcementAlarm struct {
 	alarm roster.Alarm
--- a/internal/process/introduce.go
+++ b/internal/process/introduce.go
@@ -71,7 +71,7 @@
 	m.mu.Lock()
 	m.contacts.Record(id, now)
 	m.mu.Unlock()
-	if c.Address != "" && m.checkSender(id, c.Address) == nil {
+	if c.Address != "" && m.checkMember(id, c.Address) == nil {
 		m.learn(c.Address, now, true)
 	}
 }
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -154,13 +154,16 @@
 	return st
 }
 
-// isVoter reports whether, according to the member's own status, it is a voter with its current incarnation in a group
-// that has a leader. A member that lost its disk has a new incarnation and thus no vote.
-func isVoter(st replica.Status) bool {
+// hasVote reports whether, according to the member's own configuration, it has a vote with its disk, whether or not a leader is known. A
+// member that lost its disk has a new incarnation and thus no vote.
+func hasVote(st replica.Status) bool {
 	m, ok := st.Configuration.Member(st.ID)
-	return ok && !m.Learner && m.Incarnation == st.Incarnation && st.Leader != 0
+	return ok && !m.Learner && m.Incarnation == st.Incarnation
 }
 
+// isVoter reports whether the member has a vote in a group that has a leader, as far as it knows.
+func isVoter(st replica.Status) bool { return hasVote(st) && st.Leader != 0 }
+
 func addressesOf(c raft.Configuration) []string {
 	out := make([]string, len(c.Members))
 	for i, m := range c.Members {
