--- a/test/soak/process.go
+++ b/test/soak/process.go
@@ -23,6 +23,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // an interrupt of the runner's group is not for the program
 	if err := cmd.Start(); err != nil {
 		return nil, errors.Trace(err)
 	}
