--- a/internal/core/raft/quorum_test.go
+++ b/internal/core/raft/quorum_test.go
@@ -40,3 +40,25 @@
 		t.Error("the leader still leads without a quorum of the new configuration")
 	}
 }
+
+// Guards against a leader that stays without a quorum for longer than an election timeout, since a compaction of its log counts as a change
+// of the configuration (listed in KNOWN-RED.txt).
+func TestCompactionIsNoChangeOfConfiguration(t *testing.T) {
+	b := newHarness(t)
+	b.lead()
+	b.deliver(640*ms, Message{Kind: AppendReply, From: 2, Term: 2, Index: b.node.log.last()})
+	const confirmed = 700 * ms
+	b.heartbeats(confirmed, confirmed)
+	compactAt := confirmed + simElection - simHeartbeat
+	now := confirmed + simHeartbeat
+	for ; b.node.role == Leader && now <= confirmed+3*simElection; now += simHeartbeat {
+		if now >= compactAt && now < compactAt+simHeartbeat {
+			b.node.Compact(b.node.applied)
+		}
+		b.node.Tick(at(now))
+		b.flush(now)
+	}
+	if lasted := now - confirmed; lasted > simElection+2*simHeartbeat {
+		t.Errorf("the leader stepped down %v after the last confirmed heartbeat, want at most an election timeout of %v and two heartbeats of %v", lasted, simElection, simHeartbeat)
+	}
+}
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -40,7 +40,8 @@
 	Detail string    `json:"detail"`
 }
 
-// run is one run of a plan.
+// run is one run of a plan: the first start and a first configuration, the rounds of losses, each followed by a new configuration that must
+// be acknowledged and in force, the final fault, and the reading back. A watcher reads and sends requests all the while.
 type run struct {
 	plan    Plan
 	bound   time.Duration
