--- a/internal/control/introduce.go
+++ b/internal/control/introduce.go
@@ -6,6 +6,7 @@
 	"github.com/juju/errors"
 
 	"github.com/guavastack/guavastack/internal/clock"
+	"github.com/guavastack/guavastack/internal/core/raft"
 	"github.com/guavastack/guavastack/internal/rpcpool"
 	"github.com/guavastack/guavastack/proto/controlpb"
 )
@@ -22,7 +23,7 @@
 	switch {
 	case group != 0 && s.cfg.GroupID != 0 && group != s.cfg.GroupID:
 		return errors.NotValidf("control group %d at a member of group %d", group, s.cfg.GroupID)
-	case epoch != 0 && own != 0 && epoch != own:
+	case !raft.IsSameEpoch(epoch, own):
 		return errors.NotValidf("epoch %d of the control group at a member with epoch %d", epoch, own)
 	}
 	return nil
--- a/internal/core/raft/configuration.go
+++ b/internal/core/raft/configuration.go
@@ -20,6 +20,9 @@
 	Added uint64 `json:"added,omitempty"`
 }
 
+// IsSameEpoch reports whether two epochs may be those of one group. An epoch of 0 is not known yet.
+func IsSameEpoch(a, b uint64) bool { return a == 0 || b == 0 || a == b }
+
 // Configuration is the membership of the group.
 type Configuration struct {
 	Epoch   uint64   `json:"epoch"`
--- a/internal/core/raft/raft.go
+++ b/internal/core/raft/raft.go
@@ -242,11 +242,10 @@
 
 // isAddressed reports whether m is addressed to this group, epoch, member and incarnation.
 func (n *Node) isAddressed(m Message) bool {
-	epoch := n.conf().Epoch
 	if m.Group != n.cfg.Group || m.To != n.cfg.ID || m.From == n.cfg.ID {
 		return false
 	}
-	if m.Epoch != 0 && epoch != 0 && m.Epoch != epoch {
+	if !IsSameEpoch(m.Epoch, n.conf().Epoch) {
 		return false
 	}
 	return m.ToIncarnation == 0 || m.ToIncarnation == n.cfg.Incarnation
--- a/internal/process/announce.go
+++ b/internal/process/announce.go
@@ -11,6 +11,7 @@
 	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/config"
 	"github.com/guavastack/guavastack/internal/control"
+	"github.com/guavastack/guavastack/internal/core/raft"
 	"github.com/guavastack/guavastack/internal/replica"
 	"github.com/guavastack/guavastack/internal/telemetry"
 	"github.com/guavastack/guavastack/proto/controlpb"
@@ -89,7 +90,7 @@
 // this member's disk they are still addressed to its old incarnation.
 func (m *membershipManager) learnFromSenders(st replica.Status) {
 	for _, s := range m.replica.Senders() {
-		if !isSameEpoch(s.Epoch, st.Epoch) || m.checkMember(s.ID, s.Address) != nil {
+		if !raft.IsSameEpoch(s.Epoch, st.Epoch) || m.checkMember(s.ID, s.Address) != nil {
 			continue
 		}
 		m.learn(s.Address, s.Heard, true)
@@ -102,9 +103,6 @@
 	m.known.Record(address, at, isSender)
 }
 
-// isSameEpoch reports whether two epochs may be those of one group. An epoch of 0 is not known yet.
-func isSameEpoch(a, b uint64) bool { return a == 0 || b == 0 || a == b }
-
 // checkMember returns an error unless another member with this id may have this address. It checks senders and announced members alike.
 func (m *membershipManager) checkMember(id uint64, address string) error {
 	a, err := m.checkAddress(address)
--- a/internal/process/check_announcement.go
+++ b/internal/process/check_announcement.go
@@ -9,6 +9,7 @@
 
 	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/control"
+	"github.com/guavastack/guavastack/internal/core/raft"
 	"github.com/guavastack/guavastack/internal/replica"
 	"github.com/guavastack/guavastack/internal/telemetry"
 	"github.com/guavastack/guavastack/proto/controlpb"
@@ -48,7 +49,7 @@
 	switch {
 	case req.Group != 0 && req.Group != group:
 		return refusedGroup, errors.NotValidf("control group %d at the leader of group %d", req.Group, group)
-	case !isSameEpoch(req.Epoch, st.Epoch):
+	case !raft.IsSameEpoch(req.Epoch, st.Epoch):
 		return refusedEpoch, errors.NotValidf("epoch %d at the leader of a control group with epoch %d", req.Epoch, st.Epoch)
 	}
 	if err := m.checkMember(req.Id, req.Address); err != nil {
--- a/internal/replica/senders.go
+++ b/internal/replica/senders.go
@@ -62,9 +62,8 @@
 // came from another disk than the one in the configuration or from a group with another epoch. The disk of a learner is not known.
 func (r *Replica) HeardAt(m raft.Member) time.Time {
 	s := r.senders.sender(m.ID)
-	epoch := r.Status().Epoch
-	isOther := m.Incarnation != 0 && s.Incarnation != m.Incarnation || epoch != 0 && s.Epoch != 0 && s.Epoch != epoch
-	if isOther {
+	isOtherDisk := m.Incarnation != 0 && s.Incarnation != m.Incarnation
+	if isOtherDisk || !raft.IsSameEpoch(s.Epoch, r.Status().Epoch) {
 		return time.Time{}
 	}
 	return s.Heard
