process: contacts, a peer's status and the fault tolerance are looked up in one place each

The report of the group's tolerance wrote again how contacts are observed, how the sender of a digest is identified, how a peer's status is found and which tolerance holds by default. The text for a failed announcement without an error was dead: there is always one. No behaviour changes.

--- a/internal/process/group_tolerance.go
+++ b/internal/process/group_tolerance.go
@@ -69,8 +69,8 @@
 
 // peerHeard records that a digest of another member arrived.
 func (g *groupMonitor) peerHeard(c control.Contact) {
-	id, err := strconv.ParseUint(c.ID, 10, 64)
-	if err != nil {
+	id, ok := contactID(c)
+	if !ok {
 		return
 	}
 	g.mu.Lock()
@@ -84,10 +84,7 @@
 	announcements := g.announcements()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, m := range st.Configuration.Members {
-		g.contacts.Record(m.ID, g.heardAt(m))
-	}
-	g.contacts.Observe(now, st.Configuration)
+	observeContacts(g.contacts, now, st.Configuration, g.heardAt)
 	g.conf = st.Configuration
 	g.latest = g.observation(now, st, announcements).Tolerance(now)
 	g.report(now, st)
@@ -111,8 +108,7 @@
 	if id == st.ID || now.Sub(st.LeaderSince) < roster.SilenceLimit {
 		return true
 	}
-	i := slices.IndexFunc(st.Peers, func(p raft.PeerStatus) bool { return p.ID == id })
-	return i >= 0 && now.Sub(st.Peers[i].AnsweredAt) < roster.SilenceLimit
+	return now.Sub(answeredAt(st, id)) < roster.SilenceLimit
 }
 
 // hasOtherDisk reports whether a member's disk is not the one that the configuration names. This member knows its own.
@@ -188,7 +184,7 @@
 	a.alarm.Grace = roster.AnnouncementLifetime
 	if notice, lasted := a.alarm.Observe(now, 1); notice == roster.Warn {
 		logger.Warn("announcements of this control member are not accepted", "addresses", addresses, "for_ms", lasted.Milliseconds(),
-			telemetry.KeyError, cmp.Or(errorText(lastErr), "no other control member is known"))
+			telemetry.KeyError, lastErr.Error())
 	}
 }
 
--- a/internal/process/introduce.go
+++ b/internal/process/introduce.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -63,8 +62,8 @@
 
 // peerHeard records that a digest of another member arrived, and learns its address.
 func (m *membershipManager) peerHeard(c control.Contact) {
-	id, err := strconv.ParseUint(c.ID, 10, 64)
-	if err != nil {
+	id, ok := contactID(c)
+	if !ok {
 		return
 	}
 	now := clock.Now()
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -1,7 +1,6 @@
 package process
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -146,11 +145,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	st := m.replica.Status()
-	for _, member := range st.Configuration.Members {
-		m.contacts.Record(member.ID, m.replica.HeardAt(member))
-	}
-	m.contacts.Observe(clock.Now(), st.Configuration)
-	m.former.Observe(clock.Now(), st.Configuration)
+	now := clock.Now()
+	observeContacts(m.contacts, now, st.Configuration, m.replica.HeardAt)
+	m.former.Observe(now, st.Configuration)
 	return st
 }
 
@@ -214,7 +211,7 @@
 	return roster.View{
 		Now: now, Self: st.ID, LeaderSince: st.LeaderSince, ObservedSince: m.observedSince(),
 		Configuration: st.Configuration, Announcements: m.announcements(),
-		FaultTolerance: cmp.Or(m.base.Config.Control.FaultTolerance, defaultFaultTolerance),
+		FaultTolerance: requiredTolerance(m.base.Config.Control),
 		HasCaughtUp:    func(id uint64) bool { return hasCaughtUp(st, id) },
 		Evidence:       func(id uint64) roster.Evidence { return m.evidence(st, id) },
 		Removal:        m.removal,
@@ -267,16 +264,18 @@
 }
 
 func hasCaughtUp(st replica.Status, id uint64) bool {
-	i := slices.IndexFunc(st.Peers, func(p raft.PeerStatus) bool { return p.ID == id })
-	return i >= 0 && st.Peers[i].HasCaughtUp
+	return peerStatus(st, id).HasCaughtUp
 }
 
 // answeredAt returns when a member last answered this leader, or the zero time if it has not.
-func answeredAt(st replica.Status, id uint64) time.Time {
+func answeredAt(st replica.Status, id uint64) time.Time { return peerStatus(st, id).AnsweredAt }
+
+// peerStatus returns the leader's view of another member, or the zero value if there is none.
+func peerStatus(st replica.Status, id uint64) raft.PeerStatus {
 	for _, p := range st.Peers {
 		if p.ID == id {
-			return p.AnsweredAt
+			return p
 		}
 	}
-	return time.Time{}
+	return raft.PeerStatus{}
 }
