roster: Contacts.Silence was no longer called by the product

Since the decision takes moments it derives the silence itself; only tests called Silence. They derive it from the same moments now, with the same expectations. IsHeard stands with the other methods of Contacts. No behaviour changes.

--- a/internal/core/roster/contacts.go
+++ b/internal/core/roster/contacts.go
@@ -113,12 +113,9 @@
 	return r, ok
 }
 
-// Silence returns for how long nothing has been heard from a member, at most since the observation started. It is 0 for a member
-// that was not in the configuration at the latest call of Observe.
-func (c *Contacts) Silence(now time.Time, id uint64) time.Duration {
+// IsHeard reports whether a member was heard within SilenceLimit, or became known within it. It does not depend on whether the
+// observer hears a quorum.
+func (c *Contacts) IsHeard(now time.Time, id uint64) bool {
 	m, ok := c.members[id]
-	if !ok {
-		return 0
-	}
-	return now.Sub(latest(m.heard, c.since))
+	return id == c.self || ok && now.Sub(m.heard) < SilenceLimit
 }
--- a/internal/core/roster/contacts_test.go
+++ b/internal/core/roster/contacts_test.go
@@ -90,6 +90,16 @@
 	return next
 }
 
+// silence returns for how long nothing has been heard from a member, at most since the observation started. It is 0 for a member
+// that was not in the configuration at the latest call of Observe.
+func silence(c *roster.Contacts, at time.Time, id uint64) time.Duration {
+	e := c.Evidence(id)
+	if e.Admitted.IsZero() {
+		return 0
+	}
+	return min(at.Sub(e.Heard), at.Sub(c.ObservedSince()))
+}
+
 func TestSilence(t *testing.T) {
 	conf := voters(3)
 	type heard struct {
@@ -121,7 +131,7 @@
 				}
 				c.Observe(now.Add(at), conf)
 			}
-			if got := c.Silence(now.Add(5*time.Second), 3); got != tc.want {
+			if got := silence(c, now.Add(5*time.Second), 3); got != tc.want {
 				t.Errorf("member 3 is silent for %v, want %v", got, tc.want)
 			}
 		})
@@ -132,11 +142,11 @@
 	c := roster.NewContacts(1, now)
 	c.Observe(now, voters(1))
 	later := now.Add(time.Hour)
-	if got := c.Silence(later, 9); got != 0 {
+	if got := silence(c, later, 9); got != 0 {
 		t.Errorf("a member that was added since the latest observation is silent for %v, want 0", got)
 	}
 	c.Observe(later, withLearner(voters(1), 9))
-	if got := c.Silence(later.Add(time.Second), 9); got != time.Second {
+	if got := silence(c, later.Add(time.Second), 9); got != time.Second {
 		t.Errorf("the new member is silent for %v, want 1s", got)
 	}
 }
--- a/internal/core/roster/successors_test.go
+++ b/internal/core/roster/successors_test.go
@@ -115,7 +115,7 @@
 			c.Observe(now, changed(voters(1), roster.AddLearner, tc.before))
 			later := now.Add(time.Hour)
 			c.Observe(later, changed(voters(1), roster.AddLearner, tc.after))
-			if got := c.Silence(later.Add(time.Second), 9); got != time.Second {
+			if got := silence(c, later.Add(time.Second), 9); got != time.Second {
 				t.Errorf("silent for %v, want 1s since its admission", got)
 			}
 			if got := c.Evidence(9).Admitted; got != later {
@@ -131,7 +131,7 @@
 	c.Observe(now, changed(voters(1), roster.AddLearner, raft.Member{ID: 9, Learner: true, Added: 4}))
 	later := now.Add(time.Second)
 	c.Observe(later, changed(voters(1), roster.AddLearner, raft.Member{ID: 9, Incarnation: 9, Added: 4}))
-	if got := c.Silence(later, 9); got != time.Second {
+	if got := silence(c, later, 9); got != time.Second {
 		t.Errorf("silent for %v, want 1s", got)
 	}
 }
--- a/internal/core/roster/tolerance.go
+++ b/internal/core/roster/tolerance.go
@@ -156,10 +156,3 @@
 	}
 	return wait
 }
-
-// IsHeard reports whether a member was heard within SilenceLimit, or became known within it. Unlike Silence it does not depend on
-// whether the observer hears a quorum.
-func (c *Contacts) IsHeard(now time.Time, id uint64) bool {
-	m, ok := c.members[id]
-	return id == c.self || ok && now.Sub(m.heard) < SilenceLimit
-}
--- a/internal/core/roster/tolerance_test.go
+++ b/internal/core/roster/tolerance_test.go
@@ -100,7 +100,7 @@
 	}
 	at = at.Add(time.Hour)
 	c.Observe(at, voters(3))
-	if c.IsHeard(at, 2) || c.Silence(at, 2) != 0 {
+	if c.IsHeard(at, 2) || silence(c, at, 2) != 0 {
 		t.Error("member 2 counts as heard, or as silent, though the observer hears nobody")
 	}
 }
