settingstemplate: one renderer of the settings templates for tests and the runner

test/soak had brought a second one beside that of cmd's test of the templates (review/ has a third, which stays as it is).

--- a/test/soak/template.go
+++ b/internal/settingstemplate/template.go
@@ -1,4 +1,6 @@
-package main
+// Package settingstemplate fills in the settings templates of deploy as the platform does, limited to the syntax that they use. Tests
+// and the runner of real processes render settings with it.
+package settingstemplate
 
 import (
 	"encoding/json"
@@ -10,17 +12,17 @@
 	"github.com/juju/errors"
 )
 
-// fields are the values that are filled into a settings template.
-type fields map[string]any
+// Fields are the values that are filled into a template. A value may be Fields itself; names with dots lead into it.
+type Fields map[string]any
 
 var (
 	sectionTag = regexp.MustCompile(`\{\{([#^])([A-Za-z0-9_.]+)\}\}`)
 	valueTag   = regexp.MustCompile(`\{\{([A-Za-z0-9_.]+)(\|json)?\}\}`)
 )
 
-// render fills in the part of the template language that the templates in deploy use: values, values as JSON, and sections for a
-// value that is present or absent.
-func render(template string, f fields) (string, error) {
+// Render fills in values, values as JSON, and sections for a value that is present or absent. It returns an error for a section without
+// an end.
+func Render(template string, f Fields) (string, error) {
 	template, err := renderSections(template, f)
 	if err != nil {
 		return "", err
@@ -37,7 +39,7 @@
 	return out, errors.Trace(failed)
 }
 
-func renderSections(template string, f fields) (string, error) {
+func renderSections(template string, f Fields) (string, error) {
 	for {
 		at := sectionTag.FindStringSubmatchIndex(template)
 		if at == nil {
@@ -56,11 +58,11 @@
 }
 
 // get returns the value of a name with dots, or nil.
-func (f fields) get(name string) any {
+func (f Fields) get(name string) any {
 	var at any = f
 	for part := range strings.SplitSeq(name, ".") {
 		switch v := at.(type) {
-		case fields:
+		case Fields:
 			at = v[part]
 		case []int:
 			i, err := strconv.Atoi(part)
@@ -75,7 +77,7 @@
 	return at
 }
 
-func (f fields) isPresent(name string) bool {
+func (f Fields) isPresent(name string) bool {
 	switch v := f.get(name).(type) {
 	case nil:
 		return false
@@ -86,7 +88,7 @@
 	}
 }
 
-func (f fields) format(name string, asJSON bool) (string, error) {
+func (f Fields) format(name string, asJSON bool) (string, error) {
 	v := f.get(name)
 	if asJSON {
 		data, err := json.Marshal(v)
--- a/test/soak/settings.go
+++ b/test/soak/settings.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"path/filepath"
 	"time"
+
+	"github.com/guavastack/guavastack/internal/settingstemplate"
 )
 
 // Ports, the same on all machines. They are below the range from which the kernel takes the ports of outgoing connections.
@@ -17,23 +19,23 @@
 )
 
 // settings returns the fields of the settings of a machine's processes.
-func (s *system) settings(m *machine) fields {
-	f := fields{
+func (s *system) settings(m *machine) settingstemplate.Fields {
+	f := settingstemplate.Fields{
 		"nodeName": m.name, "ip": m.ip, "zone": m.zone, "seeds": s.seeds(),
 		"internalPorts": []int{internalPort, internalPort},
-		"limits":        fields{"memoryMb": memoryLimitMB},
+		"limits":        settingstemplate.Fields{"memoryMb": memoryLimitMB},
 		"bootstrap":     m.bootstrap,
-		"listen": fields{
+		"listen": settingstemplate.Fields{
 			"control": address(m, operatorPort), "front": address(m, frontPort), "readiness": address(m, readinessPort),
 		},
-		"bounds": fields{
+		"bounds": settingstemplate.Fields{
 			"reportWindowS": int(reportWindow / time.Second), "leaseMs": leaseSpacing.Milliseconds(),
 			"revokeMs": revokeBound.Milliseconds(), "configApplyMs": applyBound.Milliseconds(),
 			"graceS": int(graceTime / time.Second), "retryBudgetRatio": retryRatio,
 		},
 	}
 	if s.plan.Tolerance > 0 {
-		f["faultTolerance"] = fields{"machines": s.plan.Tolerance}
+		f["faultTolerance"] = settingstemplate.Fields{"machines": s.plan.Tolerance}
 	}
 	if m.hasDisk {
 		f["dataDir"] = s.dataDir(m)
--- a/test/soak/template_test.go
+++ b/test/soak/settings_test.go
@@ -6,26 +6,9 @@
 	"testing"
 
 	"github.com/tailscale/hujson"
-)
 
-func TestRender(t *testing.T) {
-	f := fields{"a": 1, "b": fields{"c": "x", "d": []int{5, 6}}, "yes": true, "no": false, "list": []string{"p", "q"}}
-	for template, want := range map[string]string{
-		"{{a}} {{b.c}} {{b.c|json}} {{b.d.1}}":         `1 x "x" 6`,
-		"{{list|json}}{{none}}":                        `["p","q"]`,
-		"{{#yes}}1{{/yes}}{{#no}}2{{/no}}":             "1",
-		"{{^yes}}1{{/yes}}{{^no}}2{{/no}}":             "2",
-		"{{#b.c}}<{{b.c}}>{{/b.c}}{{^none}}3{{/none}}": "<x>3",
-		"{{#b}}{{#b.c}}in{{/b.c}}{{/b}}":               "in",
-	} {
-		if got, err := render(template, f); err != nil || got != want {
-			t.Errorf("%s: %q, %v; want %q", template, got, err, want)
-		}
-	}
-	if _, err := render("{{#a}}", f); err == nil {
-		t.Error("a section without an end is taken")
-	}
-}
+	"github.com/guavastack/guavastack/internal/settingstemplate"
+)
 
 // settingsFile is what the test looks at of rendered settings.
 type settingsFile struct {
@@ -44,7 +27,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	text, err := render(string(template), s.settings(m))
+	text, err := settingstemplate.Render(string(template), s.settings(m))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/test/soak/system.go
+++ b/test/soak/system.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/settingstemplate"
 )
 
 // Roles of the programs, which are also the names of their templates.
@@ -156,7 +158,7 @@
 }
 
 func (s *system) start(m *machine, role string) error {
-	text, err := render(s.program.templates[role], s.settings(m))
+	text, err := settingstemplate.Render(s.program.templates[role], s.settings(m))
 	if err != nil {
 		return err
 	}
