--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"strconv"
 	"testing"
@@ -90,19 +88,12 @@
 				return streamStart(r, c.before) + holdAnswer
 			})
 			b := newFixture(t, s)
-			b.gw.cfg.GracePeriod = time.Second
-			lis, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			ctx, shutDown := context.WithCancel(context.Background())
-			served := make(chan error, 1)
-			go func() { served <- b.gw.Serve(ctx, lis) }()
+			address, shutDown := startServing(t, b, time.Second)
 			go func() {
 				<-received
 				shutDown()
 			}()
-			b.http.URL = "http://" + lis.Addr().String()
+			b.http.URL = "http://" + address
 			res, body, err := b.do(http.MethodPost, c.path)
 			switch {
 			case !c.answered && err == nil:
@@ -112,9 +103,6 @@
 			case c.answered && (res.StatusCode != http.StatusGatewayTimeout || res.Header.Get(headerVerdict) != "may_have_run"):
 				t.Errorf("got status %d, verdict %q; want 504 and may_have_run", res.StatusCode, res.Header.Get(headerVerdict))
 			}
-			if err := <-served; err != nil {
-				t.Errorf("serve: %v", err)
-			}
 		})
 	}
 }
