Drain of an availability zone: order, replicated list, propagation and routing

Cause: an operator has no way to keep new work away from the servers of a zone; only single servers can leave.

Ruled out: - The position of the drains as a field of the catalog's version: an operator's configuration would then race with the order. - An order that is acknowledged without a command of its own because the zone already is as ordered: an older, opposite order that is still under way would then take effect after the acknowledgement. - A check of the drains at each sender: choices, sources of prompt prefixes and backups all ask takesWork.

Change: module zonedrain in the replicated state machine (each order counts, is based on the revision of its zone and has no effect if that is not the newest), POST /Evacuate.Start/ZONE and /Evacuate.Finish/ZONE at the operators' address, setting zones, field zone_drains of WatchUpdate (versions ordered by epoch and revision, part of the confirmed position), drained zones in route.Table. A server in a drained zone that crashes is still resumed at a backup elsewhere, so IsStaying does not count the drain and the backup is checked by TakesWork.

Broken by hand: revision not compared -> TestOvertakenOrderHasNoEffect, TestLastAcknowledgedOrderIsInForce, TestDelayedOrderHasNoEffect; drain not in isStaying -> TestDrainedZoneGetsNoWork, TestServersThatComeDuringDrain, TestLastZoneDrained; drained servers kept in lanes -> TestLanesDuringDrain; not read at Upsert -> TestServersThatComeDuringDrain. The version checks of watcher and member each cover for the other: one alone switched off failed no test at first, which TestDrainsNeverGoBack (client alone) mends.

Conclusion: an order is committed, acknowledged and obeyed by gateways. Open: tests with processes that are killed, status output, docs.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,11 +10,13 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/juju/errors"
 
 	"github.com/guavastack/guavastack/internal/core/strict"
+	"github.com/guavastack/guavastack/internal/core/zonedrain"
 )
 
 // Config is the settings file of one process. At least one of Entry, Gateway, Agent, Control and Relay is set.
@@ -29,6 +31,7 @@
 	MemoryLimitMB  int      `json:"memory_limit_mb"` // of the process; 0: no limit
 	AllowedPeers   []string `json:"allowed_peers"`   // IP addresses or prefixes of peers that may open links without TLS
 	LinkTLS        *LinkTLS `json:"link_tls"`        // mutual TLS between guavastack processes; nil: no TLS
+	Zones          []string `json:"zones"`           // all availability zones, of which operators may drain one; empty: not known
 
 	Entry   *Entry   `json:"entry"`
 	Gateway *Gateway `json:"gateway"`
@@ -327,6 +330,7 @@
 		ch.tls("link_tls", &c.LinkTLS.TLS)
 		ch.required("link_tls.authority", c.LinkTLS.Authority, "the path of a PEM file")
 	}
+	c.checkZones(ch)
 	if c.ControlPort < 0 || c.ControlPort > maxPort {
 		ch.add("control_port", "%d; expected a port, or 0", c.ControlPort)
 	}
@@ -347,6 +351,18 @@
 	return ch.problems
 }
 
+func (c *Config) checkZones(ch *checker) {
+	for i, zone := range c.Zones {
+		at := strict.Index("zones", i)
+		if err := zonedrain.ValidateZone(zone); err != nil {
+			ch.add(at, "%v", err)
+		}
+		if slices.Contains(c.Zones[:i], zone) {
+			ch.add(at, "%q is listed twice", zone)
+		}
+	}
+}
+
 func (c *Config) checkEntry(ch *checker) {
 	if c.Entry == nil {
 		return
--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -109,6 +109,9 @@
 	// MarkBackendLeaving marks an incarnation of a backend server as leaving. startedMS is its start in Unix milliseconds; 0: the
 	// registered one. It returns false if the server is not registered.
 	MarkBackendLeaving(id string, startedMS int64) bool
+	// OrderZoneDrain orders that the drain of an availability zone begins or ends, and returns nil once the order is committed. by names
+	// who ordered it.
+	OrderZoneDrain(ctx context.Context, zone string, drained bool, by string) error
 }
 
 var _ Plane = (*Service)(nil)
--- a/internal/control/controltest/cluster.go
+++ b/internal/control/controltest/cluster.go
@@ -11,6 +11,7 @@
 	"github.com/guavastack/guavastack/internal/core/poison"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/core/state"
+	"github.com/guavastack/guavastack/internal/core/zonedrain"
 	"github.com/juju/errors"
 )
 
@@ -28,6 +29,7 @@
 	Settings *settings.Module
 	Claims   *claim.Module
 	Poison   *poison.Module
+	Drains   *zonedrain.Module
 
 	cluster     *Cluster
 	self        control.Member
@@ -44,11 +46,11 @@
 	c := &Cluster{}
 	for i := range n {
 		m := &Member{
-			Settings: settings.NewModule(), Claims: claim.NewModule(claim.DefaultBounds()), Poison: poison.NewModule(), cluster: c,
+			Settings: settings.NewModule(), Claims: claim.NewModule(claim.DefaultBounds()), Poison: poison.NewModule(), Drains: zonedrain.NewModule(), cluster: c,
 			self:   control.Member{ID: fmt.Sprintf("control-%d", i+1), Address: fmt.Sprintf("control-%d", i+1)},
 			events: make(map[chan struct{}]bool),
 		}
-		m.machine, _ = state.New(m.Settings, m.Claims, m.Poison)
+		m.machine, _ = state.New(m.Settings, m.Claims, m.Poison, m.Drains)
 		c.Members = append(c.Members, m)
 	}
 	c.leader = c.Members[0]
--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -8,6 +8,7 @@
 	"github.com/guavastack/guavastack/internal/core/catalog"
 	"github.com/guavastack/guavastack/internal/core/poison"
 	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/core/zonedrain"
 	"github.com/guavastack/guavastack/proto/controlpb"
 )
 
@@ -15,8 +16,9 @@
 type hub struct {
 	group   Group
 	module  *settings.Module
-	catalog *catalog.Module // nil: none
-	poison  *poison.Module  // nil: none
+	catalog *catalog.Module   // nil: none
+	poison  *poison.Module    // nil: none
+	drain   *zonedrain.Module // nil: none
 
 	mu       sync.Mutex
 	tree     *settings.Tree
@@ -24,6 +26,7 @@
 	snapshot []byte              // encoded tree; nil until a watcher needs it
 	document document
 	parts    *poison.List
+	drains   zoneDrains
 	changed  chan struct{}
 }
 
@@ -33,21 +36,22 @@
 	data    []byte // compressed
 }
 
-// position is a version of the settings and one of the catalog.
+// position is a version of the settings, one of the catalog and one of the list of drains.
 type position struct {
 	settings settings.Version
 	catalog  uint64
+	drains   settings.Version
 }
 
-// reaches reports whether p is at least o in both versions.
+// reaches reports whether p is at least o in all versions.
 func (p position) reaches(o position) bool {
-	return !p.settings.Less(o.settings) && p.catalog >= o.catalog
+	return !p.settings.Less(o.settings) && p.catalog >= o.catalog && !p.drains.Less(o.drains)
 }
 
 func newHub(cfg Config) *hub {
 	return &hub{
-		group: cfg.Group, module: cfg.Settings, catalog: cfg.Catalog, poison: cfg.Poison,
-		tree: settings.NewTree(), parts: &poison.List{}, changed: make(chan struct{}),
+		group: cfg.Group, module: cfg.Settings, catalog: cfg.Catalog, poison: cfg.Poison, drain: cfg.ZoneDrains,
+		tree: settings.NewTree(), parts: &poison.List{}, drains: newZoneDrains(0, &zonedrain.List{}), changed: make(chan struct{}),
 	}
 }
 
@@ -73,7 +77,7 @@
 	var deltas []settings.Delta
 	var ok bool
 	var doc document
-	parts := h.parts
+	parts, drains := h.parts, h.drains
 	h.group.View(func() {
 		tree = h.module.Tree()
 		deltas, ok = h.module.DeltasSince(h.tree.Version())
@@ -83,6 +87,9 @@
 		if h.poison != nil {
 			parts = h.poison.List()
 		}
+		if h.drain != nil {
+			drains = newZoneDrains(tree.Version().Epoch, h.drain.List())
+		}
 	})
 	changed := h.advanceTree(tree, deltas, ok)
 	if doc.version > h.document.version {
@@ -90,6 +97,9 @@
 	}
 	changed = changed || parts.Version != h.parts.Version
 	h.parts = parts
+	if h.drains.version.Less(drains.version) {
+		h.drains, changed = drains, true
+	}
 	if changed {
 		close(h.changed)
 		h.changed = make(chan struct{})
@@ -119,7 +129,7 @@
 func (h *hub) position() position {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return position{settings: h.tree.Version(), catalog: h.document.version}
+	return position{settings: h.tree.Version(), catalog: h.document.version, drains: h.drains.version}
 }
 
 // newestDocument returns the newest version of the catalog.
@@ -148,8 +158,8 @@
 	return changes, nil
 }
 
-// newest returns the newest tree and a channel that is closed at the next change of the settings, the catalog or the list of prompt
-// parts.
+// newest returns the newest tree and a channel that is closed at the next change of the settings, the catalog, the list of prompt
+// parts or the list of drains.
 func (h *hub) newest() (*settings.Tree, <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -9,6 +9,7 @@
 	"github.com/guavastack/guavastack/internal/core/catalog"
 	"github.com/guavastack/guavastack/internal/core/poison"
 	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/core/zonedrain"
 	"github.com/guavastack/guavastack/internal/rpcpool"
 	"github.com/guavastack/guavastack/proto/controlpb"
 	"github.com/juju/errors"
@@ -43,13 +44,15 @@
 // Config is the configuration of a Service.
 type Config struct {
 	Group       Group
-	Settings    *settings.Module // part of the Group's state machine; read within Group.View only
-	Catalog     *catalog.Module  // like Settings; nil: none
-	Poison      *poison.Module   // like Settings; nil: none
-	Peers       func() []string  // addresses of the other control members' services; nil: none
-	Members     func() []string  // addresses of all control members, sent to watchers; nil: not sent
-	JoinHandler JoinHandler      // nil: announcements are rejected, operators add members
-	PeerHeard   func(Contact)    // called for each digest of another control member; nil: not called
+	Settings    *settings.Module  // part of the Group's state machine; read within Group.View only
+	Catalog     *catalog.Module   // like Settings; nil: none
+	Poison      *poison.Module    // like Settings; nil: none
+	ZoneDrains  *zonedrain.Module // like Settings; nil: none
+	Zones       []string          // known availability zones; empty: not known
+	Peers       func() []string   // addresses of the other control members' services; nil: none
+	Members     func() []string   // addresses of all control members, sent to watchers; nil: not sent
+	JoinHandler JoinHandler       // nil: announcements are rejected, operators add members
+	PeerHeard   func(Contact)     // called for each digest of another control member; nil: not called
 	// MembersNamed is called for each list of the members of a control group that a watcher sends. An error ends the watch. nil: not
 	// called.
 	MembersNamed func(group uint64, addresses []string) error
@@ -116,6 +119,8 @@
 	soft      *softState
 	lanes     *lanePlans
 	clocks    *clocks
+
+	drainOrders zoneDrainCounters
 }
 
 // New returns a service. It needs Run for its background work.
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -93,6 +93,7 @@
 		w.have = position{
 			settings: settings.Version{Epoch: req.HaveEpoch, Version: req.HaveVersion},
 			catalog:  req.HaveCatalog,
+			drains:   settings.Version{Epoch: req.HaveDrainsEpoch, Version: req.HaveDrainsRevision},
 		}
 	}
 	w.mu.Unlock()
@@ -182,6 +183,9 @@
 	if w.addCatalog(u) {
 		needed = true
 	}
+	if w.addZoneDrains(u) {
+		needed = true
+	}
 	// A query is answered only once the watcher has at least the position that was confirmed for it.
 	if w.confirmed != 0 && w.have.settings == newest && w.have.reaches(w.confirmedPosition) {
 		u.ConfirmedQuery, w.confirmed = w.confirmed, 0
--- a/internal/core/route/lanemap.go
+++ b/internal/core/route/lanemap.go
@@ -16,10 +16,11 @@
 }
 
 // laneMap assigns the ready servers of a group to the lanes of a plan, by their position in the common order. Servers that only
-// this process has quarantined are assigned too, so that all processes agree on the lanes.
+// this process has quarantined are assigned too, so that all processes agree on the lanes. Servers of drained zones are not: all
+// processes know the same drains.
 type laneMap struct {
 	plan    *LanePlan // nil: not split
-	ready   []*server // in the common order
+	ready   []*server // in the common order, without those of drained zones
 	lanes   [][]*server
 	changed bool // the plan or the ready servers have changed since the last refresh
 }
@@ -42,7 +43,7 @@
 	g.changed = false
 	g.ready, g.lanes = g.ready[:0], g.lanes[:0]
 	for _, s := range g.ordered {
-		if s.Lifecycle == LifecycleReady {
+		if s.Lifecycle == LifecycleReady && !s.drained {
 			g.ready = append(g.ready, s)
 		}
 	}
--- a/internal/core/route/notice.go
+++ b/internal/core/route/notice.go
@@ -93,23 +93,27 @@
 	return nil
 }
 
-// TakesWork reports whether a server takes new work according to the registry and its notices.
+// TakesWork reports whether a server takes new work according to the registry, its notices and the drains of zones.
 func (t *Table) TakesWork(now time.Time, id string) bool {
 	s := t.servers[id]
 	return s != nil && s.takesWork(now)
 }
 
-// IsStaying reports whether a server is registered as ready and has not said that it leaves.
+// IsStaying reports whether a server is registered as ready and has not said that it leaves. It stays during the drain of its zone,
+// which does not end the requests that it runs.
 func (t *Table) IsStaying(id string) bool {
 	s := t.servers[id]
-	return s != nil && s.isStaying()
+	return s != nil && s.isPresent()
 }
 
 // takesWork is the one place that decides whether a server may be sent new work at all, whatever its health and load.
 func (s *server) takesWork(now time.Time) bool { return s.isStaying() && s.pauseLeft(now) <= 0 }
 
-// isStaying reports whether the server is ready and has not said that it leaves.
-func (s *server) isStaying() bool {
+// isStaying reports whether the server takes new work once its pause is over: it is present and its zone is not drained.
+func (s *server) isStaying() bool { return s.isPresent() && !s.drained }
+
+// isPresent reports whether the server is ready and has not said that it leaves.
+func (s *server) isPresent() bool {
 	return s.Lifecycle == LifecycleReady && (s.notice == nil || !s.notice.leaves)
 }
 
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -57,6 +57,7 @@
 	notices    map[string]*notice // by server ID, also of servers that are no longer registered
 	turns      limit.Turns        // by which the processes share the rate limits of servers
 	clockAhead time.Duration      // how far the clock of the turns is ahead
+	drains     zoneDrains
 }
 
 type groupKey struct{ kind, model string }
@@ -103,6 +104,7 @@
 	membership  laneMembership
 	limit       rateLimit
 	notice      *notice // nil: it has said nothing
+	drained     bool    // its zone is drained
 }
 
 // NewTable returns an empty table.
@@ -120,13 +122,14 @@
 	if old != nil && old.Incarnation == b.Incarnation && old.Kind == b.Kind && old.Model == b.Model {
 		old.group.changed = old.group.changed || old.Lifecycle != b.Lifecycle
 		old.Backend = b
+		old.setDrained(t.drains.has(b.Zone))
 		return
 	}
 	if old != nil {
 		t.Remove(b.ID)
 	}
 	g := t.group(groupKey{b.Kind, b.Model})
-	s := &server{Backend: b, group: g, order: orderHash(b.ID), slotInterval: defaultSlotInterval, notice: t.knownNotice(b)}
+	s := &server{Backend: b, group: g, order: orderHash(b.ID), slotInterval: defaultSlotInterval, notice: t.knownNotice(b), drained: t.drains.has(b.Zone)}
 	t.servers[b.ID] = s
 	i := sort.Search(len(g.servers), func(i int) bool { return g.servers[i].ID >= b.ID })
 	g.servers = append(g.servers, nil)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/guavastack/guavastack/internal/core/catalog"
 	"github.com/guavastack/guavastack/internal/core/limit"
 	"github.com/guavastack/guavastack/internal/core/route"
+	"github.com/guavastack/guavastack/internal/core/zonedrain"
 	"github.com/guavastack/guavastack/internal/meter"
 	"github.com/guavastack/guavastack/internal/serverset"
 	"github.com/guavastack/guavastack/internal/telemetry"
@@ -63,11 +64,13 @@
 	SetLaneWork(f func() []route.ServiceWork)
 	// Backends returns the registered backend servers.
 	Backends() []*controlpb.BackendServer
+	// ZoneDrains returns the drains of availability zones that are in force.
+	ZoneDrains() *zonedrain.List
 	// Turns returns the turns by which all gateways share the rate limits of backend servers.
 	Turns() limit.Turns
 	meter.Sink
 	PromptParts
-	// OnChange registers a function that runs after each change of the catalog or the registry.
+	// OnChange registers a function that runs after each change of the catalog, the registry or the drains of zones.
 	OnChange(f func())
 }
 
@@ -107,6 +110,7 @@
 	parts   *promptParts
 	answers *answerMemory
 
+	drains    atomic.Pointer[zonedrain.List]  // in force at this gateway
 	addresses atomic.Pointer[map[string]bool] // of the registered backend servers
 	abortAt   atomic.Pointer[time.Time]       // when a shutdown aborts the requests in progress; nil: not shutting down
 	inFlight  atomic.Int64
@@ -141,6 +145,7 @@
 	s.parts = newPromptParts(dir, dir.Wall, cfg.Logger)
 	s.crashes = newCrashDetector(s.hasCrashed, s.recordCrash)
 	s.addresses.Store(&map[string]bool{})
+	s.drains.Store(&zonedrain.List{})
 	s.registerGauges()
 	dir.OnChange(s.directoryChanged)
 	dir.OnPromptParts(s.parts.listChanged)
@@ -148,7 +153,7 @@
 	return s
 }
 
-// directoryChanged applies a change of the registry.
+// directoryChanged applies a change of the registry or of the drains of zones.
 func (s *Server) directoryChanged() {
 	backends := newestByAddress(s.dir.Backends())
 	addresses := make(map[string]bool, len(backends))
@@ -157,6 +162,7 @@
 	}
 	s.addresses.Store(&addresses)
 	s.logServerChanges(backends)
+	s.applyZoneDrains() // before servers that register in a drained zone are added
 	s.servers.Update(time.Now(), backends)
 }
 
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -23,6 +23,7 @@
 	"github.com/guavastack/guavastack/internal/core/poison"
 	"github.com/guavastack/guavastack/internal/core/route"
 	"github.com/guavastack/guavastack/internal/core/state"
+	"github.com/guavastack/guavastack/internal/core/zonedrain"
 	"github.com/guavastack/guavastack/proto/controlpb"
 )
 
@@ -75,6 +76,7 @@
 	stale       atomic.Bool
 	unconfirmed atomic.Int64 // nanoseconds
 	backends    []*controlpb.BackendServer
+	drains      atomic.Pointer[zonedrain.List] // nil: none
 	onChange    func()
 	onParts     func()
 
@@ -93,7 +95,13 @@
 func (d *fakeDirectory) Wall() time.Time                         { return time.Now() }
 func (d *fakeDirectory) LanePlan(string) (*route.LanePlan, bool) { return nil, false }
 func (d *fakeDirectory) SetLaneWork(func() []route.ServiceWork)  {}
-func (d *fakeDirectory) Turns() limit.Turns                      { return limit.Turns{Count: 1} }
+func (d *fakeDirectory) ZoneDrains() *zonedrain.List {
+	if drains := d.drains.Load(); drains != nil {
+		return drains
+	}
+	return &zonedrain.List{}
+}
+func (d *fakeDirectory) Turns() limit.Turns { return limit.Turns{Count: 1} }
 
 func (d *fakeDirectory) PromptParts() *poison.List {
 	d.mu.Lock()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,6 +25,8 @@
 	metricCrashes      = "gateway_server_crashes"  // crashes of backend servers under requests of this gateway, by service
 	metricFresh        = "gateway_keys_fresh_ms"   // how long the keys may still be used; below 0: they have expired
 	metricBlockedParts = "gateway_blocked_parts"   // parts of prompts with which requests are refused
+	metricDrainedZones = "gateway_drained_zones"   // availability zones whose servers get no new work
+	metricDrained      = "gateway_drained_servers" // ready backend servers in these zones
 	metricCatalog      = "gateway_catalog_version"
 	metricInFlight     = "gateway_in_flight"
 )
@@ -47,6 +49,8 @@
 	m.GaugeFunc(metricCatalog, func() int64 { return int64(s.dir.Catalog().Version()) })
 	m.GaugeFunc(metricInFlight, s.inFlight.Load)
 	m.GaugeFunc(metricBlockedParts, s.parts.blockedCount)
+	m.GaugeFunc(metricDrainedZones, s.drainedZones)
+	m.GaugeFunc(metricDrained, s.drainedServers)
 }
 
 // countRequest adds the end of x to the metrics. took is the time since the arrival of x.
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -26,6 +26,7 @@
 	"github.com/guavastack/guavastack/internal/core/raft"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/core/state"
+	"github.com/guavastack/guavastack/internal/core/zonedrain"
 	"github.com/guavastack/guavastack/internal/operate"
 	"github.com/guavastack/guavastack/internal/platformclient"
 	"github.com/guavastack/guavastack/internal/replica"
@@ -44,6 +45,7 @@
 	Billing  *billing.Module
 	Catalog  *catalog.Module
 	Poison   *poison.Module
+	Drains   *zonedrain.Module
 }
 
 // NewState returns an empty state machine.
@@ -55,9 +57,10 @@
 		Billing:  billing.NewModule(),
 		Catalog:  catalog.NewModule(),
 		Poison:   poison.NewModule(),
+		Drains:   zonedrain.NewModule(),
 	}
 	var err error
-	s.Machine, err = state.New(s.Settings, s.Claims, s.Duty, s.Billing, s.Catalog, s.Poison)
+	s.Machine, err = state.New(s.Settings, s.Claims, s.Duty, s.Billing, s.Catalog, s.Poison, s.Drains)
 	return s, err
 }
 
@@ -125,6 +128,8 @@
 		Settings:    s.Settings,
 		Catalog:     s.Catalog,
 		Poison:      s.Poison,
+		ZoneDrains:  s.Drains,
+		Zones:       base.Config.Zones,
 		Peers:       func() []string { return otherPeers(c) },
 		Dial:        base.Network.Dial,
 		Incarnation: base.Incarnation,
--- a/internal/serverset/serverset.go
+++ b/internal/serverset/serverset.go
@@ -157,7 +157,7 @@
 	return s.table.RecordPause(time.Now(), id, incarnation, pause)
 }
 
-// TakesWork reports whether a backend server takes new work according to the registry and its notices.
+// TakesWork reports whether a backend server takes new work according to the registry, its notices and the drains of zones.
 func (s *Set) TakesWork(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/watch/client.go
+++ b/internal/watch/client.go
@@ -22,6 +22,7 @@
 	"github.com/guavastack/guavastack/internal/core/route"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/core/wallclock"
+	"github.com/guavastack/guavastack/internal/core/zonedrain"
 	"github.com/guavastack/guavastack/internal/rpcpool"
 	"github.com/guavastack/guavastack/internal/wait"
 	"github.com/guavastack/guavastack/proto/controlpb"
@@ -112,6 +113,7 @@
 	laneWork      atomic.Pointer[func() []route.ServiceWork]
 	lanePlans     atomic.Pointer[route.LanePlans]
 	promptParts   atomic.Pointer[poison.List]
+	drains        atomic.Pointer[receivedDrains]
 	turns         atomic.Pointer[limit.Turns]
 	wallOffset    atomic.Int64  // how far the agreed wall clock is ahead of the local one, in nanoseconds
 	confirmations atomic.Uint64 // number of confirmed queries
@@ -145,6 +147,7 @@
 	c.group.Store(&controlGroup{})
 	c.lanePlans.Store(&route.LanePlans{})
 	c.promptParts.Store(&poison.List{})
+	c.drains.Store(&receivedDrains{list: &zonedrain.List{}})
 	c.turns.Store(&limit.Turns{Position: cfg.firstMember() % limit.AssumedProcesses, Count: limit.AssumedProcesses})
 	return c
 }
@@ -267,15 +270,15 @@
 	}
 }
 
-// Changed returns a channel that is closed at the next change of the settings, keys, catalog or registry.
+// Changed returns a channel that is closed at the next change of the settings, keys, catalog, registry or drains of zones.
 func (c *Client) Changed() <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.changed
 }
 
-// OnChange registers f to be called after each change of the settings, keys, catalog or registry, one call at a time. f must not
-// block.
+// OnChange registers f to be called after each change of the settings, keys, catalog, registry or drains of zones, one call at a
+// time. f must not block.
 func (c *Client) OnChange(f func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/watch/session.go
+++ b/internal/watch/session.go
@@ -160,6 +160,8 @@
 		HaveEpoch: have.Epoch, HaveVersion: have.Version, HaveCatalog: s.client.Catalog().Version(),
 		Query: s.client.freshness.StartQuery(clock.Now()), FreshnessMs: cfg.FreshnessLimit.Milliseconds(),
 	}
+	drains := s.client.drains.Load().version
+	q.HaveDrainsEpoch, q.HaveDrainsRevision = drains.Epoch, drains.Version
 	s.nameMembers(q)
 	if f := s.client.demand.Load(); f != nil {
 		q.Demand = (*f)()
@@ -183,6 +185,9 @@
 	} else if replaced {
 		changed = true
 	}
+	if s.applyZoneDrains(u) {
+		changed = true
+	}
 	if s.mergeBackends(u) {
 		changed = true
 	}
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -191,7 +191,7 @@
 	if w.group != nil {
 		group = w.group(m)
 	}
-	s := control.New(control.Config{Group: group, Settings: m.Settings, Poison: m.Poison, Peers: func() []string { return peers }, Dial: w.dial, Incarnation: incarnation})
+	s := control.New(control.Config{Group: group, Settings: m.Settings, Poison: m.Poison, ZoneDrains: m.Drains, Peers: func() []string { return peers }, Dial: w.dial, Incarnation: incarnation})
 	w.services[i] = s
 	l := &listener{address: w.addresses[i], conns: make(chan net.Conn), done: make(chan struct{})}
 	w.mu.Lock()
