Drain: status output, counters, settings template; tests with lost members and killed processes

Cause: nothing showed a drain to operators, the template did not list the zones, and no test ended the processes that hold an order.

Change: drains in the status of the admin API and of guavastack status, zone_drains and zone_drain_orders, zones in deploy/control.json.tmpl (settingstemplate repeats a section for the keys of a table), tests over real members and processes.

Ruled out: numbers of orders as gauges that grow; control.Config gets the registry of metrics instead.

Open: docs, entries.

--- a/cmd/guavastack/status.go
+++ b/cmd/guavastack/status.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -17,7 +18,7 @@
 func statusCommands() []*cli.Command {
 	return []*cli.Command{
 		{
-			Name: "status", Usage: "print the leader, and the version of the settings in force in each process",
+			Name: "status", Usage: "print the leader, drained availability zones, and the version of the settings in force in each process",
 			Flags: adminFlags(), Action: withClient(status),
 		},
 		{Name: "backends", Usage: "print the backend servers", Flags: adminFlags(), Action: withClient(backends)},
@@ -41,6 +42,7 @@
 	}
 	return printResult(cmd, st, func(w io.Writer) {
 		_, _ = fmt.Fprintf(w, "leader\t%s\nversion\t%s\nconfirmed\t%v\nin force everywhere\t%v\n", st.Leader, st.Version, st.Confirmed, st.InForce)
+		writeDrains(w, st.Drains)
 		writeGroup(w, st.Group)
 		_, _ = fmt.Fprintln(w, "PROCESS\tROLE\tZONE\tVERSION\tHEARD (MS AGO)")
 		for _, p := range st.Processes {
@@ -49,6 +51,13 @@
 	})
 }
 
+// writeDrains prints the drained availability zones.
+func writeDrains(w io.Writer, drains []adminapi.ZoneDrain) {
+	for _, d := range drains {
+		_, _ = fmt.Fprintf(w, "drained zone\t%s since %s, ordered by %s\n", d.Zone, time.UnixMilli(d.SinceMS).UTC().Format(time.RFC3339), d.OrderedBy)
+	}
+}
+
 // writeGroup prints how many losses the control group tolerates, and an empty line.
 func writeGroup(w io.Writer, g *adminapi.Group) {
 	if g != nil {
--- a/cmd/guavastack/status_test.go
+++ b/cmd/guavastack/status_test.go
@@ -32,3 +32,16 @@
 		}
 	}
 }
+
+// TestStatusPrintsDrains checks the lines about drained availability zones.
+func TestStatusPrintsDrains(t *testing.T) {
+	var out strings.Builder
+	writeDrains(&out, nil)
+	if out.String() != "" {
+		t.Errorf("got %q without drains, want nothing", out.String())
+	}
+	writeDrains(&out, []adminapi.ZoneDrain{{Zone: "trd-a", SinceMS: 1790000000000, OrderedBy: "10.0.0.9"}})
+	if want := "drained zone\ttrd-a since 2026-09-21T14:13:20Z, ordered by 10.0.0.9\n"; out.String() != want {
+		t.Errorf("got %q, want %q", out.String(), want)
+	}
+}
--- a/cmd/guavastack/templates_test.go
+++ b/cmd/guavastack/templates_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"github.com/guavastack/guavastack/internal/config"
@@ -21,6 +22,7 @@
 		},
 		"faultTolerance": settingstemplate.Fields{"machines": 2},
 		"cloudApi":       settingstemplate.Fields{"address": "10.200.0.61:8223"},
+		"zones":          map[string]string{"trd-a": "trd", "trd-b": "trd", "ber-a": "ber"},
 		"seeds":          []string{"10.1.0.19:8229", "10.2.0.36:8229", "10.3.0.3:8229"},
 	}
 }
@@ -46,6 +48,12 @@
 		{"joining member", "control.json.tmpl", without("bootstrap"), func(c *config.Config) bool {
 			return c.Control != nil && c.Control.Join && len(c.Control.Peers) == 0
 		}},
+		{"zones", "control.json.tmpl", templateFields(), func(c *config.Config) bool {
+			return slices.Equal(c.Zones, []string{"ber-a", "trd-a", "trd-b"})
+		}},
+		{"without a list of zones", "control.json.tmpl", without("zones"), func(c *config.Config) bool {
+			return c.Control != nil && len(c.Zones) == 0
+		}},
 		{"without a stated tolerance", "control.json.tmpl", without("faultTolerance"), func(c *config.Config) bool {
 			return c.Control != nil && c.Control.FaultTolerance == 0
 		}},
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -28,9 +28,10 @@
 
 // group is a control group with the operators' API at each member.
 type group struct {
-	cluster *controltest.Cluster
-	urls    []string
-	audit   *lockedBuffer
+	cluster  *controltest.Cluster
+	services []*control.Service
+	urls     []string
+	audit    *lockedBuffer
 }
 
 type lockedBuffer struct {
@@ -87,7 +88,8 @@
 		return d.DialContext(ctx, "tcp", listeners[address].Addr().String())
 	}
 	for _, m := range g.cluster.Members {
-		s := control.New(control.Config{Group: m, Settings: m.Settings, Dial: dial})
+		s := control.New(control.Config{Group: m, Settings: m.Settings, ZoneDrains: m.Drains, Dial: dial})
+		g.services = append(g.services, s)
 		running.Add(2)
 		go func() { defer running.Done(); _ = s.Run(ctx) }()
 		go func() { defer running.Done(); _ = s.Serve(ctx, listeners[m.Self().Address]) }()
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -19,6 +19,7 @@
 	"github.com/guavastack/guavastack/internal/core/duty"
 	"github.com/guavastack/guavastack/internal/core/member"
 	"github.com/guavastack/guavastack/internal/core/settings"
+	"github.com/guavastack/guavastack/internal/core/zonedrain"
 	"github.com/guavastack/guavastack/internal/operate"
 	"github.com/guavastack/guavastack/proto/controlpb"
 )
@@ -49,6 +50,7 @@
 	Behind(v settings.Version) []member.Process
 	WaitInForce(ctx context.Context, v settings.Version) []member.Process
 	Backends() []*controlpb.BackendServer
+	ZoneDrains() *zonedrain.List
 	Leader() (control.Member, bool)
 	Self() control.Member
 }
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -42,6 +42,9 @@
 		group := s.cfg.Group()
 		out.Group = &group
 	}
+	for _, d := range s.cfg.Control.ZoneDrains().Drains {
+		out.Drains = append(out.Drains, adminapi.ZoneDrain{Zone: d.Zone, SinceMS: d.SinceMS, OrderedBy: d.By})
+	}
 	out.Behind = processIDs(s.cfg.Control.Behind(requested))
 	out.InForce = len(out.Behind) == 0 && !tree.Version().Less(requested)
 	now := time.Now()
--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -176,6 +176,15 @@
 	Processes []Process `json:"processes"`
 	Replica   any       `json:"replica,omitempty"`
 	Group     *Group    `json:"group,omitempty"`
+
+	Drains []ZoneDrain `json:"drains,omitempty"` // of availability zones, in force; with Confirmed, all that were acknowledged before
+}
+
+// ZoneDrain is the drain of an availability zone, whose servers get no new work.
+type ZoneDrain struct {
+	Zone      string `json:"zone"`
+	SinceMS   int64  `json:"since_ms"`   // milliseconds since 1970
+	OrderedBy string `json:"ordered_by"` // address of the caller
 }
 
 // Group tells how many losses the control group tolerates, as known to one member. The leader knows what the group waits for; another
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -11,6 +11,7 @@
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/core/zonedrain"
 	"github.com/guavastack/guavastack/internal/rpcpool"
+	"github.com/guavastack/guavastack/internal/telemetry"
 	"github.com/guavastack/guavastack/proto/controlpb"
 	"github.com/juju/errors"
 	"storj.io/drpc/drpcmux"
@@ -71,6 +72,7 @@
 	FreshnessLimit time.Duration
 	RegistryTTL    time.Duration
 	Logger         *slog.Logger
+	Metrics        *telemetry.Registry // nil: none
 }
 
 func (c Config) withDefaults() Config {
@@ -119,8 +121,6 @@
 	soft      *softState
 	lanes     *lanePlans
 	clocks    *clocks
-
-	drainOrders zoneDrainCounters
 }
 
 // New returns a service. It needs Run for its background work.
--- a/internal/control/zonedrain.go
+++ b/internal/control/zonedrain.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"slices"
-	"sync/atomic"
 
 	"github.com/juju/errors"
 
@@ -27,12 +26,13 @@
 // ErrOrderNotCommitted means that it is not known whether an order has been committed.
 const ErrOrderNotCommitted = errors.ConstError("order not committed in time")
 
-// zoneDrainCounters count the orders of drains by outcome.
-type zoneDrainCounters struct{ committed, failed atomic.Int64 }
+// metricZoneDrainOrders counts the orders of drains at this member by result: committed, refused or failed.
+const metricZoneDrainOrders = "zone_drain_orders"
 
-// ZoneDrainOrders returns the numbers of orders of drains that this member has committed, and that it failed to commit.
-func (s *Service) ZoneDrainOrders() (committed, failed int64) {
-	return s.drainOrders.committed.Load(), s.drainOrders.failed.Load()
+func (s *Service) countZoneDrainOrder(result string) {
+	if s.cfg.Metrics != nil {
+		s.cfg.Metrics.Counter(metricZoneDrainOrders, telemetry.Label{Name: "result", Value: result}).Inc(1)
+	}
 }
 
 // OrderZoneDrain orders that the drain of a zone begins or ends, and returns nil once the order is committed. by names who ordered it.
@@ -41,28 +41,37 @@
 // came first, the order is based on the newer revision and proposed again, but only until ctx ends: by then the caller may have sent it to
 // another member, and newer orders after it.
 func (s *Service) OrderZoneDrain(ctx context.Context, zone string, drained bool, by string) error {
-	if err := zonedrain.ValidateZone(zone); err != nil {
+	if err := s.checkZone(zone); err != nil {
+		s.countZoneDrainOrder("refused")
 		return err
 	}
-	if len(s.cfg.Zones) > 0 && !slices.Contains(s.cfg.Zones, zone) {
-		return errors.WithType(errors.NotFoundf("availability zone %q", zone), ErrUnknownZone)
-	}
-	if s.cfg.ZoneDrains == nil {
-		return errors.NotSupportedf("drains of availability zones")
-	}
 	logger := s.cfg.Logger.With("zone", zone, "drained", drained, "ordered_by", by)
 	logger.Info("zone drain ordered")
 	revision, err := s.commitZoneDrain(ctx, zonedrain.Command{Zone: zone, Drained: drained, By: by})
 	if err != nil {
-		s.drainOrders.failed.Add(1)
+		s.countZoneDrainOrder("failed")
 		logger.Warn("zone drain not committed", telemetry.KeyError, err.Error())
 		return err
 	}
-	s.drainOrders.committed.Add(1)
+	s.countZoneDrainOrder("committed")
 	logger.Info("zone drain committed", "revision", revision)
 	return nil
 }
 
+// checkZone returns an error for a zone on which no order is accepted.
+func (s *Service) checkZone(zone string) error {
+	if err := zonedrain.ValidateZone(zone); err != nil {
+		return err
+	}
+	if len(s.cfg.Zones) > 0 && !slices.Contains(s.cfg.Zones, zone) {
+		return errors.WithType(errors.NotFoundf("availability zone %q", zone), ErrUnknownZone)
+	}
+	if s.cfg.ZoneDrains == nil {
+		return errors.NotSupportedf("drains of availability zones")
+	}
+	return nil
+}
+
 // commitZoneDrain commits a command with the newest revision of its zone, and returns the revision of the zone afterwards.
 func (s *Service) commitZoneDrain(ctx context.Context, command zonedrain.Command) (revision uint64, err error) {
 	// A process that was paused must not renew an old order on a newer revision. The timer of ctx may fire late after a pause, and does not
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -134,6 +134,7 @@
 		Dial:        base.Network.Dial,
 		Incarnation: base.Incarnation,
 		Logger:      base.Logger,
+		Metrics:     base.Metrics,
 		GroupID:     c.Group,
 		Epoch:       func() uint64 { return r.Status().Epoch },
 	}
@@ -195,6 +196,7 @@
 	registerReplicationMetrics(c.base.Metrics, func() raft.Status { return c.replica.Status().Status })
 	c.monitor.registerMetrics(c.base.Metrics)
 	c.base.Metrics.GaugeFunc(metricBackends, func() int64 { return int64(len(c.service.Backends())) })
+	c.base.Metrics.GaugeFunc(metricZoneDrains, func() int64 { return int64(len(c.service.ZoneDrains().Drains)) })
 	c.base.Metrics.GaugeFunc(metricWatchers, func() int64 { return int64(len(c.service.Processes())) })
 }
 
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -20,6 +20,7 @@
 	metricChanges       = "membership_changes"            // committed, by action and reason
 	metricChangesFailed = "membership_changes_failed"     // by action and reason
 	metricBackends      = "registry_servers"              // registered backend servers
+	metricZoneDrains    = "zone_drains"                   // drained availability zones
 	metricWatchers      = "registry_processes"            // processes that watch a control member
 )
 
--- a/internal/settingstemplate/template.go
+++ b/internal/settingstemplate/template.go
@@ -5,7 +5,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -20,8 +22,9 @@
 	valueTag   = regexp.MustCompile(`\{\{([A-Za-z0-9_.]+)(\|json)?\}\}`)
 )
 
-// Render fills in values, values as JSON, and sections for a value that is present or absent. It returns an error for a section without
-// an end.
+// Render fills in values, values as JSON, and sections for a value that is present or absent. A section for a table of type
+// map[string]string is repeated for each of its keys, in ascending order: {{@}} is the key, and {{,}} a comma except after the last one.
+// Render returns an error for a section without an end.
 func Render(template string, f Fields) (string, error) {
 	template, err := renderSections(template, f)
 	if err != nil {
@@ -50,13 +53,30 @@
 		if !ok {
 			return "", errors.NotValidf("template: section %s without an end", name)
 		}
-		if f.isPresent(name) != (kind == "#") {
+		table, isTable := f.get(name).(map[string]string)
+		switch {
+		case f.isPresent(name) != (kind == "#"):
 			inner = ""
+		case isTable && kind == "#":
+			inner = repeatForKeys(inner, table)
 		}
 		template = template[:at[0]] + inner + rest
 	}
 }
 
+// repeatForKeys returns the text of a section once for each key of a table.
+func repeatForKeys(text string, table map[string]string) string {
+	var out strings.Builder
+	for i, key := range slices.Sorted(maps.Keys(table)) {
+		comma := ","
+		if i == len(table)-1 {
+			comma = ""
+		}
+		out.WriteString(strings.NewReplacer("{{@}}", key, "{{,}}", comma).Replace(text))
+	}
+	return out.String()
+}
+
 // get returns the value of a name with dots, or nil.
 func (f Fields) get(name string) any {
 	var at any = f
@@ -83,6 +103,8 @@
 		return false
 	case bool:
 		return v
+	case map[string]string:
+		return len(v) > 0
 	default:
 		return true
 	}
