--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/core/state"
 	"github.com/guavastack/guavastack/internal/core/verdict"
+	"github.com/guavastack/guavastack/internal/core/zonedrain"
 	"github.com/guavastack/guavastack/internal/link"
 	"github.com/guavastack/guavastack/internal/telemetry"
 	"github.com/guavastack/guavastack/proto/controlpb"
@@ -34,7 +35,9 @@
 	Fresh(now time.Time) bool
 	// Backends returns the registered backend servers.
 	Backends() []*controlpb.BackendServer
-	// OnChange registers a function that runs after each change of the tree or the registry.
+	// ZoneDrains returns the drains of availability zones that are in force.
+	ZoneDrains() *zonedrain.List
+	// OnChange registers a function that runs after each change of the tree, the registry or the drains of zones.
 	OnChange(func())
 	// OpenWindow returns the number of the open billing window.
 	OpenWindow() uint64
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -21,6 +21,7 @@
 	"github.com/guavastack/guavastack/internal/core/route"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/core/state"
+	"github.com/guavastack/guavastack/internal/core/zonedrain"
 	"github.com/guavastack/guavastack/internal/keys"
 	"github.com/guavastack/guavastack/internal/link"
 	"github.com/guavastack/guavastack/internal/standin"
@@ -53,6 +54,7 @@
 	mu       sync.Mutex
 	index    uint64
 	backends []*controlpb.BackendServer
+	drains   *zonedrain.List
 	onChange []func()
 	usage    []*controlpb.UsageReport
 	open     uint64
@@ -125,6 +127,24 @@
 	return d.backends
 }
 
+func (d *fakeDirectory) ZoneDrains() *zonedrain.List {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.drains
+}
+
+// drain makes the entries know that exactly these zones are drained.
+func (d *fakeDirectory) drain(zones ...string) {
+	list := &zonedrain.List{}
+	for _, zone := range zones {
+		list.Drains = append(list.Drains, zonedrain.Drain{Zone: zone})
+	}
+	d.mu.Lock()
+	d.drains = list
+	d.mu.Unlock()
+	d.changed()
+}
+
 func (d *fakeDirectory) OnChange(f func()) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -137,8 +137,9 @@
 	return errors.Annotate(err, "shut down callers' listener")
 }
 
-// directoryChanged applies a change of settings, keys or the registry.
+// directoryChanged applies a change of settings, keys, the registry or the drains of zones.
 func (s *Server) directoryChanged() {
+	s.servers.SetDrainedZones(time.Now(), s.dir.ZoneDrains().Zones())
 	s.servers.Update(time.Now(), s.dir.Backends())
 	s.cancelWithdrawn(s.dir.Tree())
 }
--- a/internal/process/relay_test.go
+++ b/internal/process/relay_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/guavastack/guavastack/internal/config"
@@ -50,4 +51,9 @@
 	if res.StatusCode != http.StatusTemporaryRedirect || !slices.Contains(members, location) {
 		t.Errorf("got status %d with location %q, want 307 to one of %q", res.StatusCode, location, members)
 	}
+	w := httptest.NewRecorder()
+	relay.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/Evacuate.Start/zone%2Fa", nil))
+	if location := w.Header().Get("Location"); w.Code != http.StatusTemporaryRedirect || !strings.HasSuffix(location, ":8229/Evacuate.Start/zone%2Fa") {
+		t.Errorf("order of a drain: got status %d with location %q, want 307 with the same path", w.Code, location)
+	}
 }
