route: limit and slow start of cold servers

Cause: a server that has just started, or returns from an outage, crashes if it gets requests well above a rate that the configuration states for its service. 34 requests in one second were measured at a cold server, 27.5 were allowed.

Ruled out: the turns of stated rate limits as they were.

Change: route/warmup.go keeps what reports and answers say of a server, in the order of their sequence or send time, and limits a cold server by limit.Turns in isWithinLimit; the lower of the stated and the cold rate counts. A server that was unreachable counts as cold until its state is known, and so does its zone if two were unreachable. A part of a cold server's capacity counts in load comparisons; its sessions return one after the other. If all are cold, ColdError offers each refused request another turn. limit.TurnKeeper lets processes that have just joined or are cut off use a quarter of their turns; 64 processes are assumed before the first confirmation.

With 31 gateways of 2 requests a second each, all servers cold and two thirds of what they take asked, up to 0.08 of the requests found no turn within 3 s; 0 with 8 gateways.

A server that is away for less than the time between two requests of a gateway, and returns cold as the same incarnation, is not noticed by that gateway: up to 101 in one second in a trial with an outage of 0.3 s and 150 requests a second at each server.

--- a/internal/core/limit/turns_test.go
+++ b/internal/core/limit/turns_test.go
@@ -21,7 +21,7 @@
 					}
 				}
 			}
-			allowed := rate*(length+turnTime).Seconds() + turnIntervals + 1
+			allowed := rate*(length+TurnTime).Seconds() + turnIntervals + 1
 			if sent > allowed || sent < 0.9*rate*length.Seconds()-1 {
 				t.Errorf("%d processes, %v a second: %v requests in %v", count, rate, sent, length)
 			}
@@ -41,7 +41,7 @@
 				sent++
 			}
 		}
-		if allowed := rate*turnTime.Seconds() + turnIntervals + 1; sent > allowed {
+		if allowed := rate*TurnTime.Seconds() + turnIntervals + 1; sent > allowed {
 			t.Errorf("%v a second: %v requests at once, want at most %v", rate, sent, allowed)
 		}
 	}
--- a/internal/core/route/affinity.go
+++ b/internal/core/route/affinity.go
@@ -82,9 +82,10 @@
 // fullUtilisation is the utilisation from which a server is expected to queue requests.
 const fullUtilisation = 0.9
 
-// utilisation estimates the share of a server's slots that is occupied; above 1 requests queue.
+// utilisation estimates the share of a server's slots that is occupied; above 1 requests queue. Of a server that warms up, only a part of
+// the slots counts.
 func (r *Router) utilisation(now time.Time, s *server) float64 {
-	return r.load(now, s) / float64(s.slots())
+	return r.load(now, s) / (float64(s.slots()) * s.capacity(now))
 }
 
 // lastResort returns a random ready server whatever its health, but within its rate limit. It is used if no server is available: if all
@@ -105,7 +106,7 @@
 func (r *Router) home(now time.Time, lane []*server, req *Request, isTight bool) *server {
 	bound := homeLoadFactor*r.meanLoad(now, lane) + homeLoadSlack
 	for _, s := range homeServers(req.Session, lane) {
-		if s == nil || r.load(now, s) > bound || (isTight && s.isHeldUp(now, req.FirstTokenTarget)) {
+		if s == nil || !s.isHomeWhileWarming(now, req.Session) || r.load(now, s) > bound*s.capacity(now) || (isTight && s.isHeldUp(now, req.FirstTokenTarget)) {
 			continue
 		}
 		return s
@@ -142,7 +143,7 @@
 		if s == best {
 			continue
 		}
-		score := r.utilisation(now, s) + s.health.failures
+		score := r.utilisation(now, s) + s.health.failures + coldPenalty*(1-s.capacity(now))
 		if s.Zone != req.Zone {
 			score += zonePenalty
 		}
@@ -168,10 +169,12 @@
 	return c*s.reportedBusy() + (1-c)*s.group.meanBusy() + float64(s.sinceReport)
 }
 
+// meanLoad returns the mean load of servers, of which those that warm up count in part.
 func (r *Router) meanLoad(now time.Time, lane []*server) float64 {
-	sum := 0.0
+	sum, capacity := 0.0, 0.0
 	for _, s := range lane {
 		sum += r.load(now, s)
+		capacity += s.capacity(now)
 	}
-	return sum / float64(len(lane))
+	return sum / capacity
 }
--- a/internal/core/route/ratelimit.go
+++ b/internal/core/route/ratelimit.go
@@ -21,11 +21,32 @@
 
 // isWithinLimit reports whether the server's rate limit allows this process to send it a request now.
 func (s *server) isWithinLimit(now time.Time) bool {
-	if s.limit.perSecond == 0 {
+	if s.limit.perSecond == 0 && s.group.cold.rate == 0 {
+		return true
+	}
+	perSecond := s.rateLimit(now)
+	if perSecond == 0 {
 		return true
 	}
 	t := s.group.table
-	return t.turns.IsTurn(now.Add(t.clockAhead), s.limit.chosenAt.Add(t.clockAhead), s.limit.perSecond, s.order)
+	return t.turns.IsTurnWithin(now.Add(t.clockAhead), s.limit.chosenAt.Add(t.clockAhead), perSecond, s.order, s.turnTime(now))
+}
+
+// rateLimit returns the lower one of the limit that the server states and that of a cold server, in requests per second; 0: none.
+func (s *server) rateLimit(now time.Time) float64 {
+	stated, cold := s.limit.perSecond, s.coldRate(now)
+	if stated == 0 || (cold > 0 && cold < stated) {
+		return cold
+	}
+	return stated
+}
+
+// turnTime returns the time for which a turn at the server can be used.
+func (s *server) turnTime(now time.Time) time.Duration {
+	if s.coldRate(now) > 0 {
+		return s.group.cold.turnTime
+	}
+	return limit.TurnTime
 }
 
 // RecordRateLimit records the limit that a server stated in its answer to a request sent at sentAt, in requests per second from all
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -57,7 +57,7 @@
 
 // Choose returns the backend server for the request. rnd is a random number that seeds the draws. The error is ErrUnknownModel
 // if no known server can serve the request, and ErrNoCandidate if none of those is available; it is a *PausedError if one will be at
-// the end of a pause.
+// the end of a pause, and a *ColdError if one will be at the next turn of this process at a cold server.
 func (r *Router) Choose(now time.Time, req Request, rnd uint64) (Backend, error) {
 	g := r.table.groups[groupKey{req.Kind, req.Model}]
 	if g == nil || len(g.servers) == 0 {
@@ -84,6 +84,9 @@
 	if left := g.firstPauseLeft(now, &req); left > 0 {
 		return Backend{}, &PausedError{Left: left}
 	}
+	if left := g.coldWait(now, &req); left > 0 {
+		return Backend{}, &ColdError{Left: left}
+	}
 	return Backend{}, ErrNoCandidate
 }
 
--- a/internal/core/route/score.go
+++ b/internal/core/route/score.go
@@ -22,6 +22,9 @@
 	if !s.canAdmit(req.Tier) {
 		score += refusalCost
 	}
+	if capacity := s.capacity(now); capacity < 1 {
+		score += time.Duration(utilisationPenalty*(1/capacity-1) + float64(coldCost)*(1-capacity))
+	}
 	return score
 }
 
--- a/internal/core/route/silence.go
+++ b/internal/core/route/silence.go
@@ -40,6 +40,7 @@
 		return
 	}
 	s.pendingAt = removeTime(s.pendingAt, since)
+	s.recordReachable(now, since)
 	took := now.Sub(since)
 	g := s.group
 	if g.answerWait == 0 {
--- a/internal/core/route/source.go
+++ b/internal/core/route/source.go
@@ -12,7 +12,7 @@
 // FetchSource returns a backend server from which the chosen one can fetch the cached prefix of the prompt instead of
 // computing it again: the server that this process last sent the longest shared prefix to, or else the session's home before the
 // last change of lanes or servers, or its home, or the one that it last sent a shorter prefix to. It returns false if the chosen
-// server is expected to have the prefix itself, or if no usable server is expected to have it.
+// server is expected to have the prefix itself, or if no usable server that is warm is expected to have it.
 func (r *Router) FetchSource(now time.Time, req Request, chosen string) (Backend, bool) {
 	s := r.table.servers[chosen]
 	if s == nil || len(req.Prefix) == 0 {
@@ -28,7 +28,7 @@
 	if source == nil {
 		source = r.lastPrefixServer(now, g, shared) // a server that is new to the session may lack a part that others share
 	}
-	if source == nil || source == s || !source.isUsable(now, &req) || source.isSilent(now) {
+	if source == nil || source == s || !source.isUsable(now, &req) || source.isSilent(now) || source.isCold(now) {
 		return Backend{}, false
 	}
 	return source.Backend, true
@@ -48,7 +48,7 @@
 	return home
 }
 
-// BackupServer returns a backend server that can store the backup of a run on the chosen server, or false if there is none.
+// BackupServer returns a backend server that can store the backup of a run on the chosen server, or false if there is none that is warm.
 func (r *Router) BackupServer(now time.Time, req Request, chosen string, rnd uint64) (Backend, bool) {
 	s := r.table.servers[chosen]
 	if s == nil {
@@ -57,7 +57,7 @@
 	g := s.group
 	g.refreshLanes(now)
 	for _, lane := range []int{g.laneOf(req.GapTarget), noLane} {
-		others := slices.DeleteFunc(r.candidates(now, g, &req, lane), func(other *server) bool { return other == s })
+		others := slices.DeleteFunc(r.candidates(now, g, &req, lane), func(other *server) bool { return other == s || other.isCold(now) })
 		if len(others) > 0 {
 			return r.leastLoaded(now, others, &req, rnd).Backend, true
 		}
--- a/internal/core/route/state.go
+++ b/internal/core/route/state.go
@@ -12,6 +12,7 @@
 	InFlight       int           // requests of this process in flight
 	SilentFor      time.Duration // time without any data while requests of this process are in flight
 	RateLimit      float64       // stated by the server, requests per second from all processes; 0: none
+	Cold           Coldness
 }
 
 // Health determines how much work a backend server gets from this process.
@@ -40,7 +41,7 @@
 	state := ServerState{
 		ID: s.ID, Health: HealthGood, Failures: s.health.failures, InFlight: s.inFlight,
 		FirstTokenWait: time.Duration(s.health.firstToken * float64(time.Second)), SilentFor: s.silence(now),
-		RateLimit: s.limit.perSecond,
+		RateLimit: s.limit.perSecond, Cold: s.coldness(now),
 	}
 	switch {
 	case s.health.state == quarantined:
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -72,6 +72,8 @@
 	busy       float64       // sum of the reported busy counts
 	reported   int           // number of servers with a report
 	answerWait time.Duration // moving average of the wait for the start of an answer
+	cold       coldRule      // for cold servers
+	offeredAt  time.Time     // the last turn at a cold server that was offered to a refused request
 	laneMap
 }
 
@@ -103,6 +105,7 @@
 	membership  laneMembership
 	limit       rateLimit
 	notice      *notice // nil: it has said nothing
+	warmth      warmth
 }
 
 // NewTable returns an empty table.
@@ -240,6 +243,9 @@
 	s.inFlight = max(0, s.inFlight-1)
 	s.sinceReport = max(0, s.sinceReport-1)
 	s.health.observe(now, o)
+	if o.Result == Unreachable {
+		t.RecordBroken(now, id, incarnation)
+	}
 	s.group.review(now)
 }
 
