control, watch: remaining cold time of servers

Cause: gateways must know how much longer a server is cold, also those that start or reconnect later.

Change: BackendServer and Renewal get cold_remaining_ms. A control member keeps until when a server is cold and subtracts the time for which it held the report in digests and watch updates. A change between cold and warm, or of the end by 250 ms or more, is material; a time that elapses is not. A renewal whose cold time differs by a second asks for the full report, which would otherwise be dropped as older than the renewal. The client keeps its turns in a TurnKeeper; the control group has known a process since its first confirmation.

Ruled out: the agreed wall-clock time of the end in the message. It needs a common clock for a value that is 250 ms exact anyway.

Measured: go test ./internal/control ./internal/watch passes.

--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -77,7 +77,7 @@
 	}
 	ack := &controlpb.DigestAck{Incarnation: s.cfg.Incarnation}
 	for _, r := range d.Renewals {
-		if !s.soft.renew(r, now.Add(-time.Duration(r.AgeMs)*time.Millisecond)) {
+		if !s.soft.renew(r, now.Add(-time.Duration(r.AgeMs)*time.Millisecond), now) {
 			ack.Incarnation = "" // makes the sender send all full reports again
 		}
 	}
@@ -187,7 +187,7 @@
 		id := reg.Report.ID
 		next.heard[id] = reg.Heard
 		if reg.Changed > have.registry {
-			d.Backends = append(d.Backends, backendOf(*reg))
+			d.Backends = append(d.Backends, s.soft.backendOf(*reg, now))
 			return
 		}
 		if last, ok := have.heard[id]; ok && reg.Heard.Sub(last) < renewalInterval {
@@ -196,7 +196,7 @@
 		}
 		d.Renewals = append(d.Renewals, &controlpb.Renewal{
 			Id: id, Incarnation: reg.Report.Incarnation, Sequence: reg.Report.Sequence, AgeMs: now.Sub(reg.Heard).Milliseconds(),
-			Lifecycle: string(reg.ReportedLifecycle),
+			Lifecycle: string(reg.ReportedLifecycle), ColdRemainingMs: s.soft.cold.remainingMS(id, now),
 		})
 	})
 	if s.leads() {
--- a/internal/control/soft.go
+++ b/internal/control/soft.go
@@ -6,6 +6,7 @@
 
 	"github.com/guavastack/guavastack/internal/core/limit"
 	"github.com/guavastack/guavastack/internal/core/member"
+	"github.com/guavastack/guavastack/internal/core/route"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/lanemsg"
 	"github.com/guavastack/guavastack/proto/controlpb"
@@ -23,6 +24,7 @@
 	changed        chan struct{}
 	versionChanged chan struct{}        // closed when a process that watches this member reports another version
 	lastLoad       map[string]time.Time // when a backend server's load was last published to watchers
+	cold           coldTimes
 }
 
 func newSoftState(cfg Config, now time.Time) *softState {
@@ -33,6 +35,7 @@
 		changed:        make(chan struct{}),
 		versionChanged: make(chan struct{}),
 		lastLoad:       make(map[string]time.Time),
+		cold:           make(coldTimes),
 	}
 }
 
@@ -63,6 +66,11 @@
 				delete(s.lastLoad, id)
 			}
 		}
+		for id := range s.cold {
+			if _, ok := s.registry.Get(id); !ok {
+				delete(s.cold, id)
+			}
+		}
 	})
 }
 
@@ -72,7 +80,8 @@
 	s.update(func() {
 		material := true
 		if old, ok := s.registry.Get(b.Id); ok {
-			material = isMaterial(old.Report.Detail, b) || s.isLoadDue(old.Report.Detail, b, heard)
+			material = isMaterial(old.Report.Detail, b) || s.isLoadDue(old.Report.Detail, b, heard) ||
+				route.IsColdChange(heard, s.cold[b.Id], untilOf(b.ColdRemainingMs, heard))
 		}
 		report := member.Report[*controlpb.BackendServer]{
 			ID: b.Id, Incarnation: b.Incarnation, StartedMS: b.StartedMs, Sequence: b.Sequence,
@@ -82,6 +91,7 @@
 		if s.registry.Put(report, heard, direct, material) && material {
 			s.lastLoad[b.Id] = heard
 		}
+		s.recordCold(b, heard, known && before.Report.Incarnation == b.Incarnation, direct)
 		s.logChange(before, known, b.Id, direct)
 	})
 }
@@ -98,14 +108,14 @@
 		"sequence", after.Report.Sequence, "address", after.Report.Detail.GetAddress(), "model", after.Report.Detail.GetModel(), "at_first_hand", direct)
 }
 
-// isMaterial reports whether anything other than the load and the sequence number changed.
+// isMaterial reports whether anything other than the load, the cold time and the sequence number changed.
 func isMaterial(old, b *controlpb.BackendServer) bool {
 	return !proto.Equal(withoutLoad(old), withoutLoad(b))
 }
 
 func withoutLoad(b *controlpb.BackendServer) *controlpb.BackendServer {
 	c := proto.Clone(b).(*controlpb.BackendServer)
-	c.Running, c.Waiting, c.FirstTokenUs, c.TokenIntervalUs, c.Sequence = 0, 0, 0, 0, 0
+	c.Running, c.Waiting, c.FirstTokenUs, c.TokenIntervalUs, c.Sequence, c.ColdRemainingMs = 0, 0, 0, 0, 0, 0
 	return c
 }
 
@@ -117,10 +127,13 @@
 }
 
 // renew records that an agent reported to another member without a change. It returns false if this member needs the
-// full report.
-func (s *softState) renew(r *controlpb.Renewal, heard time.Time) bool {
+// full report, also because the cold time in it is another one. A renewal received at now must not hide a report that is under way.
+func (s *softState) renew(r *controlpb.Renewal, heard, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if reg, ok := s.registry.Get(r.Id); ok && reg.Report.Incarnation == r.Incarnation && r.Sequence > reg.Report.Sequence && s.cold.differs(r, now) {
+		return false
+	}
 	return s.registry.Renew(member.Renewal{
 		ID: r.Id, Incarnation: r.Incarnation, Sequence: r.Sequence, Lifecycle: member.Lifecycle(r.Lifecycle),
 	}, heard)
@@ -141,23 +154,13 @@
 		return nil, current
 	}
 	var out []*controlpb.BackendServer
+	now := time.Now()
 	for _, reg := range s.registry.Since(version) {
-		out = append(out, backendOf(reg))
+		out = append(out, s.backendOf(reg, now))
 	}
 	return out, current
 }
 
-// backendOf returns the message of a registration, with the lifecycle and sequence number of the registry.
-func backendOf(reg member.Registration[*controlpb.BackendServer]) *controlpb.BackendServer {
-	b := reg.Report.Detail
-	if b.Lifecycle == string(reg.Report.Lifecycle) && b.Sequence == reg.Report.Sequence {
-		return b
-	}
-	c := proto.Clone(b).(*controlpb.BackendServer)
-	c.Lifecycle, c.Sequence = string(reg.Report.Lifecycle), reg.Report.Sequence
-	return c
-}
-
 func (s *softState) putProcess(p member.Process) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/core/limit/turnkeeper.go
+++ b/internal/core/limit/turnkeeper.go
@@ -17,8 +17,8 @@
 // TurnKeeper knows the turns of one process over time. The zero value is not valid; NewTurnKeeper returns one.
 type TurnKeeper struct {
 	turns       Turns
-	firstAt     time.Time // of the first confirmation; zero: none yet
-	confirmedAt time.Time // of the last one
+	joinedAt    time.Time // when the control group first confirmed anything to the process; zero: not yet
+	confirmedAt time.Time // when it last confirmed the turns; zero: not yet
 }
 
 // NewTurnKeeper returns the keeper of a process that doesn't know its position. The draw, for example a hash of its id, spreads such
@@ -27,22 +27,25 @@
 	return TurnKeeper{turns: Turns{Position: int(draw % AssumedProcesses), Count: AssumedProcesses}}
 }
 
-// Confirm returns the keeper after the control group stated the position of the process among count processes at now.
+// Confirm returns the keeper after the control group stated the position of the process among count processes at now. The count is 0 if
+// the group knows this process and not all others yet.
 func (k TurnKeeper) Confirm(now time.Time, position, count int) TurnKeeper {
-	if k.firstAt.IsZero() {
-		k.firstAt = now
+	if k.joinedAt.IsZero() {
+		k.joinedAt = now
+	}
+	if count > 0 {
+		k.turns, k.confirmedAt = Turns{Position: position, Count: count}, now
 	}
-	k.turns, k.confirmedAt = Turns{Position: position, Count: count}, now
 	return k
 }
 
 // At returns the turns of the process at now. A process that has joined only now, or whose position was not confirmed recently, uses
 // every fourth of its turns and none of another process.
 func (k TurnKeeper) At(now time.Time) Turns {
-	if k.firstAt.IsZero() {
+	if k.confirmedAt.IsZero() {
 		return k.turns
 	}
-	if now.Sub(k.firstAt) >= joinTime && now.Sub(k.confirmedAt) < turnsLifetime {
+	if now.Sub(k.joinedAt) >= joinTime && now.Sub(k.confirmedAt) < turnsLifetime {
 		return k.turns
 	}
 	return Turns{Position: k.turns.Position, Count: cautiousFactor * k.turns.Count}
--- a/internal/core/limit/turnkeeper_test.go
+++ b/internal/core/limit/turnkeeper_test.go
@@ -35,6 +35,13 @@
 			t.Errorf("%s: turns %+v, want %+v", c.name, got, c.want)
 		}
 	}
+	early := NewTurnKeeper(7).Confirm(start, 0, 0)
+	if got := early.At(start.Add(time.Hour)); got.Count != AssumedProcesses {
+		t.Errorf("turns %+v while the control group doesn't know all processes, want one of %d positions", got, AssumedProcesses)
+	}
+	if got, want := early.Confirm(start.Add(joinTime), 2, 4).At(start.Add(joinTime)), (Turns{Position: 2, Count: 4}); got != want {
+		t.Errorf("turns %+v of a process that the control group has known for long, want %+v", got, want)
+	}
 	if turnsLifetime >= ShareLifetime {
 		t.Error("the control group gives the turns to others before the process uses fewer")
 	}
--- a/internal/core/route/warmup_sim_test.go
+++ b/internal/core/route/warmup_sim_test.go
@@ -52,7 +52,7 @@
 	table    *Table
 	router   *Router
 	keeper   limit.TurnKeeper
-	isCutOff bool // from the control group
+	isCutOff bool      // from the control group
 	asksAt   time.Time // next confirmation
 }
 
--- a/internal/core/route/warmup_test.go
+++ b/internal/core/route/warmup_test.go
@@ -75,7 +75,9 @@
 	fail := func(table *Table, id string) {
 		table.RecordEnd(noticeStart, id, "1", Outcome{Result: Unreachable})
 	}
-	answered := func(table *Table, d time.Duration) { table.RecordFirstData(after(d), "a", after(d-10*time.Millisecond)) }
+	answered := func(table *Table, d time.Duration) {
+		table.RecordFirstData(after(d), "a", after(d-10*time.Millisecond))
+	}
 	cases := []struct {
 		name string
 		do   func(table *Table)
--- a/internal/watch/client.go
+++ b/internal/watch/client.go
@@ -112,7 +112,7 @@
 	laneWork      atomic.Pointer[func() []route.ServiceWork]
 	lanePlans     atomic.Pointer[route.LanePlans]
 	promptParts   atomic.Pointer[poison.List]
-	turns         atomic.Pointer[limit.Turns]
+	turns         atomic.Pointer[limit.TurnKeeper]
 	wallOffset    atomic.Int64  // how far the agreed wall clock is ahead of the local one, in nanoseconds
 	confirmations atomic.Uint64 // number of confirmed queries
 	leader        atomic.Int64  // position of the control member that accepted the last proposal
@@ -145,7 +145,8 @@
 	c.group.Store(&controlGroup{})
 	c.lanePlans.Store(&route.LanePlans{})
 	c.promptParts.Store(&poison.List{})
-	c.turns.Store(&limit.Turns{Position: cfg.firstMember() % limit.AssumedProcesses, Count: limit.AssumedProcesses})
+	turns := limit.NewTurnKeeper(uint64(cfg.firstMember()))
+	c.turns.Store(&turns)
 	return c
 }
 
@@ -244,8 +245,8 @@
 func (c *Client) PromptParts() *poison.List { return c.promptParts.Load() }
 
 // Turns returns the turns by which the processes of this one's role share a rate. Until the control group states their number,
-// limit.AssumedProcesses are assumed.
-func (c *Client) Turns() limit.Turns { return *c.turns.Load() }
+// limit.AssumedProcesses are assumed. For a time after that, and while the control group doesn't confirm them, it uses fewer turns.
+func (c *Client) Turns() limit.Turns { return c.turns.Load().At(clock.Now()) }
 
 // Wall returns the wall clock time that the control group agrees on, or the local one while that is unknown.
 func (c *Client) Wall() time.Time { return clock.Wall().Add(time.Duration(c.wallOffset.Load())) }
--- a/internal/watch/session.go
+++ b/internal/watch/session.go
@@ -360,11 +360,10 @@
 	return true
 }
 
-// applyTurns stores the turns of this process, unless the member doesn't know all processes.
+// applyTurns stores the turns of this process. Their number is 0 if the member doesn't know all processes.
 func (s *session) applyTurns(u *controlpb.WatchUpdate) {
-	if u.RoleCount > 0 {
-		s.client.turns.Store(&limit.Turns{Position: int(u.RolePosition), Count: int(u.RoleCount)})
-	}
+	turns := s.client.turns.Load().Confirm(clock.Now(), int(u.RolePosition), int(u.RoleCount))
+	s.client.turns.Store(&turns)
 }
 
 // applyLimitShares stores the shares of limits, as of when the confirmed query was sent.
