platform, gateway: cold servers in heartbeats, answers and the configuration

Cause: the router limits cold servers, and nothing told it of them.

A report counts when its message is a new one, so that a later change of the registry doesn't lengthen a cold time. Requests without a turn get 503 backend_cold, not run, with the time until the turn that they are offered. A run goes on at a cold server with its backup only in a turn. Gateways log which servers count as cold, why, until when and by how old a report, and count them and the refusals.

Decided: an answer without the header, or with another text than a number of 0 or more, says nothing; only 0 ends a cold time. A heartbeat without the field, or with another value, means warm. A crash that the crash detector confirms makes a server's state unknown; an answer that breaks off alone doesn't, since it would limit servers that lose single connections.

Measured: go test ./platform ./internal/gateway ./internal/serverset ./internal/config ./internal/process passes. Tests broken by hand fail: answers not recorded (3 cases), rate not passed on (5), resumption without a turn (1).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -75,6 +75,8 @@
 	GracePeriod     strict.Duration `json:"grace_period"`    // from the termination signal to the end of the process
 	UsageWindow     strict.Duration `json:"usage_window"`    // length of billing windows, which follow the time of day; 0: usage is not counted
 	RetryRatio      float64         `json:"retry_ratio"`     // limit of a service's retries, as a fraction of its requests
+	ColdOverrun     float64         `json:"cold_overrun"`    // with cold_slack: limit of the requests at a cold server in any second; 0: 1.5
+	ColdSlack       float64         `json:"cold_slack"`      // limit: the service's cold rate * cold_overrun + cold_slack; 0: 5
 	Routing         string          `json:"routing"`         // session_lanes or one of the values of entry.routing
 }
 
@@ -371,6 +373,12 @@
 	if g.RetryRatio < 0 || g.RetryRatio > 1 {
 		ch.add("gateway.retry_ratio", "%v; expected 0 to 1", g.RetryRatio)
 	}
+	if g.ColdOverrun != 0 && g.ColdOverrun < 1 {
+		ch.add("gateway.cold_overrun", "%v; expected 1 or more, or 0 for the default", g.ColdOverrun)
+	}
+	if g.ColdSlack < 0 {
+		ch.add("gateway.cold_slack", "%v; expected 0 or more", g.ColdSlack)
+	}
 }
 
 func (c *Config) checkAgent(ch *checker) {
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -70,6 +70,8 @@
 	HealthPath     string
 	MaxConnections int // maximum that one server accepts from all callers together
 	Engine         *Engine
+	ColdStart      time.Duration // duration of a cold start; 0: not stated
+	ColdPerSecond  float64       // requests per second that one cold server takes from all gateways together; 0: not limited
 }
 
 // Engine describes the model servers of a service.
--- a/internal/core/catalog/index.go
+++ b/internal/core/catalog/index.go
@@ -93,6 +93,9 @@
 // Service returns the service with a name, nil if there is none.
 func (x *Index) Service(name string) *Service { return x.services[name] }
 
+// Services returns all services. They must not be modified.
+func (x *Index) Services() []Service { return x.catalog.Services }
+
 // Target chooses a service of the route by weight; draw is a random number. It returns "" if the sum of the weights is 0.
 func (r *Route) Target(draw uint64) string {
 	if len(r.Targets) == 1 {
--- a/internal/core/route/warmup.go
+++ b/internal/core/route/warmup.go
@@ -399,11 +399,14 @@
 	return offered.Sub(now)
 }
 
-// TakeTurn reports whether the limits of a server allow this process to send it a request now, and uses the turn. It is for requests that
-// must go to this server; Choose uses the turns of those that it chooses.
-func (t *Table) TakeTurn(now time.Time, id string) bool {
+// TakeColdTurn reports whether this process may send a request to a server now as far as its coldness goes, and uses the turn if the server
+// is cold. It is for requests that must go to this server; Choose uses the turns of those that it chooses.
+func (t *Table) TakeColdTurn(now time.Time, id string) bool {
 	s := t.servers[id]
-	if s == nil || !s.isWithinLimit(now) {
+	if s == nil || s.coldRate(now) == 0 {
+		return s != nil
+	}
+	if !s.isWithinLimit(now) {
 		return false
 	}
 	s.limit.chosenAt = now
--- a/internal/core/route/warmup_test.go
+++ b/internal/core/route/warmup_test.go
@@ -253,8 +253,9 @@
 	check(true)
 	table.RecordReport(noticeStart, "b", 1, time.Second)
 	check(false)
-	if !table.TakeTurn(noticeStart, "b") || table.TakeTurn(noticeStart.Add(time.Millisecond), "b") {
-		t.Error("a run may go on at a cold server in a turn, and only then")
+	now := noticeStart.Add(time.Millisecond)
+	if !table.TakeColdTurn(noticeStart, "b") || table.TakeColdTurn(now, "b") || !table.TakeColdTurn(now, "a") || table.TakeColdTurn(now, "c") {
+		t.Error("a run may go on at a warm server, and at a cold one in a turn")
 	}
 }
 
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -57,7 +57,10 @@
 // recordNoServer records that no backend server is left to try.
 func (t *attempts) recordNoServer(err error) {
 	var paused *route.PausedError
+	var cold *route.ColdError
 	switch {
+	case errors.As(err, &cold) && (t.refusal == nil || t.refusal.verdict == verdict.NotRun):
+		t.refusal = noTurn(cold)
 	case errors.As(err, &paused) && (t.refusal == nil || t.refusal.verdict == verdict.NotRun):
 		t.refusal = notRun(http.StatusServiceUnavailable, "backend_paused", err.Error())
 		t.refusal.retryAfter = afterPause(paused.Left)
--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -34,7 +34,7 @@
 
 // resumeAtBackup prepares to continue a run that was interrupted at server from its backup, and reports whether it may. A
 // server that still accepts connections may still be executing the run, which then must not run anywhere else. So may one that leaves,
-// whether it accepts any or not: it closes its listener and finishes what it has. The server that keeps the backup must still take work.
+// whether it accepts any or not: it closes its listener and finishes what it has. The server that keeps the backup must still take work; if it is cold, there must be a turn.
 // Resuming uses the retry budget.
 func (s *Server) resumeAtBackup(ctx context.Context, x *exchange, t *attempts, server route.Backend, o attemptOutcome) bool {
 	if t.backup.ID == "" || !o.ran || t.stream.lastID == "" || ctx.Err() != nil {
@@ -43,7 +43,7 @@
 	if !s.servers.IsStaying(server.ID) || !s.servers.TakesWork(t.backup.ID) {
 		return false
 	}
-	if s.client.AcceptsConnections(ctx, server.Address) || !s.budgets.take(x.service) {
+	if s.client.AcceptsConnections(ctx, server.Address) || !s.servers.TakeColdTurn(t.backup.ID) || !s.budgets.take(x.service) {
 		return false
 	}
 	t.next, t.backup = t.backup, route.Backend{}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -89,5 +89,6 @@
 	if m := s.cfg.Metrics; m != nil {
 		m.Counter(metricCrashes, telemetry.Label{Name: "service", Value: c.server.Model}).Inc(1)
 	}
+	s.servers.RecordBroken(c.server.ID, c.server.Incarnation)
 	s.parts.recordCrash(c)
 }
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -61,6 +61,9 @@
 	Leaves      bool    // the server says that it leaves and takes no new work
 	// Pause is the time for which the server wants nothing from this gateway; 0: none.
 	Pause time.Duration
+	// Cold is how much longer the server is cold, if the answer states it; 0: it is warm.
+	Cold       time.Duration
+	StatesCold bool
 }
 
 // Load is the load that a backend server reports, in requests. Slots is 0 if it reports none.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -67,6 +67,7 @@
 		}
 		ref.write(w)
 	}
+	s.countColdRefusal(x, ref)
 	s.finish(x, e)
 	if e.callerGone {
 		panic(http.ErrAbortHandler) // net/http would send an empty 200 to a caller that has closed only its sending side
@@ -190,6 +191,7 @@
 	if !reply.Misdirected {
 		s.servers.RecordRateLimit(server.ID, t.current.sentAt, reply.RateLimit)
 		s.recordNotice(x, server, reply)
+		s.recordCold(server, t.current.sentAt, reply)
 	}
 	if reply.NotRun || reply.Misdirected {
 		s.servers.RecordEnd(server.ID, server.Incarnation, route.Outcome{Result: route.Refused})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,10 +82,13 @@
 	// CatalogLimit is the time in which a new catalog must be in force. Routes and keys that are missing from a catalog that was
 	// not confirmed in this time may exist. 0: the time is not limited.
 	CatalogLimit time.Duration
-	UsageWindow  time.Duration // length of a billing window in wall-clock time; 0: usage is not counted
-	Dialect      Dialect
-	Logger       *slog.Logger
-	Metrics      *telemetry.Registry // nil: none
+	// ColdOverrun and ColdSlack bound the requests that a cold server gets in any one second, see route.ColdStart. 0: the defaults.
+	ColdOverrun float64
+	ColdSlack   float64
+	UsageWindow time.Duration // length of a billing window in wall-clock time; 0: usage is not counted
+	Dialect     Dialect
+	Logger      *slog.Logger
+	Metrics     *telemetry.Registry // nil: none
 }
 
 // Server is one gateway.
@@ -142,6 +145,7 @@
 	s.crashes = newCrashDetector(s.hasCrashed, s.recordCrash)
 	s.addresses.Store(&map[string]bool{})
 	s.registerGauges()
+	s.followTurns()
 	dir.OnChange(s.directoryChanged)
 	dir.OnPromptParts(s.parts.listChanged)
 	dir.SetLaneWork(s.lanes.work)
@@ -157,6 +161,7 @@
 	}
 	s.addresses.Store(&addresses)
 	s.logServerChanges(backends)
+	s.setColdStarts(s.dir.Catalog())
 	s.servers.Update(time.Now(), backends)
 }
 
@@ -186,7 +191,7 @@
 	var servers healthMonitor
 	fresh := true
 	for wait.For(ctx, stateInterval) {
-		s.servers.SetTurns(s.dir.Turns(), s.dir.Wall())
+		s.followTurns()
 		servers.observe(s)
 		fresh = s.observeFreshness(fresh)
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -63,9 +63,11 @@
 func (plainDialect) ParseReply(status int, h http.Header) Reply {
 	limit, _ := strconv.ParseFloat(h.Get("X-Limit"), 64)
 	pause, _ := time.ParseDuration(h.Get("X-Pause"))
+	cold, coldErr := time.ParseDuration(h.Get("X-Cold"))
 	return Reply{
 		RequestID: h.Get("X-Id"), NotRun: h.Get("X-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest,
 		Signed: h.Get("X-Seal") != "", RateLimit: limit, Leaves: h.Get("X-Leaves") != "", Pause: pause,
+		Cold: cold, StatesCold: coldErr == nil,
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -128,9 +128,12 @@
 	}
 	known := make(map[string]route.ServerState)
 	limited := int64(0)
+	cold := newColdCounts()
 	for _, state := range s.servers.States() {
 		known[state.ID] = state
 		before, ok := t.known[state.ID]
+		cold.add(state)
+		s.logCold(before, state)
 		if state.RateLimit > 0 {
 			limited++
 		}
@@ -146,6 +149,7 @@
 			"silent_ms", state.SilentFor.Milliseconds())
 	}
 	t.known = known
+	cold.publish(s.cfg.Metrics)
 	if m := s.cfg.Metrics; m != nil {
 		for health, n := range counts {
 			m.Gauge(metricServers, telemetry.Label{Name: "health", Value: string(health)}).Update(n)
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -49,6 +49,8 @@
 		UsageWindow: time.Duration(c.UsageWindow),
 		Routing:     routings[c.Routing],
 		RetryRatio:  c.RetryRatio,
+		ColdOverrun: c.ColdOverrun,
+		ColdSlack:   c.ColdSlack,
 		GracePeriod: time.Duration(c.GracePeriod),
 
 		CatalogLimit: time.Duration(c.CatalogLimit),
--- a/internal/serverset/serverset.go
+++ b/internal/serverset/serverset.go
@@ -24,6 +24,7 @@
 	byAddr     map[string]string // agent address to backend server id
 	servers    map[string]route.Backend
 	activities map[string]*Activity // by backend server id
+	reports    map[string]*controlpb.BackendServer
 }
 
 // New returns an empty set for a process in the given availability zone.
@@ -36,6 +37,7 @@
 		byAddr:     make(map[string]string),
 		servers:    make(map[string]route.Backend),
 		activities: make(map[string]*Activity),
+		reports:    make(map[string]*controlpb.BackendServer),
 	}
 }
 
@@ -53,6 +55,7 @@
 			s.table.Remove(id)
 			delete(s.servers, id)
 			delete(s.activities, id)
+			delete(s.reports, id)
 			if s.byAddr[b.Address] == id { // else another server has taken over the address
 				delete(s.byAddr, b.Address)
 			}
@@ -75,6 +78,7 @@
 		Slots:       int(b.Slots),
 	}
 	s.table.Upsert(now, server)
+	s.recordReport(now, b)
 	s.servers[b.Id] = server
 	s.byAddr[b.Address] = b.Id
 }
