explain, config: servers that were cold before a request, tests of settings

Cause: a timeline shows three seconds before the request; a server may have turned cold long before.

Change: the timeline names the servers of the request that had begun to count as cold, or all if it was refused with backend_cold.

--- a/cmd/guavastack/templates_test.go
+++ b/cmd/guavastack/templates_test.go
@@ -25,6 +25,14 @@
 	}
 }
 
+// withColdBounds returns the fields of a platform that states the bounds of cold servers.
+func withColdBounds() settingstemplate.Fields {
+	fields := templateFields()
+	bounds := fields["bounds"].(settingstemplate.Fields)
+	bounds["coldOverrun"], bounds["coldSlack"] = 1.5, 5
+	return fields
+}
+
 // TestRenderedTemplatesAreValidSettings renders the templates in deploy and parses the result as a process does.
 func TestRenderedTemplatesAreValidSettings(t *testing.T) {
 	without := func(name string) settingstemplate.Fields {
@@ -40,6 +48,9 @@
 		{"gateway", "gateway.json.tmpl", templateFields(), func(c *config.Config) bool {
 			return c.Gateway != nil && c.ControlMembers[1] == "10.2.0.36:7340" && c.Gateway.RetryRatio == 0.2
 		}},
+		{"gateway with bounds of cold servers", "gateway.json.tmpl", withColdBounds(), func(c *config.Config) bool {
+			return c.Gateway != nil && c.Gateway.ColdOverrun == 1.5 && c.Gateway.ColdSlack == 5
+		}},
 		{"bootstrap member", "control.json.tmpl", templateFields(), func(c *config.Config) bool {
 			return c.Control != nil && !c.Control.Join && len(c.Control.Peers) == 3 && c.Control.Platform != nil && c.Control.FaultTolerance == 2
 		}},
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -124,6 +124,7 @@
 			t.Context = append(t.Context, l)
 		}
 	}
+	t.Context = append(t.Context, t.coldBefore(r.lines, from, processes, servers)...)
 	sortLines(t.Context)
 	return t, nil
 }
