route, catalog: home regions of routes and organisations

Cause: requests whose route or organisation has home regions may go only to servers in these.

Change: catalog.HomeRegions gives the regions of a request, those that both have if both have some. route.Request.Regions and Table.SetRegions check them where version, role and adapter are checked, so that backups and sources of prefixes stay inside too. Nothing sets them yet: the wire name isn't known.

Measured: TestRequestStaysInItsRegions, TestHomeRegions pass; with the check switched off the first fails.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -51,6 +51,7 @@
 	Public        bool          // requests need no key
 	Resumable     bool          // a broken stream may be resumed at another server
 	CachesPrompts bool          // requests carry prompt parts that servers cache
+	HomeRegions   []string      // whose servers may get requests of the route; empty: all
 }
 
 // IsIdempotent reports whether a request of the route may run more than once.
@@ -87,7 +88,8 @@
 	Name        string
 	Keys        []string
 	Priority    int
-	HasPriority bool // Priority ranks before the route's
+	HasPriority bool     // Priority ranks before the route's
+	HomeRegions []string // whose servers may get requests of the organisation; empty: all
 }
 
 // Limits bound the size of a caller's request and the time to receive it.
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -96,6 +96,7 @@
 	PromptTokens int
 	Prefix       []uint64 // hashes of the prompt's prefixes, shortest first
 	Exclude      []string // backend servers already tried
+	Regions      Regions  // to whose servers the request may go
 
 	FirstTokenTarget time.Duration // zero: none
 
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -90,7 +90,7 @@
 	return Backend{}, ErrNoCandidate
 }
 
-// serves reports whether the server has the version, role and adapter that the request needs.
+// serves reports whether the server has the version, role and adapter that the request needs, and is in one of its regions.
 func (s *server) serves(req *Request) bool {
 	if req.Version != "" && req.Version != s.Version {
 		return false
@@ -98,6 +98,9 @@
 	if req.Role != "" && req.Role != s.Role {
 		return false
 	}
+	if !req.Regions.allow(s) {
+		return false
+	}
 	return req.Adapter == "" || slices.Contains(s.Adapters, req.Adapter)
 }
 
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -57,6 +57,7 @@
 	notices    map[string]*notice // by server ID, also of servers that are no longer registered
 	turns      limit.Turns        // by which the processes share the rate limits of servers
 	clockAhead time.Duration      // how far the clock of the turns is ahead
+	regions    map[string]string  // by availability zone
 }
 
 type groupKey struct{ kind, model string }
