route: cheaper checks of servers that were never cold

Cause: choices among 256 servers read the cold rule of the group for each candidate.

Change: only servers that were cold recently are looked at further. The drain of a zone is reviewed with reports and confirmations, not at each choice.

Measured: route tests as before.

--- a/internal/core/route/ratelimit.go
+++ b/internal/core/route/ratelimit.go
@@ -21,7 +21,7 @@
 
 // isWithinLimit reports whether the server's rate limit allows this process to send it a request now.
 func (s *server) isWithinLimit(now time.Time) bool {
-	if s.limit.perSecond == 0 && s.group.cold.rate == 0 {
+	if s.limit.perSecond == 0 && !s.warmth.isTracked {
 		return true
 	}
 	perSecond := s.rateLimit(now)
--- a/internal/core/route/regions.go
+++ b/internal/core/route/regions.go
@@ -11,11 +11,8 @@
 // SetRegions sets the region of each availability zone. A server in another zone is in no region.
 func (t *Table) SetRegions(byZone map[string]string) { t.regions = byZone }
 
-// allow reports whether a request with these regions may go to the server.
+// allow reports whether a request that is limited to these regions may go to the server.
 func (r *Regions) allow(s *server) bool {
-	if !r.IsLimited {
-		return true
-	}
 	region, known := s.group.table.regions[s.Zone]
 	return known && slices.Contains(r.Names, region)
 }
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -98,7 +98,7 @@
 	if req.Role != "" && req.Role != s.Role {
 		return false
 	}
-	if !req.Regions.allow(s) {
+	if req.Regions.IsLimited && !req.Regions.allow(s) {
 		return false
 	}
 	return req.Adapter == "" || slices.Contains(s.Adapters, req.Adapter)
--- a/internal/core/route/warmup.go
+++ b/internal/core/route/warmup.go
@@ -104,7 +104,7 @@
 
 // warmth is how cold a server is, as far as this process knows.
 type warmth struct {
-	isTracked bool // false: the server was not cold recently, and the fields below but the last two don't matter
+	isTracked bool // false: the server was not cold recently, and the fields below but the last two don't matter; first, as it is read most
 
 	until      time.Time // when the cold time that the server stated ends
 	cause      ColdCause // ColdByReport or ColdByAnswer, for until
@@ -115,6 +115,8 @@
 	unknown     time.Time // until when it counts as cold for that
 	reachableAt time.Time // when an answer to a request sent since began; zero: none yet
 
+	drainDoubt time.Time // until when it counts as cold because its zone's drain ended; zero: it doesn't
+
 	reportAt time.Time // when the newest report arrived
 	sequence uint64    // of that report
 }
@@ -135,6 +137,7 @@
 	isNewer := w.reportAt.IsZero() || sequence > w.sequence
 	if isNewer {
 		w.reportAt, w.sequence = now, sequence
+		s.reviewDrain()
 	}
 	switch {
 	case remaining > 0:
@@ -210,6 +213,7 @@
 // It ends the doubt about servers that were unreachable and have answered for reportDelay without a report that they are cold.
 func (t *Table) RecordConfirmed(now, at time.Time) {
 	for _, s := range t.servers {
+		s.reviewDrain()
 		w := &s.warmth
 		if w.lostAt.IsZero() || w.reachableAt.IsZero() {
 			continue
@@ -258,16 +262,17 @@
 
 // drainEndedAt returns when the last drain of a zone ended; zero: the zone was not drained.
 //
-// Zone drains are not part of this package yet.
+// Zone drains are not part of this package yet. When one ends, reviewDrain must be called for the servers of the zone at once.
 func (t *Table) drainEndedAt(string) time.Time { return time.Time{} }
 
-// drainDoubtEnds returns until when the server counts as cold because the drain of its zone ended and no report has arrived since; zero:
-// it doesn't.
-func (s *server) drainDoubtEnds() time.Time {
+// reviewDrain finds whether the server counts as cold because the drain of its zone ended.
+func (s *server) reviewDrain() {
 	if s.group.cold.rate == 0 {
-		return time.Time{}
+		return
 	}
-	return doubtAfterDrain(s.group.table.drainEndedAt(s.Zone), s.warmth.reportAt, s.group.cold.length)
+	w := &s.warmth
+	w.drainDoubt = doubtAfterDrain(s.group.table.drainEndedAt(s.Zone), w.reportAt, s.group.cold.length)
+	w.isTracked = w.isTracked || !w.drainDoubt.IsZero()
 }
 
 // doubtAfterDrain returns until when a server counts as cold whose zone's drain ended at a time and whose last report arrived at another
@@ -279,24 +284,34 @@
 	return ended.Add(length)
 }
 
-// coldUntil returns until when the server counts as cold, and why; zero: it isn't cold and wasn't recently.
-func (s *server) coldUntil() (until time.Time, cause ColdCause) {
-	if w := &s.warmth; w.isTracked {
-		until, cause = w.until, w.cause
-		if w.unknown.After(until) {
-			until, cause = w.unknown, ColdUnreachable
-		}
+// coldUntil returns until when a tracked server counts as cold, and why; it may be a past time.
+func (w *warmth) coldUntil() (until time.Time, cause ColdCause) {
+	until, cause = w.until, w.cause
+	if w.unknown.After(until) {
+		until, cause = w.unknown, ColdUnreachable
 	}
-	if drain := s.drainDoubtEnds(); drain.After(until) {
-		until, cause = drain, ColdAfterDrain
+	if w.drainDoubt.After(until) {
+		until, cause = w.drainDoubt, ColdAfterDrain
 	}
 	return until, cause
 }
 
+// coldLeft returns how much longer the server counts as cold, and why; 0 or less: it is warm.
+func (s *server) coldLeft(now time.Time) (time.Duration, ColdCause) {
+	if !s.warmth.isTracked {
+		return 0, NotCold
+	}
+	until, cause := s.warmth.coldUntil()
+	if left := until.Sub(now); left > 0 {
+		return left, cause
+	}
+	return 0, NotCold
+}
+
 // isCold reports whether the server counts as cold.
 func (s *server) isCold(now time.Time) bool {
-	until, _ := s.coldUntil()
-	return now.Before(until)
+	left, _ := s.coldLeft(now)
+	return left > 0
 }
 
 // coldRate returns the rate limit of the server because it is cold, in requests per second from all processes; 0: none.
@@ -310,27 +325,25 @@
 // capacity returns the share of the server's capacity that counts when it is compared with others, from coldShare to 1. It grows while
 // the server warms up, so that work returns gradually.
 func (s *server) capacity(now time.Time) float64 {
-	if !s.warmth.isTracked && s.group.cold.rate == 0 {
+	if !s.warmth.isTracked {
 		return 1
 	}
 	return s.warmingCapacity(now)
 }
 
 func (s *server) warmingCapacity(now time.Time) float64 {
-	until, _ := s.coldUntil()
-	if until.IsZero() {
-		return 1
-	}
+	w := &s.warmth
 	length, ramp := s.group.cold.length, s.group.cold.ramp
 	if length <= 0 {
 		length, ramp = defaultColdLength, maxRamp // the configuration doesn't know the service
 	}
+	until, _ := w.coldUntil()
 	if left := until.Sub(now); left > 0 {
 		return coldEndShare - (coldEndShare-coldShare)*min(float64(left)/float64(length), 1)
 	}
 	warmFor := now.Sub(until)
 	if warmFor >= ramp {
-		s.warmth.isTracked = s.warmth.isTracked && !s.warmth.lostAt.IsZero()
+		w.isTracked = !w.lostAt.IsZero()
 		return 1
 	}
 	return coldEndShare + (1-coldEndShare)*float64(warmFor)/float64(ramp)
@@ -376,8 +389,7 @@
 		}
 		if s.coldRate(now) > 0 {
 			rate += perSecond / float64(max(t.turns.Count, 1))
-			until, _ := s.coldUntil()
-			if warm := until.Sub(now); firstWarm == 0 || warm < firstWarm {
+			if warm, _ := s.coldLeft(now); firstWarm == 0 || warm < firstWarm {
 				firstWarm = warm
 			}
 		}
@@ -423,12 +435,12 @@
 }
 
 func (s *server) coldness(now time.Time) Coldness {
-	until, cause := s.coldUntil()
-	if !now.Before(until) {
+	left, cause := s.coldLeft(now)
+	if cause == NotCold {
 		return Coldness{}
 	}
 	return Coldness{
-		Cause: cause, Left: until.Sub(now), PerSecond: s.rateLimit(now),
+		Cause: cause, Left: left, PerSecond: s.rateLimit(now),
 		StatedAge: ageOf(now, s.warmth.statedAt), ReportAge: ageOf(now, s.warmth.reportAt),
 	}
 }
