--- a/internal/core/limit/turnkeeper.go
+++ b/internal/core/limit/turnkeeper.go
@@ -6,6 +6,9 @@
 	// joinTime is the time after the first confirmation of its position in which a process uses fewer turns: the others learn of it
 	// with their next freshness query, once a second, and of a process at another control member with that member's next digest.
 	joinTime = 3 * time.Second
+	// changeTime is the time after a change of its turns in which a process uses fewer of them: the others change theirs within two
+	// seconds, and until then some turns are used by the old number and some by the new one.
+	changeTime = 2 * time.Second
 	// turnsLifetime is the time without a confirmation after which a process uses fewer turns: the control group gives its turns to
 	// others after ShareLifetime.
 	turnsLifetime = 2 * ShareLifetime / 3
@@ -18,6 +21,7 @@
 type TurnKeeper struct {
 	turns       Turns
 	joinedAt    time.Time // when the control group first confirmed anything to the process; zero: not yet
+	changedAt   time.Time // when the turns last changed; zero: not since they are known
 	confirmedAt time.Time // when it last confirmed the turns; zero: not yet
 }
 
@@ -33,20 +37,32 @@
 	if k.joinedAt.IsZero() {
 		k.joinedAt = now
 	}
-	if count > 0 {
-		k.turns, k.confirmedAt = Turns{Position: position, Count: count}, now
+	if count <= 0 {
+		return k
 	}
+	turns := Turns{Position: position, Count: count}
+	if !k.confirmedAt.IsZero() && turns != k.turns {
+		k.changedAt = now
+	}
+	k.turns, k.confirmedAt = turns, now
 	return k
 }
 
-// At returns the turns of the process at now. A process that has joined only now, or whose position was not confirmed recently, uses
-// every fourth of its turns and none of another process.
+// At returns the turns of the process at now. A process that has joined only now, or whose position has changed or was not confirmed
+// recently, uses every fourth of its turns and none of another process.
 func (k TurnKeeper) At(now time.Time) Turns {
 	if k.confirmedAt.IsZero() {
 		return k.turns
 	}
-	if now.Sub(k.joinedAt) >= joinTime && now.Sub(k.confirmedAt) < turnsLifetime {
+	if now.Sub(k.joinedAt) >= joinTime && now.Sub(k.changedAt) >= changeTime && now.Sub(k.confirmedAt) < turnsLifetime {
 		return k.turns
 	}
-	return Turns{Position: k.turns.Position, Count: cautiousFactor * k.turns.Count}
+	return k.turns.fewer()
+}
+
+// fewer returns every cautiousFactor-th turn of t. Processes with adjacent positions use theirs in different rounds: in the same one, they
+// would send as closely as with all of their turns.
+func (t Turns) fewer() Turns {
+	round := t.Position % cautiousFactor
+	return Turns{Position: t.Position + round*t.Count, Count: cautiousFactor * t.Count}
 }
--- a/internal/core/limit/turnkeeper_test.go
+++ b/internal/core/limit/turnkeeper_test.go
@@ -20,10 +20,10 @@
 		confirmed bool
 		want      Turns
 	}{
-		{"has just joined", joinTime - 1, false, Turns{Position: 5, Count: cautiousFactor * 31}},
+		{"has just joined", joinTime - 1, false, Turns{Position: 5 + 31, Count: cautiousFactor * 31}},
 		{"known to the others", joinTime, true, Turns{Position: 5, Count: 31}},
 		{"confirmed recently", joinTime + turnsLifetime - 1, false, Turns{Position: 5, Count: 31}},
-		{"cut off", joinTime + turnsLifetime, false, Turns{Position: 5, Count: cautiousFactor * 31}},
+		{"cut off", joinTime + turnsLifetime, false, Turns{Position: 5 + 31, Count: cautiousFactor * 31}},
 		{"confirmed again", joinTime + turnsLifetime + 1, true, Turns{Position: 5, Count: 31}},
 	}
 	for _, c := range cases {
@@ -35,6 +35,14 @@
 			t.Errorf("%s: turns %+v, want %+v", c.name, got, c.want)
 		}
 	}
+	k = k.Confirm(start.Add(time.Minute), 5, 31).Confirm(start.Add(time.Minute), 6, 40)
+	for after, want := range map[time.Duration]Turns{
+		changeTime - 1: {Position: 6 + 2*40, Count: cautiousFactor * 40}, changeTime: {Position: 6, Count: 40},
+	} {
+		if got := k.At(start.Add(time.Minute + after)); got != want {
+			t.Errorf("%v after a change: turns %+v, want %+v", after, got, want)
+		}
+	}
 	early := NewTurnKeeper(7).Confirm(start, 0, 0)
 	if got := early.At(start.Add(time.Hour)); got.Count != AssumedProcesses {
 		t.Errorf("turns %+v while the control group doesn't know all processes, want one of %d positions", got, AssumedProcesses)
@@ -47,16 +55,39 @@
 	}
 }
 
-// TestFewerTurnsAreOwnTurns checks that a process that uses fewer turns uses none of another process.
-func TestFewerTurnsAreOwnTurns(t *testing.T) {
-	const rate, offset = 15, 9
-	all, fewer := Turns{Position: 3, Count: 8}, Turns{Position: 3, Count: cautiousFactor * 8}
-	for ms := range 20_000 {
-		wall := time.Unix(1_700_000_000, 0).Add(time.Duration(ms) * time.Millisecond)
-		if fewer.IsTurnWithin(wall, time.Time{}, rate, offset, 0) && !all.IsTurnWithin(wall, time.Time{}, rate, offset, 0) {
-			t.Fatalf("%v is a turn of another process", wall)
+// TestFewerTurns checks that processes that use fewer turns use none of another process, and that many of them together don't use theirs
+// one after the other without a pause.
+func TestFewerTurns(t *testing.T) {
+	const rate, offset, count, length = 15, 9, 8, 20 * time.Second
+	start := time.Unix(1_700_000_000, 0)
+	var sent []time.Time
+	last := make([]time.Time, count)
+	for wall := start; wall.Before(start.Add(length)); wall = wall.Add(time.Millisecond) {
+		for i := range count {
+			all := Turns{Position: i, Count: count}
+			if !all.fewer().IsTurnWithin(wall, last[i], rate, offset, 0) {
+				continue
+			}
+			if !all.IsTurnWithin(wall, time.Time{}, rate, offset, 0) {
+				t.Fatalf("%v after the start is a turn of another process than %d", wall.Sub(start), i)
+			}
+			last[i] = wall
+			sent = append(sent, wall)
 		}
 	}
+	if want := rate * length.Seconds() / cautiousFactor; float64(len(sent)) < 0.8*want || float64(len(sent)) > 1.2*want {
+		t.Errorf("%d requests of all processes in %v, want about %.0f", len(sent), length, want)
+	}
+	worst, first := 0, 0
+	for i, at := range sent {
+		for at.Sub(sent[first]) >= time.Second {
+			first++
+		}
+		worst = max(worst, i-first+1)
+	}
+	if worst > 9 {
+		t.Errorf("%d requests in one second at a quarter of %d, want 9 at most", worst, rate)
+	}
 }
 
 // TestNextTurn checks that the time until the next turn leads to a turn, and that none comes earlier.
--- a/internal/core/route/warmup_sim_test.go
+++ b/internal/core/route/warmup_sim_test.go
@@ -20,6 +20,8 @@
 	// coldSimBound is the hard limit for one cold server in any one second: 15 * 1.5 + 5.
 	coldSimBound = 27.5
 	coldSimSlots = 6
+	// coldSimClockError is the largest error of a gateway's view of the agreed clock.
+	coldSimClockError = 50 * time.Millisecond
 	// coldSimUnaware is the longest time for which some gateways don't know that a server has turned cold without having been away.
 	coldSimUnaware = 1500 * time.Millisecond
 )
@@ -52,8 +54,9 @@
 	table    *Table
 	router   *Router
 	keeper   limit.TurnKeeper
-	isCutOff bool      // from the control group
-	asksAt   time.Time // next confirmation
+	isCutOff bool          // from the control group
+	asksAt   time.Time     // next confirmation
+	ahead    time.Duration // error of its clock
 }
 
 type coldSimServer struct {
@@ -96,7 +99,8 @@
 	for _, server := range s.servers {
 		s.register(g, server)
 	}
-	g.table.SetTurns(g.keeper.At(s.now), 0)
+	g.ahead = time.Duration(s.random.Int64N(int64(2*coldSimClockError))) - coldSimClockError
+	g.table.SetTurns(g.keeper.At(s.now), g.ahead)
 	g.asksAt = s.now // a gateway serves nothing before its first confirmation
 	return g
 }
@@ -215,7 +219,7 @@
 		g.table.RecordConfirmed(s.now, s.now.Add(-50*time.Millisecond))
 	}
 	if s.now.Sub(s.start)%(250*time.Millisecond) == 0 {
-		g.table.SetTurns(g.keeper.At(s.now), 0)
+		g.table.SetTurns(g.keeper.At(s.now), g.ahead)
 	}
 }
 
