--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -51,6 +51,7 @@
 	Public        bool          // requests need no key
 	Resumable     bool          // a broken stream may be resumed at another server
 	CachesPrompts bool          // requests carry prompt parts that servers cache
+	HomeRegions   []string      // whose servers may get requests of the route; empty: all
 }
 
 // IsIdempotent reports whether a request of the route may run more than once.
@@ -70,6 +71,8 @@
 	HealthPath     string
 	MaxConnections int // maximum that one server accepts from all callers together
 	Engine         *Engine
+	ColdStart      time.Duration // duration of a cold start; 0: not stated
+	ColdPerSecond  float64       // requests per second that one cold server takes from all gateways together; 0: not limited
 }
 
 // Engine describes the model servers of a service.
@@ -85,7 +88,8 @@
 	Name        string
 	Keys        []string
 	Priority    int
-	HasPriority bool // Priority ranks before the route's
+	HasPriority bool     // Priority ranks before the route's
+	HomeRegions []string // whose servers may get requests of the organisation; empty: all
 }
 
 // Limits bound the size of a caller's request and the time to receive it.
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -57,7 +57,8 @@
 
 // Choose returns the backend server for the request. rnd is a random number that seeds the draws. The error is ErrUnknownModel
 // if no known server can serve the request, and ErrNoCandidate if none of those is available; it is a *PausedError if one will be at
-// the end of a pause, and a *DrainedError if all are in drained zones.
+// the end of a pause, a *DrainedError if all are in drained zones, and a *ColdError if one will be at the next turn of this process at a
+// cold server.
 func (r *Router) Choose(now time.Time, req Request, rnd uint64) (Backend, error) {
 	g := r.table.groups[groupKey{req.Kind, req.Model}]
 	if g == nil || len(g.servers) == 0 {
@@ -87,10 +88,13 @@
 	if g.isDrainedFor(&req) {
 		return Backend{}, &DrainedError{}
 	}
+	if left := g.coldWait(now, &req); left > 0 {
+		return Backend{}, &ColdError{Left: left}
+	}
 	return Backend{}, ErrNoCandidate
 }
 
-// serves reports whether the server has the version, role and adapter that the request needs.
+// serves reports whether the server has the version, role and adapter that the request needs, and is in one of its regions.
 func (s *server) serves(req *Request) bool {
 	if req.Version != "" && req.Version != s.Version {
 		return false
@@ -98,6 +102,9 @@
 	if req.Role != "" && req.Role != s.Role {
 		return false
 	}
+	if req.Regions.IsLimited && !req.Regions.allow(s) {
+		return false
+	}
 	return req.Adapter == "" || slices.Contains(s.Adapters, req.Adapter)
 }
 
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -58,6 +58,7 @@
 	turns      limit.Turns        // by which the processes share the rate limits of servers
 	clockAhead time.Duration      // how far the clock of the turns is ahead
 	drains     zoneDrains
+	regions    map[string]string // by availability zone
 }
 
 type groupKey struct{ kind, model string }
@@ -73,6 +74,8 @@
 	busy       float64       // sum of the reported busy counts
 	reported   int           // number of servers with a report
 	answerWait time.Duration // moving average of the wait for the start of an answer
+	cold       coldRule      // for cold servers
+	offeredAt  time.Time     // the last turn at a cold server that was offered to a refused request
 	laneMap
 }
 
@@ -105,6 +108,7 @@
 	limit       rateLimit
 	notice      *notice // nil: it has said nothing
 	drained     bool    // its zone is drained
+	warmth      warmth
 }
 
 // NewTable returns an empty table.
@@ -243,6 +247,9 @@
 	s.inFlight = max(0, s.inFlight-1)
 	s.sinceReport = max(0, s.sinceReport-1)
 	s.health.observe(now, o)
+	if o.Result == Unreachable {
+		t.RecordBroken(now, id, incarnation)
+	}
 	s.group.review(now)
 }
 
--- a/internal/core/route/zonedrain.go
+++ b/internal/core/route/zonedrain.go
@@ -57,6 +57,7 @@
 	t.drains.zones = next
 	for _, s := range t.servers {
 		s.setDrained(next[s.Zone])
+		s.reviewDrain()
 	}
 }
 
--- a/internal/core/route/zonedrain_test.go
+++ b/internal/core/route/zonedrain_test.go
@@ -260,3 +260,26 @@
 		}
 	})
 }
+
+// TestServersAreColdAfterADrain guards against a burst on the servers of a zone at the end of its drain: they may have turned cold
+// meanwhile, and count as cold until a report that arrived after the end says otherwise.
+func TestServersAreColdAfterADrain(t *testing.T) {
+	table := newTable(2, func(i int, b *Backend) { b.Zone = string(rune('a' + i)) })
+	table.SetColdStart(KindEngine, "m", ColdStart{Length: 3 * time.Second, PerSecond: 15})
+	table.SetDrainedZones(epoch, []string{"a"})
+	ended := epoch.Add(10 * time.Second)
+	table.SetDrainedZones(ended, nil)
+	for id, s := range table.servers {
+		want := NotCold
+		if s.Zone == "a" {
+			want = ColdAfterDrain
+		}
+		if left, cause := s.coldLeft(ended); left > 0 != (want != NotCold) || cause != want {
+			t.Errorf("server %s of zone %s counts as cold for %v (%q), want %q", id, s.Zone, left, cause, want)
+		}
+		table.RecordReport(ended.Add(time.Second), id, 7, 0)
+		if left, cause := s.coldLeft(ended.Add(time.Second)); left > 0 {
+			t.Errorf("server %s counts as cold for %v (%q) after a report that it is warm", id, left, cause)
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,10 +85,13 @@
 	// CatalogLimit is the time in which a new catalog must be in force. Routes and keys that are missing from a catalog that was
 	// not confirmed in this time may exist. 0: the time is not limited.
 	CatalogLimit time.Duration
-	UsageWindow  time.Duration // length of a billing window in wall-clock time; 0: usage is not counted
-	Dialect      Dialect
-	Logger       *slog.Logger
-	Metrics      *telemetry.Registry // nil: none
+	// ColdOverrun and ColdSlack bound the requests that a cold server gets in any one second, see route.ColdStart. 0: the defaults.
+	ColdOverrun float64
+	ColdSlack   float64
+	UsageWindow time.Duration // length of a billing window in wall-clock time; 0: usage is not counted
+	Dialect     Dialect
+	Logger      *slog.Logger
+	Metrics     *telemetry.Registry // nil: none
 }
 
 // Server is one gateway.
@@ -147,6 +150,7 @@
 	s.addresses.Store(&map[string]bool{})
 	s.drains.Store(&zonedrain.List{})
 	s.registerGauges()
+	s.followTurns()
 	dir.OnChange(s.directoryChanged)
 	dir.OnPromptParts(s.parts.listChanged)
 	dir.SetLaneWork(s.lanes.work)
@@ -163,6 +167,7 @@
 	s.addresses.Store(&addresses)
 	s.logServerChanges(backends)
 	s.applyZoneDrains() // before servers that register in a drained zone are added
+	s.setColdStarts(s.dir.Catalog())
 	s.servers.Update(time.Now(), backends)
 }
 
@@ -192,7 +197,7 @@
 	var servers healthMonitor
 	fresh := true
 	for wait.For(ctx, stateInterval) {
-		s.servers.SetTurns(s.dir.Turns(), s.dir.Wall())
+		s.followTurns()
 		servers.observe(s)
 		fresh = s.observeFreshness(fresh)
 	}
