route: choices among warm servers cost what they did

Change: the check of limits is inlined for servers without one, and the capacity is summed only for servers that warm up. A benchmark with a third of the servers warming up.

--- a/internal/core/route/affinity.go
+++ b/internal/core/route/affinity.go
@@ -106,7 +106,7 @@
 func (r *Router) home(now time.Time, lane []*server, req *Request, isTight bool) *server {
 	bound := homeLoadFactor*r.meanLoad(now, lane) + homeLoadSlack
 	for _, s := range homeServers(req.Session, lane) {
-		if s == nil || !s.isHomeWhileWarming(now, req.Session) || r.load(now, s) > bound*s.capacity(now) || (isTight && s.isHeldUp(now, req.FirstTokenTarget)) {
+		if s == nil || r.load(now, s) > bound*s.capacity(now) || !s.isHomeWhileWarming(now, req.Session) || (isTight && s.isHeldUp(now, req.FirstTokenTarget)) {
 			continue
 		}
 		return s
@@ -171,10 +171,12 @@
 
 // meanLoad returns the mean load of servers, of which those that warm up count in part.
 func (r *Router) meanLoad(now time.Time, lane []*server) float64 {
-	sum, capacity := 0.0, 0.0
+	sum, capacity := 0.0, float64(len(lane))
 	for _, s := range lane {
 		sum += r.load(now, s)
-		capacity += s.capacity(now)
+		if s.warmth.isTracked {
+			capacity -= 1 - s.capacity(now)
+		}
 	}
 	return sum / capacity
 }
--- a/internal/core/route/ratelimit.go
+++ b/internal/core/route/ratelimit.go
@@ -21,9 +21,10 @@
 
 // isWithinLimit reports whether the server's rate limit allows this process to send it a request now.
 func (s *server) isWithinLimit(now time.Time) bool {
-	if s.limit.perSecond == 0 && !s.warmth.isTracked {
-		return true
-	}
+	return (s.limit.perSecond == 0 && !s.warmth.isTracked) || s.hasTurn(now)
+}
+
+func (s *server) hasTurn(now time.Time) bool {
 	perSecond := s.rateLimit(now)
 	if perSecond == 0 {
 		return true
--- a/internal/core/route/warmup_test.go
+++ b/internal/core/route/warmup_test.go
@@ -304,3 +304,25 @@
 		}
 	}
 }
+
+// BenchmarkSessionLanes256Warming is BenchmarkSessionLanes256 with a third of the servers warming up, in a service with a cold rate.
+func BenchmarkSessionLanes256Warming(b *testing.B) {
+	table := newLoadedTable(256, 4)
+	table.SetColdStart(KindEngine, "m", ColdStart{Length: 20 * time.Second, PerSecond: 15})
+	i := uint64(0)
+	for id := range table.servers {
+		table.BeginWait(epoch, id, activity(epoch))
+		table.RecordReport(epoch, id, 1, time.Duration(i%3/2)*10*time.Second)
+		i++
+	}
+	r := NewRouter(table, RouterConfig{Policy: PolicySessionLanes})
+	table.SetLanePlan(KindEngine, "m", twoLanes)
+	req := Request{Kind: KindEngine, Model: "m", GapTarget: summaryGap, FirstTokenTarget: time.Second}
+	b.ReportAllocs()
+	for i := range b.N {
+		req.Session = uint64(i%2) * uint64(i)
+		if _, err := r.Choose(epoch, req, uint64(i)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
