gateway: hedged requests (first version)

Setting gateway.hedge_ratio, default 0 = off. The limits are the route's MaxAttempts, the retry budget and a strict share without floor or margin.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -75,6 +75,7 @@
 	GracePeriod     strict.Duration `json:"grace_period"`    // from the termination signal to the end of the process
 	UsageWindow     strict.Duration `json:"usage_window"`    // length of billing windows, which follow the time of day; 0: usage is not counted
 	RetryRatio      float64         `json:"retry_ratio"`     // limit of a service's retries, as a fraction of its requests
+	HedgeRatio      float64         `json:"hedge_ratio"`     // limit of a service's hedged requests, as a fraction of its requests; 0: none
 	Routing         string          `json:"routing"`         // session_lanes or one of the values of entry.routing
 }
 
@@ -359,6 +360,9 @@
 	ch.oneOf("entry.routing", c.Entry.Routing, DefaultRouting, "round_robin", "least_outstanding")
 }
 
+// maxHedgeRatio bounds gateway.hedge_ratio: hedges use the retry budget, which the platform limits to this share.
+const maxHedgeRatio = 0.2
+
 func (c *Config) checkGateway(ch *checker) {
 	if c.Gateway == nil {
 		return
@@ -371,6 +375,9 @@
 	if g.RetryRatio < 0 || g.RetryRatio > 1 {
 		ch.add("gateway.retry_ratio", "%v; expected 0 to 1", g.RetryRatio)
 	}
+	if g.HedgeRatio < 0 || g.HedgeRatio > maxHedgeRatio {
+		ch.add("gateway.hedge_ratio", "%v; expected 0 (no hedged requests) to %v", g.HedgeRatio, maxHedgeRatio)
+	}
 }
 
 func (c *Config) checkAgent(ch *checker) {
--- a/internal/core/retry/share.go
+++ b/internal/core/retry/share.go
@@ -17,6 +17,7 @@
 // the share holds over all processes without coordination. It is not safe for concurrent use.
 type ShareBudget struct {
 	ratio float64
+	floor float64 // allowed per window regardless of the requests
 	slots [shareSlots]shareSlot
 }
 
@@ -28,7 +29,13 @@
 }
 
 // NewShareBudget returns a budget that keeps retries below ratio times the requests.
-func NewShareBudget(ratio float64) *ShareBudget { return &ShareBudget{ratio: ratio * shareMargin} }
+func NewShareBudget(ratio float64) *ShareBudget {
+	return &ShareBudget{ratio: ratio * shareMargin, floor: shareFloor}
+}
+
+// NewStrictShareBudget returns a budget without a floor or a margin: it allows at most ratio times the requests of the window, and nothing
+// without requests. It is for extra work that nothing depends on.
+func NewStrictShareBudget(ratio float64) *ShareBudget { return &ShareBudget{ratio: ratio} }
 
 func (b *ShareBudget) currentSlot(now time.Time) *shareSlot {
 	number := now.UnixNano() / int64(shareWindow/shareSlots)
@@ -44,6 +51,15 @@
 
 // Take uses one retry of the budget, or returns false if the budget is exhausted.
 func (b *ShareBudget) Take(now time.Time) bool {
+	if !b.Allows(now) {
+		return false
+	}
+	b.currentSlot(now).retries++
+	return true
+}
+
+// Allows reports whether Take would use a retry.
+func (b *ShareBudget) Allows(now time.Time) bool {
 	current := b.currentSlot(now)
 	requests, retries := 0, 0
 	for _, s := range b.slots {
@@ -52,9 +68,5 @@
 			retries += s.retries
 		}
 	}
-	if float64(retries+1) > b.ratio*float64(requests)+shareFloor {
-		return false
-	}
-	current.retries++
-	return true
+	return float64(retries+1) <= b.ratio*float64(requests)+b.floor
 }
--- /dev/null
+++ b/internal/core/route/spare.go
@@ -0,0 +1,44 @@
+package route
+
+import "time"
+
+// Occupancy returns the requests at the ready servers of a model or service and their slots, by the load reports that are recent enough to
+// count. Both are 0 if there is none.
+func (t *Table) Occupancy(now time.Time, kind, model string) (busy, slots int) {
+	g := t.groups[groupKey{kind, model}]
+	if g == nil {
+		return 0, 0
+	}
+	for _, s := range g.servers {
+		if s.isStaying() && t.confidence(now, s) >= minLoadConfidence {
+			busy += s.load.Running + s.load.Waiting
+			slots += s.slots()
+		}
+	}
+	return busy, slots
+}
+
+// minLoadConfidence is the weight below which a load report is ignored: after two half-lives.
+const minLoadConfidence = 0.25
+
+// AppendUnfitForExtra appends the ids of the servers of a model or service that must not get work that could be left out, such as a hedge:
+// those that are not healthy, state a rate limit, send nothing or report no free slot.
+func (t *Table) AppendUnfitForExtra(ids []string, now time.Time, kind, model string) []string {
+	g := t.groups[groupKey{kind, model}]
+	if g == nil {
+		return ids
+	}
+	for _, s := range g.servers {
+		if !s.isFitForExtra(now) {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
+func (s *server) isFitForExtra(now time.Time) bool {
+	if !s.takesWork(now) || s.health.state != healthy || s.limit.perSecond > 0 || s.isSilent(now) {
+		return false
+	}
+	return s.group.table.confidence(now, s) < minLoadConfidence || s.load.Running+s.load.Waiting < s.slots()
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -11,14 +11,15 @@
 type attempt struct {
 	servers  *serverset.Set
 	server   route.Backend
-	sentAt   time.Time
+	began    time.Time // the decision to send
+	sentAt   time.Time // the wait for the answer
 	activity *serverset.Activity
 	firstAt  time.Time // when the first part of the answer arrived; zero: none yet
 }
 
-func startAttempt(servers *serverset.Set, server route.Backend) *attempt {
+func startAttempt(servers *serverset.Set, server route.Backend, began time.Time) *attempt {
 	since, activity := servers.BeginWait(server.ID)
-	return &attempt{servers: servers, server: server, sentAt: since, activity: activity}
+	return &attempt{servers: servers, server: server, began: began, sentAt: since, activity: activity}
 }
 
 // recordData records that a part of the answer arrived.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -31,6 +31,7 @@
 	w = callerWriter{w, s, x.deadline}
 	if ref == nil {
 		s.budgets.recordRequest(x.service)
+		s.hedges.recordRequest(x.service)
 		ctx, cancel := s.requestContext(r.Context(), x)
 		defer cancel()
 		ref = s.forward(ctx, x, w)
@@ -92,8 +93,8 @@
 			s.finish(x, requestOutcome{status: o.status, verdict: verdict.Ran})
 			return nil
 		}
-		t.record(server.ID, o)
-		if s.resumeAtBackup(ctx, x, t, server, o) {
+		t.record(t.current.server.ID, o)
+		if s.resumeAtBackup(ctx, x, t, t.current.server, o) {
 			continue
 		}
 		if ctx.Err() != nil || !s.mayRetry(x, t, o) {
@@ -149,79 +150,134 @@
 	}
 }
 
-// attemptAt sends x to one backend server and relays its answer.
+// attemptAt sends x to one backend server and relays its answer. If the answer is late and x may be hedged, a second server is asked beside
+// it. t.current is the attempt whose outcome is returned; that of the other one is recorded in t.
 func (s *Server) attemptAt(ctx context.Context, x *exchange, server route.Backend, t *attempts) attemptOutcome {
 	began := time.Now()
-	x.attempts++
-	if x.sentAfter == 0 {
-		x.sentAfter = began.Sub(x.arrived)
-	}
 	source := s.selectFetchSource(x, server)
 	if t.next.ID == "" {
 		t.backup = s.selectBackup(x, server)
 	}
-	s.logStep(x, eventSent,
+	s.recordSend(x, server, began, source, t)
+	s.servers.RecordDispatch(server.ID, x.call.Prompt.Tokens, x.prefix)
+	a := startAttempt(s.servers, server, began)
+	request := s.upstreamRequest(x, server, source, t)
+	if wait, ok := s.hedgeWait(x, t, server); ok {
+		return s.race(ctx, x, t, a, request, wait)
+	}
+	return s.relay(ctx, x, a, s.receive(ctx, x, a, request), t)
+}
+
+// recordSend counts and logs a send of x that is about to happen.
+func (s *Server) recordSend(x *exchange, server route.Backend, at time.Time, source route.Backend, t *attempts, attrs ...slog.Attr) {
+	x.attempts++
+	if x.sentAfter == 0 {
+		x.sentAfter = at.Sub(x.arrived)
+	}
+	s.logStep(x, eventSent, append([]slog.Attr{
 		slog.String(telemetry.KeyBackendServer, server.ID), slog.String("address", server.Address),
 		slog.String("zone", server.Zone), slog.Int("try", x.attempts), slog.Int64("remaining_ms", x.remaining().Milliseconds()),
-		slog.String("fetch_from", source.ID), slog.String("backup", t.backup.ID))
-	s.servers.RecordDispatch(server.ID, x.call.Prompt.Tokens, x.prefix)
-	t.current = startAttempt(s.servers, server)
-	defer t.current.end()
-	answer, err := s.client.Do(ctx, server.Address, s.upstreamRequest(x, server, source, t))
+		slog.String("fetch_from", source.ID), slog.String("backup", t.backup.ID),
+	}, attrs...)...)
+}
+
+// received is what a server sent to one attempt: the head of an answer or an error.
+type received struct {
+	answer *upstream.Answer // nil: err is set
+	reply  Reply
+	err    error
+	ahead  *readAhead // what was read of the body before its relay; nil: nothing
+}
+
+// isStream reports whether the answer is a stream of x, which is relayed event by event.
+func (r *received) isStream(x *exchange) bool { return r.answer.Status/100 == 2 && x.isStream() }
+
+// isNotRun reports whether the server said that it did not run the request.
+func (r *received) isNotRun() bool { return r.reply.NotRun || r.reply.Misdirected }
+
+// receive sends the request of an attempt, waits for the head of its answer and records what that says of the server. It changes neither x
+// nor the state of other attempts.
+func (s *Server) receive(ctx context.Context, x *exchange, a *attempt, request *upstream.Request) received {
+	answer, err := s.client.Do(ctx, a.server.Address, request)
 	if err != nil {
-		o := s.failedOutcome(ctx, x, server, err)
-		s.recordEnd(ctx, server, route.Outcome{Result: failedResult(ctx, err)})
-		lost := isAnswerLost(ctx, err)
-		if o.ran && (!x.isStream() || lost) {
-			s.recordUsage(x, began)
-		}
-		if lost {
-			s.crashes.recordBroken(server, x.sharedParts)
-		}
-		return o
+		return received{err: err}
 	}
-	defer answer.Close()
-	isStream := answer.Status/100 == 2 && x.isStream()
-	if !isStream {
-		t.current.recordData(time.Now())
+	r := received{answer: answer, reply: s.cfg.Dialect.ParseReply(answer.Status, answer.Header)}
+	if isLost(ctx) {
+		return r
+	}
+	if !r.isStream(x) {
+		a.recordData(time.Now())
 	}
-	reply := s.cfg.Dialect.ParseReply(answer.Status, answer.Header)
-	s.recordLoad(server, reply)
-	if !reply.Misdirected {
-		s.servers.RecordRateLimit(server.ID, t.current.sentAt, reply.RateLimit)
-		s.recordNotice(x, server, reply)
+	s.recordLoad(a.server, r.reply)
+	if !r.reply.Misdirected {
+		s.servers.RecordRateLimit(a.server.ID, a.sentAt, r.reply.RateLimit)
+		s.recordNotice(x, a.server, r.reply)
 	}
-	if reply.NotRun || reply.Misdirected {
+	return r
+}
+
+// relay relays what an attempt received, and ends the attempt.
+func (s *Server) relay(ctx context.Context, x *exchange, a *attempt, r received, t *attempts) attemptOutcome {
+	t.current = a
+	defer a.end()
+	if r.err != nil {
+		return s.endUnanswered(ctx, x, a, r.err)
+	}
+	answer, server := r.answer, a.server
+	defer answer.Close()
+	if r.isNotRun() {
 		s.servers.RecordEnd(server.ID, server.Incarnation, route.Outcome{Result: route.Refused})
 		s.logAttemptEnd(x, server, "not_run", answer.Status, nil)
 		return attemptOutcome{sent: true, refusal: notRun(http.StatusServiceUnavailable, "backend_full", "the backend server did not accept the request")}
 	}
 	var o attemptOutcome
-	if isStream {
-		o = s.relayStream(ctx, x, answer, reply, t)
+	if r.isStream(x) {
+		o = s.relayStream(ctx, x, &r, t)
 	} else {
-		s.recordUsage(x, began)
-		o = s.relayBuffered(ctx, x, answer, reply, t)
+		s.recordUsage(x, a.began)
+		o = s.relayBuffered(ctx, x, &r, t)
 		x.firstAfter = time.Since(x.arrived)
 	}
+	s.endAnswered(ctx, x, a, &r, o)
+	o.status = answer.Status
+	return o
+}
+
+// endUnanswered ends an attempt that failed before the head of an answer arrived.
+func (s *Server) endUnanswered(ctx context.Context, x *exchange, a *attempt, err error) attemptOutcome {
+	o := s.failedOutcome(ctx, x, a.server, err)
+	s.recordEnd(ctx, a.server, route.Outcome{Result: failedResult(ctx, err)})
+	lost := isAnswerLost(ctx, err)
+	if o.ran && (!x.isStream() || lost) {
+		s.recordUsage(x, a.began)
+	}
+	if lost {
+		s.crashes.recordBroken(a.server, x.sharedParts)
+	}
+	return o
+}
+
+// endAnswered records the outcome of an attempt whose answer was relayed as far as possible.
+func (s *Server) endAnswered(ctx context.Context, x *exchange, a *attempt, r *received, o attemptOutcome) {
+	status := r.answer.Status
 	if !o.done && o.heldAnswer == nil && ctx.Err() == nil {
-		s.crashes.recordBroken(server, x.sharedParts)
+		s.crashes.recordBroken(a.server, x.sharedParts)
 	}
-	if o.done && answer.Status/100 == 2 && !t.current.firstAt.IsZero() {
+	if o.done && status/100 == 2 && !a.firstAt.IsZero() {
 		s.parts.recordAnswered(time.Now(), x.sharedParts)
+		s.hedges.recordFirst(x, a)
 	}
-	first := time.Since(began)
-	if isStream && !t.current.firstAt.IsZero() {
-		first = t.current.firstAt.Sub(began)
+	first := time.Since(a.began)
+	if r.isStream(x) && !a.firstAt.IsZero() {
+		first = a.firstAt.Sub(a.began)
 	}
-	s.recordEnd(ctx, server, routeOutcome(o, answer.Status, first))
+	s.recordEnd(ctx, a.server, routeOutcome(o, status, first))
 	result := "failed"
 	if o.done {
 		result = "served"
 	}
-	o.status = answer.Status
-	s.logAttemptEnd(x, server, result, answer.Status, nil)
-	return o
+	s.logAttemptEnd(x, a.server, result, status, nil)
 }
 
 // selectFetchSource returns the backend server from which the chosen one fetches the prompt prefix, or the zero value if there is
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,7 @@
 	Zone        string // availability zone
 	Routing     route.Policy
 	RetryRatio  float64       // maximum number of retries of a service, as a share of its requests
+	HedgeRatio  float64       // maximum number of hedged requests of a service, as a share of its requests; 0: none
 	GracePeriod time.Duration // from the shutdown signal to the end of the process; 0: DefaultGracePeriod
 	// CatalogLimit is the time in which a new catalog must be in force. Routes and keys that are missing from a catalog that was
 	// not confirmed in this time may exist. 0: the time is not limited.
@@ -98,6 +99,7 @@
 	usage   *meter.Meter
 
 	budgets      *budgets
+	hedges       *hedges // nil: off
 	lifecyclesMu sync.Mutex
 	lifecycles   map[string]string // lifecycle by backend server id, as last logged
 
@@ -133,6 +135,7 @@
 			ID: cfg.ID, Incarnation: cfg.Incarnation, Interval: usageInterval, Logger: cfg.Logger,
 		}, dir),
 		budgets: newBudgets(cfg.RetryRatio),
+		hedges:  newHedges(cfg.HedgeRatio),
 		lanes:   newLanes(dir.LanePlan),
 		paces:   newPaces(),
 		answers: newAnswerMemory(),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,8 @@
 	metricTries        = "gateway_tries"           // by class and result
 	metricFurtherTries = "gateway_further_tries"   // by class
 	metricNoBudget     = "gateway_no_budget"       // retries prevented by the retry budget, by service
+	metricHedges       = "gateway_hedges"          // second copies of late requests, by class and result
+	metricNoHedge      = "gateway_no_hedge"        // late requests that were not hedged, by class and reason
 	metricQueue        = "gateway_queue_us"        // from the arrival to the first send
 	metricFirst        = "gateway_first_us"        // from the arrival to the beginning of the answer
 	metricGap          = "gateway_longest_gap_us"  // longest interval between two parts of a stream
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"github.com/guavastack/guavastack/internal/core/catalog"
+	"github.com/guavastack/guavastack/internal/core/route"
 	"github.com/guavastack/guavastack/internal/upstream"
 )
 
@@ -71,14 +72,15 @@
 
 // relayBuffered buffers an answer until it is complete, then sends it to the caller. It returns a 5xx answer to an idempotent
 // request instead, so that it is sent only if no further attempt follows.
-func (s *Server) relayBuffered(ctx context.Context, x *exchange, answer *upstream.Answer, reply Reply, t *attempts) attemptOutcome {
-	body, release, err := s.answers.readBuffered(ctx, t.current.server.ID, answer)
+func (s *Server) relayBuffered(ctx context.Context, x *exchange, r *received, t *attempts) attemptOutcome {
+	answer := r.answer
+	body, release, ok := s.bufferBody(ctx, r, t.current.server)
 	defer release()
 	failed := attemptOutcome{sent: true, ran: true, refusal: truncatedAnswer(ctx)}
 	switch {
-	case err != nil || s.mayBeCut(ctx, answer, t):
+	case !ok:
 		return failed
-	case answer.Status/100 == 2 && !reply.Signed:
+	case answer.Status/100 == 2 && !r.reply.Signed:
 		return failed
 	case t.stream.started:
 		return failed // the caller has the beginning of a stream, which can't end with another answer
@@ -94,10 +96,20 @@
 	return attemptOutcome{sent: true, ran: true, done: true}
 }
 
+// bufferBody buffers the body of an answer. It returns false if the body is not complete. The caller must call release once it no longer needs
+// the body.
+func (s *Server) bufferBody(ctx context.Context, r *received, server route.Backend) (body []byte, release func(), ok bool) {
+	if r.ahead != nil && r.ahead.isBuffered {
+		return r.ahead.data, r.ahead.release, r.ahead.isWhole
+	}
+	body, release, err := s.answers.readBuffered(ctx, server.ID, r.answer)
+	return body, release, err == nil && !s.mayBeCut(ctx, r.answer, server)
+}
+
 // mayBeCut reports whether an answer that only the end of its connection ends may be incomplete: its server has ended too. Whether the
 // server had said that it leaves makes no difference: it may have been killed before its time.
-func (s *Server) mayBeCut(ctx context.Context, answer *upstream.Answer, t *attempts) bool {
-	return !answer.Framed && s.client.MayHaveEnded(ctx, t.current.server.Address, crashCheckDelay)
+func (s *Server) mayBeCut(ctx context.Context, answer *upstream.Answer, server route.Backend) bool {
+	return !answer.Framed && s.client.MayHaveEnded(ctx, server.Address, crashCheckDelay)
 }
 
 // truncatedAnswer returns the refusal to send instead of an answer that can't be relayed: it was truncated, exceeds
@@ -107,18 +119,19 @@
 }
 
 // relayStream relays the events of a stream as they arrive.
-func (s *Server) relayStream(ctx context.Context, x *exchange, answer *upstream.Answer, reply Reply, t *attempts) attemptOutcome {
-	if !reply.Signed || !t.stream.isContinuedBy(answer.Status, answer.Header) {
+func (s *Server) relayStream(ctx context.Context, x *exchange, r *received, t *attempts) attemptOutcome {
+	answer := r.answer
+	if !r.reply.Signed || !t.stream.isContinuedBy(answer.Status, answer.Header) {
 		return attemptOutcome{sent: true, ran: true, refusal: truncatedAnswer(ctx)}
 	}
 	t.stream.setHead(answer.Status, answer.Header)
 	var last time.Time
 	buffer := streamBuffers.Get().(*[streamBufferBytes]byte)
 	defer streamBuffers.Put(buffer)
-	event := eventMemory{memory: s.answers, server: t.current.server.ID}
+	event := s.eventMemoryOf(r, t.current.server)
 	defer event.end()
 	for {
-		n, err := answer.Read(buffer[:])
+		n, err := r.read(buffer[:])
 		if n > 0 {
 			now := time.Now()
 			t.current.recordData(now)
@@ -137,7 +150,7 @@
 			}
 		}
 		switch {
-		case err == io.EOF && t.stream.isComplete(answer.Framed) && !s.mayBeCut(ctx, answer, t):
+		case err == io.EOF && t.stream.isComplete(answer.Framed) && !s.mayBeCut(ctx, answer, t.current.server):
 			t.stream.finish()
 			return attemptOutcome{sent: true, ran: true, done: true}
 		case err != nil:
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -30,6 +30,8 @@
 	eventTryEnded      = "try ended"
 	eventResumed       = "request resumed at its backup"
 	eventRetried       = "request retried at another server"
+	eventHedgeRefused  = "request not hedged"
+	eventHedgeDecided  = "hedge decided"
 	eventEnded         = "request ended"
 )
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -74,20 +74,29 @@
 }
 
 // dial opens a connection.
-func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
+	open := c.dialConn
+	if open == nil {
+		open = c.dialTCP
+	}
+	opened, err := open(ctx, address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	input := &limitedInput{conn: opened}
+	return &conn{Conn: opened, input: input, reader: bufio.NewReaderSize(input, readBufferBytes)}, nil
+}
+
+// dialTCP opens a TCP connection that detects an unreachable peer.
+func (c *Client) dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{
-		Timeout: timeout,
+		Timeout: c.dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw) },
 	}
-	c, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	input := &limitedInput{conn: c}
-	return &conn{Conn: c, input: input, reader: bufio.NewReaderSize(input, readBufferBytes)}, nil
+	return d.DialContext(ctx, "tcp", address)
 }
 
 func setUserTimeout(raw syscall.RawConn) error {
@@ -106,7 +115,11 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	descriptor, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := descriptor.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -78,6 +78,7 @@
 // Client sends requests and keeps idle connections for reuse. It is safe for concurrent use.
 type Client struct {
 	dialTimeout time.Duration
+	dialConn    func(ctx context.Context, address string) (net.Conn, error) // nil: TCP
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -88,6 +89,14 @@
 	return &Client{dialTimeout: defaultDialTimeout, idle: make(map[string][]*conn)}
 }
 
+// NewWithDial returns a client that opens its connections with dial, as tests in virtual time need it. A connection without a file
+// descriptor is not reused.
+func NewWithDial(dial func(ctx context.Context, address string) (net.Conn, error)) *Client {
+	c := New()
+	c.dialConn = dial
+	return c
+}
+
 // Answer is the answer of a backend server. Close must be called.
 type Answer struct {
 	Status int
@@ -269,7 +278,7 @@
 	for {
 		cn := c.pop(address)
 		if cn == nil {
-			return dial(ctx, address, c.dialTimeout)
+			return c.dial(ctx, address)
 		}
 		if time.Now().Before(cn.idleUntil) && cn.isReusable() {
 			cn.reused = true
@@ -330,12 +339,12 @@
 // dialRepeatedly opens a connection to a server. It tries again if that takes too long: the server or this host may be busy.
 func (c *Client) dialRepeatedly(ctx context.Context, address string) (*conn, error) {
 	for range maxDialTimeouts - 1 {
-		cn, err := dial(ctx, address, c.dialTimeout)
+		cn, err := c.dial(ctx, address)
 		if !isTimeout(err) {
 			return cn, err
 		}
 	}
-	return dial(ctx, address, c.dialTimeout)
+	return c.dial(ctx, address)
 }
 
 // isTimeout reports whether err, which may be nil, is a timeout.
@@ -346,7 +355,7 @@
 
 // tryConnection opens a new connection to a server and closes it, and returns why that failed.
 func (c *Client) tryConnection(ctx context.Context, address string) error {
-	cn, err := dial(ctx, address, c.dialTimeout)
+	cn, err := c.dial(ctx, address)
 	if err != nil {
 		return err
 	}
