--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"math"
@@ -63,7 +64,10 @@
 func (plainDialect) ParseReply(status int, h http.Header) Reply {
 	limit, _ := strconv.ParseFloat(h.Get("X-Limit"), 64)
 	pause, _ := time.ParseDuration(h.Get("X-Pause"))
+	var load Load
+	_, _ = fmt.Sscanf(h.Get("X-Load"), "%d/%d/%d", &load.Running, &load.Waiting, &load.Slots)
 	return Reply{
+		Load:      load,
 		RequestID: h.Get("X-Id"), NotRun: h.Get("X-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest,
 		Signed: h.Get("X-Seal") != "", RateLimit: limit, Leaves: h.Get("X-Leaves") != "", Pause: pause,
 	}
