--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -30,6 +30,16 @@
 			"{\"id\": \"a b\",\n\"zone\": \"\",\n\"entry\": {\"listen\": \"here\"}}",
 			[]string{"f.json:1: id", "control_members", "f.json:2: zone", "f.json:3: entry.listen"},
 		},
+		{
+			"share of hedged requests above the retry budget",
+			`{"id": "g", "zone": "a", "control_members": ["10.0.0.2:7000"], "gateway": {"listen": "10.0.0.1:8080", "hedge_ratio": 0.21}}`,
+			[]string{"gateway.hedge_ratio: 0.21; expected 0 (no hedged requests) to 0.2"},
+		},
+		{
+			"negative share of hedged requests",
+			`{"id": "g", "zone": "a", "control_members": ["10.0.0.2:7000"], "gateway": {"listen": "10.0.0.1:8080", "hedge_ratio": -0.1}}`,
+			[]string{"gateway.hedge_ratio: -0.1; expected"},
+		},
 		{
 			"admin listener without TLS on a non-loopback address",
 			`{"id": "c", "zone": "a", "control": {"member": 1, "listen": "10.0.0.1:7001", "data": "d",
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -71,3 +71,40 @@
 		t.Errorf("got %d skipped lines, want 1", r.Skipped())
 	}
 }
+
+// hedgedLog is the log of a request that was sent to a second server, which answered first.
+const hedgedLog = `{"time":"2026-01-01T00:00:01.000Z","level":"INFO","msg":"request sent","process":"gw","request_id":"h1","backend_server":"s1","try":1}
+{"time":"2026-01-01T00:00:01.050Z","level":"INFO","msg":"request sent","process":"gw","request_id":"h1","backend_server":"s2","try":2,"hedges":"s1","after_ms":50}
+{"time":"2026-01-01T00:00:01.060Z","level":"INFO","msg":"backend server","process":"ctl","backend_server":"s2","lifecycle":"ready"}
+{"time":"2026-01-01T00:00:01.070Z","level":"INFO","msg":"try ended","process":"gw","request_id":"h1","backend_server":"s1","result":"cancelled"}
+{"time":"2026-01-01T00:00:01.070Z","level":"INFO","msg":"hedge decided","process":"gw","request_id":"h1","backend_server":"s2","result":"won"}
+{"time":"2026-01-01T00:00:01.075Z","level":"INFO","msg":"try ended","process":"gw","request_id":"h1","backend_server":"s2","result":"served"}
+`
+
+// TestBothSendsOfAHedgedRequest checks that both servers and the reason of the second send are shown, and what concerns either server.
+func TestBothSendsOfAHedgedRequest(t *testing.T) {
+	var r explain.Reader
+	if err := r.Read(strings.NewReader(hedgedLog)); err != nil {
+		t.Fatal(err)
+	}
+	timeline, err := r.Timeline("h1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	if err := timeline.Write(&out); err != nil {
+		t.Fatal(err)
+	}
+	rest := out.String()
+	for _, want := range []string{
+		"request sent backend_server=s1 try=1", "request sent after_ms=50 backend_server=s2 hedges=s1 try=2",
+		"try ended backend_server=s1 result=cancelled", "hedge decided backend_server=s2 result=won", "try ended backend_server=s2 result=served",
+		"meanwhile", "backend server backend_server=s2 lifecycle=ready",
+	} {
+		_, after, ok := strings.Cut(rest, want)
+		if !ok {
+			t.Fatalf("%q is missing or out of order in\n%s", want, out.String())
+		}
+		rest = after
+	}
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -39,8 +39,10 @@
 	call.Prompt.Tokens, _ = strconv.Atoi(h.Get("X-Prompt"))
 	call.Prompt.MaxOutputTokens, _ = strconv.Atoi(h.Get("X-Output"))
 	for _, text := range splitList(h.Get("X-Parts")) {
+		text, tokens, _ := strings.Cut(text, ":")
 		id, _ := strconv.ParseUint(text, 16, 64)
-		call.Prompt.Parts = append(call.Prompt.Parts, PromptPart{ID: id})
+		count, _ := strconv.Atoi(tokens)
+		call.Prompt.Parts = append(call.Prompt.Parts, PromptPart{ID: id, Tokens: count})
 	}
 	return call, nil
 }
@@ -67,15 +69,24 @@
 func (plainDialect) ParseReply(status int, h http.Header) Reply {
 	limit, _ := strconv.ParseFloat(h.Get("X-Limit"), 64)
 	pause, _ := time.ParseDuration(h.Get("X-Pause"))
-	var load Load
-	_, _ = fmt.Sscanf(h.Get("X-Load"), "%d/%d/%d", &load.Running, &load.Waiting, &load.Slots)
 	return Reply{
-		Load:      load,
+		Load:      parseTestLoad(h.Get("X-Load")),
 		RequestID: h.Get("X-Id"), NotRun: h.Get("X-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest,
 		Signed: h.Get("X-Seal") != "", RateLimit: limit, Leaves: h.Get("X-Leaves") != "", Pause: pause,
 	}
 }
 
+// parseTestLoad parses the running and waiting requests and the slots of a server. It allocates nothing for an empty text, so that benchmarks
+// do not count it.
+func parseTestLoad(text string) Load {
+	if text == "" {
+		return Load{}
+	}
+	var load Load
+	_, _ = fmt.Sscanf(text, "%d/%d/%d", &load.Running, &load.Waiting, &load.Slots)
+	return load
+}
+
 // fakeDirectory is a Directory that the test controls.
 type fakeDirectory struct {
 	index       atomic.Pointer[catalog.Index]
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/guavastack/guavastack/internal/core/catalog"
+	"github.com/guavastack/guavastack/internal/core/hedge"
 )
 
 const (
@@ -461,7 +464,7 @@
 		})
 		prompt := func(r *http.Request) {
 			r.Header.Set("X-Prompt", "9000")
-			r.Header.Set("X-Parts", "1,2,3")
+			r.Header.Set("X-Parts", "1:4000,2:4000,3:1000")
 		}
 		for range lessons {
 			f.doAs(t.Context(), lesson, http.MethodGet, "/cached/x", prompt)
@@ -538,6 +541,7 @@
 // TestOnlyRepeatableRequestsAreHedged draws routes and the answers of their servers. A request that may run once is at one server at a time
 // and never again after it may have run; no request is sent to more servers than its route allows; the caller gets the answer of one server.
 func TestOnlyRepeatableRequestsAreHedged(t *testing.T) {
+	hedges := int64(0)
 	rapid.Check(t, func(rt *rapid.T) {
 		r := rapid.SampledFrom(append(slices.Clone(testRoutes), hedgeRoutes...)).Draw(rt, "route")
 		path := r.PathPrefix + "x"
@@ -555,21 +559,13 @@
 			var mu sync.Mutex
 			sent := 0
 			f := newVirtualFleet(t, 4, 0.2, func(_ int, req *http.Request) []part {
-				if strings.HasPrefix(req.Header.Get("X-Id"), lesson) {
-					if r.Kind.String() == "streaming" {
-						return events(req, usualTime, "id: 1\n\n")
-					}
-					return whole(req, usualTime, 200, seal, "lesson")
-				}
 				mu.Lock()
 				defer mu.Unlock()
 				p := plans[min(sent, len(plans)-1)]
 				sent++
 				return draw(req, r.Kind.String() == "streaming", sent, p.kind, p.after)
 			})
-			for range lessons {
-				f.doAs(t.Context(), lesson, http.MethodGet, path)
-			}
+			f.teach(&r)
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			if gone < 200*time.Millisecond {
@@ -580,6 +576,7 @@
 			synctest.Wait() // until the servers have seen which connections were closed
 			sends := f.sendsOf("asked")
 			problems = append(problems, checkSends(r.IsIdempotent(), max(1, r.MaxAttempts), sends, a)...)
+			hedges += f.hedgeCount(r.Name, hedgeStarted)
 			if err := f.checkNothingLeft(); err != nil {
 				problems = append(problems, err.Error())
 			}
@@ -588,6 +585,21 @@
 			rt.Fatalf("%s %v: %s", r.Name, plans, strings.Join(problems, "; "))
 		}
 	})
+	if hedges == 0 {
+		t.Error("no request was hedged, so that nothing was tested")
+	}
+}
+
+// teach makes the gateway know the usual times of a route, also of one whose requests are never hedged and so not observed.
+func (f *virtualFleet) teach(r *catalog.Route) {
+	f.gw.hedges.mu.Lock()
+	defer f.gw.hedges.mu.Unlock()
+	service := f.gw.hedges.forService("app")
+	for range lessons {
+		service.OnRequest(time.Now())
+		service.RecordFirst(time.Now(), hedge.ClassOf(r.Name, 0), hedge.Server{ID: "s0", Incarnation: "1"}, usualTime)
+		f.gw.budgets.recordRequest("app")
+	}
 }
 
 // notRunPlan is the kind of answer that says that the request was not run.
@@ -653,6 +665,9 @@
 	if len(sends) > maxServers {
 		problems = append(problems, "sent to more servers than the route allows")
 	}
+	if a.status == http.StatusOK && len(strings.TrimLeft(a.body, a.body[:min(1, len(a.body))])) > 0 && !strings.HasPrefix(a.body, "id: ") {
+		problems = append(problems, "the body "+a.body+" is not of one server")
+	}
 	if a.verdict == "not_run" && mayHaveRun > 0 {
 		problems = append(problems, "not run, though a server may have run it")
 	}
--- a/internal/gateway/virtual_test.go
+++ b/internal/gateway/virtual_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -14,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,6 +36,7 @@
 // virtualServer answers over pipes, so that its times are virtual.
 type virtualServer struct {
 	answer func(r *http.Request) []part // an answer without an end is left open
+	order  *atomic.Int64                // of the sends to all servers
 
 	mu   sync.Mutex
 	seen []*virtualSend
@@ -43,6 +46,7 @@
 type virtualSend struct {
 	request *http.Request
 	at      time.Time
+	number  int64 // among the sends to all servers
 
 	mu       sync.Mutex
 	closedAt time.Time // when the gateway closed the connection; zero: it is open
@@ -61,7 +65,7 @@
 	if err != nil {
 		return
 	}
-	send := &virtualSend{request: r, at: time.Now()}
+	send := &virtualSend{request: r, at: time.Now(), number: v.order.Add(1)}
 	v.mu.Lock()
 	v.seen = append(v.seen, send)
 	v.mu.Unlock()
@@ -121,6 +125,7 @@
 	answer  func(server int, r *http.Request) []part
 	steps   *stepLog
 	next    int
+	order   atomic.Int64
 }
 
 // stepLog collects log records.
@@ -174,7 +179,7 @@
 // addServer adds the server with a number.
 func (f *virtualFleet) addServer(number int) {
 	id := "s" + strconv.Itoa(number)
-	f.servers = append(f.servers, &virtualServer{answer: func(r *http.Request) []part { return f.answer(number, r) }})
+	f.servers = append(f.servers, &virtualServer{answer: func(r *http.Request) []part { return f.answer(number, r) }, order: &f.order})
 	f.dir.backends = append(f.dir.backends, &controlpb.BackendServer{
 		Id: id, Incarnation: "1", Address: id, Kind: route.KindService, Model: "app", Lifecycle: route.LifecycleReady, Slots: 64,
 	})
@@ -247,7 +252,7 @@
 	return answers
 }
 
-// sendsOf returns the sends of a request, in order of time.
+// sendsOf returns the sends of a request, in their order.
 func (f *virtualFleet) sendsOf(id string) []*virtualSend {
 	var out []*virtualSend
 	for _, s := range f.servers {
@@ -257,11 +262,7 @@
 			}
 		}
 	}
-	for i := range out {
-		for j := i; j > 0 && out[j].at.Before(out[j-1].at); j-- {
-			out[j], out[j-1] = out[j-1], out[j]
-		}
-	}
+	slices.SortFunc(out, func(a, b *virtualSend) int { return cmp.Compare(a.number, b.number) })
 	return out
 }
 
