--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -101,24 +101,22 @@
 		return s.relay(ctx, x, first.attempt, first.received, t)
 	}
 	defer func() { second.cancel(nil) }()
-	winner := <-results
-	other := second
-	if winner == second {
+	decided, other := <-results, second
+	if decided == second {
 		other = first
 	}
-	if !winner.wins {
-		t.record(winner.server.ID, s.relay(ctx, x, winner.attempt, winner.received, t)) // relays nothing of a failure
-		<-results
-		if other.wins {
-			s.recordHedgeResult(x, other, second)
-		}
-		return s.relay(ctx, x, other.attempt, other.received, t)
+	if decided.wins {
+		other.cancel(errLost)
+		<-results // at once, since the connection is closed
+		s.discard(x, t, other)
+	} else {
+		t.record(decided.server.ID, s.relay(ctx, x, decided.attempt, decided.received, t)) // relays nothing of a failure
+		decided = <-results
+	}
+	if decided.wins {
+		s.recordHedgeResult(x, decided, second)
 	}
-	other.cancel(errLost)
-	<-results
-	s.discard(x, t, other)
-	s.recordHedgeResult(x, winner, second)
-	return s.relay(ctx, x, winner.attempt, winner.received, t)
+	return s.relay(ctx, x, decided.attempt, decided.received, t)
 }
 
 // startContender sends the request of an attempt in the background.
--- a/internal/gateway/virtual_test.go
+++ b/internal/gateway/virtual_test.go
@@ -210,12 +210,7 @@
 	took    time.Duration
 }
 
-// do sends a request and waits for its answer.
-func (f *virtualFleet) do(ctx context.Context, method, path string) virtualAnswer {
-	f.next++
-	return f.doAs(ctx, "r"+strconv.Itoa(f.next), method, path)
-}
-
+// doAs sends a request with an id and waits for its answer.
 func (f *virtualFleet) doAs(ctx context.Context, id, method, path string, change ...func(*http.Request)) (a virtualAnswer) {
 	r := httptest.NewRequestWithContext(ctx, method, path, nil)
 	r.Header.Set("X-Id", id)
@@ -275,7 +270,7 @@
 	return n
 }
 
-// inFlight returns the requests in flight by the route table, and checks that no connection is open.
+// checkNothingLeft returns an error if a request is in flight by the route table, or a connection is open.
 func (f *virtualFleet) checkNothingLeft() error {
 	time.Sleep(crashCheckDelay + time.Second)
 	synctest.Wait()
