gateway: the virtual servers of tests answer before a request is listed

Cause: go test -race found that a test's script changed the header of a request that the test was reading. Measured: go test -race of the tests of hedges passes.

--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -456,8 +456,7 @@
 func TestHedgeFetchesNothingFromTheLateServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newVirtualFleet(t, 2, 0.2, func(_ int, r *http.Request) []part {
-			if r.Header.Get("X-Id") == "asked" && r.Header.Get("X-Test-Late") == "" {
-				r.Header.Set("X-Test-Late", "1")
+			if r.Header.Get("X-Id") == "asked" {
 				return events(r, 300*time.Millisecond, "id: 1\n\n")
 			}
 			return events(r, usualTime, "id: 1\n\n")
--- a/internal/gateway/virtual_test.go
+++ b/internal/gateway/virtual_test.go
@@ -65,6 +65,7 @@
 	if err != nil {
 		return
 	}
+	parts := v.answer(r) // may mark the request, which others read once it is listed
 	send := &virtualSend{request: r, at: time.Now(), number: v.order.Add(1)}
 	v.mu.Lock()
 	v.seen = append(v.seen, send)
@@ -77,7 +78,7 @@
 		send.mu.Unlock()
 		close(closed)
 	}()
-	for _, p := range v.answer(r) {
+	for _, p := range parts {
 		timer := time.NewTimer(p.after)
 		select {
 		case <-closed:
