upstream: the check whether a server has ended ends with its context

Change: MayHaveEnded closes its connection when its context ends, and then reports that the server may have ended, as it does for a request that has ended before. A benchmark of requests that may be hedged.

--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -37,3 +37,17 @@
 		}
 	}
 }
+
+// BenchmarkRequestThatMayBeHedged measures the same without logs, with hedged requests on. There is one server, so that none is hedged.
+func BenchmarkRequestThatMayBeHedged(b *testing.B) {
+	server := newBackend(b, func(r *http.Request, _ string) string { return fullAnswer(r, 200, seal, "x") })
+	gw := newFixture(b, server)
+	gw.gw.cfg.Metrics = telemetry.NewRegistry(telemetry.DefaultMaxSeries)
+	gw.gw.hedges = newHedges(0.1)
+	b.ResetTimer()
+	for range b.N {
+		if _, _, err := gw.do(http.MethodGet, "/safe/x"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -184,6 +184,28 @@
 	}
 }
 
+// TestCheckOfTheLoserDelaysNoAnswer guards against a winner that waits for the check whether the server of a failed answer without a length has
+// ended.
+func TestCheckOfTheLoserDelaysNoAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		unframed := func(r *http.Request) []part {
+			return []part{{30 * time.Millisecond, "HTTP/1.1 500 X\r\nX-Id: " + r.Header.Get("X-Id") + "\r\n\r\nbad"}, {0, ""}}
+		}
+		h := startHedgeTest(t, "/safe/x", unframed, says(usualTime, 200, seal, "second"))
+		a := h.ask(t.Context(), "/safe/x")
+		sends := h.sendsOf("asked")
+		if len(sends) != 2 || a.body != "second" {
+			t.Fatalf("got %+v with %d sends, want the second answer of 2 sends", a, len(sends))
+		}
+		if late := sends[1].at.Sub(sends[0].at); a.took != late+usualTime {
+			t.Errorf("answered after %v, want %v after the second send at %v", a.took, usualTime, late)
+		}
+		if err := h.checkNothingLeft(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // TestBothConnectionsCloseWhenTheRequestEnds covers the ends of a request while two servers work on it.
 func TestBothConnectionsCloseWhenTheRequestEnds(t *testing.T) {
 	cases := []struct {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -324,13 +324,14 @@
 }
 
 // MayHaveEnded reports whether the process at an address has ended, is about to or can't be asked: no new connection can be made, or it is
-// closed again within the given time. The connections of a process that is killed end one after the other, and its listener may be the last.
+// closed again within the given time, or ctx ends. The connections of a process that is killed end one after the other, and its listener may be the last.
 func (c *Client) MayHaveEnded(ctx context.Context, address string, within time.Duration) bool {
 	cn, err := c.dialRepeatedly(ctx, address)
 	if err != nil {
 		return true
 	}
 	defer func() { _ = cn.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = cn.Close() })() // ends the read
 	_ = cn.SetReadDeadline(time.Now().Add(within))
 	_, err = cn.Conn.Read(make([]byte, 1))
 	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
