--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -80,6 +80,7 @@
 	RetryRatio      float64         `json:"retry_ratio"`     // limit of a service's retries, as a fraction of its requests
 	ColdOverrun     float64         `json:"cold_overrun"`    // with cold_slack: limit of the requests at a cold server in any second; 0: 1.5
 	ColdSlack       float64         `json:"cold_slack"`      // limit: the service's cold rate * cold_overrun + cold_slack; 0: 5
+	HedgeRatio      float64         `json:"hedge_ratio"`     // limit of a service's hedged requests, as a fraction of its requests; 0: none
 	Routing         string          `json:"routing"`         // session_lanes or one of the values of entry.routing
 }
 
@@ -377,6 +378,9 @@
 	ch.oneOf("entry.routing", c.Entry.Routing, DefaultRouting, "round_robin", "least_outstanding")
 }
 
+// maxHedgeRatio bounds gateway.hedge_ratio: hedges use the retry budget, which the platform limits to this share.
+const maxHedgeRatio = 0.2
+
 func (c *Config) checkGateway(ch *checker) {
 	if c.Gateway == nil {
 		return
@@ -395,6 +399,9 @@
 	if g.ColdSlack < 0 {
 		ch.add("gateway.cold_slack", "%v; expected 0 or more", g.ColdSlack)
 	}
+	if g.HedgeRatio < 0 || g.HedgeRatio > maxHedgeRatio {
+		ch.add("gateway.hedge_ratio", "%v; expected 0 (no hedged requests) to %v", g.HedgeRatio, maxHedgeRatio)
+	}
 }
 
 func (c *Config) checkAgent(ch *checker) {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -51,6 +51,7 @@
 		RetryRatio:  c.RetryRatio,
 		ColdOverrun: c.ColdOverrun,
 		ColdSlack:   c.ColdSlack,
+		HedgeRatio:  c.HedgeRatio,
 		GracePeriod: time.Duration(c.GracePeriod),
 
 		CatalogLimit: time.Duration(c.CatalogLimit),
