gateway: fair shares at plain services, off by default

Cause: plain servers take what arrives first, so an organisation that sends ten times its usual gets most of a contended service.

Ruled out for now: shares by messages between gateways (they lag a burst by seconds).

Change: internal/core/fairqueue detects contention from answers, learns a concurrency limit and orders held requests by rank and use; internal/gateway/fairness.go waits on it before the choice of a server; setting gateway.fair_shares, default false.

Result: tests of internal/core, internal/gateway and internal/config pass with the setting off; the queue itself has no tests yet.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -74,6 +74,7 @@
 	CatalogLimit    strict.Duration `json:"catalog_limit"`   // time in which a new catalog must be in force; 0: not limited
 	GracePeriod     strict.Duration `json:"grace_period"`    // from the termination signal to the end of the process
 	UsageWindow     strict.Duration `json:"usage_window"`    // length of billing windows, which follow the time of day; 0: usage is not counted
+	FairShares      bool            `json:"fair_shares"`     // hold requests for contended plain services, so that organisations get fair shares
 	RetryRatio      float64         `json:"retry_ratio"`     // limit of a service's retries, as a fraction of its requests
 	Routing         string          `json:"routing"`         // session_lanes or one of the values of entry.routing
 }
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -26,6 +26,7 @@
 	exclude    []string // ids of the servers tried
 	stream     *streamWriter
 	current    *attempt
+	place      *place          // in the fair queue of the service; nil: none
 	backup     route.Backend   // keeps a backup of the current run; zero: none
 	next       route.Backend   // resumes the run from its backup; zero: choose a server
 	heldAnswer *bufferedAnswer // the latest answer that was held back; nil: none
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -81,12 +81,19 @@
 			t.recordRefusal(ref)
 			break
 		}
+		var ref *refusal
+		if t.place, ref = s.fair.enter(ctx, x, t); ref != nil {
+			t.recordRefusal(ref)
+			break
+		}
 		server, err := s.nextServer(x, t)
 		if err != nil {
+			t.place.end()
 			t.recordNoServer(err)
 			break
 		}
 		o := s.attemptAt(ctx, x, server, t)
+		t.place.end()
 		t.next = route.Backend{}
 		if o.done {
 			s.finish(x, requestOutcome{status: o.status, verdict: verdict.Ran})
@@ -101,6 +108,7 @@
 		}
 		s.logStep(x, eventRetried, slog.Bool("sent", o.sent), slog.Bool("may_have_run", o.ran), slog.String("resume_after", t.stream.lastID))
 	}
+	t.place.limitRetryAfter(t.refusal)
 	return s.finishAttempts(ctx, x, t, w)
 }
 
@@ -187,6 +195,7 @@
 	}
 	reply := s.cfg.Dialect.ParseReply(answer.Status, answer.Header)
 	s.recordLoad(server, reply)
+	t.place.observe(server.ID, reply)
 	if !reply.Misdirected {
 		s.servers.RecordRateLimit(server.ID, t.current.sentAt, reply.RateLimit)
 		s.recordNotice(x, server, reply)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,7 @@
 	Incarnation string // of this start of the process
 	Zone        string // availability zone
 	Routing     route.Policy
+	FairShares  bool          // hold requests for contended plain services, so that organisations get fair shares
 	RetryRatio  float64       // maximum number of retries of a service, as a share of its requests
 	GracePeriod time.Duration // from the shutdown signal to the end of the process; 0: DefaultGracePeriod
 	// CatalogLimit is the time in which a new catalog must be in force. Routes and keys that are missing from a catalog that was
@@ -106,6 +107,7 @@
 	crashes *crashDetector
 	parts   *promptParts
 	answers *answerMemory
+	fair    *fairness // nil: off
 
 	addresses atomic.Pointer[map[string]bool] // of the registered backend servers
 	abortAt   atomic.Pointer[time.Time]       // when a shutdown aborts the requests in progress; nil: not shutting down
@@ -138,6 +140,7 @@
 		answers: newAnswerMemory(),
 	}
 	s.aborted, s.abort = context.WithCancel(context.Background())
+	s.fair = newFairness(s)
 	s.parts = newPromptParts(dir, dir.Wall, cfg.Logger)
 	s.crashes = newCrashDetector(s.hasCrashed, s.recordCrash)
 	s.addresses.Store(&map[string]bool{})
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -49,6 +49,7 @@
 		UsageWindow: time.Duration(c.UsageWindow),
 		Routing:     routings[c.Routing],
 		RetryRatio:  c.RetryRatio,
+		FairShares:  c.FairShares,
 		GracePeriod: time.Duration(c.GracePeriod),
 
 		CatalogLimit: time.Duration(c.CatalogLimit),
