--- a/internal/core/fairqueue/control.go
+++ b/internal/core/fairqueue/control.go
@@ -16,7 +16,11 @@
 	gain = 0.25
 	// aimedWaiting is the number of waiting requests per slot at which a server is kept: a few, so that its slots stay in use between an
 	// answer and the next request of a gateway.
-	aimedWaiting = 0.25
+	aimedWaiting = 1.0 / 3
+	// baseWaiting and limitWaiting give the number at which a gateway with a certain limit aims, as baseWaiting + limitWaiting / limit,
+	// so that gateways with a large limit leave room to those with a small one. It is aimedWaiting at a limit of 2.
+	baseWaiting  = 0.2
+	limitWaiting = 2 * (aimedWaiting - baseWaiting)
 	// rejectionStep is the decrease of the limit for a rejected request.
 	rejectionStep = 0.5
 	// unreportedStep is the increase of the limit for an answer without a load.
@@ -28,7 +32,7 @@
 	// maxFreeSlots bounds the requests that are sent above the limit because of one answer: every gateway sees the same free slots.
 	maxFreeSlots = 2
 	// freeSlotAge is how long an answer that reports free slots allows requests above the limit.
-	freeSlotAge = 50 * time.Millisecond
+	freeSlotAge = 100 * time.Millisecond
 	// evidenceAge is how long an answer that reports a busy server justifies refusals. It bounds how long requests are refused after
 	// slots have become free.
 	evidenceAge = 150 * time.Millisecond
@@ -66,7 +70,7 @@
 // serverReport is what the last answer of a server said.
 type serverReport struct {
 	at   time.Time
-	busy bool // no free slot
+	busy bool // it has aimedWaiting or more waiting requests
 }
 
 // control detects contention and adapts the concurrency limit.
@@ -110,8 +114,9 @@
 
 // observe learns from an answer. isLimited reports whether the limit held requests back, so that it may grow.
 func (c *control) observe(now time.Time, took time.Duration, result Result, server string, load Load, isLimited bool) {
-	busy := result == Rejected || load.Waiting > 0 || (load.Slots > 0 && load.Running >= load.Slots)
-	c.servers[server] = serverReport{at: now, busy: busy}
+	hasFree := result == Answered && load.Running+load.Waiting < load.Slots
+	slots, queued := float64(load.Slots), float64(load.Running+load.Waiting-load.Slots)
+	c.servers[server] = serverReport{at: now, busy: result == Rejected || (load.Slots > 0 && queued >= aimedWaiting*slots)}
 	step := -rejectionStep
 	if result == Rejected {
 		c.pausedUntil = now.Add(min(maxRejectionPause, time.Duration(rejectionPause*float64(c.serviceTime))))
@@ -124,10 +129,9 @@
 		c.serviceTime += time.Duration(serviceTimeWeight * float64(took-c.serviceTime))
 		step = unreportedStep
 		if load.Slots > 0 {
-			slots := float64(load.Slots)
-			step = gain * (aimedWaiting*slots - float64(load.Running+load.Waiting-load.Slots)) / slots
+			step = gain * (baseWaiting + limitWaiting/max(minLimit, c.limit) - queued/slots)
 		}
-		if load.Slots > 0 && !busy {
+		if hasFree {
 			c.freeSlots, c.freeAt = min(load.Slots-load.Running, maxFreeSlots), now
 		}
 	}
--- a/internal/core/fairqueue/order.go
+++ b/internal/core/fairqueue/order.go
@@ -44,25 +44,33 @@
 	return m.sum(now) * math.Ln2 / useHalfLife.Seconds()
 }
 
-// account is an organisation with its use.
+// accountKey identifies an account: organisations compete within a rank.
+type accountKey struct {
+	rank         int
+	organisation string
+}
+
+// account is the use of an organisation in a rank.
 type account struct {
 	used    meter // requests sent that no server rejected
 	asked   meter // requests entered
 	waiting int
-	counted int // scratch of expectedWait
+	// exceptedAt is when a request was last sent above the limit because the organisation asks for no more than its share.
+	exceptedAt time.Time
+	counted    int // scratch of expectedWait
 }
 
-// account returns the account of an organisation, which it creates if necessary.
-func (q *Queue) account(now time.Time, organisation string) *account {
-	a := q.accounts[organisation]
+// account returns the account of an organisation in a rank, which it creates if necessary.
+func (q *Queue) account(now time.Time, key accountKey) *account {
+	a := q.accounts[key]
 	if a != nil {
 		return a
 	}
 	if len(q.accounts) >= maxAccounts {
-		maps.DeleteFunc(q.accounts, func(_ string, a *account) bool { return a.waiting == 0 && a.asked.sum(now) < minUse })
+		maps.DeleteFunc(q.accounts, func(_ accountKey, a *account) bool { return a.waiting == 0 && a.asked.sum(now) < minUse })
 	}
 	a = &account{}
-	q.accounts[organisation] = a
+	q.accounts[key] = a
 	return a
 }
 
@@ -120,7 +128,48 @@
 
 // expectedWait returns the time until t is expected to be sent, whether it waits, enters now or would return.
 func (q *Queue) expectedWait(now time.Time, t *Ticket) time.Duration {
-	return time.Duration(float64(q.ahead(now, t)+1) * float64(q.control.releaseInterval()))
+	wait := q.nextRelease(now) + time.Duration(float64(q.ahead(now, t))*float64(q.control.releaseInterval()))
+	if exception, ok := q.nextException(now, t); ok {
+		return min(wait, exception)
+	}
+	return wait
+}
+
+// nextRelease returns the time until the limit is expected to allow the next request: the oldest one in flight ends first.
+func (q *Queue) nextRelease(now time.Time) time.Duration {
+	pause := max(0, q.control.pausedUntil.Sub(now))
+	i := q.firstActive(now)
+	if float64(len(q.sent)-i+1) <= q.control.limit {
+		return pause
+	}
+	return max(pause, q.sent[i].SentAt.Add(q.control.serviceTime).Sub(now))
+}
+
+// nextException returns the time until t may be sent even if the limit is used up, or false if it may not: its organisation must ask
+// for no more than its share, and no request of a higher rank may be held. The organisations below their shares together stay below the
+// capacity. The requests of a burst follow each other at the interval of the share.
+func (q *Queue) nextException(now time.Time, t *Ticket) (time.Duration, bool) {
+	share := q.share(now, t.Rank) * t.Weight
+	if share == 0 || t.account.asked.perSecond(now) > share {
+		return 0, false
+	}
+	position := 0
+	for _, w := range q.waiting {
+		if w.Rank < t.Rank {
+			return 0, false
+		}
+		if w.account == t.account && w != t && compareEntry(w, t) < 0 {
+			position++
+		}
+	}
+	interval := time.Duration(float64(time.Second) / share)
+	return max(0, t.account.exceptedAt.Add(interval).Sub(now)) + time.Duration(position)*interval, true
+}
+
+// isException reports whether t may be sent now even if the limit is used up.
+func (q *Queue) isException(now time.Time, t *Ticket) bool {
+	wait, ok := q.nextException(now, t)
+	return ok && wait == 0
 }
 
 // ahead returns the number of waiting requests that are sent before t if no others enter.
@@ -156,7 +205,7 @@
 	return min(higher+same, max(0, floorInterval-q.passed[t.Rank])+same*(floorInterval+1))
 }
 
-// Standing is the part of a service that an organisation uses, for logs.
+// Standing is the part of a service that an organisation uses in a rank, for logs.
 type Standing struct {
 	UsePerSecond   float64 // requests sent
 	AskedPerSecond float64 // requests that entered the queue
@@ -169,28 +218,37 @@
 	return Standing{
 		UsePerSecond:   t.account.used.perSecond(now),
 		AskedPerSecond: t.account.asked.perSecond(now),
-		SharePerSecond: q.share(now) * t.Weight,
+		SharePerSecond: q.share(now, t.Rank) * t.Weight,
 		Waiting:        t.account.waiting,
 	}
 }
 
-// share returns the max-min fair share of an organisation of weight 1, in requests per second: what the organisations that ask for
-// less leave is divided among the others.
-func (q *Queue) share(now time.Time) float64 {
+// share returns the max-min fair share of an organisation of weight 1 in a rank, in requests per second: of what the higher ranks
+// leave, the part that the organisations that ask for less leave is divided among the others.
+func (q *Queue) share(now time.Time, rank int) float64 {
+	capacity := q.control.perSecond()
+	left := capacity
 	asked := make([]float64, 0, len(q.accounts))
-	for _, a := range q.accounts {
-		if rate := a.asked.perSecond(now); rate > minUse {
+	for key, a := range q.accounts {
+		rate := a.asked.perSecond(now)
+		switch {
+		case rate <= minUse || key.rank > rank:
+		case key.rank < rank:
+			left -= rate
+		default:
 			asked = append(asked, rate)
 		}
 	}
+	left = max(left, capacity/(floorInterval+1))
 	slices.Sort(asked)
-	left := q.control.perSecond()
+	most := 0.0
 	for i, rate := range asked {
 		equal := left / float64(len(asked)-i)
 		if rate >= equal {
 			return equal
 		}
 		left -= rate
+		most = rate
 	}
-	return left
+	return most + left
 }
--- a/internal/core/fairqueue/queue.go
+++ b/internal/core/fairqueue/queue.go
@@ -26,6 +26,8 @@
 	targetMargin = 0.8
 	// minHold is the shortest hold, and the shortest time between two checks of a held request.
 	minHold = 2 * time.Millisecond
+	// offerInterval is the time between two sends above the limit while nothing recent says that the servers are busy.
+	offerInterval = 5 * time.Millisecond
 	// retryAfterShare is the share of the time to the deadline that Retry-After states at most.
 	retryAfterShare = 1.0 / 3
 	// minRetryAfter is the shortest Retry-After.
@@ -97,7 +99,7 @@
 	waiting  []*Ticket // in order of entry
 	bytes    int       // of the bodies of waiting
 	sent     []*Ticket // in flight, in order of the send
-	accounts map[string]*account
+	accounts map[accountKey]*account
 	passed   map[int]int // per rank with a request that was held or refused: releases of higher ranks since its last release
 	number   uint64
 	heldAt   time.Time // when a request was last held
@@ -114,7 +116,7 @@
 		cfg.MaxBytes = DefaultMaxBytes
 	}
 	return &Queue{
-		cfg: cfg, accounts: make(map[string]*account), passed: make(map[int]int),
+		cfg: cfg, accounts: make(map[accountKey]*account), passed: make(map[int]int),
 		control: control{servers: make(map[string]serverReport)},
 	}
 }
@@ -126,9 +128,11 @@
 		r.Weight = 1
 	}
 	q.number++
-	t := &Ticket{Request: r, account: q.account(now, r.Organisation), number: q.number, spread: random}
+	t := &Ticket{Request: r, account: q.account(now, accountKey{r.Rank, r.Organisation}), number: q.number, spread: random}
 	t.latest = q.latestSend(now, r)
-	t.account.asked.add(now, 1)
+	if !r.IsRetry {
+		t.account.asked.add(now, 1)
+	}
 	decided := []*Ticket{t}
 	if q.isClosed {
 		q.refuse(now, t, ReasonShuttingDown)
@@ -173,17 +177,29 @@
 	}
 	for i := 0; i < len(q.waiting); {
 		t := q.waiting[i]
-		if now.Before(t.until) || q.extend(now, t) {
+		if now.Before(t.until) {
 			i++
 			continue
 		}
-		q.remove(t)
-		if q.isSaturated(now) {
+		switch {
+		case q.isException(now, t):
+			t.account.exceptedAt = now
+			q.remove(t)
+			q.send(now, t)
+			decided = append(decided, t)
+		case q.extend(now, t):
+		case !q.isSaturated(now): // the limit may be outdated
+			first := q.next(now)
+			t.until = now.Add(offerInterval)
+			q.remove(first)
+			q.send(now, first)
+			decided = append(decided, first)
+			i = 0
+		default:
+			q.remove(t)
 			q.refuse(now, t, ReasonHeldTooLong)
-		} else {
-			q.send(now, t) // nothing recent says that the servers are busy
+			decided = append(decided, t)
 		}
-		decided = append(decided, t)
 	}
 	return decided
 }
@@ -281,7 +297,11 @@
 			return onTime
 		}
 	}
-	return now.Add(time.Duration(lateHoldShare * float64(r.Deadline.Sub(now))))
+	hold := time.Duration(lateHoldShare * float64(r.Deadline.Sub(now)))
+	if r.Target > 0 {
+		hold = min(hold, r.Target/2)
+	}
+	return now.Add(hold)
 }
 
 // remove removes t from the waiting requests.
