--- a/internal/core/fairqueue/control.go
+++ b/internal/core/fairqueue/control.go
@@ -44,6 +44,7 @@
 	// stopped answering, while others have free slots.
 	overdueFactor = 4
 	minOverdue    = 50 * time.Millisecond
+	firstOverdue  = time.Second // while the service time is unknown
 	// rejectionPause is the share of the service time for which nothing is sent after a rejection, which bounds the sends while all
 	// servers reject.
 	rejectionPause    = 0.25
@@ -163,7 +164,12 @@
 }
 
 // overdueAfter returns how long a request in flight counts against the limit.
-func (c *control) overdueAfter() time.Duration { return max(minOverdue, overdueFactor*c.serviceTime) }
+func (c *control) overdueAfter() time.Duration {
+	if c.serviceTime == 0 {
+		return firstOverdue
+	}
+	return max(minOverdue, overdueFactor*c.serviceTime)
+}
 
 // firstActive returns the index of the first request in flight that counts against the limit.
 func (q *Queue) firstActive(now time.Time) int {
--- a/internal/core/fairqueue/queue.go
+++ b/internal/core/fairqueue/queue.go
@@ -168,6 +168,9 @@
 // Poll returns the waiting requests that are sent or refused now. It must be called after each other method, and at NextPoll.
 func (q *Queue) Poll(now time.Time) []*Ticket {
 	var decided []*Ticket
+	if len(q.waiting) > 0 {
+		q.heldAt = now
+	}
 	q.endContention(now)
 	for len(q.waiting) > 0 && q.maySend(now) {
 		t := q.next(now)
