--- a/internal/core/fairqueue/fairqueue_test.go
+++ b/internal/core/fairqueue/fairqueue_test.go
@@ -150,6 +150,15 @@
 	}
 }
 
+// Guards against one large request that drives all others out of the queue.
+func TestRequestAboveTheBytesOfTheQueue(t *testing.T) {
+	q := newTestQueue(t, Config{MaxBytes: 100})
+	held := q.enter(Request{Organisation: "a", Bytes: 10})
+	if large := q.enter(Request{Organisation: "b", Bytes: 101}); large.State != Refused || held.State != Waiting {
+		t.Errorf("the large request is in state %v, the other in state %v", large.State, held.State)
+	}
+}
+
 // Guards against callers that wait for a place that they cannot get in time, and against a Retry-After beyond what a caller can wait.
 func TestRefusedAtOnce(t *testing.T) {
 	q := newTestQueue(t, Config{})
--- a/internal/core/fairqueue/order.go
+++ b/internal/core/fairqueue/order.go
@@ -228,17 +228,22 @@
 func (q *Queue) share(now time.Time, rank int) float64 {
 	capacity := q.control.perSecond()
 	left := capacity
+	var above []float64
 	asked := make([]float64, 0, len(q.accounts))
 	for key, a := range q.accounts {
 		rate := a.asked.perSecond(now)
 		switch {
 		case rate <= minUse || key.rank > rank:
 		case key.rank < rank:
-			left -= rate
+			above = append(above, rate)
 		default:
 			asked = append(asked, rate)
 		}
 	}
+	slices.Sort(above) // sums of floating-point numbers depend on the order, which is random in a map
+	for _, rate := range above {
+		left -= rate
+	}
 	left = max(left, capacity/(floorInterval+1))
 	slices.Sort(asked)
 	most := 0.0
--- a/internal/core/fairqueue/queue.go
+++ b/internal/core/fairqueue/queue.go
@@ -143,6 +143,10 @@
 		q.send(now, t)
 		return decided
 	}
+	if t.Bytes > q.cfg.MaxBytes {
+		q.refuse(now, t, ReasonQueueFull)
+		return decided
+	}
 	t.Expected = q.expectedWait(now, t)
 	if t.Expected > t.latest.Sub(now) && q.isSaturated(now) {
 		q.refuse(now, t, ReasonNoTurn)
@@ -334,16 +338,18 @@
 func (q *Queue) refuse(now time.Time, t *Ticket, reason Reason) {
 	t.State, t.Reason = Refused, reason
 	t.Expected = q.expectedWait(now, t)
-	t.RetryAfter = q.retryAfter(now, t)
+	t.RetryAfter = t.retryAfter(now, t.Expected)
 	if q.control.isContended {
 		q.markWanted(t.Rank)
 	}
 }
 
-func (q *Queue) retryAfter(now time.Time, t *Ticket) time.Duration {
-	after := time.Duration(float64(q.expectedWait(now, t)) * (1 + t.spread/2))
+func (t *Ticket) retryAfter(now time.Time, expected time.Duration) time.Duration {
+	after := time.Duration(float64(expected) * (1 + t.spread/2))
 	return max(0, min(max(after, minRetryAfter), time.Duration(retryAfterShare*float64(t.Deadline.Sub(now)))))
 }
 
 // RetryAfter returns the Retry-After for a sent request that a server rejected and that is not sent again.
-func (q *Queue) RetryAfter(now time.Time, t *Ticket) time.Duration { return q.retryAfter(now, t) }
+func (q *Queue) RetryAfter(now time.Time, t *Ticket) time.Duration {
+	return t.retryAfter(now, q.expectedWait(now, t))
+}
--- a/internal/gateway/fairness.go
+++ b/internal/gateway/fairness.go
@@ -52,6 +52,7 @@
 	places    map[*fairqueue.Ticket]*place // of the requests that are held
 	timer     *time.Timer                  // polls the queue
 	contended bool                         // as last logged
+	limit     int64                        // as last exported
 }
 
 // place is the place of one attempt at a service, from its entry into the queue to the server's answer. A nil *place is that of an
@@ -244,8 +245,9 @@
 // observe logs when the service begins or ceases to be contended, and updates the gauge of its limit. mu must be held.
 func (s *fairService) observe() {
 	status := s.queue.Status()
-	if m := s.fairness.server.cfg.Metrics; m != nil {
-		m.Gauge(metricLimit, telemetry.Label{Name: "service", Value: s.name}).Update(int64(status.Limit))
+	if m := s.fairness.server.cfg.Metrics; m != nil && s.limit != int64(status.Limit) {
+		s.limit = int64(status.Limit)
+		m.Gauge(metricLimit, telemetry.Label{Name: "service", Value: s.name}).Update(s.limit)
 	}
 	if status.IsContended == s.contended {
 		return
--- a/internal/gateway/fairness_test.go
+++ b/internal/gateway/fairness_test.go
@@ -304,6 +304,9 @@
 				}
 				mu.Lock()
 				verdicts[strconv.Itoa(res.StatusCode)+" "+res.Header.Get(headerVerdict)]++
+				if retry, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64); res.StatusCode == 503 && (retry <= 0 || retry > 20) {
+					t.Errorf("Retry-After %v, want at most a third of the time left", retry)
+				}
 				if runs[id] > 1 {
 					t.Errorf("request %s ran %d times", id, runs[id])
 				}
