--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -83,12 +83,19 @@
 			t.recordRefusal(ref)
 			break
 		}
+		var ref *refusal
+		if t.place, ref = s.fair.enter(ctx, x, t); ref != nil {
+			t.recordRefusal(ref)
+			break
+		}
 		server, err := s.nextServer(x, t)
 		if err != nil {
+			t.place.end()
 			t.recordNoServer(err)
 			break
 		}
 		o := s.attemptAt(ctx, x, server, t)
+		t.place.end()
 		t.next = route.Backend{}
 		if o.done {
 			s.finish(x, requestOutcome{status: o.status, verdict: verdict.Ran})
@@ -103,6 +110,7 @@
 		}
 		s.logStep(x, eventRetried, slog.Bool("sent", o.sent), slog.Bool("may_have_run", o.ran), slog.String("resume_after", t.stream.lastID))
 	}
+	t.place.limitRetryAfter(t.refusal)
 	return s.finishAttempts(ctx, x, t, w)
 }
 
@@ -228,6 +236,7 @@
 	}
 	answer, server := r.answer, a.server
 	defer answer.Close()
+	t.place.observe(server.ID, r.reply)
 	if r.isNotRun() {
 		s.servers.RecordEnd(server.ID, server.Incarnation, route.Outcome{Result: route.Refused})
 		s.logAttemptEnd(x, server, "not_run", answer.Status, nil)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,7 @@
 	Incarnation string // of this start of the process
 	Zone        string // availability zone
 	Routing     route.Policy
+	FairShares  bool          // hold requests for contended plain services, so that organisations get fair shares
 	RetryRatio  float64       // maximum number of retries of a service, as a share of its requests
 	HedgeRatio  float64       // maximum number of hedged requests of a service, as a share of its requests; 0: none
 	GracePeriod time.Duration // from the shutdown signal to the end of the process; 0: DefaultGracePeriod
@@ -114,6 +115,7 @@
 	crashes *crashDetector
 	parts   *promptParts
 	answers *answerMemory
+	fair    *fairness // nil: off
 
 	drains    atomic.Pointer[zonedrain.List]  // in force at this gateway
 	addresses atomic.Pointer[map[string]bool] // of the registered backend servers
@@ -148,6 +150,7 @@
 		answers: newAnswerMemory(),
 	}
 	s.aborted, s.abort = context.WithCancel(context.Background())
+	s.fair = newFairness(s)
 	s.parts = newPromptParts(dir, dir.Wall, cfg.Logger)
 	s.crashes = newCrashDetector(s.hasCrashed, s.recordCrash)
 	s.addresses.Store(&map[string]bool{})
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -55,6 +55,9 @@
 	c := hedgeConditions(x, t)
 	c.Server = hedgeServer(first)
 	c.Busy, c.Slots = s.servers.Occupancy(route.KindService, x.service)
+	if s.fair.isContended(x) {
+		return route.Backend{}, hedge.AtCapacity // a hedge has no place in the fair queue
+	}
 	if reason := s.hedges.decide(x.service, c); reason != hedge.Allowed {
 		return route.Backend{}, reason
 	}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -52,6 +52,7 @@
 		ColdOverrun: c.ColdOverrun,
 		ColdSlack:   c.ColdSlack,
 		HedgeRatio:  c.HedgeRatio,
+		FairShares:  c.FairShares,
 		GracePeriod: time.Duration(c.GracePeriod),
 
 		CatalogLimit: time.Duration(c.CatalogLimit),
