route, gateway: state of a server's pace: stated with its load, and observed in its streams

Cause: servers share their machines with other workloads. The fourth figure of Guavastack-Server-Load says how long work takes at the moment and was ignored; the intervals between the events of streams were known by request only.

Intervals are summed up in atomic counters beside the time of the last data, without a lock on the path of an event. An interval after a write to the caller that took 5 ms or more says nothing about the server and is left out.

Ruled out: a mean over some time (a second in every five at a third of the speed hardly shows in it); absolute intervals (a stalled gateway and a burst of long prompts slow all servers alike); the higher of the two sources where they disagree (a server that has more work has longer intervals too, and statements may be wrong).

Choices of servers are unchanged so far.

--- /dev/null
+++ b/internal/core/route/pace.go
@@ -0,0 +1,371 @@
+package route
+
+import (
+	"math"
+	"time"
+
+	"github.com/guavastack/guavastack/internal/core/decay"
+)
+
+// The pace of a server is how long work takes there relative to its peers: servers share their machines with other workloads. A server
+// may state it with its load, and each process observes it in the intervals between the events of its streams.
+
+const (
+	// MaxSlowdown bounds the pace that a server states.
+	MaxSlowdown = 100
+	// minWeight and maxWeight bound the weight of a server's load: slow servers aren't abandoned, and a fast one isn't overrun by all
+	// processes at once.
+	minWeight = 0.5
+	maxWeight = 4
+	// freshPace is the age at which a stated or observed pace no longer tells what a server's neighbours do. The neighbours come and go
+	// within a second.
+	freshPace = time.Second
+	// statedMemory is how long the last statement of a server counts for the median of its peers.
+	statedMemory = 10 * time.Second
+	// lowDeviation is the deviation from the peers below which an observed pace counts as theirs. Servers differ as much by their load.
+	lowDeviation = 1.25
+
+	// gapSlices is the number of observations from which the longest gap of a stream is expected, and gapMemory their maximum age.
+	gapSlices = 8
+	gapMemory = 4 * time.Second
+	// meanMemory is how long the mean interval of a server is compared with that of its peers.
+	meanMemory = 2 * time.Second
+	// lastingInterval is the time between two comparisons of lasting paces.
+	lastingInterval = time.Second
+	// minIntervals is the number of intervals from which a mean is taken.
+	minIntervals = 4
+)
+
+// Intervals summarises the intervals between the events of all streams of this process at one server, within a short time.
+type Intervals struct {
+	Events  int
+	Total   time.Duration
+	Longest time.Duration
+}
+
+// ServerIntervals are the intervals at one incarnation of a server.
+type ServerIntervals struct {
+	ID, Incarnation string
+	Intervals
+}
+
+// pace is what is known of one incarnation's pace. The zero value is nothing.
+type pace struct {
+	stated   float64 // relative to the server's own usual pace; 0: nothing stated
+	statedAt time.Time
+
+	events    int           // since mean was last taken
+	total     time.Duration // of their intervals
+	mean      time.Duration // interval between two events; 0: none yet
+	meanAt    time.Time
+	ratio     float64 // of mean to the median of the peers; 0: none yet
+	longest   [gapSlices]gapSlice
+	nextSlice int
+
+	observed paceHistory // ratios
+	claimed  paceHistory // stated figures
+	listed   float64     // slowdown by which the control group lists the server as slow; 0: not listed
+
+	// The following figures are derived at each review.
+	gap       time.Duration // expected longest interval in a stream; 0: unknown
+	peerGap   time.Duration // median of gap of the peers; 0: unknown
+	usual     float64       // lasting pace relative to the peers; 0: unknown
+	reference float64       // median of what the peers state; 0: unknown
+}
+
+// gapSlice is the longest interval within a short time that ended at the given time.
+type gapSlice struct {
+	longest time.Duration
+	at      time.Time
+}
+
+// state records a stated slowdown; 0: the server states none. An absurd figure is bounded or ignored.
+func (p *pace) state(now time.Time, slowdown float64) {
+	if math.IsNaN(slowdown) || slowdown <= 0 {
+		p.stated = 0
+		return
+	}
+	p.stated, p.statedAt = min(slowdown, MaxSlowdown), now
+	p.claimed.add(now, p.stated)
+}
+
+// RecordIntervals records the intervals between the events of the streams of this process since the last call, and compares the servers
+// with their peers. It is called at short intervals, also without any events.
+func (t *Table) RecordIntervals(now time.Time, observed []ServerIntervals) {
+	for _, o := range observed {
+		if s := t.servers[o.ID]; s != nil && s.Incarnation == o.Incarnation {
+			s.pace.record(now, o.Intervals)
+		}
+	}
+	for _, g := range t.groups {
+		g.refreshLanes(now)
+		g.reviewPaces(now)
+	}
+}
+
+func (p *pace) record(now time.Time, in Intervals) {
+	if in.Events <= 0 || in.Total < 0 || in.Longest < 0 {
+		return
+	}
+	p.longest[p.nextSlice] = gapSlice{longest: in.Longest, at: now}
+	p.nextSlice = (p.nextSlice + 1) % gapSlices
+	p.events += in.Events
+	p.total += in.Total
+	if p.events >= minIntervals {
+		p.mean, p.meanAt = max(p.total/time.Duration(p.events), 1), now
+		p.events, p.total = 0, 0
+	}
+}
+
+// expectedGap returns the longest interval that a stream is expected to have: the second longest of the recent ones, so that a single pause
+// doesn't count. It returns 0 if there is at most one.
+func (p *pace) expectedGap(now time.Time) time.Duration {
+	var first, second time.Duration
+	for _, slice := range p.longest {
+		if slice.at.IsZero() || now.Sub(slice.at) > gapMemory {
+			continue
+		}
+		if slice.longest > first {
+			first, second = slice.longest, first
+		} else if slice.longest > second {
+			second = slice.longest
+		}
+	}
+	return second
+}
+
+// reviewPaces derives the figures of the servers from those of their peers in the lane, or in the whole group if too few of the lane are
+// known.
+func (g *group) reviewPaces(now time.Time) {
+	for _, s := range g.servers {
+		s.pace.gap = s.pace.expectedGap(now)
+	}
+	all := medianPaces(now, g.servers)
+	for _, peers := range g.peerSets() {
+		own := medianPaces(now, peers).orElse(all)
+		for _, s := range peers {
+			s.pace.compare(now, own, s.pace.meanAt.Equal(now))
+		}
+	}
+	if now.Sub(g.lastingAt) >= lastingInterval {
+		g.lastingAt = now
+		g.lastingPaces(now, typicalQuantile, func(s *server, pace float64) { s.pace.usual = pace })
+	}
+}
+
+// paceMedians are medians over the servers of a lane; 0: too few are known.
+type paceMedians struct {
+	mean, stated, gap float64
+}
+
+func (m paceMedians) orElse(o paceMedians) paceMedians {
+	return paceMedians{mean: firstPositive(m.mean, o.mean), stated: firstPositive(m.stated, o.stated), gap: firstPositive(m.gap, o.gap)}
+}
+
+func firstPositive(a, b float64) float64 {
+	if a > 0 {
+		return a
+	}
+	return b
+}
+
+func medianPaces(now time.Time, servers []*server) paceMedians {
+	return paceMedians{
+		mean: median(servers, func(s *server) float64 {
+			if now.Sub(s.pace.meanAt) > meanMemory {
+				return 0
+			}
+			return s.pace.mean.Seconds()
+		}),
+		stated: median(servers, func(s *server) float64 {
+			if now.Sub(s.pace.statedAt) > statedMemory {
+				return 0
+			}
+			return s.pace.stated
+		}),
+		gap: median(servers, func(s *server) float64 { return s.pace.gap.Seconds() }),
+	}
+}
+
+// compare compares the newest figures with the medians of the peers. isNew is true if the mean was taken at now.
+func (p *pace) compare(now time.Time, peers paceMedians, isNew bool) {
+	p.reference = peers.stated
+	p.peerGap = time.Duration(peers.gap * float64(time.Second))
+	if !isNew {
+		return
+	}
+	if peers.mean <= 0 {
+		p.ratio = 0
+		return
+	}
+	p.ratio = p.mean.Seconds() / peers.mean
+	p.observed.add(now, p.ratio)
+}
+
+// slowdown estimates how long work takes at the server at this moment, relative to its peers: by the newest statement, else by the newest
+// intervals, and the older those are, the more by its lasting pace.
+func (s *server) slowdown(now time.Time) float64 {
+	p := &s.pace
+	estimate := 1.0
+	if p.usual > 0 {
+		estimate = p.usual
+	} else if p.listed > 0 {
+		estimate = p.listed
+	}
+	newest, age := 0.0, freshPace
+	switch statedAge := now.Sub(p.statedAt); {
+	case p.stated > 0 && statedAge < freshPace:
+		newest, age = p.stated/firstPositive(p.reference, 1), statedAge
+	case p.ratio > 0:
+		newest, age = withoutNoise(p.ratio), now.Sub(p.meanAt)
+	}
+	if age >= freshPace {
+		return estimate
+	}
+	left := 1 - float64(max(age, 0))/float64(freshPace)
+	return estimate + left*(newest-estimate)
+}
+
+// withoutNoise returns 1 for a known ratio that is lower than lowDeviation; 0 means unknown and stays 0.
+func withoutNoise(ratio float64) float64 {
+	if ratio > 0 && ratio < lowDeviation {
+		return 1
+	}
+	return ratio
+}
+
+// loadWeight returns the factor by which a server's load counts: one that works at half the speed of its peers has twice the load. Without
+// knowledge of its pace it is 1.
+func (s *server) loadWeight(now time.Time) float64 {
+	if !s.pace.isKnown() {
+		return 1
+	}
+	return min(max(s.slowdown(now), minWeight), maxWeight)
+}
+
+// isKnown reports whether anything is known of the pace.
+func (p *pace) isKnown() bool { return p.stated > 0 || p.ratio > 0 || p.usual > 0 || p.listed > 0 }
+
+// missesGap reports whether a stream is expected to miss its target for the gap between tokens at the server, while it is expected to
+// hold at the median of the server's peers. Otherwise the server is not the cause.
+func (s *server) missesGap(now time.Time, target time.Duration) bool {
+	p := &s.pace
+	if target <= 0 || p.peerGap <= 0 || p.peerGap > target {
+		return false
+	}
+	if p.gap > target {
+		return true
+	}
+	return time.Duration(float64(p.peerGap)*s.slowdown(now)) > target
+}
+
+const (
+	// historyHalfLife is the half-life of the observations of a lasting pace.
+	historyHalfLife = 20 * time.Second
+	// minHistory is the weight of the observations from which a lasting pace is known.
+	minHistory = 8
+	// typicalQuantile is the quantile of the lasting pace by which load is weighted.
+	typicalQuantile = 0.5
+	// badQuantile is the quantile by which a server counts as slow. Streams with tight targets miss them in the bad moments.
+	badQuantile = 0.9
+)
+
+// paceEdges are the lower edges of the buckets of a paceHistory.
+var paceEdges = [...]float64{0.5, 0.7, 0.85, 1, 1.15, 1.3, 1.5, 1.75, 2, 2.4, 2.8, 3.4, 4, 6, 10}
+
+// paceHistory is the distribution of observations of a pace, of which each loses half of its weight within historyHalfLife.
+type paceHistory struct {
+	weights [len(paceEdges) + 1]float32 // by bucket; the first one is for values below all edges
+	total   float32
+	at      time.Time
+}
+
+func (h *paceHistory) add(now time.Time, value float64) {
+	h.age(now)
+	bucket := 0
+	for bucket < len(paceEdges) && value >= paceEdges[bucket] {
+		bucket++
+	}
+	h.weights[bucket]++
+	h.total++
+}
+
+// age reduces the weights to those at now.
+func (h *paceHistory) age(now time.Time) {
+	if h.total > 0 {
+		left := float32(decay.Weight(now.Sub(h.at), historyHalfLife))
+		for i := range h.weights {
+			h.weights[i] *= left
+		}
+		h.total *= left
+	}
+	h.at = now
+}
+
+// quantile returns the value that a share of the observations doesn't exceed, interpolated within its bucket, or 0 if there are too few.
+func (h *paceHistory) quantile(now time.Time, share float64) float64 {
+	if h.total == 0 || float64(h.total)*decay.Weight(now.Sub(h.at), historyHalfLife) < minHistory {
+		return 0
+	}
+	left := float32(share) * h.total
+	for i, w := range h.weights {
+		if left > w && i < len(paceEdges) {
+			left -= w
+			continue
+		}
+		switch {
+		case i == 0:
+			return paceEdges[0]
+		case i == len(paceEdges):
+			return paceEdges[i-1]
+		default:
+			return paceEdges[i-1] + (paceEdges[i]-paceEdges[i-1])*float64(left/max(w, 1e-6))
+		}
+	}
+	return paceEdges[len(paceEdges)-1]
+}
+
+// lastingPace is a quantile of the pace over some time by its two sources; 0: unknown.
+type lastingPace struct{ observed, claimed float64 }
+
+func (l lastingPace) orElse(o lastingPace) lastingPace {
+	return lastingPace{firstPositive(l.observed, o.observed), firstPositive(l.claimed, o.claimed)}
+}
+
+// medianLasting returns the medians of a quantile over the servers; 0: too few are known.
+func medianLasting(now time.Time, servers []*server, quantile float64) lastingPace {
+	return lastingPace{
+		observed: median(servers, func(s *server) float64 { return s.pace.observed.quantile(now, quantile) }),
+		claimed:  median(servers, func(s *server) float64 { return s.pace.claimed.quantile(now, quantile) }),
+	}
+}
+
+// lasting returns a quantile of the pace over some time, relative to the medians of the peers, or 0 if it is unknown. If both sources are
+// known, the lower one counts: a server that has more work than its peers has longer intervals too, and its statements may be wrong.
+func (p *pace) lasting(now time.Time, quantile float64, peers lastingPace) float64 {
+	observed := 0.0
+	if peers.observed > 0 {
+		observed = p.observed.quantile(now, quantile) / peers.observed
+	}
+	claimed := p.claimed.quantile(now, quantile) / firstPositive(peers.claimed, 1)
+	switch {
+	case observed == 0:
+		return withoutNoise(claimed)
+	case claimed == 0:
+		return withoutNoise(observed)
+	default:
+		return withoutNoise(min(observed, claimed))
+	}
+}
+
+// lastingPaces calls f with a quantile of the lasting pace of each server of the group relative to its peers in the lane, or in the whole group
+// if too few of the lane are known; 0: unknown.
+func (g *group) lastingPaces(now time.Time, quantile float64, f func(s *server, pace float64)) {
+	all := medianLasting(now, g.servers, quantile)
+	for _, peers := range g.peerSets() {
+		own := medianLasting(now, peers, quantile).orElse(all)
+		for _, s := range peers {
+			f(s, s.pace.lasting(now, quantile, own))
+		}
+	}
+}
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -62,6 +62,7 @@
 	FirstToken      time.Duration // expected time to the first token for a new request of the lowest tier
 	WaitingByTier   [MaxTiers]int // zero if the reporter does not distinguish tiers
 	RunningByTier   [MaxTiers]int // zero if the reporter does not distinguish tiers
+	Slowdown        float64       // how long work takes at the moment, relative to its usual time; 0: not stated
 }
 
 // Result is how an attempt ended.
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -72,6 +72,7 @@
 	busy       float64       // sum of the reported busy counts
 	reported   int           // number of servers with a report
 	answerWait time.Duration // moving average of the wait for the start of an answer
+	lastingAt  time.Time     // of the last comparison of lasting paces
 	laneMap
 }
 
@@ -101,6 +102,7 @@
 	activity    Activity    // nil until the first request was sent
 	gapAt       time.Time   // time of the last gap in its cache events
 	membership  laneMembership
+	pace        pace
 	limit       rateLimit
 	notice      *notice // nil: it has said nothing
 }
@@ -185,6 +187,7 @@
 		g.reported++
 	}
 	s.load, s.loadAt, s.hasLoad = l, now, true
+	s.pace.state(now, l.Slowdown)
 	s.sinceReport = 0
 	g.busy += s.reportedBusy()
 	if l.Waiting > 0 && l.FirstToken > 0 {
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -66,4 +66,6 @@
 // Load is the load that a backend server reports, in requests. Slots is 0 if it reports none.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is how long work takes at the server at this moment, relative to its usual time; 0: not stated.
+	Slowdown float64
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -255,6 +255,7 @@
 	go s.usage.Run(background)
 	go s.parts.run(background)
 	go s.watchState(background)
+	go s.watchPaces(background)
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(trackedListener{lis, s.conns}) }()
 	select {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -112,7 +112,7 @@
 		return attemptOutcome{sent: true, ran: true, refusal: truncatedAnswer(ctx)}
 	}
 	t.stream.setHead(answer.Status, answer.Header)
-	var last time.Time
+	var last, written time.Time // when the last part arrived, and when it had been sent to the caller
 	buffer := streamBuffers.Get().(*[streamBufferBytes]byte)
 	defer streamBuffers.Put(buffer)
 	event := eventMemory{memory: s.answers, server: t.current.server.ID}
@@ -124,11 +124,13 @@
 			t.current.recordData(now)
 			if !last.IsZero() {
 				x.longestGap = max(x.longestGap, now.Sub(last))
+				t.current.recordInterval(last, written, now, buffer[:n])
 			}
 			last = now
 			s.recordUsage(x, now)
 			s.recordFirstData(x, now)
 			t.stream.write(buffer[:n])
+			written = time.Now()
 			if t.stream.isEventTooLarge() {
 				err = errEventTooLarge
 			}
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -25,9 +25,10 @@
 		return
 	}
 	s.servers.RecordLoad(server.ID, route.Load{
-		Slots:   reply.Load.Slots,
-		Running: reply.Load.Running,
-		Waiting: reply.Load.Waiting,
+		Slots:    reply.Load.Slots,
+		Running:  reply.Load.Running,
+		Waiting:  reply.Load.Waiting,
+		Slowdown: reply.Load.Slowdown,
 	})
 }
 
--- a/internal/serverset/activity.go
+++ b/internal/serverset/activity.go
@@ -9,6 +9,7 @@
 type Activity struct {
 	base time.Time
 	last atomic.Int64 // nanoseconds since base
+	intervals
 }
 
 func newActivity(now time.Time) *Activity { return &Activity{base: now} }
--- a/internal/serverset/serverset.go
+++ b/internal/serverset/serverset.go
@@ -74,6 +74,9 @@
 		Role:        b.Role,
 		Slots:       int(b.Slots),
 	}
+	if old, ok := s.servers[b.Id]; ok && old.Incarnation != b.Incarnation {
+		delete(s.activities, b.Id) // its intervals are those of the former incarnation
+	}
 	s.table.Upsert(now, server)
 	s.servers[b.Id] = server
 	s.byAddr[b.Address] = b.Id
