route: places by the pace of servers and the prompt tokens that wait

Cause: on the deployment with uneven servers 2 of 13 had 49 of the 71 chat streams with a gap above 150 ms. Placement knew the number of requests at a server, not how fast it works.

Change: load counts times the pace of the server relative to its peers (1 to 4), also for plain services. A home or one of the random choices at which the gap target isn't expected to hold is left (home) or has a penalty of half of the slots (choice), if the target holds at the median of the peers. The first event is expected behind the prompt tokens of this process's requests whose answers have not begun: a server where they take longer than the target is held up. RecordDispatch gets the tokens to prefill, not the whole prompt.

Ruled out: the intervals of a moment as its pace (they tell which prompts were prefilled: 3 to 16 times the median among equal servers); a weight below 1 for fast servers (1.6 times the fair share in the worst second with 8 gateways and reports 1 s old, which is why it stays 1); the median as the lasting pace by which load is weighted (a busy server counts twice).

--- a/internal/core/route/affinity.go
+++ b/internal/core/route/affinity.go
@@ -100,12 +100,12 @@
 	return nil
 }
 
-// home returns the highest-ranked home of the session whose load is within bounds, or nil if all are overloaded. Streams with a tight
-// target also leave a home that is held up. Others stay: their shared parts are long, and reading them again elsewhere holds up more.
+// home returns the highest-ranked home of the session whose load is within bounds and at which the gap target is expected to hold, or nil
+// if there is none. Streams with a tight target also leave a home that is held up. Others stay: their shared parts are long, and reading them again elsewhere holds up more.
 func (r *Router) home(now time.Time, lane []*server, req *Request, isTight bool) *server {
 	bound := homeLoadFactor*r.meanLoad(now, lane) + homeLoadSlack
 	for _, s := range homeServers(req.Session, lane) {
-		if s == nil || r.load(now, s) > bound || (isTight && s.isHeldUp(now, req.FirstTokenTarget)) {
+		if s == nil || r.load(now, s) > bound || s.missesGap(now, req.GapTarget) || (isTight && s.isHeldUp(now, req)) {
 			continue
 		}
 		return s
@@ -146,8 +146,13 @@
 		if s.Zone != req.Zone {
 			score += zonePenalty
 		}
-		if s.isHeldUp(now, req.FirstTokenTarget) {
+		if s.isHeldUp(now, req) {
 			score += heldUpPenalty
+		} else {
+			score += heldUpPenalty * s.waitShare(now, req)
+		}
+		if s.missesGap(now, req.GapTarget) {
+			score += gapPenalty
 		}
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
@@ -159,13 +164,19 @@
 // heldUpPenalty is the penalty for a server that is held up, as a share of a server's slots.
 const heldUpPenalty = 0.5
 
+// gapPenalty is the penalty for a server at which the gap target is not expected to hold, as a share of a server's slots. It is bounded, so
+// that the other servers aren't overrun when many servers are slow.
+const gapPenalty = 0.5
+
 // zonePenalty is the penalty for a dispatch to another availability zone, as a share of a server's slots.
 const zonePenalty = 0.01
 
-// load estimates the number of requests at a server. The older its load report, the more the group's mean counts instead.
+// load estimates the number of requests at a server, weighted by its pace. The older its load report, the more the group's mean counts
+// instead. At a slow server the request that is being placed takes longer, even if there is no other.
 func (r *Router) load(now time.Time, s *server) float64 {
 	c := r.table.confidence(now, s)
-	return c*s.reportedBusy() + (1-c)*s.group.meanBusy() + float64(s.sinceReport)
+	requests := c*s.reportedBusy() + (1-c)*s.group.meanBusy() + float64(s.sinceReport)
+	return (requests+1)*s.loadWeight(now) - 1
 }
 
 func (r *Router) meanLoad(now time.Time, lane []*server) float64 {
--- a/internal/core/route/lanes_test.go
+++ b/internal/core/route/lanes_test.go
@@ -362,3 +362,29 @@
 		t.Errorf("got work of %d gap targets, want that of the recent one", len(work))
 	}
 }
+
+// BenchmarkSessionLanesPaces256 is BenchmarkSessionLanes256 with servers of which the pace is stated and observed.
+func BenchmarkSessionLanesPaces256(b *testing.B) {
+	table := newLoadedTable(256, 4)
+	var observed []ServerIntervals
+	for id := range table.servers {
+		table.BeginWait(epoch, id, activity(epoch))
+		table.RecordLoad(epoch, id, Load{Slots: 8, Running: 4, Slowdown: 1.1})
+		observed = append(observed, ServerIntervals{ID: id, Intervals: Intervals{Events: 20, Total: 100 * time.Millisecond, Longest: 20 * time.Millisecond}})
+	}
+	r := NewRouter(table, RouterConfig{Policy: PolicySessionLanes})
+	table.SetLanePlan(KindEngine, "m", twoLanes)
+	now := epoch
+	for range 40 {
+		now = now.Add(250 * time.Millisecond)
+		table.RecordIntervals(now, observed)
+	}
+	req := Request{Kind: KindEngine, Model: "m", GapTarget: summaryGap, FirstTokenTarget: time.Second}
+	b.ReportAllocs()
+	for i := range b.N {
+		req.Session = uint64(i%2) * uint64(i)
+		if _, err := r.Choose(epoch, req, uint64(i)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/core/route/pace.go
+++ b/internal/core/route/pace.go
@@ -13,17 +13,17 @@
 const (
 	// MaxSlowdown bounds the pace that a server states.
 	MaxSlowdown = 100
-	// minWeight and maxWeight bound the weight of a server's load: slow servers aren't abandoned, and a fast one isn't overrun by all
-	// processes at once.
-	minWeight = 0.5
+	// maxWeight bounds the weight of a server's load, so that a slow server isn't abandoned. A server that is faster than its peers has no
+	// lower weight than they: its reported load is lower anyway, and a weight of 0.5 let all processes choose it at once (1.6 times its share of
+	// the capacity in the worst second, with 8 processes and reports 1 s old).
 	maxWeight = 4
-	// freshPace is the age at which a stated or observed pace no longer tells what a server's neighbours do. The neighbours come and go
+	// freshPace is the age at which a stated pace no longer tells what a server's neighbours do. The neighbours come and go
 	// within a second.
 	freshPace = time.Second
 	// statedMemory is how long the last statement of a server counts for the median of its peers.
 	statedMemory = 10 * time.Second
 	// lowDeviation is the deviation from the peers below which an observed pace counts as theirs. Servers differ as much by their load.
-	lowDeviation = 1.25
+	lowDeviation = 1.4
 
 	// gapSlices is the number of observations from which the longest gap of a stream is expected, and gapMemory their maximum age.
 	gapSlices = 8
@@ -64,13 +64,15 @@
 
 	observed paceHistory // ratios
 	claimed  paceHistory // stated figures
+	gaps     paceHistory // longest intervals within a short time, milliseconds
 	listed   float64     // slowdown by which the control group lists the server as slow; 0: not listed
 
 	// The following figures are derived at each review.
-	gap       time.Duration // expected longest interval in a stream; 0: unknown
-	peerGap   time.Duration // median of gap of the peers; 0: unknown
-	usual     float64       // lasting pace relative to the peers; 0: unknown
-	reference float64       // median of what the peers state; 0: unknown
+	gap        time.Duration // expected longest interval in a stream; 0: unknown
+	peerGap    time.Duration // median of gap of the peers; 0: unknown
+	usual      float64       // lasting pace relative to the peers; 0: unknown
+	lastingGap time.Duration // gapQuantile of gaps; 0: unknown
+	reference  float64       // median of what the peers state; 0: unknown
 }
 
 // gapSlice is the longest interval within a short time that ended at the given time.
@@ -79,14 +81,16 @@
 	at      time.Time
 }
 
-// state records a stated slowdown; 0: the server states none. An absurd figure is bounded or ignored.
-func (p *pace) state(now time.Time, slowdown float64) {
+// recordSlowdown records a stated slowdown; 0: the server states none. An absurd figure is bounded or ignored.
+func (s *server) recordSlowdown(now time.Time, slowdown float64) {
+	p := s.pace
 	if math.IsNaN(slowdown) || slowdown <= 0 {
 		p.stated = 0
 		return
 	}
 	p.stated, p.statedAt = min(slowdown, MaxSlowdown), now
-	p.claimed.add(now, p.stated)
+	s.isPaceKnown = true
+	p.claimed.add(now, &paceEdges, p.stated)
 }
 
 // RecordIntervals records the intervals between the events of the streams of this process since the last call, and compares the servers
@@ -95,6 +99,7 @@
 	for _, o := range observed {
 		if s := t.servers[o.ID]; s != nil && s.Incarnation == o.Incarnation {
 			s.pace.record(now, o.Intervals)
+			s.isPaceKnown = true
 		}
 	}
 	for _, g := range t.groups {
@@ -109,6 +114,7 @@
 	}
 	p.longest[p.nextSlice] = gapSlice{longest: in.Longest, at: now}
 	p.nextSlice = (p.nextSlice + 1) % gapSlices
+	p.gaps.add(now, &gapEdges, in.Longest.Seconds()*1e3)
 	p.events += in.Events
 	p.total += in.Total
 	if p.events >= minIntervals {
@@ -118,7 +124,7 @@
 }
 
 // expectedGap returns the longest interval that a stream is expected to have: the second longest of the recent ones, so that a single pause
-// doesn't count. It returns 0 if there is at most one.
+// doesn't count, or gapQuantile of those of some time, if that is longer. It returns 0 if neither is known.
 func (p *pace) expectedGap(now time.Time) time.Duration {
 	var first, second time.Duration
 	for _, slice := range p.longest {
@@ -131,7 +137,7 @@
 			second = slice.longest
 		}
 	}
-	return second
+	return max(second, p.lastingGap)
 }
 
 // reviewPaces derives the figures of the servers from those of their peers in the lane, or in the whole group if too few of the lane are
@@ -150,6 +156,9 @@
 	if now.Sub(g.lastingAt) >= lastingInterval {
 		g.lastingAt = now
 		g.lastingPaces(now, typicalQuantile, func(s *server, pace float64) { s.pace.usual = pace })
+		for _, s := range g.servers {
+			s.pace.lastingGap = time.Duration(s.pace.gaps.quantile(now, &gapEdges, gapQuantile) * float64(time.Millisecond))
+		}
 	}
 }
 
@@ -199,31 +208,25 @@
 		return
 	}
 	p.ratio = p.mean.Seconds() / peers.mean
-	p.observed.add(now, p.ratio)
+	p.observed.add(now, &paceEdges, p.ratio)
 }
 
-// slowdown estimates how long work takes at the server at this moment, relative to its peers: by the newest statement, else by the newest
-// intervals, and the older those are, the more by its lasting pace.
+// slowdown estimates how long work takes at the server at this moment, relative to its peers: by its newest statement, and the older that is,
+// the more by its lasting pace. The intervals of a moment tell more of the prompts that were prefilled in it than of the pace.
 func (s *server) slowdown(now time.Time) float64 {
-	p := &s.pace
-	estimate := 1.0
+	p := s.pace
+	lasting := 1.0
 	if p.usual > 0 {
-		estimate = p.usual
+		lasting = p.usual
 	} else if p.listed > 0 {
-		estimate = p.listed
-	}
-	newest, age := 0.0, freshPace
-	switch statedAge := now.Sub(p.statedAt); {
-	case p.stated > 0 && statedAge < freshPace:
-		newest, age = p.stated/firstPositive(p.reference, 1), statedAge
-	case p.ratio > 0:
-		newest, age = withoutNoise(p.ratio), now.Sub(p.meanAt)
+		lasting = p.listed
 	}
-	if age >= freshPace {
-		return estimate
+	age := max(now.Sub(p.statedAt), 0)
+	if p.stated <= 0 || age >= freshPace {
+		return lasting
 	}
-	left := 1 - float64(max(age, 0))/float64(freshPace)
-	return estimate + left*(newest-estimate)
+	left := 1 - float64(age)/float64(freshPace)
+	return lasting + left*(p.stated/firstPositive(p.reference, 1)-lasting)
 }
 
 // withoutNoise returns 1 for a known ratio that is lower than lowDeviation; 0 means unknown and stays 0.
@@ -237,20 +240,20 @@
 // loadWeight returns the factor by which a server's load counts: one that works at half the speed of its peers has twice the load. Without
 // knowledge of its pace it is 1.
 func (s *server) loadWeight(now time.Time) float64 {
-	if !s.pace.isKnown() {
+	if !s.isPaceKnown {
 		return 1
 	}
-	return min(max(s.slowdown(now), minWeight), maxWeight)
+	return min(max(s.slowdown(now), 1), maxWeight)
 }
 
-// isKnown reports whether anything is known of the pace.
-func (p *pace) isKnown() bool { return p.stated > 0 || p.ratio > 0 || p.usual > 0 || p.listed > 0 }
-
 // missesGap reports whether a stream is expected to miss its target for the gap between tokens at the server, while it is expected to
 // hold at the median of the server's peers. Otherwise the server is not the cause.
 func (s *server) missesGap(now time.Time, target time.Duration) bool {
-	p := &s.pace
-	if target <= 0 || p.peerGap <= 0 || p.peerGap > target {
+	if !s.isPaceKnown || target <= 0 {
+		return false
+	}
+	p := s.pace
+	if p.peerGap <= 0 || p.peerGap > target {
 		return false
 	}
 	if p.gap > target {
@@ -264,26 +267,43 @@
 	historyHalfLife = 20 * time.Second
 	// minHistory is the weight of the observations from which a lasting pace is known.
 	minHistory = 8
-	// typicalQuantile is the quantile of the lasting pace by which load is weighted.
-	typicalQuantile = 0.5
+	// typicalQuantile is the quantile of the lasting pace by which load is weighted. A low one tells the pace of a server from its load, which
+	// lengthens the intervals while prompts are prefilled.
+	typicalQuantile = 0.25
 	// badQuantile is the quantile by which a server counts as slow. Streams with tight targets miss them in the bad moments.
 	badQuantile = 0.9
+	// gapQuantile is the quantile of the longest gaps within a short time that a stream is expected to have: it lasts several times as long.
+	gapQuantile = 0.95
 )
 
-// paceEdges are the lower edges of the buckets of a paceHistory.
-var paceEdges = [...]float64{0.5, 0.7, 0.85, 1, 1.15, 1.3, 1.5, 1.75, 2, 2.4, 2.8, 3.4, 4, 6, 10}
+// historyEdges is the number of edges between the buckets of a paceHistory.
+const historyEdges = 22
+
+// paceEdges are the lower edges of the buckets of a history of paces.
+var paceEdges = geometricEdges(0.5, 1.15)
+
+// gapEdges are the lower edges of the buckets of a history of gaps, milliseconds.
+var gapEdges = geometricEdges(10, 1.25)
+
+// geometricEdges returns edges that begin at first, each of them a multiple of the one before.
+func geometricEdges(first, factor float64) (edges [historyEdges]float64) {
+	for i := range edges {
+		edges[i] = first * math.Pow(factor, float64(i))
+	}
+	return edges
+}
 
-// paceHistory is the distribution of observations of a pace, of which each loses half of its weight within historyHalfLife.
+// paceHistory is a distribution of observations, of which each loses half of its weight within historyHalfLife.
 type paceHistory struct {
-	weights [len(paceEdges) + 1]float32 // by bucket; the first one is for values below all edges
+	weights [historyEdges + 1]float32 // by bucket; the first one is for values below all edges
 	total   float32
 	at      time.Time
 }
 
-func (h *paceHistory) add(now time.Time, value float64) {
+func (h *paceHistory) add(now time.Time, edges *[historyEdges]float64, value float64) {
 	h.age(now)
 	bucket := 0
-	for bucket < len(paceEdges) && value >= paceEdges[bucket] {
+	for bucket < len(edges) && value >= edges[bucket] {
 		bucket++
 	}
 	h.weights[bucket]++
@@ -302,27 +322,29 @@
 	h.at = now
 }
 
-// quantile returns the value that a share of the observations doesn't exceed, interpolated within its bucket, or 0 if there are too few.
-func (h *paceHistory) quantile(now time.Time, share float64) float64 {
-	if h.total == 0 || float64(h.total)*decay.Weight(now.Sub(h.at), historyHalfLife) < minHistory {
+// quantile returns the value that a share of the observations doesn't exceed, interpolated within its bucket, or 0 if there are too few for
+// a single one not to decide.
+func (h *paceHistory) quantile(now time.Time, edges *[historyEdges]float64, share float64) float64 {
+	known := float64(h.total) * decay.Weight(now.Sub(h.at), historyHalfLife)
+	if known < minHistory || known*(1-share) < 1.2 {
 		return 0
 	}
 	left := float32(share) * h.total
 	for i, w := range h.weights {
-		if left > w && i < len(paceEdges) {
+		if left > w && i < len(edges) {
 			left -= w
 			continue
 		}
 		switch {
 		case i == 0:
-			return paceEdges[0]
-		case i == len(paceEdges):
-			return paceEdges[i-1]
+			return edges[0]
+		case i == len(edges):
+			return edges[i-1]
 		default:
-			return paceEdges[i-1] + (paceEdges[i]-paceEdges[i-1])*float64(left/max(w, 1e-6))
+			return edges[i-1] + (edges[i]-edges[i-1])*float64(left/max(w, 1e-6))
 		}
 	}
-	return paceEdges[len(paceEdges)-1]
+	return edges[len(edges)-1]
 }
 
 // lastingPace is a quantile of the pace over some time by its two sources; 0: unknown.
@@ -335,8 +357,8 @@
 // medianLasting returns the medians of a quantile over the servers; 0: too few are known.
 func medianLasting(now time.Time, servers []*server, quantile float64) lastingPace {
 	return lastingPace{
-		observed: median(servers, func(s *server) float64 { return s.pace.observed.quantile(now, quantile) }),
-		claimed:  median(servers, func(s *server) float64 { return s.pace.claimed.quantile(now, quantile) }),
+		observed: median(servers, func(s *server) float64 { return s.pace.observed.quantile(now, &paceEdges, quantile) }),
+		claimed:  median(servers, func(s *server) float64 { return s.pace.claimed.quantile(now, &paceEdges, quantile) }),
 	}
 }
 
@@ -345,9 +367,9 @@
 func (p *pace) lasting(now time.Time, quantile float64, peers lastingPace) float64 {
 	observed := 0.0
 	if peers.observed > 0 {
-		observed = p.observed.quantile(now, quantile) / peers.observed
+		observed = p.observed.quantile(now, &paceEdges, quantile) / peers.observed
 	}
-	claimed := p.claimed.quantile(now, quantile) / firstPositive(peers.claimed, 1)
+	claimed := p.claimed.quantile(now, &paceEdges, quantile) / firstPositive(peers.claimed, 1)
 	switch {
 	case observed == 0:
 		return withoutNoise(claimed)
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -99,6 +99,7 @@
 	Exclude      []string // backend servers already tried
 
 	FirstTokenTarget time.Duration // zero: none
+	PrefillPerToken  time.Duration // time to compute one prompt token of the waiting requests; zero: unknown
 
 	// The following fields are used by PolicySessionLanes only.
 	Session   uint64        // shared by requests whose prompts have a long common prefix; 0: none
--- a/internal/core/route/silence.go
+++ b/internal/core/route/silence.go
@@ -31,6 +31,7 @@
 	s.activity = activity
 	s.sentAt = append(s.sentAt, now)
 	s.pendingAt = append(s.pendingAt, now)
+	s.prefill.begin()
 }
 
 // RecordFirstData records that the answer to the request that was sent at since began at now.
@@ -39,7 +40,7 @@
 	if s == nil {
 		return
 	}
-	s.pendingAt = removeTime(s.pendingAt, since)
+	s.endPending(since)
 	took := now.Sub(since)
 	g := s.group
 	if g.answerWait == 0 {
@@ -56,7 +57,7 @@
 		return
 	}
 	s.sentAt = removeTime(s.sentAt, since)
-	s.pendingAt = removeTime(s.pendingAt, since)
+	s.endPending(since)
 }
 
 // removeTime removes the first element that equals at, if any.
@@ -68,19 +69,23 @@
 	return slices.Delete(times, i, i+1)
 }
 
-// isHeldUp reports whether a request of this process has waited at the server for longer than the given target for the first event, for
-// example behind long prompts. The server's reports tell how many requests it has, not how much work they are.
-func (s *server) isHeldUp(now time.Time, target time.Duration) bool {
-	if target <= 0 || len(s.pendingAt) == 0 {
+// isHeldUp reports whether a request of this process has waited at the server for longer than the request's target for the first event, for
+// example behind long prompts, or is expected to. The server's reports tell how many requests it has, not how much work they are.
+func (s *server) isHeldUp(now time.Time, req *Request) bool {
+	if req.FirstTokenTarget <= 0 || len(s.pendingAt) == 0 {
 		return false
 	}
-	return now.Sub(s.pendingAt[0]) > target
+	return now.Sub(s.pendingAt[0]) > req.FirstTokenTarget || s.waitShare(now, req) > 1
 }
 
 // isSilent reports whether the server has requests of this process in flight and has sent no data for longer than usual.
 // This detects an unresponsive server well before its heartbeats are missed.
 func (s *server) isSilent(now time.Time) bool {
-	return s.silence(now) > max(silentAfter, silenceFactor*s.group.answerWait)
+	limit := max(silentAfter, silenceFactor*s.group.answerWait)
+	if len(s.sentAt) == 0 || now.Sub(s.sentAt[0]) <= limit {
+		return false
+	}
+	return s.silence(now) > limit
 }
 
 // silence returns how long the server has sent no data while requests of this process are in flight; 0 without such requests.
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -99,10 +99,12 @@
 	health      health
 	sentAt      []time.Time // send times of the requests of this process in flight, oldest first
 	pendingAt   []time.Time // those of sentAt whose answer has not begun
-	activity    Activity    // nil until the first request was sent
-	gapAt       time.Time   // time of the last gap in its cache events
+	prefill     pendingPrefill
+	activity    Activity  // nil until the first request was sent
+	gapAt       time.Time // time of the last gap in its cache events
 	membership  laneMembership
-	pace        pace
+	pace        *pace
+	isPaceKnown bool // something is known of pace
 	limit       rateLimit
 	notice      *notice // nil: it has said nothing
 }
@@ -128,7 +130,7 @@
 		t.Remove(b.ID)
 	}
 	g := t.group(groupKey{b.Kind, b.Model})
-	s := &server{Backend: b, group: g, order: orderHash(b.ID), slotInterval: defaultSlotInterval, notice: t.knownNotice(b)}
+	s := &server{Backend: b, group: g, order: orderHash(b.ID), slotInterval: defaultSlotInterval, notice: t.knownNotice(b), pace: &pace{}}
 	t.servers[b.ID] = s
 	i := sort.Search(len(g.servers), func(i int) bool { return g.servers[i].ID >= b.ID })
 	g.servers = append(g.servers, nil)
@@ -187,7 +189,7 @@
 		g.reported++
 	}
 	s.load, s.loadAt, s.hasLoad = l, now, true
-	s.pace.state(now, l.Slowdown)
+	s.recordSlowdown(now, l.Slowdown)
 	s.sinceReport = 0
 	g.busy += s.reportedBusy()
 	if l.Waiting > 0 && l.FirstToken > 0 {
@@ -222,7 +224,8 @@
 	return max(1, s.Slots)
 }
 
-// RecordDispatch records a dispatch to a backend server, which will then cache the prompt prefixes.
+// RecordDispatch records a dispatch to a backend server, which will then cache the prompt prefixes. requestTokens is the number of prompt
+// tokens that it has to prefill. A BeginWait follows, if the wait for the answer is to be tracked.
 func (t *Table) RecordDispatch(now time.Time, id string, requestTokens int, prefix []uint64) {
 	s := t.servers[id]
 	if s == nil {
@@ -231,6 +234,7 @@
 	s.inFlight++
 	s.sinceReport++
 	s.limit.chosenAt = now
+	s.prefill.dispatched = max(requestTokens, 0)
 	t.RecordCached(now, id, prefix)
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -164,7 +164,7 @@
 		slog.String(telemetry.KeyBackendServer, server.ID), slog.String("address", server.Address),
 		slog.String("zone", server.Zone), slog.Int("try", x.attempts), slog.Int64("remaining_ms", x.remaining().Milliseconds()),
 		slog.String("fetch_from", source.ID), slog.String("backup", t.backup.ID))
-	s.servers.RecordDispatch(server.ID, x.call.Prompt.Tokens, x.prefix)
+	s.servers.RecordDispatch(server.ID, unsharedTokens(x.call.Prompt), x.prefix)
 	t.current = startAttempt(s.servers, server)
 	defer t.current.end()
 	answer, err := s.client.Do(ctx, server.Address, s.upstreamRequest(x, server, source, t))
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -32,22 +32,23 @@
 
 // exchange is one caller's request and the state of serving it.
 type exchange struct {
-	call          Call
-	route         *catalog.Route
-	service       string
-	organisation  string
-	priority      int
-	rank          int // among all ranks of the catalog; 0 is served first
-	ranks         int
-	catalog       *catalog.Index // that applies
-	arrived       time.Time
-	deadline      time.Time
-	sharedParts   []uint64 // ids of the parts of the prompt that other requests may share
-	prefix        []uint64 // hashes of the prefixes of the prompt, shortest first
-	session       uint64   // requests of one session prefer the same server; 0: none
-	keepsBackup   bool     // another server keeps a backup of the run
-	fetchesPrefix bool     // the server may fetch the prompt prefix from another one
-	metered       bool     // counted for billing
+	call            Call
+	route           *catalog.Route
+	service         string
+	organisation    string
+	priority        int
+	rank            int // among all ranks of the catalog; 0 is served first
+	ranks           int
+	catalog         *catalog.Index // that applies
+	arrived         time.Time
+	deadline        time.Time
+	sharedParts     []uint64      // ids of the parts of the prompt that other requests may share
+	prefix          []uint64      // hashes of the prefixes of the prompt, shortest first
+	session         uint64        // requests of one session prefer the same server; 0: none
+	keepsBackup     bool          // another server keeps a backup of the run
+	fetchesPrefix   bool          // the server may fetch the prompt prefix from another one
+	prefillPerToken time.Duration // of the service's servers; 0: the answers don't follow from prompts
+	metered         bool          // counted for billing
 
 	pendingSteps []step        // not logged yet
 	attempts     int           // attempts so far
@@ -91,6 +92,7 @@
 		x.fetchesPrefix = s.isWorthFetching(call.Prompt, index.Service(x.service))
 	}
 	if x.isStream() {
+		x.prefillPerToken = s.paces.prefillPerToken(x.service)
 		s.servers.SetLanePlan(route.KindService, x.service, s.lanes.observe(x))
 	}
 	s.logStep(x, eventAdmitted,
@@ -175,6 +177,7 @@
 		Prefix:           x.prefix,
 		Exclude:          exclude,
 		FirstTokenTarget: x.route.LatencyTarget,
+		PrefillPerToken:  x.prefillPerToken,
 		Session:          x.session,
 		GapTarget:        x.route.GapTarget,
 	}
