route: lanes by lasting pace, and the intervals of steps without prompts as the pace of a server

Cause: streams with tight targets run on servers that are slow for long: two of six servers of the tight lane at half speed spoil 0.19 of the chat streams, and with 31 gateways each of them observes too little to avoid that by itself (0.16 to 0.09).

LanePlan.Slow lists them; laneMap puts them at the end of the common order, so that they belong to the bulk lane, and counts the lanes by capacity. A slow server is the home of 1/slowdown of its sessions. A mark is for one incarnation. Without marks the order and the homes are as before.

The pace that is observed is now the 0.2 quantile of the intervals within 250 ms (buckets of 1.1 in atomic counters) instead of their mean: the mean follows the prompts that are prefilled. With the mean, equal servers differed by 1.4 (median) to 2.8 (0.75 quantile) and the leader listed servers because they had more work; with the short interval by less than 1.05 up to the median, also at 1.5 times the load.

Ruled out: sizes of lanes by the number of servers (long streams late: 0.058, by capacity 0.006); listing servers that are slowed for a second now and then by observation alone (see above; gateways avoid them by the expected gap).

--- a/internal/core/route/affinity.go
+++ b/internal/core/route/affinity.go
@@ -21,7 +21,13 @@
 
 // rank returns the rendezvous hash of a session and a server; the server with the highest rank is the session's home. Every
 // process finds the same home, and adding or removing a server moves only the sessions of that server.
-func rank(session uint64, s *server) uint64 { return nextRandom(session ^ s.order) }
+func rank(session uint64, s *server) uint64 {
+	hash := nextRandom(session ^ s.order)
+	if s.isPaceKnown && !s.isHomeShare(hash) {
+		return hash >> 32 // below the others
+	}
+	return hash
+}
 
 // sessionLanes picks a server within the lane of the request: the session's home while its load is bounded, else the least
 // loaded of a few random servers.
--- a/internal/core/route/lanemap.go
+++ b/internal/core/route/lanemap.go
@@ -46,7 +46,9 @@
 			g.ready = append(g.ready, s)
 		}
 	}
-	sizes := g.plan.sizes(len(g.ready))
+	g.markSlow()
+	slowLast(g.ready)
+	sizes := g.plan.sizes(len(g.ready), capacity(g.ready))
 	if sizes == nil {
 		assignLane(now, g.ready, noLane)
 		return
--- a/internal/core/route/lanes_test.go
+++ b/internal/core/route/lanes_test.go
@@ -64,7 +64,7 @@
 		}
 	}
 	for _, n := range []int{18, 93} {
-		sizes, sum := plan.sizes(n), 0
+		sizes, sum := plan.sizes(n, float64(n)), 0
 		for lane, size := range sizes {
 			sum += size
 			if size < 1 || size > n*2/3 {
@@ -75,13 +75,13 @@
 			t.Errorf("sizes %v of %d servers, want their sum to be %d", sizes, n, n)
 		}
 	}
-	if sizes := plan.sizes(12); sizes[0]+sizes[1] < 3 || sizes[0]+sizes[1] > 9 {
+	if sizes := plan.sizes(12, float64(12)); sizes[0]+sizes[1] < 3 || sizes[0]+sizes[1] > 9 {
 		t.Errorf("got sizes %v of 12 servers, want 3 to 9 in the tight lanes", sizes)
 	}
-	if sizes := plan.sizes(4); len(sizes) != 3 || sizes[0] == 0 || sizes[1] != 0 || sizes[2] == 0 {
+	if sizes := plan.sizes(4, float64(4)); len(sizes) != 3 || sizes[0] == 0 || sizes[1] != 0 || sizes[2] == 0 {
 		t.Errorf("got sizes %v of 4 servers, want drafts and questions to share a lane", sizes)
 	}
-	if sizes := plan.sizes(3); sizes != nil {
+	if sizes := plan.sizes(3, float64(3)); sizes != nil {
 		t.Errorf("got sizes %v of 3 servers, want no split", sizes)
 	}
 
@@ -150,7 +150,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			drafts := StreamWork{Gap: draftGap, Prefill: 28_000, Output: OutputWork(draftTokens, c.slots)}
 			plan := SplitLanes(nil, []StreamWork{drafts, {Gap: questionGap, Prefill: c.questions}, summaries})
-			if got := plan.sizes(c.servers); !slices.Equal(got, c.want) {
+			if got := plan.sizes(c.servers, float64(c.servers)); !slices.Equal(got, c.want) {
 				t.Errorf("got sizes %v (plan %v), want %v", got, plan, c.want)
 			}
 		})
@@ -173,7 +173,7 @@
 		p.lanes.Observe(p.at, draftGap, 1000, 0)
 		p.plan = SplitLanes(p.plan, p.lanes.Work(p.at))
 	}
-	return p.plan.sizes(12)[0]
+	return p.plan.sizes(12, float64(12))[0]
 }
 
 // TestLaneShareFollowsWork checks that the share of a lane grows with its work, and that a small change of the work doesn't
@@ -370,7 +370,7 @@
 	for id := range table.servers {
 		table.BeginWait(epoch, id, activity(epoch))
 		table.RecordLoad(epoch, id, Load{Slots: 8, Running: 4, Slowdown: 1.1})
-		observed = append(observed, ServerIntervals{ID: id, Intervals: Intervals{Events: 20, Total: 100 * time.Millisecond, Longest: 20 * time.Millisecond}})
+		observed = append(observed, ServerIntervals{ID: id, Intervals: Intervals{Short: 5 * time.Millisecond, Longest: 20 * time.Millisecond}})
 	}
 	r := NewRouter(table, RouterConfig{Policy: PolicySessionLanes})
 	table.SetLanePlan(KindEngine, "m", twoLanes)
--- a/internal/core/route/pace.go
+++ b/internal/core/route/pace.go
@@ -22,25 +22,24 @@
 	freshPace = time.Second
 	// statedMemory is how long the last statement of a server counts for the median of its peers.
 	statedMemory = 10 * time.Second
-	// lowDeviation is the deviation from the peers below which an observed pace counts as theirs. Servers differ as much by their load.
+	// lowDeviation is the deviation from the peers below which an observed pace counts as theirs. Servers differ as much by their batches.
 	lowDeviation = 1.4
 
 	// gapSlices is the number of observations from which the longest gap of a stream is expected, and gapMemory their maximum age.
 	gapSlices = 8
 	gapMemory = 4 * time.Second
-	// meanMemory is how long the mean interval of a server is compared with that of its peers.
-	meanMemory = 2 * time.Second
+	// shortMemory is how long the short interval of a server is compared with that of its peers.
+	shortMemory = 2 * time.Second
 	// lastingInterval is the time between two comparisons of lasting paces.
 	lastingInterval = time.Second
-	// minIntervals is the number of intervals from which a mean is taken.
-	minIntervals = 4
 )
 
 // Intervals summarises the intervals between the events of all streams of this process at one server, within a short time.
 type Intervals struct {
-	Events  int
-	Total   time.Duration
 	Longest time.Duration
+	// Short is an interval that few are shorter than: that of a step in which no prompt is prefilled. It tells the pace of a server from its
+	// load. 0: there were too few events.
+	Short time.Duration
 }
 
 // ServerIntervals are the intervals at one incarnation of a server.
@@ -54,11 +53,8 @@
 	stated   float64 // relative to the server's own usual pace; 0: nothing stated
 	statedAt time.Time
 
-	events    int           // since mean was last taken
-	total     time.Duration // of their intervals
-	mean      time.Duration // interval between two events; 0: none yet
-	meanAt    time.Time
-	ratio     float64 // of mean to the median of the peers; 0: none yet
+	short     time.Duration // short interval between two events; 0: none yet
+	shortAt   time.Time
 	longest   [gapSlices]gapSlice
 	nextSlice int
 
@@ -109,17 +105,14 @@
 }
 
 func (p *pace) record(now time.Time, in Intervals) {
-	if in.Events <= 0 || in.Total < 0 || in.Longest < 0 {
+	if in.Longest <= 0 || in.Short < 0 {
 		return
 	}
 	p.longest[p.nextSlice] = gapSlice{longest: in.Longest, at: now}
 	p.nextSlice = (p.nextSlice + 1) % gapSlices
 	p.gaps.add(now, &gapEdges, in.Longest.Seconds()*1e3)
-	p.events += in.Events
-	p.total += in.Total
-	if p.events >= minIntervals {
-		p.mean, p.meanAt = max(p.total/time.Duration(p.events), 1), now
-		p.events, p.total = 0, 0
+	if in.Short > 0 {
+		p.short, p.shortAt = in.Short, now
 	}
 }
 
@@ -150,12 +143,12 @@
 	for _, peers := range g.peerSets() {
 		own := medianPaces(now, peers).orElse(all)
 		for _, s := range peers {
-			s.pace.compare(now, own, s.pace.meanAt.Equal(now))
+			s.pace.compare(now, own, s.pace.shortAt.Equal(now))
 		}
 	}
 	if now.Sub(g.lastingAt) >= lastingInterval {
 		g.lastingAt = now
-		g.lastingPaces(now, typicalQuantile, func(s *server, pace float64) { s.pace.usual = pace })
+		g.lastingPaces(now, typicalQuantile, func(s *server, pace float64) { s.pace.usual = withoutNoise(pace) })
 		for _, s := range g.servers {
 			s.pace.lastingGap = time.Duration(s.pace.gaps.quantile(now, &gapEdges, gapQuantile) * float64(time.Millisecond))
 		}
@@ -164,11 +157,11 @@
 
 // paceMedians are medians over the servers of a lane; 0: too few are known.
 type paceMedians struct {
-	mean, stated, gap float64
+	short, stated, gap float64
 }
 
 func (m paceMedians) orElse(o paceMedians) paceMedians {
-	return paceMedians{mean: firstPositive(m.mean, o.mean), stated: firstPositive(m.stated, o.stated), gap: firstPositive(m.gap, o.gap)}
+	return paceMedians{short: firstPositive(m.short, o.short), stated: firstPositive(m.stated, o.stated), gap: firstPositive(m.gap, o.gap)}
 }
 
 func firstPositive(a, b float64) float64 {
@@ -180,11 +173,11 @@
 
 func medianPaces(now time.Time, servers []*server) paceMedians {
 	return paceMedians{
-		mean: median(servers, func(s *server) float64 {
-			if now.Sub(s.pace.meanAt) > meanMemory {
+		short: median(servers, func(s *server) float64 {
+			if now.Sub(s.pace.shortAt) > shortMemory {
 				return 0
 			}
-			return s.pace.mean.Seconds()
+			return s.pace.short.Seconds()
 		}),
 		stated: median(servers, func(s *server) float64 {
 			if now.Sub(s.pace.statedAt) > statedMemory {
@@ -196,23 +189,17 @@
 	}
 }
 
-// compare compares the newest figures with the medians of the peers. isNew is true if the mean was taken at now.
+// compare compares the newest figures with the medians of the peers. isNew is true if the short interval was taken at now.
 func (p *pace) compare(now time.Time, peers paceMedians, isNew bool) {
 	p.reference = peers.stated
 	p.peerGap = time.Duration(peers.gap * float64(time.Second))
-	if !isNew {
-		return
-	}
-	if peers.mean <= 0 {
-		p.ratio = 0
-		return
+	if isNew && peers.short > 0 {
+		p.observed.add(now, &paceEdges, p.short.Seconds()/peers.short)
 	}
-	p.ratio = p.mean.Seconds() / peers.mean
-	p.observed.add(now, &paceEdges, p.ratio)
 }
 
 // slowdown estimates how long work takes at the server at this moment, relative to its peers: by its newest statement, and the older that is,
-// the more by its lasting pace. The intervals of a moment tell more of the prompts that were prefilled in it than of the pace.
+// the more by its lasting pace.
 func (s *server) slowdown(now time.Time) float64 {
 	p := s.pace
 	lasting := 1.0
@@ -267,9 +254,9 @@
 	historyHalfLife = 20 * time.Second
 	// minHistory is the weight of the observations from which a lasting pace is known.
 	minHistory = 8
-	// typicalQuantile is the quantile of the lasting pace by which load is weighted. A low one tells the pace of a server from its load, which
-	// lengthens the intervals while prompts are prefilled.
-	typicalQuantile = 0.25
+	// typicalQuantile is the quantile of the lasting pace by which load is weighted. Up to it, equal servers differ by less than 1.05 even if
+	// some of them prefill prompts in most of their steps; higher ones reach 3 to 9 then.
+	typicalQuantile = 0.5
 	// badQuantile is the quantile by which a server counts as slow. Streams with tight targets miss them in the bad moments.
 	badQuantile = 0.9
 	// gapQuantile is the quantile of the longest gaps within a short time that a stream is expected to have: it lasts several times as long.
@@ -363,7 +350,7 @@
 }
 
 // lasting returns a quantile of the pace over some time, relative to the medians of the peers, or 0 if it is unknown. If both sources are
-// known, the lower one counts: a server that has more work than its peers has longer intervals too, and its statements may be wrong.
+// known, the lower one counts: a server with larger batches than its peers has longer steps too, and its statements may be wrong.
 func (p *pace) lasting(now time.Time, quantile float64, peers lastingPace) float64 {
 	observed := 0.0
 	if peers.observed > 0 {
@@ -372,11 +359,11 @@
 	claimed := p.claimed.quantile(now, &paceEdges, quantile) / firstPositive(peers.claimed, 1)
 	switch {
 	case observed == 0:
-		return withoutNoise(claimed)
+		return claimed
 	case claimed == 0:
-		return withoutNoise(observed)
+		return observed
 	default:
-		return withoutNoise(min(observed, claimed))
+		return min(observed, claimed)
 	}
 }
 
--- a/internal/core/route/pace_sim_test.go
+++ b/internal/core/route/pace_sim_test.go
@@ -1,8 +1,10 @@
 package route
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -18,6 +20,7 @@
 	reportAge         time.Duration                              // of the load reports on arrival at a gateway
 	plan              *LanePlan
 	length            time.Duration
+	countedFrom       time.Duration                        // 0: paceSimWarmUp
 	onSecond          func(now time.Time, tables []*Table) // called once a second; nil: not
 }
 
@@ -121,6 +124,7 @@
 
 func (l paceSim) run(seed uint64) paceOutcome {
 	random := rand.New(rand.NewPCG(seed, 11))
+	countedFrom := cmp.Or(l.countedFrom, paceSimWarmUp)
 	servers := make([]*paceServer, l.servers)
 	for i := range servers {
 		servers[i] = &paceServer{}
@@ -128,11 +132,11 @@
 	tables := make([]*Table, l.gateways)
 	routers := make([]*Router, l.gateways)
 	reports := make([][]paceReport, l.gateways)
-	intervals := make([][]Intervals, l.gateways)
+	intervals := make([][][]time.Duration, l.gateways)
 	for i := range tables {
 		tables[i] = l.newTable()
 		routers[i] = NewRouter(tables[i], RouterConfig{Policy: PolicySessionLanes})
-		intervals[i] = make([]Intervals, l.servers)
+		intervals[i] = make([][]time.Duration, l.servers)
 	}
 	out := paceOutcome{classes: make(map[string]*paceResult), byServer: make([]int, l.servers)}
 	for i := range l.classes {
@@ -158,10 +162,7 @@
 				st.counted.late++
 			}
 		} else {
-			in := &intervals[st.gateway][i]
-			in.Events++
-			in.Total += now.Sub(st.lastAt)
-			in.Longest = max(in.Longest, now.Sub(st.lastAt))
+			intervals[st.gateway][i] = append(intervals[st.gateway][i], now.Sub(st.lastAt))
 			if st.class.gap > 0 && now.Sub(st.lastAt) > st.class.gap && !st.hasGap && st.counted != nil {
 				st.hasGap = true
 				st.counted.longGap++
@@ -206,10 +207,16 @@
 			for g, table := range tables {
 				var observed []ServerIntervals
 				for i, in := range intervals[g] {
-					if in.Events > 0 {
-						observed = append(observed, ServerIntervals{ID: ids[i], Incarnation: "1", Intervals: in})
+					if len(in) == 0 {
+						continue
 					}
-					intervals[g][i] = Intervals{}
+					slices.Sort(in)
+					o := ServerIntervals{ID: ids[i], Incarnation: "1", Intervals: Intervals{Longest: in[len(in)-1]}}
+					if len(in) >= 8 {
+						o.Short = in[len(in)/5]
+					}
+					observed = append(observed, o)
+					intervals[g][i] = in[:0]
 				}
 				if l.observes {
 					table.RecordIntervals(now, observed)
@@ -218,7 +225,7 @@
 		}
 		if !now.Before(nextSecond) {
 			nextSecond = nextSecond.Add(time.Second)
-			if now.Sub(epoch) > paceSimWarmUp {
+			if now.Sub(epoch) > countedFrom {
 				most, all := 0, 0
 				for _, n := range inSecond {
 					most, all = max(most, n), all+n
@@ -248,7 +255,7 @@
 				var i int
 				_, _ = fmt.Sscanf(b.ID, "s%03d", &i)
 				st := &paceStream{class: class, gateway: g, sentAt: now, left: class.output}
-				if now.Sub(epoch) >= paceSimWarmUp {
+				if now.Sub(epoch) >= countedFrom {
 					st.counted = out.classes[class.name]
 					st.counted.streams++
 					out.byServer[i]++
--- a/internal/core/route/pace_test.go
+++ b/internal/core/route/pace_test.go
@@ -24,7 +24,7 @@
 		for i := range len(table.servers) {
 			if mean := f(i, now); mean > 0 {
 				observed = append(observed, ServerIntervals{
-					ID: fmt.Sprintf("s%03d", i), Incarnation: "1", Intervals: Intervals{Events: 20, Total: 20 * mean, Longest: 4 * mean},
+					ID: fmt.Sprintf("s%03d", i), Incarnation: "1", Intervals: Intervals{Short: mean, Longest: 4 * mean},
 				})
 			}
 		}
@@ -226,7 +226,7 @@
 		g.lastingPaces(now, badQuantile, func(s *server, pace float64) {
 			var i int
 			_, _ = fmt.Sscanf(s.ID, "s%03d", &i)
-			out[i] = pace
+			out[i] = withoutNoise(pace)
 		})
 	}
 	return out
--- a/internal/core/route/split.go
+++ b/internal/core/route/split.go
@@ -40,7 +40,8 @@
 // LanePlan splits the servers of a service into lanes. Processes that split by different plans route a session to different
 // homes, so one process should decide for all. It is immutable.
 type LanePlan struct {
-	Lanes []LanePart // by ascending gap target: the tight lanes and, as the last one, the bulk lane
+	Lanes []LanePart   // by ascending gap target: the tight lanes and, as the last one, the bulk lane
+	Slow  []SlowServer // servers that belong to the bulk lane
 }
 
 // LanePlans are the plans by service. A service with a nil plan is not split.
@@ -61,6 +62,9 @@
 	}
 	share := tightShare(sumWork(tight), sumWork(bulk))
 	next := &LanePlan{Lanes: divide(tight, share)}
+	if previous != nil {
+		next.Slow = previous.Slow
+	}
 	next.Lanes = append(next.Lanes, LanePart{Gap: bulk[0].Gap, Share: 1 - share})
 	if !next.DiffersFrom(previous, shareHysteresis) {
 		return previous
@@ -160,7 +164,7 @@
 	if p == nil || o == nil {
 		return p == o
 	}
-	return slices.Equal(p.Lanes, o.Lanes)
+	return p == o || slices.Equal(p.Lanes, o.Lanes) && slices.Equal(p.Slow, o.Slow)
 }
 
 // laneFor returns the lane of streams with a gap target, or noLane if they may use all servers.
@@ -178,14 +182,15 @@
 }
 
 // sizes returns the number of servers of each lane, out of n, or nil if n is too small for a split. If there are too few servers
-// for several tight lanes, the first one gets them all and the others none.
-func (p *LanePlan) sizes(n int) []int {
+// for several tight lanes, the first one gets them all and the others none. capacity is that of all servers, as a number of servers that are
+// not slow: the bulk lane has the slow ones, and gets more servers for its share.
+func (p *LanePlan) sizes(n int, capacity float64) []int {
 	if p == nil || n < minLaneServers {
 		return nil
 	}
 	bulk := len(p.Lanes) - 1
 	sizes := make([]int, len(p.Lanes))
-	tight := min(max(int(math.Round((1-p.bulkShare())*float64(n))), 1), n-1)
+	tight := min(max(int(math.Round((1-p.bulkShare())*capacity)), 1), n-1)
 	sizes[0], sizes[bulk] = tight, n-tight
 	if bulk < 2 || tight < minTightServers {
 		return sizes
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -5,6 +5,7 @@
 	"context"
 	"time"
 
+	"github.com/guavastack/guavastack/internal/serverset"
 	"github.com/guavastack/guavastack/internal/wait"
 )
 
@@ -16,11 +17,30 @@
 	slowWrite = 5 * time.Millisecond
 )
 
-// recordInterval records the interval between two parts of the answer, of which the former arrived at last and had been sent to the caller at
-// written, and the latter arrived at now.
-func (a *attempt) recordInterval(last, written, now time.Time, data []byte) {
-	if written.Sub(last) < slowWrite {
-		a.activity.RecordInterval(now.Sub(last), max(1, bytes.Count(data, eventEnd)))
+// eventClock records the intervals between the events of one answer. The zero value is before the first event.
+type eventClock struct {
+	last    time.Time // when the last event arrived
+	blocked bool      // its caller took long to receive a part since
+}
+
+// recordData records that a part of the answer arrived. A part may have several events, or only the beginning of one.
+func (c *eventClock) recordData(now time.Time, data []byte, activity *serverset.Activity) {
+	events := bytes.Count(data, eventEnd)
+	if events == 0 {
+		if events = bytes.Count(data, eventEndCRLF); events == 0 {
+			return
+		}
+	}
+	if !c.last.IsZero() && !c.blocked {
+		activity.RecordInterval(now.Sub(c.last), events)
+	}
+	c.last, c.blocked = now, false
+}
+
+// recordWrite records that a part that arrived at now has been sent to the caller.
+func (c *eventClock) recordWrite(now, sent time.Time) {
+	if sent.Sub(now) >= slowWrite {
+		c.blocked = true
 	}
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -112,7 +112,8 @@
 		return attemptOutcome{sent: true, ran: true, refusal: truncatedAnswer(ctx)}
 	}
 	t.stream.setHead(answer.Status, answer.Header)
-	var last, written time.Time // when the last part arrived, and when it had been sent to the caller
+	var last time.Time
+	var events eventClock
 	buffer := streamBuffers.Get().(*[streamBufferBytes]byte)
 	defer streamBuffers.Put(buffer)
 	event := eventMemory{memory: s.answers, server: t.current.server.ID}
@@ -124,13 +125,13 @@
 			t.current.recordData(now)
 			if !last.IsZero() {
 				x.longestGap = max(x.longestGap, now.Sub(last))
-				t.current.recordInterval(last, written, now, buffer[:n])
 			}
 			last = now
 			s.recordUsage(x, now)
 			s.recordFirstData(x, now)
+			events.recordData(now, buffer[:n], t.current.activity)
 			t.stream.write(buffer[:n])
-			written = time.Now()
+			events.recordWrite(now, time.Now())
 			if t.stream.isEventTooLarge() {
 				err = errEventTooLarge
 			}
