control, watch, gateway: slow servers by the reports of all gateways, in the lane plans

Cause: a gateway sees few streams at one server, and lanes by its own view would give a session other homes than those of the others.

Change: gateways send the outliers that they see with their freshness queries (WatchRequest.paces, 50; at most 16 servers of a service, and the share of the servers that they know), members pass them on (Process.paces, 50), the leader decides twice a second with route.SlowServers by the reports of the last 5 s and sends the list with the plans (LanePlan.slow, 50). A new leader starts from the list that it copied. A gateway that splits by its own plan uses the common list; one without any uses the order by hash. Log lines "backend server pace" (gateway) and "slow backend server changed" (leader); metrics gateway_slow_servers, gateway_server_slowdown_pct and gateway_homes_left_for_gap.

Ruled out: reports of all servers (bytes); taking a server that is not reported as unknown (one gateway would decide); a field of the backend record (it goes to all at each change).

--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -89,7 +89,7 @@
 			ID: p.Id, Incarnation: p.Incarnation, Role: p.Role, Zone: p.Zone,
 			Version: settings.Version{Epoch: p.Epoch, Version: p.Version},
 			Heard:   now.Add(-time.Duration(p.AgeMs) * time.Millisecond), Demand: demandOf(p.Demand),
-			Work: lanemsg.ToWork(p.Work), Freshness: time.Duration(p.FreshnessMs) * time.Millisecond,
+			Work: lanemsg.ToWork(p.Work), Paces: lanemsg.ToPaces(p.Paces), Freshness: time.Duration(p.FreshnessMs) * time.Millisecond,
 		})
 	}
 	return ack, nil
@@ -229,7 +229,7 @@
 	m := &controlpb.Process{
 		Id: p.ID, Incarnation: p.Incarnation, Role: p.Role, Zone: p.Zone,
 		Epoch: p.Version.Epoch, Version: p.Version.Version, AgeMs: now.Sub(p.Heard).Milliseconds(),
-		FreshnessMs: p.Freshness.Milliseconds(), Work: lanemsg.FromWork(p.Work),
+		FreshnessMs: p.Freshness.Milliseconds(), Work: lanemsg.FromWork(p.Work), Paces: lanemsg.FromPaces(p.Paces),
 	}
 	for _, d := range p.Demand {
 		m.Demand = append(m.Demand, &controlpb.Demand{Organisation: d.Organisation, Requests: d.Requests, Tokens: d.Tokens, Running: d.Running})
--- a/internal/control/lanes.go
+++ b/internal/control/lanes.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"maps"
 	"sync"
+	"time"
 
 	"github.com/guavastack/guavastack/internal/core/member"
 	"github.com/guavastack/guavastack/internal/core/route"
@@ -19,6 +20,7 @@
 
 	mu        sync.Mutex
 	byService route.LanePlans
+	slow      route.SlowServers // decides while this member leads
 	changed   chan struct{}
 }
 
@@ -26,8 +28,8 @@
 	return &lanePlans{logger: logger, byService: make(route.LanePlans), changed: make(chan struct{})}
 }
 
-// recompute decides on the plans, on the leader.
-func (l *lanePlans) recompute(processes []member.Process) {
+// recompute decides on the plans, on the leader. ready is the number of ready servers of each service.
+func (l *lanePlans) recompute(now time.Time, processes []member.Process, ready map[string]int) {
 	total := make(map[string][]route.StreamWork)
 	for _, p := range processes {
 		for _, w := range p.Work {
@@ -38,7 +40,7 @@
 	defer l.mu.Unlock()
 	plans := make(route.LanePlans, len(total))
 	for service, work := range total {
-		plans[service] = route.SplitLanes(l.byService[service], work)
+		plans[service] = l.withSlowServers(now, service, route.SplitLanes(l.byService[service], work), processes, ready[service])
 		if !plans[service].Equal(l.byService[service]) {
 			l.logger.Info("lane plan changed", "service", service, "plan", plans[service].String(), "work", fmt.Sprint(work))
 		}
@@ -50,6 +52,7 @@
 func (l *lanePlans) copyFromLeader(messages []*controlpb.LanePlan) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.slow = route.SlowServers{} // another member decides
 	l.set(lanemsg.ToPlans(messages))
 }
 
@@ -73,7 +76,7 @@
 // recomputeLanePlans recomputes the lane plans if this member leads.
 func (s *Service) recomputeLanePlans() {
 	if s.leads() {
-		s.lanes.recompute(s.soft.allProcesses())
+		s.lanes.recompute(time.Now(), s.soft.allProcesses(), s.soft.readyServers())
 	}
 }
 
--- a/internal/control/soft.go
+++ b/internal/control/soft.go
@@ -189,7 +189,7 @@
 	return member.Process{
 		ID: req.ProcessId, Incarnation: req.Incarnation, Role: req.Role, Zone: req.Zone, Heard: now, Direct: true,
 		Version: settings.Version{Epoch: req.HaveEpoch, Version: req.HaveVersion}, Demand: demandOf(req.Demand),
-		Work: lanemsg.ToWork(req.Work), Freshness: time.Duration(req.FreshnessMs) * time.Millisecond,
+		Work: lanemsg.ToWork(req.Work), Paces: lanemsg.ToPaces(req.Paces), Freshness: time.Duration(req.FreshnessMs) * time.Millisecond,
 	}
 }
 
--- a/internal/core/member/processes.go
+++ b/internal/core/member/processes.go
@@ -19,6 +19,7 @@
 	Direct      bool                `json:"-"` // it watches this member and not another one
 	Demand      []Demand            `json:"-"`
 	Work        []route.ServiceWork `json:"-"`
+	Paces       []route.PaceReport  `json:"-"`
 	Freshness   time.Duration       `json:"-"` // freshness limit: how long it may act on its settings after a confirmation
 }
 
--- a/internal/core/route/affinity.go
+++ b/internal/core/route/affinity.go
@@ -107,11 +107,16 @@
 }
 
 // home returns the highest-ranked home of the session whose load is within bounds and at which the gap target is expected to hold, or nil
-// if there is none. Streams with a tight target also leave a home that is held up. Others stay: their shared parts are long, and reading them again elsewhere holds up more.
+// if there is none. Streams with a tight target also leave a home that is held up. Others stay, unless the home is slow: their shared parts are
+// long, and reading them again elsewhere holds up more.
 func (r *Router) home(now time.Time, lane []*server, req *Request, isTight bool) *server {
 	bound := homeLoadFactor*r.meanLoad(now, lane) + homeLoadSlack
 	for _, s := range homeServers(req.Session, lane) {
-		if s == nil || r.load(now, s) > bound || s.missesGap(now, req.GapTarget) || (isTight && s.isHeldUp(now, req)) {
+		if s == nil || r.load(now, s) > bound || (isTight && s.isHeldUp(now, req)) {
+			continue
+		}
+		if (isTight || s.loadWeight(now) > 1) && s.missesGap(now, req.GapTarget) {
+			r.homesLeft++
 			continue
 		}
 		return s
--- a/internal/core/route/pace.go
+++ b/internal/core/route/pace.go
@@ -62,6 +62,7 @@
 	claimed  paceHistory // stated figures
 	gaps     paceHistory // longest intervals within a short time, milliseconds
 	listed   float64     // slowdown by which the control group lists the server as slow; 0: not listed
+	isSlow   bool        // it counted as slow when PaceStates was last called
 
 	// The following figures are derived at each review.
 	gap        time.Duration // expected longest interval in a stream; 0: unknown
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -50,6 +50,8 @@
 	table   *Table
 	cfg     RouterConfig
 	scratch []*server // reused by candidates
+
+	homesLeft int64 // number of choices that left a home because of the gap target
 }
 
 // NewRouter returns a router over the table.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,8 @@
 	LanePlan(service string) (*route.LanePlan, bool)
 	// SetLaneWork registers the function that returns the recent work of the services, from which their lanes are planned.
 	SetLaneWork(f func() []route.ServiceWork)
+	// SetPaces registers the function that returns what the gateway knows of the pace of the services' servers.
+	SetPaces(f func() []route.PaceReport)
 	// Backends returns the registered backend servers.
 	Backends() []*controlpb.BackendServer
 	// Turns returns the turns by which all gateways share the rate limits of backend servers.
@@ -145,6 +147,7 @@
 	dir.OnChange(s.directoryChanged)
 	dir.OnPromptParts(s.parts.listChanged)
 	dir.SetLaneWork(s.lanes.work)
+	dir.SetPaces(s.servers.PaceReports)
 	return s
 }
 
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -93,6 +93,7 @@
 func (d *fakeDirectory) Wall() time.Time                         { return time.Now() }
 func (d *fakeDirectory) LanePlan(string) (*route.LanePlan, bool) { return nil, false }
 func (d *fakeDirectory) SetLaneWork(func() []route.ServiceWork)  {}
+func (d *fakeDirectory) SetPaces(func() []route.PaceReport)      {}
 func (d *fakeDirectory) Turns() limit.Turns                      { return limit.Turns{Count: 1} }
 
 func (d *fakeDirectory) PromptParts() *poison.List {
--- a/internal/gateway/lanes.go
+++ b/internal/gateway/lanes.go
@@ -45,8 +45,13 @@
 	outputWork := route.OutputWork(x.call.Prompt.MaxOutputTokens, slotsOf(x.catalog.Service(x.service)))
 	service.observed.Observe(now, x.route.GapTarget, unsharedTokens(x.call.Prompt), outputWork)
 	service.plan = route.SplitLanes(service.plan, service.observed.Work(now))
-	if common, ok := l.commonPlan(x.service); ok && (service.plan == nil || !service.plan.DiffersFrom(common, maxPlanDeviation)) {
-		return common
+	if common, ok := l.commonPlan(x.service); ok {
+		if service.plan == nil || !service.plan.DiffersFrom(common, maxPlanDeviation) {
+			return common
+		}
+		if common != nil {
+			service.plan = service.plan.WithSlow(common.Slow)
+		}
 	}
 	return service.plan
 }
--- a/internal/lanemsg/lanemsg.go
+++ b/internal/lanemsg/lanemsg.go
@@ -48,6 +48,7 @@
 			for _, lane := range plan.Lanes {
 				message.Lanes = append(message.Lanes, &controlpb.Lane{GapUs: lane.Gap.Microseconds(), Share: lane.Share})
 			}
+			message.Slow = fromSlow(plan.Slow)
 		}
 		out = append(out, message)
 	}
@@ -65,6 +66,9 @@
 		for _, lane := range message.Lanes {
 			plan.Lanes = append(plan.Lanes, route.LanePart{Gap: duration(lane.GapUs), Share: lane.Share})
 		}
+		if plan != nil {
+			plan.Slow = toSlow(message.Slow)
+		}
 		out[message.Service] = plan
 	}
 	return out
--- a/internal/serverset/intervals.go
+++ b/internal/serverset/intervals.go
@@ -72,15 +72,41 @@
 	return out
 }
 
+// PaceReports returns what this process knows of the pace of the services' servers.
+func (s *Set) PaceReports() []route.PaceReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.PaceReports(time.Now())
+}
+
+// PaceStates returns the pace of each ready backend server as this process sees it, and how often a stream left its session's home because of
+// it.
+func (s *Set) PaceStates() (states []route.PaceState, homesLeft int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.PaceStates(time.Now()), s.router.HomesLeft()
+}
+
 // ObserveIntervals compares the backend servers by the intervals between the events of their streams since the last call.
 func (s *Set) ObserveIntervals() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.table.RecordIntervals(time.Now(), s.takeIntervals())
+}
+
+// TakeIntervals returns the intervals between the events of streams since the last call of it or of ObserveIntervals.
+func (s *Set) TakeIntervals() []route.ServerIntervals {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.takeIntervals()
+}
+
+func (s *Set) takeIntervals() []route.ServerIntervals {
 	var observed []route.ServerIntervals
 	for id, a := range s.activities {
 		if in := a.take(); in.Longest > 0 {
 			observed = append(observed, route.ServerIntervals{ID: id, Incarnation: s.servers[id].Incarnation, Intervals: in})
 		}
 	}
-	s.table.RecordIntervals(time.Now(), observed)
+	return observed
 }
--- a/internal/watch/client.go
+++ b/internal/watch/client.go
@@ -110,6 +110,7 @@
 	backends      atomic.Pointer[[]*controlpb.BackendServer]
 	demand        atomic.Pointer[func() []*controlpb.Demand]
 	laneWork      atomic.Pointer[func() []route.ServiceWork]
+	paces         paceSource
 	lanePlans     atomic.Pointer[route.LanePlans]
 	promptParts   atomic.Pointer[poison.List]
 	turns         atomic.Pointer[limit.Turns]
--- a/internal/watch/session.go
+++ b/internal/watch/session.go
@@ -167,6 +167,7 @@
 	if f := s.client.laneWork.Load(); f != nil {
 		q.Work = lanemsg.FromWork((*f)())
 	}
+	s.client.paces.addTo(q)
 	return q
 }
 
