control, route: one voice for each process in the list of slow servers

Cause: a report that names a server several times, or a process with several reports of a service, would count several times in the median. A figure that isn't a number would reach the sizes of the lanes.

Change: the first mention counts; a list entry without a valid figure counts as 1.

--- a/internal/control/slowservers.go
+++ b/internal/control/slowservers.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/guavastack/guavastack/internal/core/member"
@@ -23,10 +24,9 @@
 		if now.Sub(p.Heard) > maxPaceAge {
 			continue
 		}
-		for _, report := range p.Paces {
-			if report.Service == service {
-				in.Reports = append(in.Reports, report)
-			}
+		i := slices.IndexFunc(p.Paces, func(r route.PaceReport) bool { return r.Service == service })
+		if i >= 0 {
+			in.Reports = append(in.Reports, p.Paces[i])
 		}
 	}
 	slow, changes := l.slow.Decide(now, in)
--- a/internal/core/route/slowservers.go
+++ b/internal/core/route/slowservers.go
@@ -181,8 +181,10 @@
 		if r.Coverage > 0 { // false for a number that isn't one
 			observers += min(r.Coverage, 1)
 		}
-		for _, s := range r.Servers[:min(len(r.Servers), MaxReportedServers)] {
-			if s.Slowdown > 0 {
+		servers := r.Servers[:min(len(r.Servers), MaxReportedServers)]
+		for i, s := range servers {
+			isRepeated := slices.ContainsFunc(servers[:i], func(o SlowServer) bool { return o.ID == s.ID && o.Incarnation == s.Incarnation })
+			if s.Slowdown > 0 && !isRepeated { // one process has one voice
 				key := incarnationKey{s.ID, s.Incarnation}
 				paces[key] = append(paces[key], min(s.Slowdown, MaxSlowdown))
 			}
@@ -276,7 +278,10 @@
 	}
 	for _, slow := range g.plan.Slow {
 		if s := g.table.servers[slow.ID]; s != nil && s.group == g && s.Incarnation == slow.Incarnation {
-			s.pace.listed = min(max(slow.Slowdown, 1), maxWeight)
+			s.pace.listed = 1
+			if slow.Slowdown > 1 { // false for a number that isn't one
+				s.pace.listed = min(slow.Slowdown, maxWeight)
+			}
 			s.isPaceKnown = true
 		}
 	}
--- a/internal/core/route/slowservers_test.go
+++ b/internal/core/route/slowservers_test.go
@@ -69,6 +69,7 @@
 		{"a little slower", paceReports(8, map[string]float64{"a": 1.4}), []string{}},
 		{"absurd figures", paceReports(8, map[string]float64{"a": math.NaN(), "b": -5, "c": 0, "d": math.Inf(1), "e": math.Inf(-1)}), []string{"d"}},
 		{"absurd coverage", append(known(math.Inf(1), 1), append(known(math.NaN(), 1), paceReports(8, map[string]float64{"a": 2})...)...), []string{"a"}},
+		{"one of eight, repeated", append(known(1, 7), PaceReport{Coverage: 1, Servers: slices.Repeat([]SlowServer{{"a", "1", 9}}, 16)}), []string{}},
 		{"no reports", nil, []string{}},
 		{"several, slowest first", paceReports(8, map[string]float64{"a": 2, "b": 3}), []string{"b", "a"}},
 	} {
