route: cheaper choice within a lane

Cause: of a choice among 256 servers 35% was the time since the oldest request of each server (isSilent), 35% the mean load of the lane, with an exponential for each server.

Change, without other choices: the time before which the oldest request must have been sent is computed once for all servers of the group; the mean load is computed only if a home has more than homeLoadSlack requests, since the bound is never below that.

The benchmark's servers have 4 requests, the slack, so the second change shows in full; a lane whose homes have more has only the first.

--- a/internal/core/route/affinity.go
+++ b/internal/core/route/affinity.go
@@ -73,8 +73,12 @@
 
 // appendCandidates appends the servers that may get the request and are silent, or aren't.
 func appendCandidates(list []*server, now time.Time, servers []*server, req *Request, silent bool) []*server {
+	if len(servers) == 0 {
+		return list
+	}
+	cutoff := servers[0].group.silenceCutoff(now)
 	for _, s := range servers {
-		if s.isCandidate(now, req) && s.isSilent(now) == silent {
+		if s.isCandidate(now, req) && (s.mayBeSilent(cutoff) && s.isSilent(now)) == silent {
 			list = append(list, s)
 		}
 	}
@@ -110,9 +114,18 @@
 // if there is none. Streams with a tight target also leave a home that is held up. Others stay, unless the home is slow: their shared parts are
 // long, and reading them again elsewhere holds up more.
 func (r *Router) home(now time.Time, lane []*server, req *Request, isTight bool) *server {
-	bound := homeLoadFactor*r.meanLoad(now, lane) + homeLoadSlack
+	bound := float64(homeLoadSlack)
+	isBoundKnown := false // the mean load of the lane is needed only for a home with more than homeLoadSlack
 	for _, s := range homeServers(req.Session, lane) {
-		if s == nil || r.load(now, s) > bound || (isTight && s.isHeldUp(now, req)) {
+		if s == nil {
+			continue
+		}
+		load := r.load(now, s)
+		if load > bound && !isBoundKnown {
+			bound += homeLoadFactor * r.meanLoad(now, lane)
+			isBoundKnown = true
+		}
+		if load > bound || (isTight && s.isHeldUp(now, req)) {
 			continue
 		}
 		if (isTight || s.loadWeight(now) > 1) && s.missesGap(now, req.GapTarget) {
--- a/internal/core/route/silence.go
+++ b/internal/core/route/silence.go
@@ -81,11 +81,19 @@
 // isSilent reports whether the server has requests of this process in flight and has sent no data for longer than usual.
 // This detects an unresponsive server well before its heartbeats are missed.
 func (s *server) isSilent(now time.Time) bool {
-	limit := max(silentAfter, silenceFactor*s.group.answerWait)
-	if len(s.sentAt) == 0 || now.Sub(s.sentAt[0]) <= limit {
-		return false
-	}
-	return s.silence(now) > limit
+	return s.mayBeSilent(s.group.silenceCutoff(now)) && s.silence(now) > s.group.silenceLimit()
+}
+
+// silenceLimit returns the time without any data after which a server of the group with requests in flight counts as silent.
+func (g *group) silenceLimit() time.Duration { return max(silentAfter, silenceFactor*g.answerWait) }
+
+// silenceCutoff returns the time before which the oldest request in flight of a silent server was sent. It is the same for all servers of the
+// group, which saves the more expensive check of most of them.
+func (g *group) silenceCutoff(now time.Time) time.Time { return now.Add(-g.silenceLimit()) }
+
+// mayBeSilent reports whether the oldest request in flight was sent before the cutoff.
+func (s *server) mayBeSilent(cutoff time.Time) bool {
+	return len(s.sentAt) > 0 && s.sentAt[0].Before(cutoff)
 }
 
 // silence returns how long the server has sent no data while requests of this process are in flight; 0 without such requests.
