--- a/internal/core/route/slowservers_test.go
+++ b/internal/core/route/slowservers_test.go
@@ -307,13 +307,13 @@
 // has listed them, few chat streams pause, and the list doesn't change again.
 func TestLeaderMovesSlowServersToTheBulkLane(t *testing.T) {
 	for _, gateways := range []int{8, 31} {
+		l := newMixedSim(gateways)
+		l.length = 100 * time.Second
+		l.countedFrom = 40 * time.Second
+		tight := l.tightServers()
+		l.slowdown = slowServers(2, tight[1], tight[3])
+		before := l.run(1)
 		for _, states := range []bool{false, true} {
-			l := newMixedSim(gateways)
-			l.length = 100 * time.Second
-			l.countedFrom = 40 * time.Second
-			tight := l.tightServers()
-			l.slowdown = slowServers(2, tight[1], tight[3])
-			before := l.run(1)
 			var changes []SlowChange
 			after := l.withPaces(states).withLeader(&changes).run(1)
 			t.Logf("%d gateways, pace stated %v: %v\nwithout knowledge of it: %v", gateways, states, after, before)
