--- a/internal/core/route/affinity.go
+++ b/internal/core/route/affinity.go
@@ -21,7 +21,13 @@
 
 // rank returns the rendezvous hash of a session and a server; the server with the highest rank is the session's home. Every
 // process finds the same home, and adding or removing a server moves only the sessions of that server.
-func rank(session uint64, s *server) uint64 { return nextRandom(session ^ s.order) }
+func rank(session uint64, s *server) uint64 {
+	hash := nextRandom(session ^ s.order)
+	if s.isPaceKnown && !s.isHomeShare(hash) {
+		return hash >> 32 // below the others
+	}
+	return hash
+}
 
 // sessionLanes picks a server within the lane of the request: the session's home while its load is bounded, else the least
 // loaded of a few random servers.
@@ -48,11 +54,11 @@
 // whose best server is held up. It goes to the next lane if it can, since the long prompts of the bulk lane delay each of its events.
 func (r *Router) spill(now time.Time, g *group, req *Request, lane int, best *server, rnd uint64) *server {
 	isFull := r.utilisation(now, best) >= fullUtilisation
-	if !isFull && !best.isHeldUp(now, heldUpLimit(req)) {
+	if !isFull && !best.isHeldUp(now, req) {
 		return best
 	}
 	next := r.leastLoaded(now, r.candidates(now, g, req, lane+1), req, rnd)
-	if r.utilisation(now, next) < fullUtilisation && !next.isHeldUp(now, heldUpLimit(req)) {
+	if r.utilisation(now, next) < fullUtilisation && !next.isHeldUp(now, req) {
 		return next
 	}
 	if !isFull {
@@ -84,8 +90,12 @@
 
 // appendCandidates appends the servers that may get the request and are silent, or aren't.
 func appendCandidates(list []*server, now time.Time, servers []*server, req *Request, silent bool) []*server {
+	if len(servers) == 0 {
+		return list
+	}
+	cutoff := servers[0].group.silenceCutoff(now)
 	for _, s := range servers {
-		if s.isCandidate(now, req) && s.isSilent(now) == silent {
+		if s.isCandidate(now, req) && (s.mayBeSilent(cutoff) && s.isSilent(now)) == silent {
 			list = append(list, s)
 		}
 	}
@@ -118,12 +128,26 @@
 	return nil
 }
 
-// home returns the highest-ranked home of the session whose load is within bounds, or nil if all are overloaded. Streams with a tight
-// target also leave a home that is held up. Others stay: their shared parts are long, and reading them again elsewhere holds up more.
+// home returns the highest-ranked home of the session whose load is within bounds and at which the gap target is expected to hold, or nil
+// if there is none. Streams with a tight target also leave a home that is held up. Others stay, unless the home is slow: their shared parts are
+// long, and reading them again elsewhere holds up more.
 func (r *Router) home(now time.Time, lane []*server, req *Request, isTight bool) *server {
-	bound := homeLoadFactor*r.meanLoad(now, lane) + homeLoadSlack
+	bound := float64(homeLoadSlack)
+	isBoundKnown := false // the mean load of the lane is needed only for a home with more than homeLoadSlack
 	for _, s := range homeServers(req.Session, lane) {
-		if s == nil || r.load(now, s) > bound*s.capacity(now) || !s.isHomeWhileWarming(now, req.Session) || (isTight && s.isHeldUp(now, heldUpLimit(req))) {
+		if s == nil || !s.isHomeWhileWarming(now, req.Session) {
+			continue
+		}
+		load := r.load(now, s) / s.capacity(now)
+		if load > bound && !isBoundKnown {
+			bound += homeLoadFactor * r.meanLoad(now, lane)
+			isBoundKnown = true
+		}
+		if load > bound || (isTight && s.isHeldUp(now, req)) {
+			continue
+		}
+		if (isTight || s.loadWeight(now) > 1) && s.missesGap(now, req.GapTarget) {
+			r.homesLeft++
 			continue
 		}
 		return s
@@ -164,8 +188,13 @@
 		if s.Zone != req.Zone {
 			score += zonePenalty
 		}
-		if s.isHeldUp(now, heldUpLimit(req)) {
+		if s.isHeldUp(now, req) {
 			score += heldUpPenalty
+		} else {
+			score += heldUpPenalty * s.waitShare(now, req)
+		}
+		if s.missesGap(now, req.GapTarget) {
+			score += gapPenalty
 		}
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
@@ -186,13 +215,19 @@
 // heldUpPenalty is the penalty for a server that is held up, as a share of a server's slots.
 const heldUpPenalty = 0.5
 
+// gapPenalty is the penalty for a server at which the gap target is not expected to hold, as a share of a server's slots. It is bounded, so
+// that the other servers aren't overrun when many servers are slow.
+const gapPenalty = 0.5
+
 // zonePenalty is the penalty for a dispatch to another availability zone, as a share of a server's slots.
 const zonePenalty = 0.01
 
-// load estimates the number of requests at a server. The older its load report, the more the group's mean counts instead.
+// load estimates the number of requests at a server, weighted by its pace. The older its load report, the more the group's mean counts
+// instead. At a slow server the request that is being placed takes longer, even if there is no other.
 func (r *Router) load(now time.Time, s *server) float64 {
 	c := r.table.confidence(now, s)
-	return c*s.reportedBusy() + (1-c)*s.group.meanBusy() + float64(s.sinceReport)
+	requests := c*s.reportedBusy() + (1-c)*s.group.meanBusy() + float64(s.sinceReport)
+	return (requests+1)*s.loadWeight(now) - 1
 }
 
 // meanLoad returns the mean load of servers, of which those that warm up count in part.
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -62,6 +62,7 @@
 	FirstToken      time.Duration // expected time to the first token for a new request of the lowest tier
 	WaitingByTier   [MaxTiers]int // zero if the reporter does not distinguish tiers
 	RunningByTier   [MaxTiers]int // zero if the reporter does not distinguish tiers
+	Slowdown        float64       // how long work takes at the moment, relative to its usual time; 0: not stated
 }
 
 // Result is how an attempt ended.
@@ -99,6 +100,7 @@
 	Regions      Regions  // to whose servers the request may go
 
 	FirstTokenTarget time.Duration // zero: none
+	PrefillPerToken  time.Duration // time to compute one prompt token of the waiting requests; zero: unknown
 
 	// The following fields are used by PolicySessionLanes only.
 	Session   uint64        // shared by requests whose prompts have a long common prefix; 0: none
--- a/internal/core/route/silence.go
+++ b/internal/core/route/silence.go
@@ -31,6 +31,7 @@
 	s.activity = activity
 	s.sentAt = append(s.sentAt, now)
 	s.pendingAt = append(s.pendingAt, now)
+	s.prefill.begin()
 }
 
 // RecordFirstData records that the answer to the request that was sent at since began at now.
@@ -39,7 +40,7 @@
 	if s == nil {
 		return
 	}
-	s.pendingAt = removeTime(s.pendingAt, since)
+	s.endPending(since)
 	s.recordReachable(now, since)
 	took := now.Sub(since)
 	g := s.group
@@ -57,7 +58,7 @@
 		return
 	}
 	s.sentAt = removeTime(s.sentAt, since)
-	s.pendingAt = removeTime(s.pendingAt, since)
+	s.endPending(since)
 }
 
 // removeTime removes the first element that equals at, if any.
@@ -69,19 +70,32 @@
 	return slices.Delete(times, i, i+1)
 }
 
-// isHeldUp reports whether a request of this process has waited at the server for longer than the given limit for the first event, for
-// example behind long prompts. The server's reports tell how many requests it has, not how much work they are.
-func (s *server) isHeldUp(now time.Time, limit time.Duration) bool {
-	if limit <= 0 || len(s.pendingAt) == 0 {
+// isHeldUp reports whether a request of this process has waited at the server for a good part of the request's target for the first event,
+// for example behind long prompts, or is expected to miss it. The server's reports tell how many requests it has, not how much work they
+// are.
+func (s *server) isHeldUp(now time.Time, req *Request) bool {
+	if req.FirstTokenTarget <= 0 || len(s.pendingAt) == 0 {
 		return false
 	}
-	return now.Sub(s.pendingAt[0]) > limit
+	return now.Sub(s.pendingAt[0]) > heldUpLimit(req) || s.waitShare(now, req) > 1
 }
 
 // isSilent reports whether the server has requests of this process in flight and has sent no data for longer than usual.
 // This detects an unresponsive server well before its heartbeats are missed.
 func (s *server) isSilent(now time.Time) bool {
-	return s.silence(now) > max(silentAfter, silenceFactor*s.group.answerWait)
+	return s.mayBeSilent(s.group.silenceCutoff(now)) && s.silence(now) > s.group.silenceLimit()
+}
+
+// silenceLimit returns the time without any data after which a server of the group with requests in flight counts as silent.
+func (g *group) silenceLimit() time.Duration { return max(silentAfter, silenceFactor*g.answerWait) }
+
+// silenceCutoff returns the time before which the oldest request in flight of a silent server was sent. It is the same for all servers of the
+// group, which saves the more expensive check of most of them.
+func (g *group) silenceCutoff(now time.Time) time.Time { return now.Add(-g.silenceLimit()) }
+
+// mayBeSilent reports whether the oldest request in flight was sent before the cutoff.
+func (s *server) mayBeSilent(cutoff time.Time) bool {
+	return len(s.sentAt) > 0 && s.sentAt[0].Before(cutoff)
 }
 
 // silence returns how long the server has sent no data while requests of this process are in flight; 0 without such requests.
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -76,6 +76,7 @@
 	answerWait time.Duration // moving average of the wait for the start of an answer
 	cold       coldRule      // for cold servers
 	offeredAt  time.Time     // the last turn at a cold server that was offered to a refused request
+	lastingAt  time.Time     // of the last comparison of lasting paces
 	laneMap
 }
 
@@ -102,9 +103,12 @@
 	health      health
 	sentAt      []time.Time // send times of the requests of this process in flight, oldest first
 	pendingAt   []time.Time // those of sentAt whose answer has not begun
-	activity    Activity    // nil until the first request was sent
-	gapAt       time.Time   // time of the last gap in its cache events
+	prefill     pendingPrefill
+	activity    Activity  // nil until the first request was sent
+	gapAt       time.Time // time of the last gap in its cache events
 	membership  laneMembership
+	pace        *pace
+	isPaceKnown bool // something is known of pace
 	limit       rateLimit
 	notice      *notice // nil: it has said nothing
 	drained     bool    // its zone is drained
@@ -133,7 +137,7 @@
 		t.Remove(b.ID)
 	}
 	g := t.group(groupKey{b.Kind, b.Model})
-	s := &server{Backend: b, group: g, order: orderHash(b.ID), slotInterval: defaultSlotInterval, notice: t.knownNotice(b), drained: t.drains.has(b.Zone)}
+	s := &server{Backend: b, group: g, order: orderHash(b.ID), slotInterval: defaultSlotInterval, notice: t.knownNotice(b), drained: t.drains.has(b.Zone), pace: &pace{}}
 	t.servers[b.ID] = s
 	i := sort.Search(len(g.servers), func(i int) bool { return g.servers[i].ID >= b.ID })
 	g.servers = append(g.servers, nil)
@@ -192,6 +196,7 @@
 		g.reported++
 	}
 	s.load, s.loadAt, s.hasLoad = l, now, true
+	s.recordSlowdown(now, l.Slowdown)
 	s.sinceReport = 0
 	g.busy += s.reportedBusy()
 	if l.Waiting > 0 && l.FirstToken > 0 {
@@ -226,7 +231,8 @@
 	return max(1, s.Slots)
 }
 
-// RecordDispatch records a dispatch to a backend server, which will then cache the prompt prefixes.
+// RecordDispatch records a dispatch to a backend server, which will then cache the prompt prefixes. requestTokens is the number of prompt
+// tokens that it has to prefill. A BeginWait follows, if the wait for the answer is to be tracked.
 func (t *Table) RecordDispatch(now time.Time, id string, requestTokens int, prefix []uint64) {
 	s := t.servers[id]
 	if s == nil {
@@ -235,6 +241,7 @@
 	s.inFlight++
 	s.sinceReport++
 	s.limit.chosenAt = now
+	s.prefill.dispatched = max(requestTokens, 0)
 	t.RecordCached(now, id, prefix)
 }
 
--- a/internal/core/route/zonedrain_test.go
+++ b/internal/core/route/zonedrain_test.go
@@ -159,7 +159,7 @@
 		return table
 	}
 	first, second := build(true).groups[groupKey{KindEngine, "m"}], build(false).groups[groupKey{KindEngine, "m"}]
-	sizes := twoLanes.sizes(8)
+	sizes := twoLanes.sizes(8, 8)
 	for lane := range sizes {
 		if len(first.lanes[lane]) != sizes[lane] {
 			t.Errorf("lane %d: got %d servers, want %d", lane, len(first.lanes[lane]), sizes[lane])
--- a/internal/gateway/fairness.go
+++ b/internal/gateway/fairness.go
@@ -281,7 +281,11 @@
 	case reply.NotRun:
 		result = fairqueue.Rejected
 	}
-	p.finish(result, server, fairqueue.Load(reply.Load))
+	p.finish(result, server, fairLoad(reply.Load))
+}
+
+func fairLoad(l Load) fairqueue.Load {
+	return fairqueue.Load{Running: l.Running, Waiting: l.Waiting, Slots: l.Slots}
 }
 
 // end frees the place of a request that got no answer.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -168,7 +168,7 @@
 		t.backup = s.selectBackup(x, server)
 	}
 	s.recordSend(x, server, began, source, t)
-	s.servers.RecordDispatch(server.ID, x.call.Prompt.Tokens, x.prefix)
+	s.servers.RecordDispatch(server.ID, unsharedTokens(x.call.Prompt), x.prefix)
 	a := startAttempt(s.servers, server, began)
 	request := s.upstreamRequest(x, server, source, t)
 	if wait, ok := s.hedgeWait(x, t, server); ok {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,8 @@
 	LanePlan(service string) (*route.LanePlan, bool)
 	// SetLaneWork registers the function that returns the recent work of the services, from which their lanes are planned.
 	SetLaneWork(f func() []route.ServiceWork)
+	// SetPaces registers the function that returns what the gateway knows of the pace of the services' servers.
+	SetPaces(f func() []route.PaceReport)
 	// Backends returns the registered backend servers.
 	Backends() []*controlpb.BackendServer
 	// ZoneDrains returns the drains of availability zones that are in force.
@@ -160,6 +162,7 @@
 	dir.OnChange(s.directoryChanged)
 	dir.OnPromptParts(s.parts.listChanged)
 	dir.SetLaneWork(s.lanes.work)
+	dir.SetPaces(s.servers.PaceReports)
 	return s
 }
 
@@ -272,6 +275,7 @@
 	go s.usage.Run(background)
 	go s.parts.run(background)
 	go s.watchState(background)
+	go s.watchPaces(background)
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(trackedListener{lis, s.conns}) }()
 	select {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -121,7 +121,8 @@
 	}
 	return &zonedrain.List{}
 }
-func (d *fakeDirectory) Turns() limit.Turns { return limit.Turns{Count: 1} }
+func (d *fakeDirectory) SetPaces(func() []route.PaceReport) {}
+func (d *fakeDirectory) Turns() limit.Turns                 { return limit.Turns{Count: 1} }
 
 func (d *fakeDirectory) PromptParts() *poison.List {
 	d.mu.Lock()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -126,6 +126,7 @@
 	}
 	t.stream.setHead(answer.Status, answer.Header)
 	var last time.Time
+	var events eventClock
 	buffer := streamBuffers.Get().(*[streamBufferBytes]byte)
 	defer streamBuffers.Put(buffer)
 	event := s.eventMemoryOf(r, t.current.server)
@@ -141,7 +142,9 @@
 			last = now
 			s.recordUsage(x, now)
 			s.recordFirstData(x, now)
+			events.recordData(now, buffer[:n], t.current.activity)
 			t.stream.write(buffer[:n])
+			events.recordWrite(now, time.Now())
 			if t.stream.isEventTooLarge() {
 				err = errEventTooLarge
 			}
--- a/internal/serverset/serverset.go
+++ b/internal/serverset/serverset.go
@@ -77,6 +77,9 @@
 		Role:        b.Role,
 		Slots:       int(b.Slots),
 	}
+	if old, ok := s.servers[b.Id]; ok && old.Incarnation != b.Incarnation {
+		delete(s.activities, b.Id) // its intervals are those of the former incarnation
+	}
 	s.table.Upsert(now, server)
 	s.recordReport(now, b)
 	s.servers[b.Id] = server
