gateway: tests of held requests do not depend on the machine's speed

Cause: contention and evidence end after 150 to 300 ms, which a slow machine may need between the steps of a test.

Change: the answers that make a service contended are dated a minute ahead.

Result: go test -race -count=15 -run 'Held|Contention|Fair|Refused' ./internal/gateway passes.

--- a/internal/gateway/fairness_test.go
+++ b/internal/gateway/fairness_test.go
@@ -72,12 +72,13 @@
 var overloaded = fairqueue.Load{Running: 6, Waiting: 6, Slots: 6}
 
 // contend makes the service contended, with a limit below 2, by answers of servers with the given loads after 20 s. If not most of them
-// are overloaded, requests above the limit are held for seconds.
+// are overloaded, requests above the limit are held for seconds. The answers are dated a minute ahead, so that contention and evidence
+// last for the test on a slow machine.
 func contend(b *fixture, loads ...fairqueue.Load) *fairService {
 	s := b.gw.fair.service("app")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := time.Now().Add(time.Minute)
 	before := now.Add(-20 * time.Second)
 	var tickets []*fairqueue.Ticket
 	for range loads {
