--- a/internal/core/fairqueue/control.go
+++ b/internal/core/fairqueue/control.go
@@ -11,8 +11,8 @@
 	// contended.
 	calmPeriod = 300 * time.Millisecond
 	// gain is the change of the limit for an answer whose server has one load of its slots more or less than aimed at. The answers of one
-	// service time together change the limits by this share of the error, whatever the number of gateways; above 0.7 the limits
-	// oscillate, because the effect is seen one service time later.
+	// service time together change the limits by this share of the error, whatever the number of gateways. It is well below 1 because
+	// the effect of a change is seen one service time later.
 	gain = 0.25
 	// aimedWaiting is the number of waiting requests per slot at which a server is kept: a few, so that its slots stay in use between an
 	// answer and the next request of a gateway.
@@ -33,8 +33,7 @@
 	maxFreeSlots = 2
 	// freeSlotAge is how long an answer that reports free slots allows requests above the limit.
 	freeSlotAge = 100 * time.Millisecond
-	// evidenceAge is how long an answer that reports a busy server justifies refusals. It bounds how long requests are refused after
-	// slots have become free.
+	// evidenceAge is how long an answer that reports a busy server justifies refusals.
 	evidenceAge = 150 * time.Millisecond
 	// serverAge is how long a server counts as one of the service's after an answer.
 	serverAge = time.Second
