--- a/internal/core/fairqueue/simulation_test.go
+++ b/internal/core/fairqueue/simulation_test.go
@@ -98,6 +98,15 @@
 	return fmt.Sprintf("calls %d, on time %.3f, late %.3f, unanswered %.3f, refusals %d", t.calls, t.share(t.onTime), t.share(t.late), t.share(t.unanswered), t.refusals)
 }
 
+// add adds the counts of o to t.
+func (t *simTotals) add(o simTotals) {
+	t.calls += o.calls
+	t.onTime += o.onTime
+	t.late += o.late
+	t.unanswered += o.unanswered
+	t.refusals += o.refusals
+}
+
 func (t simTotals) share(n int) float64 { return float64(n) / float64(max(1, t.calls)) }
 
 type simulation struct {
