fairqueue: Retry-After grows with the excess of the organisation

Ruled out: longer queues at the servers, which cost the other organisations more than they bring.

Change: if the organisation asks for more than its share, the part of a third of the remaining time that its excess is of its demand is added to the expected wait.

--- a/internal/core/fairqueue/queue.go
+++ b/internal/core/fairqueue/queue.go
@@ -332,23 +332,29 @@
 	}
 }
 
-// refuse marks t as refused. Retry-After is the expected wait of a new request of the organisation, spread so that callers refused
-// together do not return together.
+// refuse marks t as refused.
 func (q *Queue) refuse(now time.Time, t *Ticket, reason Reason) {
 	t.State, t.Reason = Refused, reason
 	t.Expected = q.expectedWait(now, t)
-	t.RetryAfter = t.retryAfter(now, t.Expected)
+	t.RetryAfter = q.retryAfter(now, t, t.Expected)
 	if q.control.isContended {
 		q.markWanted(t.Rank)
 	}
 }
 
-func (t *Ticket) retryAfter(now time.Time, expected time.Duration) time.Duration {
-	after := time.Duration(float64(expected) * (1 + t.spread/2))
-	return max(0, min(max(after, minRetryAfter), time.Duration(retryAfterShare*float64(t.Deadline.Sub(now)))))
+// retryAfter returns the Retry-After of t: the expected wait of a new request of its organisation, spread so that callers refused
+// together do not return together. It is longer the more the organisation asks for beyond its share, since that part of those that return
+// at once is refused again.
+func (q *Queue) retryAfter(now time.Time, t *Ticket, expected time.Duration) time.Duration {
+	most := retryAfterShare * float64(t.Deadline.Sub(now))
+	after := float64(expected)
+	if asked, share := t.account.asked.perSecond(now), q.share(now, t.Rank)*t.Weight; asked > share {
+		after += most * (1 - share/asked)
+	}
+	return time.Duration(max(0, min(max(after*(1+t.spread/2), float64(minRetryAfter)), most)))
 }
 
 // RetryAfter returns the Retry-After for a sent request that a server rejected and that is not sent again.
 func (q *Queue) RetryAfter(now time.Time, t *Ticket) time.Duration {
-	return t.retryAfter(now, q.expectedWait(now, t))
+	return q.retryAfter(now, t, q.expectedWait(now, t))
 }
