gateway: bounded memory of request bodies, heads and connections

Cause: readBody allocated the whole Content-Length at once and read chunked bodies with io.ReadAll; nothing bounded the total, the connections or the lines of a head.

Ruled out: one allocation of the announced size (counts in full before any byte arrives), a growing buffer (up to three times the size while it is copied), a pool of buffers (a late write to a server that has been given up could send another caller's bytes), streaming through to the server (a request could no longer be sent to a second server).

Change: - internal/core/bodybudget decides who gets memory: reserved as bytes arrive, bounded in total, for each owner and in number; a part only for small bodies; when short, stalled bodies are refused first, the largest before the rest, and after a wait the newest one. - internal/requestmemory reads bodies in blocks of 64 KiB on that budget, with a minimum rate (408) and a refusal that ends the read in progress. - internal/callerconn bounds connections by descriptors and memory, the lines of a head, its bytes by the catalog and the number of large heads. - request_limits in the settings, defaults from memory_limit_mb (config). - upstream takes a body in several parts. - a request refused before its body is read waits 10 s for the rest at most; before, net/http waited for it without a limit.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -35,6 +35,8 @@
 	Agent   *Agent   `json:"agent"`
 	Control *Control `json:"control"`
 	Relay   *Relay   `json:"relay"`
+
+	RequestLimits *RequestLimits `json:"request_limits"` // nil: the defaults
 }
 
 // Log holds the settings of logging.
@@ -331,6 +333,7 @@
 		ch.add("control_port", "%d; expected a port, or 0", c.ControlPort)
 	}
 	ch.notNegative("memory_limit_mb", c.MemoryLimitMB)
+	c.checkRequestLimits(ch)
 	if c.Entry == nil && c.Gateway == nil && c.Agent == nil && c.Control == nil && c.Relay == nil {
 		ch.add("", "no role; expected at least one of entry, gateway, agent, control and relay")
 	}
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -6,11 +6,15 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/guavastack/guavastack/internal/callerconn"
 )
 
 // connTracker tracks the callers' connections, so that a shutdown closes only those on which no request has begun to arrive.
 // net/http marks a connection as active only after it has read the complete header; its own shutdown would close it before that.
 type connTracker struct {
+	guard *callerconn.Guard // bounds the connections; nil: not bounded
+
 	mu    sync.Mutex
 	conns map[*trackedConn]struct{}
 }
@@ -102,6 +106,9 @@
 	if !ok {
 		return
 	}
+	if t.guard != nil {
+		t.guard.StateChanged(c.Conn, state)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch state {
@@ -155,3 +162,16 @@
 	}
 	return others
 }
+
+// newConnGuard returns the limits of the callers' connections. Heads are bounded by the catalog in force.
+func (s *Server) newConnGuard() *callerconn.Guard {
+	cfg := s.cfg.Connections
+	cfg.Name, cfg.Logger, cfg.Metrics = "gateway", s.cfg.Logger, s.cfg.Metrics
+	cfg.MaxHeadBytes = func() int {
+		if index := s.dir.Catalog(); index != nil {
+			return index.Limits().MaxHeaderBytes
+		}
+		return 0
+	}
+	return callerconn.New(cfg)
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -27,7 +27,9 @@
 	}
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	s.limitUnreadBody(w, r)
 	x, ref := s.admit(w, r)
+	defer func() { x.received.Release() }()
 	w = callerWriter{w, s, x.deadline}
 	if ref == nil {
 		s.budgets.recordRequest(x.service)
@@ -263,6 +265,7 @@
 		Host:   x.host,
 		Header: header,
 		Body:   x.body,
+		Rest:   x.bodyRest,
 		Owns:   func(h http.Header) bool { return s.cfg.Dialect.ParseReply(0, h).RequestID == x.call.ID },
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,11 +16,13 @@
 
 	"github.com/juju/errors"
 
+	"github.com/guavastack/guavastack/internal/callerconn"
 	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/core/catalog"
 	"github.com/guavastack/guavastack/internal/core/limit"
 	"github.com/guavastack/guavastack/internal/core/route"
 	"github.com/guavastack/guavastack/internal/meter"
+	"github.com/guavastack/guavastack/internal/requestmemory"
 	"github.com/guavastack/guavastack/internal/serverset"
 	"github.com/guavastack/guavastack/internal/telemetry"
 	"github.com/guavastack/guavastack/internal/upstream"
@@ -86,6 +88,9 @@
 	Dialect      Dialect
 	Logger       *slog.Logger
 	Metrics      *telemetry.Registry // nil: none
+
+	Memory      *requestmemory.Memory // of the bodies of requests; nil: one with default limits
+	Connections callerconn.Config     // limits of the callers' connections
 }
 
 // Server is one gateway.
@@ -123,6 +128,9 @@
 	if cfg.GracePeriod <= 0 {
 		cfg.GracePeriod = DefaultGracePeriod
 	}
+	if cfg.Memory == nil {
+		cfg.Memory = requestmemory.New(requestmemory.DefaultConfig())
+	}
 	s := &Server{
 		cfg:     cfg,
 		dir:     dir,
@@ -240,6 +248,7 @@
 // Serve serves callers on lis until ctx is done, then shuts down gracefully: it reports not ready, stops accepting connections,
 // and waits for the requests in progress as long as the grace period allows.
 func (s *Server) Serve(ctx context.Context, lis net.Listener) error {
+	s.conns.guard = s.newConnGuard()
 	srv := &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: headerTimeout,
@@ -256,7 +265,7 @@
 	go s.parts.run(background)
 	go s.watchState(background)
 	served := make(chan error, 1)
-	go func() { served <- srv.Serve(trackedListener{lis, s.conns}) }()
+	go func() { served <- srv.Serve(trackedListener{s.conns.guard.Listen(lis), s.conns}) }()
 	select {
 	case err := <-served:
 		return errors.Annotate(err, "callers' listener")
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -1,26 +1,19 @@
 package gateway
 
 import (
-	"context"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/core/catalog"
 	"github.com/guavastack/guavastack/internal/core/route"
+	"github.com/guavastack/guavastack/internal/requestmemory"
 	"github.com/guavastack/guavastack/internal/telemetry"
 )
 
 const (
-	// bodyTimeout bounds the time in which the body of a request must arrive.
-	bodyTimeout = 10 * time.Second
-	// defaultMaxBodyBytes applies if the catalog sets no limit.
-	defaultMaxBodyBytes = 8 << 20
 	// retryAfterShare is the share of the remaining time that Retry-After states at most. Half of it is random, so that
 	// callers refused together do not retry together.
 	retryAfterShare = 0.3
@@ -60,6 +53,9 @@
 	host   string
 	header http.Header
 	body   []byte
+
+	bodyRest [][]byte            // parts of the body that follow body
+	received *requestmemory.Body // holds the memory of the body; nil: none
 }
 
 // admit matches a request to its route, checks its key and reads its body, or refuses it.
@@ -76,7 +72,7 @@
 		return x, ref
 	}
 	index := x.catalog
-	if ref := x.readBody(s.aborted, w, r, index.Limits()); ref != nil {
+	if ref := s.readBody(x, w, r, index.Limits()); ref != nil {
 		return x, ref
 	}
 	if ref := s.refuseBeforeAbort(x); ref != nil {
@@ -112,40 +108,6 @@
 	x.deadline = x.arrived.Add(limit)
 }
 
-// readBody reads the body within the limits on its size and time, at most until aborted ends.
-func (x *exchange) readBody(aborted context.Context, w http.ResponseWriter, r *http.Request, limits catalog.Limits) *refusal {
-	maxBytes := int64(defaultMaxBodyBytes)
-	if limits.MaxBodyBytes > 0 {
-		maxBytes = int64(limits.MaxBodyBytes)
-	}
-	if r.ContentLength == 0 {
-		return nil
-	}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout)) // a test's ResponseWriter may not support deadlines
-	stopAbort := context.AfterFunc(aborted, func() { _ = control.SetReadDeadline(time.Now()) })
-	var err error
-	if r.ContentLength > 0 && r.ContentLength <= maxBytes {
-		x.body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(r.Body, x.body)
-	} else {
-		x.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
-	}
-	if stopAbort() {
-		_ = control.SetReadDeadline(time.Time{})
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return notRun(http.StatusRequestEntityTooLarge, "body_too_large", "the body exceeds the size limit")
-	case err != nil && aborted.Err() != nil:
-		return shuttingDown()
-	case err != nil:
-		return notRun(http.StatusBadRequest, "body_incomplete", "the body was not received completely")
-	}
-	return nil
-}
-
 // remaining returns the time until the deadline.
 func (x *exchange) remaining() time.Duration { return time.Until(x.deadline) }
 
--- /dev/null
+++ b/internal/gateway/requestbody.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavastack/guavastack/internal/core/catalog"
+	"github.com/guavastack/guavastack/internal/requestmemory"
+)
+
+const (
+	// bodyTimeout bounds the time in which the body of a request must arrive.
+	bodyTimeout = 10 * time.Second
+	// defaultMaxBodyBytes applies if the catalog sets no limit.
+	defaultMaxBodyBytes = 8 << 20
+)
+
+// limitUnreadBody bounds the time for which the connection of a request that is refused before its body is read waits for the body. net/http
+// reads a part of it after the answer.
+func (s *Server) limitUnreadBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout)) // a test's ResponseWriter may not support deadlines
+	}
+}
+
+// readBody reads the body of x within the limits on its size, time and memory, or refuses x.
+func (s *Server) readBody(x *exchange, w http.ResponseWriter, r *http.Request, limits catalog.Limits) *refusal {
+	maxBytes := int64(defaultMaxBodyBytes)
+	if limits.MaxBodyBytes > 0 {
+		maxBytes = int64(limits.MaxBodyBytes)
+	}
+	body, err := s.cfg.Memory.Read(w, r, requestmemory.Request{
+		Owner: bodyOwner(x, r), MaxBytes: maxBytes, Timeout: bodyTimeout, Abort: s.aborted,
+	})
+	var refused *requestmemory.Refusal
+	switch {
+	case errors.As(err, &refused) && refused.Code == requestmemory.CodeAborted:
+		return shuttingDown()
+	case errors.As(err, &refused):
+		ref := notRun(refused.Status, refused.Code, refused.Message)
+		ref.retryAfter = refused.RetryAfter
+		return ref
+	}
+	x.received = body
+	if blocks := body.Blocks(); len(blocks) > 0 {
+		x.body, x.bodyRest = blocks[0], blocks[1:]
+	}
+	return nil
+}
+
+// bodyOwner returns whose memory the body of x counts as: its organisation's or, without one, its caller's address's.
+func bodyOwner(x *exchange, r *http.Request) string {
+	if x.organisation != "" {
+		return "organisation " + x.organisation
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		host = r.RemoteAddr
+	}
+	return "address " + host
+}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -55,6 +55,8 @@
 		Dialect:      base.Adapter.Dialect,
 		Logger:       base.Logger,
 		Metrics:      base.Metrics,
+		Memory:       base.Memory,
+		Connections:  connLimits(base, roleGateway),
 	}, client)
 	var err error
 	if g.listener, err = net.Listen("tcp", c.Listen); err != nil {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -23,6 +23,7 @@
 	"github.com/guavastack/guavastack/internal/gateway"
 	"github.com/guavastack/guavastack/internal/peernet"
 	"github.com/guavastack/guavastack/internal/platformclient"
+	"github.com/guavastack/guavastack/internal/requestmemory"
 	"github.com/guavastack/guavastack/internal/telemetry"
 )
 
@@ -34,7 +35,8 @@
 	Logger      *slog.Logger
 	Metrics     *telemetry.Registry
 	Network     *peernet.Network
-	Adapter     Adapter // set by the caller of NewBase; required by the gateway and by some settings of control
+	Memory      *requestmemory.Memory // of the bodies of requests
+	Adapter     Adapter               // set by the caller of NewBase; required by the gateway and by some settings of control
 }
 
 // Adapter supplies the protocols of the platform that the process runs on to the gateway and control roles.
@@ -53,13 +55,16 @@
 	if err != nil {
 		return nil, err
 	}
+	logger = logger.With("process", cfg.ID)
+	metrics := telemetry.NewRegistry(telemetry.DefaultMaxSeries)
 	return &Base{
 		Config:      cfg,
 		Incarnation: uuid.NewString(),
 		Started:     time.Now(),
-		Logger:      logger.With("process", cfg.ID),
-		Metrics:     telemetry.NewRegistry(telemetry.DefaultMaxSeries),
+		Logger:      logger,
+		Metrics:     metrics,
 		Network:     network,
+		Memory:      newRequestMemory(cfg, logger, metrics),
 	}, nil
 }
 
--- /dev/null
+++ b/internal/process/requestlimits.go
@@ -0,0 +1,39 @@
+package process
+
+import (
+	"log/slog"
+	"math"
+	"syscall"
+
+	"github.com/guavastack/guavastack/internal/callerconn"
+	"github.com/guavastack/guavastack/internal/config"
+	"github.com/guavastack/guavastack/internal/requestmemory"
+	"github.com/guavastack/guavastack/internal/telemetry"
+)
+
+// newRequestMemory returns the memory of the bodies of requests, which all roles of a process share.
+func newRequestMemory(cfg *config.Config, logger *slog.Logger, metrics *telemetry.Registry) *requestmemory.Memory {
+	rate, grace := cfg.MinBodyRate()
+	return requestmemory.New(requestmemory.Config{
+		Limits:  requestmemory.NewLimits(cfg.RequestMemoryBytes(), cfg.OwnerMemoryBytes(), cfg.MaxUnfinished()),
+		MinRate: rate, Grace: grace, Logger: logger, Metrics: metrics,
+	})
+}
+
+// connLimits returns the limits of the connections of one listener.
+func connLimits(base *Base, name string) callerconn.Config {
+	cfg := base.Config
+	return callerconn.Config{
+		Name: name, MaxConns: cfg.MaxConnections(descriptorLimit()), MaxHeadLines: cfg.MaxHeadLines(), MaxLargeHeads: cfg.MaxLargeHeads(),
+		Logger: base.Logger, Metrics: base.Metrics,
+	}
+}
+
+// descriptorLimit returns how many descriptors the process may open.
+func descriptorLimit() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return math.MaxInt32
+	}
+	return int(limit.Cur)
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -56,10 +56,20 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	Rest   [][]byte // parts of the body that follow Body
 	// Owns reports whether an answer with these headers belongs to the request.
 	Owns func(http.Header) bool
 }
 
+// bodySize returns the size of the whole body.
+func (r *Request) bodySize() int {
+	n := len(r.Body)
+	for _, part := range r.Rest {
+		n += len(part)
+	}
+	return n
+}
+
 // Error is a failure before the head of an answer arrived.
 type Error struct {
 	Sent  bool // a byte of the request may have been sent
@@ -153,26 +163,30 @@
 // channel is nil.
 func send(cn *conn, r *Request) (<-chan error, error) {
 	var head bytes.Buffer
-	if len(r.Body) <= inlineBodyBytes {
-		head.Grow(headBytes + len(r.Body))
+	size := r.bodySize()
+	if size <= inlineBodyBytes {
+		head.Grow(headBytes + size)
 	}
 	head.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-		head.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if size > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		head.WriteString("Content-Length: " + strconv.Itoa(size) + "\r\n")
 	}
 	if err := r.Header.Write(&head); err != nil {
 		return nil, err
 	}
 	head.WriteString("\r\n")
 	_ = cn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if len(r.Body) <= inlineBodyBytes {
+	if size <= inlineBodyBytes {
 		head.Write(r.Body)
+		for _, part := range r.Rest {
+			head.Write(part)
+		}
 		_, err := cn.Write(head.Bytes())
 		return nil, err
 	}
 	written := make(chan error, 1)
 	go func() {
-		buffers := net.Buffers{head.Bytes(), r.Body}
+		buffers := append(net.Buffers{head.Bytes(), r.Body}, r.Rest...)
 		_, err := buffers.WriteTo(cn.Conn)
 		written <- err
 	}()
