entry, control member, operators' API: bounded memory of request bodies and connections

Cause: they read bodies with io.ReadAll, and their connections were bounded by nothing (entry: 20,000).

Ruled out: a handler that reads each body before the request is authenticated (admin: anyone could fill the memory); an accounted reader below io.ReadAll (which holds up to three times the size while it grows).

Change: - requestmemory.Handler keeps what a request has read until it ends; ReadAll reads on the process's Memory. Operators' bodies above 256 KiB are handled one at a time, since parsing takes a multiple of their size; the entry reserves twice the size of a body that it needs in one piece. - callerconn.Protect on operators', relay, admin, entry, readiness, status and metrics listeners, with time limits for bodies and answers where none were. - Incomplete operators' bodies: 408, above the limit: 413 (both were 400). - A block of a body of unknown size ends one byte above the limit: a body that exceeded it and then stopped was refused only at its time limit. - Gauges are registered by the roles that use them (TestMetricsListenerServesOnlyText).

Conclusion: all roles share the limits.

--- a/internal/admin/auth.go
+++ b/internal/admin/auth.go
@@ -74,7 +74,6 @@
 	token, ok := strings.CutPrefix(req.HeaderParameter("Authorization"), "Bearer ")
 	if operator, known := s.findOperator(token); ok && known {
 		req.SetAttribute(attributeOperator, operator)
-		req.Request.Body = http.MaxBytesReader(resp.ResponseWriter, req.Request.Body, maxBodyBytes)
 		chain.ProcessFilter(req, resp)
 		return
 	}
--- a/internal/admin/change.go
+++ b/internal/admin/change.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -18,6 +17,7 @@
 	"github.com/guavastack/guavastack/internal/core/state"
 	"github.com/guavastack/guavastack/internal/core/strict"
 	"github.com/guavastack/guavastack/internal/core/verdict"
+	"github.com/guavastack/guavastack/internal/requestmemory"
 	"github.com/guavastack/guavastack/proto/controlpb"
 )
 
@@ -200,11 +200,15 @@
 
 // readText returns the body of a request. If it can't be read, it writes the error response and returns false.
 func readText(req *restful.Request, resp *restful.Response) (string, bool) {
-	data, err := io.ReadAll(req.Request.Body)
+	data, err := requestmemory.ReadAll(resp.ResponseWriter, req.Request, maxBodyBytes)
 	if err != nil {
 		var tooLarge *http.MaxBytesError
+		var refused *requestmemory.Refusal
 		status := http.StatusBadRequest
-		if errors.As(err, &tooLarge) {
+		switch {
+		case errors.As(err, &refused):
+			status = refused.Status
+		case errors.As(err, &tooLarge):
 			status = http.StatusRequestEntityTooLarge
 		}
 		reject(resp, status, adminapi.CodeBadRequest, "body: %v", err)
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -20,6 +20,7 @@
 	"github.com/guavastack/guavastack/internal/core/member"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/operate"
+	"github.com/guavastack/guavastack/internal/requestmemory"
 	"github.com/guavastack/guavastack/proto/controlpb"
 )
 
@@ -72,6 +73,9 @@
 	Mounts     map[string]http.Handler         // other paths of the same listener, such as /metrics
 	Logger     *slog.Logger                    // audit log of changes; nil: none
 	TLS        func(net.Listener) net.Listener // nil: none, on loopback only
+	Memory     *requestmemory.Memory           // of the bodies of requests; nil: not bounded
+	// Protect bounds the connections of the server on a listener; nil: not bounded.
+	Protect func(*http.Server, net.Listener) net.Listener
 }
 
 // Server is the operators' API.
@@ -109,6 +113,9 @@
 		mux.Handle(path, h)
 	}
 	s.handler = mux
+	if cfg.Memory != nil {
+		s.handler = cfg.Memory.Handler(mux)
+	}
 	return s, nil
 }
 
@@ -120,13 +127,16 @@
 	if s.cfg.TLS == nil && !isLoopback(lis.Addr()) {
 		return errors.NotValidf("operators' API on %s, which is not a loopback address, without TLS", lis.Addr())
 	}
-	if s.cfg.TLS != nil {
-		lis = s.cfg.TLS(lis)
-	}
 	server := &http.Server{
 		Handler: s.handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
 	}
+	if s.cfg.Protect != nil {
+		lis = s.cfg.Protect(server, lis)
+	}
+	if s.cfg.TLS != nil {
+		lis = s.cfg.TLS(lis)
+	}
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -49,6 +49,7 @@
 	Encrypted     bool
 	Logger        *slog.Logger
 	Metrics       *telemetry.Registry // nil: none
+	HasGauge      bool                // the number of open connections is a metric
 }
 
 // Guard bounds the connections of one listener. It is safe for concurrent use.
@@ -67,7 +68,7 @@
 		cfg.Logger = slog.New(slog.DiscardHandler)
 	}
 	g := &Guard{cfg: cfg, conns: make(map[*conn]struct{})}
-	if cfg.Metrics != nil {
+	if cfg.Metrics != nil && cfg.HasGauge {
 		cfg.Metrics.GaugeFunc(metricOpen+"_"+cfg.Name, func() int64 {
 			g.mu.Lock()
 			defer g.mu.Unlock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,12 +13,14 @@
 	"log/slog"
 	"time"
 
+	"github.com/guavastack/guavastack/internal/callerconn"
 	"github.com/guavastack/guavastack/internal/core/limit"
 	"github.com/guavastack/guavastack/internal/core/route"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/core/state"
 	"github.com/guavastack/guavastack/internal/core/verdict"
 	"github.com/guavastack/guavastack/internal/link"
+	"github.com/guavastack/guavastack/internal/requestmemory"
 	"github.com/guavastack/guavastack/internal/telemetry"
 	"github.com/guavastack/guavastack/proto/controlpb"
 	"github.com/guavastack/guavastack/proto/linkpb"
@@ -87,6 +89,9 @@
 	DrainDelay     time.Duration // from reporting not ready until connections are refused, for the balancer
 	UsageInterval  time.Duration // between usage reports
 
+	Memory      *requestmemory.Memory // of the bodies of requests; nil: one with default limits
+	Connections callerconn.Config     // limits of the callers' connections; its MaxConns is at most MaxConnections
+
 	TLS     *tls.Config // nil: plain HTTP
 	Logger  *slog.Logger
 	Metrics *telemetry.Registry
@@ -104,6 +109,12 @@
 	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
 	c.DrainDelay = cmp.Or(c.DrainDelay, DefaultDrainDelay)
 	c.UsageInterval = cmp.Or(c.UsageInterval, DefaultUsageInterval)
+	if c.Connections.MaxConns <= 0 || c.Connections.MaxConns > c.MaxConnections {
+		c.Connections.MaxConns = c.MaxConnections
+	}
+	if c.Memory == nil {
+		c.Memory = requestmemory.New(requestmemory.DefaultConfig())
+	}
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/guavastack/guavastack/internal/core/route"
 	"github.com/guavastack/guavastack/internal/core/settings"
 	"github.com/guavastack/guavastack/internal/meter"
+	"github.com/guavastack/guavastack/internal/requestmemory"
 	"github.com/guavastack/guavastack/proto/linkpb"
 )
 
@@ -108,23 +108,25 @@
 	return nil
 }
 
-// readBody reads the body of a request within the limits on its size and time.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *refusal) {
+// readBody reads the body of a request within the limits on its size, time and memory. The memory counts as the organisation's or, if that
+// is empty, as the caller's address's.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, organisation string) ([]byte, *refusal) {
 	if e := r.Header.Get("Content-Encoding"); e != "" && e != "identity" {
 		return nil, refuse(http.StatusUnsupportedMediaType, "unsupported_encoding",
 			"Content-Encoding %q is not supported; send the body unencoded", e)
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.cfg.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
+	body, err := requestmemory.ReadOwned(w, r, organisation, s.cfg.MaxBodyBytes, s.cfg.BodyTimeout)
+	var refused *requestmemory.Refusal
 	switch {
-	case errors.As(err, &tooLarge):
-		return nil, refuse(http.StatusRequestEntityTooLarge, "body_too_large",
-			"the body is larger than %d bytes", s.cfg.MaxBodyBytes)
+	case errors.As(err, &refused) && refused.Code == requestmemory.CodeTooLarge:
+		return nil, refuse(refused.Status, refused.Code, "the body is larger than %d bytes", s.cfg.MaxBodyBytes)
+	case errors.As(err, &refused):
+		ref := refuse(refused.Status, refused.Code, "%s", refused.Message)
+		ref.retryAfter = refused.RetryAfter
+		return nil, ref
 	case err != nil:
 		return nil, refuse(http.StatusBadRequest, "body_incomplete", "the body was not received completely")
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, nil
 }
 
@@ -158,7 +160,7 @@
 	if ref != nil {
 		return nil, ref
 	}
-	body, ref := s.readBody(w, r)
+	body, ref := s.readBody(w, r, sender.organisation)
 	if ref != nil {
 		return nil, ref
 	}
@@ -208,7 +210,7 @@
 	if ref != nil {
 		return nil, ref
 	}
-	body, ref := s.readBody(w, r)
+	body, ref := s.readBody(w, r, sender.organisation)
 	if ref != nil {
 		return nil, ref
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/juju/errors"
-	"golang.org/x/net/netutil"
 
+	"github.com/guavastack/guavastack/internal/callerconn"
 	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/core/retry"
 	"github.com/guavastack/guavastack/internal/core/settings"
@@ -52,7 +52,7 @@
 		demand:  newDemandMeter(),
 		budget:  retry.NewBudget(),
 	}
-	s.handler = s.routes()
+	s.handler = cfg.Memory.JoiningHandler(s.routes())
 	dir.SetDemand(s.demand.collect)
 	dir.OnChange(s.directoryChanged)
 	return s
@@ -100,7 +100,10 @@
 		TLSConfig:         s.cfg.TLS,
 		ErrorLog:          errorLog(s.cfg.Logger),
 	}
-	lis = netutil.LimitListener(lis, s.cfg.MaxConnections)
+	connections := s.cfg.Connections
+	connections.Name, connections.Logger, connections.Metrics = "entry", s.cfg.Logger, s.cfg.Metrics
+	connections.Encrypted = s.cfg.TLS != nil
+	lis = callerconn.Protect(srv, lis, connections)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var loops sync.WaitGroup
--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net"
 	"net/http"
 	"time"
 
@@ -33,7 +32,7 @@
 		maxBytes = int64(limits.MaxBodyBytes)
 	}
 	body, err := s.cfg.Memory.Read(w, r, requestmemory.Request{
-		Owner: bodyOwner(x, r), MaxBytes: maxBytes, Timeout: bodyTimeout, Abort: s.aborted,
+		Owner: requestmemory.Owner(x.organisation, r), MaxBytes: maxBytes, Timeout: bodyTimeout, Abort: s.aborted,
 	})
 	var refused *requestmemory.Refusal
 	switch {
@@ -50,15 +49,3 @@
 	}
 	return nil
 }
-
-// bodyOwner returns whose memory the body of x counts as: its organisation's or, without one, its caller's address's.
-func bodyOwner(x *exchange, r *http.Request) string {
-	if x.organisation != "" {
-		return "organisation " + x.organisation
-	}
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		host = r.RemoteAddr
-	}
-	return "address " + host
-}
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -16,6 +16,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/guavastack/guavastack/internal/admin"
+	"github.com/guavastack/guavastack/internal/callerconn"
 	"github.com/guavastack/guavastack/internal/config"
 	"github.com/guavastack/guavastack/internal/control"
 	"github.com/guavastack/guavastack/internal/core/billing"
@@ -115,6 +116,7 @@
 // NewControl returns the control role with its listeners open.
 func NewControl(base *Base, s *State, r *replica.Replica) (*Control, error) {
 	c := base.Config.Control
+	base.Memory.RegisterGauges()
 	ctl := &Control{base: base, state: s, replica: r}
 	if err := checkBootstrap(c.Bootstrap); err != nil {
 		return nil, errors.Annotate(err, "control.bootstrap")
@@ -207,6 +209,10 @@
 		Backup:     c.backup,
 		Mounts:     map[string]http.Handler{"/metrics": mux, "/healthz": mux, "/readyz": mux, "/debug/pprof/": mux},
 		Logger:     c.base.Logger,
+		Memory:     c.base.Memory,
+		Protect: func(srv *http.Server, lis net.Listener) net.Listener {
+			return callerconn.Protect(srv, lis, connLimits(c.base, "admin"))
+		},
 	}
 	if c.operator != nil {
 		cfg.Operations = c.operator
@@ -417,6 +423,8 @@
 	// all of it.
 	operatorHeaderTimeout = 3 * time.Second
 	operatorReadTimeout   = 30 * time.Second
+	// operatorWriteTimeout bounds the time from the end of the headers until the answer is written.
+	operatorWriteTimeout = 60 * time.Second
 	// maxOperatorHeaderBytes bounds the headers of requests of operators and backend servers.
 	maxOperatorHeaderBytes = 64 << 10
 )
@@ -424,12 +432,14 @@
 // serveOperators serves requests of operators and backend servers with the handler of the platform adapter.
 func (c *Control) serveOperators(ctx context.Context) error {
 	srv := &http.Server{
-		Handler:           c.base.Adapter.ControlHandler(c.service, c.base.Logger),
+		Handler:           c.base.Memory.Handler(c.base.Adapter.ControlHandler(c.service, c.base.Logger)),
 		ReadHeaderTimeout: operatorHeaderTimeout,
 		ReadTimeout:       operatorReadTimeout,
+		WriteTimeout:      operatorWriteTimeout,
 		MaxHeaderBytes:    maxOperatorHeaderBytes,
 	}
-	return errors.Annotate(serveUntil(ctx, srv, c.operatorLis), "control.operators")
+	lis := callerconn.Protect(srv, c.operatorLis, connLimits(c.base, "operators"))
+	return errors.Annotate(serveUntil(ctx, srv, lis), "control.operators")
 }
 
 // transferLeadership transfers leadership if this member leads a group of several.
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -63,6 +63,7 @@
 // NewEntry returns the entry role with its listener open.
 func NewEntry(base *Base, client *watch.Client, links *link.Pool) (*Entry, error) {
 	c := base.Config.Entry
+	base.Memory.RegisterGauges()
 	cert, err := listenerTLS(c.TLS)
 	if err != nil {
 		return nil, errors.Annotate(err, "entry.tls")
@@ -76,6 +77,8 @@
 		MaxConnections: c.MaxConnections,
 		MaxInFlight:    c.MaxInFlight,
 		DrainDelay:     time.Duration(c.DrainDelay),
+		Memory:         base.Memory,
+		Connections:    connLimits(base, roleEntry),
 		Logger:         base.Logger,
 		Metrics:        base.Metrics,
 	}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/guavastack/guavastack/internal/callerconn"
 	"github.com/guavastack/guavastack/internal/config"
 	"github.com/guavastack/guavastack/internal/gateway"
 	"github.com/guavastack/guavastack/internal/watch"
@@ -30,6 +31,7 @@
 // NewGateway returns the gateway role with its listeners open.
 func NewGateway(base *Base) (*Gateway, error) {
 	c := base.Config.Gateway
+	base.Memory.RegisterGauges()
 	client := watch.New(watch.Config{
 		ProcessID:      base.Config.ID,
 		Incarnation:    base.Incarnation,
@@ -87,8 +89,11 @@
 		_ = g.watch.Run(watchCtx) // returns only the error of its context
 	}()
 	if g.readiness != nil {
-		srv := &http.Server{Handler: g.server.ReadinessHandler(), ReadHeaderTimeout: readinessHeaderTimeout}
-		defer serveInBackground(g.readiness, srv)()
+		srv := &http.Server{
+			Handler: g.server.ReadinessHandler(), ReadHeaderTimeout: readinessHeaderTimeout, ReadTimeout: sideTimeout, WriteTimeout: sideTimeout,
+			MaxHeaderBytes: maxSideHeaderBytes,
+		}
+		defer serveInBackground(callerconn.Protect(srv, g.readiness, sideLimits(g.base, "readiness")), srv)()
 	}
 	err := g.server.Serve(ctx, g.listener)
 	stop()
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -16,6 +16,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/guavastack/guavastack/internal/callerconn"
 	"github.com/guavastack/guavastack/internal/certs"
 	"github.com/guavastack/guavastack/internal/config"
 	"github.com/guavastack/guavastack/internal/control"
@@ -161,7 +162,7 @@
 func serveStatus(base *Base, roles []Role) (stop func(), err error) {
 	mux := http.NewServeMux()
 	telemetry.Mount(mux, base.Metrics, combinedStatus(roles))
-	return listenInBackground("status_listen", base.Config.StatusListen, mux)
+	return listenInBackground(base, "status_listen", base.Config.StatusListen, mux)
 }
 
 // serveMetrics serves only the metrics, in the Prometheus text format, on metrics_listen, if that is set. Unlike
@@ -172,12 +173,12 @@
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		_ = base.Metrics.WriteText(w) // fails only if the client disconnected
 	})
-	return listenInBackground("metrics_listen", base.Config.MetricsListen, mux)
+	return listenInBackground(base, "metrics_listen", base.Config.MetricsListen, mux)
 }
 
 // listenInBackground serves h in the background on address, unless that is empty, until stop is called. Errors are annotated
 // with setting, the name of the setting that holds the address.
-func listenInBackground(setting, address string, h http.Handler) (stop func(), err error) {
+func listenInBackground(base *Base, setting, address string, h http.Handler) (stop func(), err error) {
 	if address == "" {
 		return func() {}, nil
 	}
@@ -185,7 +186,10 @@
 	if err != nil {
 		return func() {}, errors.Annotate(err, setting)
 	}
-	return serveInBackground(lis, &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}), nil
+	srv := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: sideTimeout, WriteTimeout: sideAnswerTimeout, MaxHeaderBytes: maxSideHeaderBytes,
+	}
+	return serveInBackground(callerconn.Protect(srv, lis, sideLimits(base, setting)), srv), nil
 }
 
 const headerTimeout = 5 * time.Second
--- a/internal/process/relay.go
+++ b/internal/process/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/guavastack/guavastack/internal/callerconn"
 	"github.com/guavastack/guavastack/internal/config"
 	"github.com/guavastack/guavastack/internal/watch"
 )
@@ -24,6 +25,8 @@
 	watch    *watch.Client
 	port     uint16 // on which the members serve operators
 	listener net.Listener
+
+	connections callerconn.Config
 }
 
 // NewRelay returns the relay role with its listener open.
@@ -33,7 +36,7 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "relay.listen")
 	}
-	r := &Relay{port: own.Port()}
+	r := &Relay{port: own.Port(), connections: connLimits(base, roleRelay)}
 	r.watch = watch.New(watch.Config{
 		ProcessID:   base.Config.ID,
 		Incarnation: base.Incarnation,
@@ -77,8 +80,11 @@
 		defer close(watchDone)
 		_ = r.watch.Run(ctx) // returns only the error of its context
 	}()
-	srv := &http.Server{Handler: r, ReadHeaderTimeout: relayHeaderTimeout, MaxHeaderBytes: maxOperatorHeaderBytes}
-	err := serveUntil(ctx, srv, r.listener)
+	srv := &http.Server{
+		Handler: r, ReadHeaderTimeout: relayHeaderTimeout, ReadTimeout: operatorReadTimeout, WriteTimeout: operatorReadTimeout,
+		MaxHeaderBytes: maxOperatorHeaderBytes,
+	}
+	err := serveUntil(ctx, srv, callerconn.Protect(srv, r.listener, r.connections))
 	<-watchDone
 	return errors.Annotate(err, "relay.listen")
 }
--- a/internal/requestmemory/requestmemory.go
+++ b/internal/requestmemory/requestmemory.go
@@ -92,6 +92,7 @@
 	readers map[*bodybudget.Body]*reader // of unfinished bodies
 	freed   chan struct{}                // closed and replaced when memory is released
 	logRate telemetry.PerSecondLimiter
+	gauges  sync.Once
 }
 
 // New returns a Memory without reservations.
@@ -99,14 +100,20 @@
 	if cfg.Logger == nil {
 		cfg.Logger = slog.New(slog.DiscardHandler)
 	}
-	m := &Memory{
+	return &Memory{
 		cfg: cfg, budget: bodybudget.New(cfg.Limits), readers: make(map[*bodybudget.Body]*reader), freed: make(chan struct{}),
 	}
-	if cfg.Metrics != nil {
-		cfg.Metrics.GaugeFunc(metricBytes, func() int64 { return int64(m.state().reserved) })
-		cfg.Metrics.GaugeFunc(metricUnfinished, func() int64 { return int64(m.state().unfinished) })
+}
+
+// RegisterGauges registers the gauges of the memory, once. Only processes with a listener for requests have them.
+func (m *Memory) RegisterGauges() {
+	if m.cfg.Metrics == nil {
+		return
 	}
-	return m
+	m.gauges.Do(func() {
+		m.cfg.Metrics.GaugeFunc(metricBytes, func() int64 { return int64(m.state().reserved) })
+		m.cfg.Metrics.GaugeFunc(metricUnfinished, func() int64 { return int64(m.state().unfinished) })
+	})
 }
 
 // state is what the bodies hold.
@@ -124,6 +131,8 @@
 	MaxBytes int64         // limit on the size of the body
 	Timeout  time.Duration // limit on the time in which it arrives
 	Abort    context.Context
+	// IsCopied means that a body of several blocks is needed in one piece, too, so that twice its size is reserved.
+	IsCopied bool
 }
 
 // Body is a body that was read.
@@ -245,11 +254,15 @@
 // readBlocks reads all blocks of a body.
 func (rd *reader) readBlocks(r *http.Request, body *Body) *Refusal {
 	for isComplete := false; !isComplete; {
-		n := nextBlockBytes(r.ContentLength, body.size)
+		n := nextBlockBytes(r.ContentLength, body.size, rd.req.MaxBytes)
 		if n == 0 {
 			break
 		}
-		if ref := rd.reserve(n); ref != nil {
+		reserved := n
+		if rd.req.IsCopied && r.ContentLength != int64(n) {
+			reserved = 2 * n
+		}
+		if ref := rd.reserve(reserved); ref != nil {
 			return ref
 		}
 		block := make([]byte, n)
@@ -289,12 +302,12 @@
 }
 
 // nextBlockBytes returns the size of the next block of a body of the announced size, of which the given bytes have arrived. It is 0 at the
-// end.
-func nextBlockBytes(announced int64, arrived int) int {
+// end. The last block of a body of unknown size has room for one byte above the limit, so that a larger body is noticed.
+func nextBlockBytes(announced int64, arrived int, limit int64) int {
 	if announced >= 0 {
 		return int(min(announced-int64(arrived), blockBytes))
 	}
-	return min(max(firstBlockBytes, arrived), blockBytes)
+	return int(min(int64(max(firstBlockBytes, arrived)), blockBytes, limit+1-int64(arrived)))
 }
 
 // fill reads until the block is full. It returns io.EOF at the end of the body.
