--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -45,8 +45,8 @@
 	MaxConns      int    // open connections
 	MaxHeadBytes  func() int
 	MaxHeadLines  int
-	MaxLargeHeads int // connections with a head of more than largeHeadBytes
-	Encrypted     bool
+	MaxLargeHeads int  // connections with a head of more than largeHeadBytes
+	Encrypted     bool // TLS: the heads can't be seen; net/http bounds their bytes
 	Logger        *slog.Logger
 	Metrics       *telemetry.Registry // nil: none
 	HasGauge      bool                // the number of open connections is a metric
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"slices"
 	"strings"
 	"testing"
 )
@@ -41,6 +42,21 @@
 			`{"id": "e", "zone": "a", "status_listen": "10.0.0.1:9090", "control_members": ["10.0.0.2:7000"], "entry": {"listen": "10.0.0.1:8080"}}`,
 			[]string{"status_listen: 10.0.0.1:9090 is not a loopback address"},
 		},
+		{
+			"negative request limit",
+			strings.Replace(valid, `"id"`, `"request_limits": {"unfinished": -1, "rate_grace": "-1s"}, "id"`, 1),
+			[]string{"request_limits.unfinished: -1 is negative", "request_limits.rate_grace"},
+		},
+		{
+			"request memory above half of the process's",
+			strings.Replace(valid, `"id"`, `"memory_limit_mb": 100, "request_limits": {"memory_mb": 51}, "id"`, 1),
+			[]string{"request_limits.memory_mb: 51; expected at most half of memory_limit_mb, which is 100"},
+		},
+		{
+			"memory of an owner above that of all",
+			strings.Replace(valid, `"id"`, `"request_limits": {"memory_mb": 10, "owner_memory_mb": 11}, "id"`, 1),
+			[]string{"request_limits.owner_memory_mb: 11; expected at most request_limits.memory_mb, which is 10"},
+		},
 		{
 			"peers without the member itself",
 			`{"id": "c", "zone": "a", "control": {"member": 2, "listen": "10.0.0.1:7001", "data": "d",
@@ -62,3 +78,37 @@
 		})
 	}
 }
+
+// TestDerivedRequestLimits checks the limits that follow from the memory and the descriptors of small and large instances. A limit below what
+// well-behaved clients need would refuse them.
+func TestDerivedRequestLimits(t *testing.T) {
+	tests := []struct {
+		name        string
+		cfg         Config
+		descriptors int
+
+		memoryMB, ownerMB, unfinished, connections, largeHeads int
+	}{
+		{"small", Config{MemoryLimitMB: 112}, 3075, 22, 11, 358, 955, 179},
+		{"few descriptors", Config{MemoryLimitMB: 288}, 1024, 57, 28, 921, 480, 460},
+		{"many descriptors", Config{MemoryLimitMB: 134}, 12300, 26, 13, 428, 1143, 214},
+		{"hardly any descriptors", Config{MemoryLimitMB: 134}, 80, 26, 13, 428, 16, 214},
+		{"no memory limit", Config{}, 4096, 512, 256, 8192, 2016, 0},
+		{
+			"set",
+			Config{MemoryLimitMB: 134, RequestLimits: &RequestLimits{MemoryMB: 40, OwnerMemoryMB: 30, Unfinished: 7, Connections: 9, LargeHeads: 3}},
+			4096, 40, 30, 7, 9, 3,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := []int{
+				tt.cfg.RequestMemoryBytes() >> 20, tt.cfg.OwnerMemoryBytes() >> 20, tt.cfg.MaxUnfinished(), tt.cfg.MaxConnections(tt.descriptors),
+				tt.cfg.MaxLargeHeads(),
+			}
+			if want := []int{tt.memoryMB, tt.ownerMB, tt.unfinished, tt.connections, tt.largeHeads}; !slices.Equal(got, want) {
+				t.Errorf("memory, of an owner, unfinished, connections, large heads: got %v, want %v", got, want)
+			}
+		})
+	}
+}
--- a/internal/core/bodybudget/bodybudget.go
+++ b/internal/core/bodybudget/bodybudget.go
@@ -50,10 +50,12 @@
 	reserved   int
 	byOwner    map[string]*owned
 	unfinished map[*Body]struct{}
+	releasing  int       // bodies that were refused and have not been released
+	noStall    time.Time // no body stalls before, so that a wait costs no search
 }
 
 // owned is what one owner's bodies hold.
-type owned struct{ reserved, bodies int }
+type owned struct{ reserved, bodies, releasing int }
 
 // New returns a budget without reservations.
 func New(limits Limits) *Budget {
@@ -78,13 +80,13 @@
 		if refuse = b.worstStalled(now, ""); refuse == nil {
 			refuse = x
 		}
-		refuse.isRefused = true
 	}
 	b.unfinished[x] = struct{}{}
 	if b.byOwner[owner] == nil {
 		b.byOwner[owner] = &owned{}
 	}
 	b.byOwner[owner].bodies++
+	b.refuse(refuse)
 	return x, refuse
 }
 
@@ -114,12 +116,19 @@
 	if refuse == nil && now.Sub(x.waitingFrom) >= b.limits.Patience {
 		refuse = b.newest(scope)
 	}
-	if refuse != nil {
-		refuse.isRefused = true
-	}
+	b.refuse(refuse)
 	return false, refuse
 }
 
+// refuse records that x, unless nil, is refused.
+func (b *Budget) refuse(x *Body) {
+	if x != nil {
+		x.isRefused = true
+		b.releasing++
+		b.byOwner[x.owner].releasing++
+	}
+}
+
 // Progress records n arrived bytes.
 func (b *Budget) Progress(now time.Time, x *Body, n int) {
 	x.arrived += n
@@ -145,6 +154,10 @@
 	o := b.byOwner[x.owner]
 	o.reserved -= x.reserved
 	o.bodies--
+	if x.isRefused {
+		b.releasing--
+		o.releasing--
+	}
 	if o.bodies == 0 {
 		delete(b.byOwner, x.owner)
 	}
@@ -180,26 +193,35 @@
 
 // isReleasing reports whether a body of the scope, an owner or "" for all, was refused and has not released its memory yet.
 func (b *Budget) isReleasing(scope string) bool {
-	for y := range b.unfinished {
-		if y.isRefused && y.reserved > 0 && y.isIn(scope) {
-			return true
-		}
+	if scope == "" {
+		return b.releasing > 0
 	}
-	return false
+	return b.byOwner[scope].releasing > 0
 }
 
 // worstStalled returns the largest body of the scope that does not arrive any more, or nil.
 func (b *Budget) worstStalled(now time.Time, scope string) *Body {
+	if now.Before(b.noStall) {
+		return nil
+	}
 	var worst *Body
+	next := now.Add(b.limits.Stall)
 	for y := range b.unfinished {
-		isStalled := y.waitingFrom.IsZero() && now.Sub(y.progressAt) > b.limits.Stall
-		if y.isRefused || !isStalled || !y.isIn(scope) {
+		if y.isRefused || !y.waitingFrom.IsZero() {
+			continue
+		}
+		stallsAt := y.progressAt.Add(b.limits.Stall)
+		if stallsAt.Before(next) {
+			next = stallsAt
+		}
+		if stallsAt.After(now) || !y.isIn(scope) {
 			continue
 		}
 		if worst == nil || y.reserved > worst.reserved || (y.reserved == worst.reserved && y.began.After(worst.began)) {
 			worst = y
 		}
 	}
+	b.noStall = next
 	return worst
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -19,6 +19,14 @@
 	"github.com/guavastack/guavastack/internal/telemetry"
 )
 
+const (
+	// maxStreams bounds the requests in progress on one HTTP/2 connection.
+	maxStreams = 100
+	// maxUnreadBytes bounds what a client may send ahead on an HTTP/2 connection. net/http keeps it outside of the memory of bodies, 1 MiB by
+	// default.
+	maxUnreadBytes = 64 << 10
+)
+
 // Server is one entry.
 type Server struct {
 	cfg     Config
@@ -98,7 +106,12 @@
 		IdleTimeout:       s.cfg.IdleTimeout,
 		MaxHeaderBytes:    s.cfg.MaxHeaderBytes,
 		TLSConfig:         s.cfg.TLS,
-		ErrorLog:          errorLog(s.cfg.Logger),
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          maxStreams,
+			MaxReceiveBufferPerConnection: maxUnreadBytes,
+			MaxReceiveBufferPerStream:     maxUnreadBytes,
+		},
+		ErrorLog: errorLog(s.cfg.Logger),
 	}
 	connections := s.cfg.Connections
 	connections.Name, connections.Logger, connections.Metrics = "entry", s.cfg.Logger, s.cfg.Metrics
--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -15,6 +15,10 @@
 	bodyTimeout = 10 * time.Second
 	// defaultMaxBodyBytes applies if the catalog sets no limit.
 	defaultMaxBodyBytes = 8 << 20
+	// memoryWaitShare is the share of the remaining time that a body waits for memory at most, so that its caller can still send it to
+	// another gateway.
+	memoryWaitShare = 0.3
+	minMemoryWait   = 50 * time.Millisecond
 )
 
 // limitUnreadBody bounds the time for which the connection of a request that is refused before its body is read waits for the body. net/http
@@ -33,15 +37,14 @@
 	}
 	body, err := s.cfg.Memory.Read(w, r, requestmemory.Request{
 		Owner: requestmemory.Owner(x.organisation, r), MaxBytes: maxBytes, Timeout: bodyTimeout, Abort: s.aborted,
+		MaxWait: max(minMemoryWait, time.Duration(float64(x.remaining())*memoryWaitShare)),
 	})
 	var refused *requestmemory.Refusal
 	switch {
 	case errors.As(err, &refused) && refused.Code == requestmemory.CodeAborted:
 		return shuttingDown()
 	case errors.As(err, &refused):
-		ref := notRun(refused.Status, refused.Code, refused.Message)
-		ref.retryAfter = refused.RetryAfter
-		return ref
+		return notRun(refused.Status, refused.Code, refused.Message)
 	}
 	x.received = body
 	if blocks := body.Blocks(); len(blocks) > 0 {
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -211,7 +211,9 @@
 		Logger:     c.base.Logger,
 		Memory:     c.base.Memory,
 		Protect: func(srv *http.Server, lis net.Listener) net.Listener {
-			return callerconn.Protect(srv, lis, connLimits(c.base, "admin"))
+			limits := connLimits(c.base, "admin")
+			limits.Encrypted = adminCfg.TLS != nil
+			return callerconn.Protect(srv, lis, limits)
 		},
 	}
 	if c.operator != nil {
--- a/internal/requestmemory/handler.go
+++ b/internal/requestmemory/handler.go
@@ -16,8 +16,10 @@
 	handlerTimeout = 10 * time.Second
 	// largeBytes is the size from which complete bodies are handled one at a time, since parsing takes a multiple of their size.
 	largeBytes = 256 << 10
-	// turnTimeout bounds the wait for the turn of a large body.
-	turnTimeout = 2 * time.Second
+	// operatorWait bounds the wait of an operator's body for memory, and for its turn. Operators' calls are sent again after 1 s.
+	operatorWait = 800 * time.Millisecond
+	// joiningWait bounds the wait of a body for memory below JoiningHandler.
+	joiningWait = 2 * time.Second
 )
 
 // sessionKey is the key of the session in the context of a request.
@@ -68,9 +70,11 @@
 		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 		return data, errors.Trace(err)
 	}
-	body, err := s.memory.Read(w, r, Request{
-		Owner: Owner(organisation, r), MaxBytes: limit, Timeout: timeout, IsCopied: s.turns == nil,
-	})
+	req := Request{Owner: Owner(organisation, r), MaxBytes: limit, Timeout: timeout, MaxWait: operatorWait}
+	if s.turns == nil {
+		req.MaxWait, req.IsCopied = joiningWait, true
+	}
+	body, err := s.memory.Read(w, r, req)
 	if err != nil {
 		return nil, err
 	}
@@ -87,7 +91,7 @@
 
 // takeTurn waits until no other large body is handled.
 func (s *session) takeTurn(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, turnTimeout)
+	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
 	select {
 	case s.turns <- struct{}{}:
--- a/internal/requestmemory/requestmemory.go
+++ b/internal/requestmemory/requestmemory.go
@@ -129,7 +129,8 @@
 type Request struct {
 	Owner    string        // of the request: an organisation, or else the caller's address
 	MaxBytes int64         // limit on the size of the body
-	Timeout  time.Duration // limit on the time in which it arrives
+	Timeout  time.Duration // limit on the time in which it arrives, without waits for memory
+	MaxWait  time.Duration // limit on the waits for memory; 0: Timeout
 	Abort    context.Context
 	// IsCopied means that a body of several blocks is needed in one piece, too, so that twice its size is reserved.
 	IsCopied bool
@@ -218,6 +219,9 @@
 	if req.Abort == nil {
 		req.Abort = context.Background()
 	}
+	if req.MaxWait <= 0 {
+		req.MaxWait = req.Timeout
+	}
 	body, ref := m.read(w, r, req)
 	if ref != nil {
 		w.Header().Set("Connection", "close")
@@ -390,10 +394,11 @@
 		if from.IsZero() {
 			from = now
 		}
-		if now.Sub(from) > rd.req.Timeout {
+		left := rd.req.MaxWait - rd.waited - now.Sub(from)
+		if left <= 0 {
 			return noMemory()
 		}
-		timer := time.NewTimer(retryInterval)
+		timer := time.NewTimer(min(retryInterval, left))
 		select {
 		case <-freed:
 		case <-timer.C:
--- a/internal/requestmemory/requestmemory_test.go
+++ b/internal/requestmemory/requestmemory_test.go
@@ -147,6 +147,29 @@
 	awaitEmpty(t, m)
 }
 
+// TestWaitForMemoryIsBounded guards against a body that waits for memory until its caller has given up.
+func TestWaitForMemoryIsBounded(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Limits = NewLimits(2*blockBytes, 2*blockBytes, 10)
+	cfg.Limits.Patience = time.Hour
+	m := New(cfg)
+	holder, _ := m.budget.Begin(time.Now(), "o", 2*blockBytes)
+	if ok, _ := m.budget.Reserve(time.Now(), holder, 2*blockBytes); !ok || !m.budget.Complete(holder) {
+		t.Fatal("the only body was not reserved")
+	}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := m.Read(w, r, Request{Owner: "p", MaxBytes: testMaxBytes, Timeout: time.Hour, MaxWait: 20 * time.Millisecond})
+		var refused *Refusal
+		if !errors.As(err, &refused) || refused.Code != CodeNoMemory {
+			t.Errorf("error %v, want %s", err, CodeNoMemory)
+		}
+	}))
+	defer s.Close()
+	send(t, s, withLength(blockBytes, blockBytes))
+	m.release(holder)
+	awaitEmpty(t, m)
+}
+
 // TestAbortEndsReads checks that a shutdown ends the read of a body that does not arrive.
 func TestAbortEndsReads(t *testing.T) {
 	m := New(DefaultConfig())
--- a/test/clients/system_test.go
+++ b/test/clients/system_test.go
@@ -68,6 +68,7 @@
 // system is a control member and a gateway as separate processes, and a stand-in of one backend server.
 type system struct {
 	t                *testing.T
+	program          string
 	control, gateway *process
 	operatorAddress  string
 	gatewayAddress   string
@@ -87,8 +88,17 @@
 // newSystem starts a system and waits until it serves requests.
 func newSystem(t *testing.T, bodyBytes, memoryMB int, d descriptors) *system {
 	t.Helper()
+	return newSystemOf(t, binary, bodyBytes, memoryMB, d)
+}
+
+// newSystemOf is newSystem with another program; "" means the one of the working directory.
+func newSystemOf(t *testing.T, program string, bodyBytes, memoryMB int, d descriptors) *system {
+	t.Helper()
+	if program == "" {
+		program = binary
+	}
 	a := freeAddresses(t, 4)
-	s := &system{t: t, operatorAddress: a[1], gatewayAddress: a[2], backendAddress: a[3], bodyBytes: bodyBytes, version: 1}
+	s := &system{t: t, program: program, operatorAddress: a[1], gatewayAddress: a[2], backendAddress: a[3], bodyBytes: bodyBytes, version: 1}
 	dir := t.TempDir()
 	s.control = s.start(dir, "control", d, map[string]any{
 		"id": "control-1", "zone": "a", "memory_limit_mb": memoryMB,
@@ -139,7 +149,7 @@
 		s.t.Fatal(err)
 	}
 	defer func() { _ = log.Close() }()
-	p.cmd = exec.Command("/bin/sh", "-c", `ulimit -n "$1" && exec "$2" "$3" --config "$4"`, "sh", strconv.Itoa(d.limit), binary, role, file)
+	p.cmd = exec.Command("/bin/sh", "-c", `ulimit -n "$1" && exec "$2" "$3" --config "$4"`, "sh", strconv.Itoa(d.limit), s.program, role, file)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := p.cmd.Start(); err != nil {
 		s.t.Fatal(err)
