--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/juju/errors"
-	"golang.org/x/net/netutil"
 
+	"github.com/guavastack/guavastack/internal/callerconn"
 	"github.com/guavastack/guavastack/internal/clock"
 	"github.com/guavastack/guavastack/internal/core/retry"
 	"github.com/guavastack/guavastack/internal/core/settings"
@@ -19,6 +19,14 @@
 	"github.com/guavastack/guavastack/internal/telemetry"
 )
 
+const (
+	// maxStreams bounds the requests in progress on one HTTP/2 connection.
+	maxStreams = 100
+	// maxUnreadBytes bounds what a client may send ahead on an HTTP/2 connection. net/http keeps it outside of the memory of bodies, 1 MiB by
+	// default.
+	maxUnreadBytes = 64 << 10
+)
+
 // Server is one entry.
 type Server struct {
 	cfg     Config
@@ -52,7 +60,7 @@
 		demand:  newDemandMeter(),
 		budget:  retry.NewBudget(),
 	}
-	s.handler = s.routes()
+	s.handler = cfg.Memory.JoiningHandler(s.routes())
 	dir.SetDemand(s.demand.collect)
 	dir.OnChange(s.directoryChanged)
 	return s
@@ -98,9 +106,17 @@
 		IdleTimeout:       s.cfg.IdleTimeout,
 		MaxHeaderBytes:    s.cfg.MaxHeaderBytes,
 		TLSConfig:         s.cfg.TLS,
-		ErrorLog:          errorLog(s.cfg.Logger),
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          maxStreams,
+			MaxReceiveBufferPerConnection: maxUnreadBytes,
+			MaxReceiveBufferPerStream:     maxUnreadBytes,
+		},
+		ErrorLog: errorLog(s.cfg.Logger),
 	}
-	lis = netutil.LimitListener(lis, s.cfg.MaxConnections)
+	connections := s.cfg.Connections
+	connections.Name, connections.Logger, connections.Metrics = "entry", s.cfg.Logger, s.cfg.Metrics
+	connections.Encrypted = s.cfg.TLS != nil
+	lis = callerconn.Protect(srv, lis, connections)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var loops sync.WaitGroup
