zonedrain, control, limit: ends of drains are accepted; reassigned turns

An end of a drain was refused (409) if 256 other zones were drained, also when it repeated an accepted order. It is accepted and raises the revision of zones that are not stored. The drain of a zone that the settings no longer list could not be withdrawn (404).

A process whose turns the control group had given to others used all of them at once when it was confirmed again at the same position. It uses fewer for changeTime, as after any change.

Each new test fails without its change.

--- a/internal/control/zonedrain.go
+++ b/internal/control/zonedrain.go
@@ -15,7 +15,7 @@
 	"github.com/guavastack/guavastack/proto/controlpb"
 )
 
-// Errors of OrderZoneDrain that a repetition of the order does not mend.
+// Errors of OrderZoneDrain after which repeating the order does not help.
 const (
 	// ErrUnknownZone means that the settings list the zones and the zone is not among them.
 	ErrUnknownZone = errors.ConstError("unknown availability zone")
@@ -41,7 +41,7 @@
 // came first, the order is based on the newer revision and proposed again, but only until ctx ends: by then the caller may have sent it to
 // another member, and newer orders after it.
 func (s *Service) OrderZoneDrain(ctx context.Context, zone string, drained bool, by string) error {
-	if err := s.checkZone(zone); err != nil {
+	if err := s.checkZone(zone, drained); err != nil {
 		s.countZoneDrainOrder("refused")
 		return err
 	}
@@ -58,24 +58,30 @@
 	return nil
 }
 
-// checkZone returns an error for a zone on which no order is accepted.
-func (s *Service) checkZone(zone string) error {
+// checkZone returns an error for a zone on which the order is not accepted. The drain of a zone that the settings no longer list can be
+// withdrawn.
+func (s *Service) checkZone(zone string, drained bool) error {
 	if err := zonedrain.ValidateZone(zone); err != nil {
 		return err
 	}
-	if len(s.cfg.Zones) > 0 && !slices.Contains(s.cfg.Zones, zone) {
-		return errors.WithType(errors.NotFoundf("availability zone %q", zone), ErrUnknownZone)
-	}
 	if s.cfg.ZoneDrains == nil {
 		return errors.NotSupportedf("drains of availability zones")
 	}
+	if len(s.cfg.Zones) == 0 || slices.Contains(s.cfg.Zones, zone) {
+		return nil
+	}
+	hasOrder := false
+	s.cfg.Group.View(func() { hasOrder = s.cfg.ZoneDrains.HasOrder(zone) })
+	if drained || !hasOrder {
+		return errors.WithType(errors.NotFoundf("availability zone %q", zone), ErrUnknownZone)
+	}
 	return nil
 }
 
 // commitZoneDrain commits a command with the newest revision of its zone, and returns the revision of the zone afterwards.
 func (s *Service) commitZoneDrain(ctx context.Context, command zonedrain.Command) (revision uint64, err error) {
-	// A process that was paused must not renew an old order on a newer revision. The timer of ctx may fire late after a pause, and does not
-	// count the time in which the machine was suspended.
+	// A process that was paused must not propose an old order on a newer revision. The timer of ctx may fire late after a pause, and does
+	// not count the time in which the machine was suspended.
 	until := clock.Now().Add(untilDeadline(ctx))
 	s.cfg.Group.View(func() { command.Base = s.cfg.ZoneDrains.Revision(command.Zone) })
 	for {
--- a/internal/control/zonedrain_test.go
+++ b/internal/control/zonedrain_test.go
@@ -74,6 +74,23 @@
 	}
 }
 
+// Guards against a drain that cannot be withdrawn because the settings no longer list its zone.
+func TestDrainOfZoneThatIsNoLongerListed(t *testing.T) {
+	s, m, _, _ := zoneService(nil, itself)
+	if err := s.OrderZoneDrain(t.Context(), "former", true, "operator"); err != nil {
+		t.Fatal(err)
+	}
+	s = control.New(control.Config{
+		Group: m, Settings: m.Settings, ZoneDrains: m.Drains, Zones: []string{"a"}, Logger: slog.New(slog.DiscardHandler),
+	})
+	if err := s.OrderZoneDrain(t.Context(), "former", false, "operator"); err != nil {
+		t.Errorf("got error %v for the end of the drain, want none", err)
+	}
+	if m.Drains.List().Find("former") != nil {
+		t.Error("the zone is still drained")
+	}
+}
+
 // Guards against an order that is acknowledged though its time was over before it was proposed.
 func TestOrderWhoseTimeIsOver(t *testing.T) {
 	s, m, _, _ := zoneService(nil, itself)
--- a/internal/core/limit/turnkeeper.go
+++ b/internal/core/limit/turnkeeper.go
@@ -12,6 +12,9 @@
 	// turnsLifetime is the time without a confirmation after which a process uses fewer turns: the control group gives its turns to
 	// others after ShareLifetime.
 	turnsLifetime = 2 * ShareLifetime / 3
+	// reassignedAfter is the time without a confirmation after which the next one counts as a change, even to the same turns: they may
+	// have been given to others. It is shorter than ShareLifetime because the control group counts from an earlier query.
+	reassignedAfter = 5 * ShareLifetime / 6
 	// cautiousFactor divides the turns of a process that can't be sure that the others leave it its turns. With a quarter, the sum of
 	// all processes stays below 1.25 times the rate while any of them are cut off.
 	cautiousFactor = 4
@@ -21,7 +24,7 @@
 type TurnKeeper struct {
 	turns       Turns
 	joinedAt    time.Time // when the control group first confirmed anything to the process; zero: not yet
-	changedAt   time.Time // when the turns last changed; zero: not since they are known
+	changedAt   time.Time // when the turns last changed or were reassigned; zero: not since they are known
 	confirmedAt time.Time // when it last confirmed the turns; zero: not yet
 }
 
@@ -41,14 +44,14 @@
 		return k
 	}
 	turns := Turns{Position: position, Count: count}
-	if !k.confirmedAt.IsZero() && turns != k.turns {
+	if !k.confirmedAt.IsZero() && (turns != k.turns || now.Sub(k.confirmedAt) >= reassignedAfter) {
 		k.changedAt = now
 	}
 	k.turns, k.confirmedAt = turns, now
 	return k
 }
 
-// At returns the turns of the process at now. A process that has joined only now, or whose position has changed or was not confirmed
+// At returns the turns of the process at now. A process that has just joined, or whose position has changed or was not confirmed
 // recently, uses every fourth of its turns and none of another process.
 func (k TurnKeeper) At(now time.Time) Turns {
 	if k.confirmedAt.IsZero() {
--- a/internal/core/limit/turnkeeper_test.go
+++ b/internal/core/limit/turnkeeper_test.go
@@ -43,6 +43,14 @@
 			t.Errorf("%v after a change: turns %+v, want %+v", after, got, want)
 		}
 	}
+	rejoined := k.Confirm(start.Add(2*time.Minute), 6, 40).Confirm(start.Add(2*time.Minute+ShareLifetime), 6, 40)
+	for after, want := range map[time.Duration]Turns{
+		changeTime - 1: {Position: 6 + 2*40, Count: cautiousFactor * 40}, changeTime: {Position: 6, Count: 40},
+	} {
+		if got := rejoined.At(start.Add(2*time.Minute + ShareLifetime + after)); got != want {
+			t.Errorf("%v after the first confirmation since its turns were given to others: turns %+v, want %+v", after, got, want)
+		}
+	}
 	early := NewTurnKeeper(7).Confirm(start, 0, 0)
 	if got := early.At(start.Add(time.Hour)); got.Count != AssumedProcesses {
 		t.Errorf("turns %+v while the control group doesn't know all processes, want one of %d positions", got, AssumedProcesses)
--- a/internal/core/zonedrain/module.go
+++ b/internal/core/zonedrain/module.go
@@ -17,24 +17,24 @@
 type Command struct {
 	Zone    string `json:"zone"`
 	Drained bool   `json:"drained"`
-	// Base is the revision of the zone on which the order is based. The command has no effect if the zone has another one by then: a newer
-	// order has overtaken it.
+	// Base is the revision of the zone on which the order is based. The command has no effect if the zone has another revision when it is
+	// applied, since a newer order was accepted meanwhile.
 	Base uint64 `json:"base"`
 	By   string `json:"by"` // who gives the order
 }
 
-// Result is what became of a command.
+// Result is the result of a command.
 type Result string
 
 // Results of commands.
 const (
 	Accepted  Result = "accepted"  // the order is in force, also if it changed nothing
 	Overtaken Result = "overtaken" // there is a newer order on the zone
-	Full      Result = "full"      // too many other zones are drained
+	Full      Result = "full"      // the drain cannot begin: too many other zones are drained
 	Invalid   Result = "invalid"   // no zone can have the name
 )
 
-// Outcome is the outcome of a command.
+// Outcome is the result of a command and the state of its zone.
 type Outcome struct {
 	Result   Result `json:"result"`
 	Revision uint64 `json:"revision"` // of the zone after the command
@@ -51,10 +51,10 @@
 // Module holds the newest order on each zone.
 //
 // All accepted orders have one sequence of numbers, and the number of its newest order is the revision of a zone. An order counts even if
-// it changes nothing, so that an older one that is still under way has no effect when it arrives.
+// it changes nothing, so that an older one that arrives later has no effect.
 type Module struct {
 	orders uint64 // accepted
-	floor  uint64 // revision of the zones that are not in byName; at least that of every zone that was removed from it
+	floor  uint64 // revision of the zones that are not in byName; not below that of any zone that was removed from it
 	byName map[string]zone
 	list   *List
 }
@@ -80,6 +80,12 @@
 	return m.floor
 }
 
+// HasOrder reports whether an order on a zone is stored.
+func (m *Module) HasOrder(name string) bool {
+	_, ok := m.byName[name]
+	return ok
+}
+
 // Apply implements state.Module.
 func (m *Module) Apply(_ uint64, cmd state.Command) (json.RawMessage, error) {
 	var c Command
@@ -99,7 +105,12 @@
 	}
 	old, known := m.byName[c.Zone]
 	if !known && !m.makeRoom() {
-		return Full
+		if c.Drained {
+			return Full
+		}
+		m.orders++
+		m.floor = m.orders // the zone cannot be stored; older orders on it must still have no effect
+		return Accepted
 	}
 	m.orders++
 	next := zone{Revision: m.orders, Drained: c.Drained}
--- a/internal/core/zonedrain/zonedrain_test.go
+++ b/internal/core/zonedrain/zonedrain_test.go
@@ -245,3 +245,27 @@
 		t.Error("the revision of forgotten zones is lost with a restore")
 	}
 }
+
+// Guards against a repeated end of a drain that is refused because the zone was forgotten and all others are drained, and against an older
+// start on that zone that takes effect after it.
+func TestEndIsAcceptedWithoutRoom(t *testing.T) {
+	m := NewModule()
+	order(t, m, 1, "a", false, "op")
+	for i := range maxZones {
+		if got := order(t, m, 2, fmt.Sprint("d", i), true, "op"); got != Accepted {
+			t.Fatalf("drain %d: got result %q, want %q", i, got, Accepted)
+		}
+	}
+	delayed := Command{Zone: "a", Drained: true, Base: m.Revision("a")}
+	before := m.List()
+	if got := order(t, m, 3, "a", false, "op"); got != Accepted {
+		t.Errorf("got result %q for the repeated end, want %q", got, Accepted)
+	}
+	if m.List() != before || len(m.byName) != maxZones {
+		t.Errorf("the order changed the drains, or %d zones are stored, want %d", len(m.byName), maxZones)
+	}
+	order(t, m, 4, "d0", false, "op")
+	if got := apply(t, m, 5, delayed).Result; got != Overtaken {
+		t.Errorf("got result %q for the delayed start, want %q", got, Overtaken)
+	}
+}
