--- a/internal/control/cold.go
+++ b/internal/control/cold.go
@@ -9,8 +9,8 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// renewalTolerance is the difference of two members' cold times of a server above which the receiver of a renewal needs the full report.
-// Smaller ones result from the time that digests take.
+// renewalTolerance is the difference of two members' cold times of a server from which the receiver of a renewal needs the full report.
+// Smaller ones result from the transfer time of digests.
 const renewalTolerance = time.Second
 
 // coldTimes hold until when each backend server is cold, by id. Times that have passed mean that the server is warm.
@@ -24,7 +24,7 @@
 	return now.Add(time.Duration(min(remainingMS, route.MaxCold.Milliseconds())) * time.Millisecond)
 }
 
-// remainingMS returns how much longer a server is cold at now. A rest of a millisecond counts as one.
+// remainingMS returns how much longer a server is cold at now. Fractions of a millisecond are rounded up.
 func (c coldTimes) remainingMS(id string, now time.Time) int64 {
 	left := c[id].Sub(now)
 	if left <= 0 {
@@ -48,7 +48,7 @@
 	}
 	before, until := s.cold[b.Id], untilOf(b.ColdRemainingMs, now)
 	if known && !route.IsColdChange(now, before, until) {
-		return // watchers subtract from the time that they received; a difference that they don't receive must not add up
+		return // watchers are not told of the difference; storing it would let several of them add up
 	}
 	s.cold[b.Id] = until
 	wasCold := known && before.After(now)
--- a/internal/control/soft.go
+++ b/internal/control/soft.go
@@ -127,7 +127,7 @@
 }
 
 // renew records that an agent reported to another member without a change. It returns false if this member needs the
-// full report, also because the cold time in it is another one. A renewal received at now must not hide a report that is under way.
+// full report, also because the cold time has changed: applying the renewal would make the full report count as old.
 func (s *softState) renew(r *controlpb.Renewal, heard, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/core/route/affinity.go
+++ b/internal/core/route/affinity.go
@@ -129,8 +129,8 @@
 }
 
 // home returns the highest-ranked home of the session whose load is within bounds and at which the gap target is expected to hold, or nil
-// if there is none. Streams with a tight target also leave a home that is held up. Others stay, unless the home is slow: their shared parts are
-// long, and reading them again elsewhere holds up more.
+// if there is none. Streams with a tight target also leave a home that is held up. Others stay, unless the home is slow: their shared prefixes
+// are long, and computing them again elsewhere delays more requests.
 func (r *Router) home(now time.Time, lane []*server, req *Request, isTight bool) *server {
 	bound := float64(homeLoadSlack)
 	isBoundKnown := false // the mean load of the lane is needed only for a home with more than homeLoadSlack
@@ -216,7 +216,7 @@
 const heldUpPenalty = 0.5
 
 // gapPenalty is the penalty for a server at which the gap target is not expected to hold, as a share of a server's slots. It is bounded, so
-// that the other servers aren't overrun when many servers are slow.
+// that the other servers aren't overloaded when many servers are slow.
 const gapPenalty = 0.5
 
 // zonePenalty is the penalty for a dispatch to another availability zone, as a share of a server's slots.
--- a/internal/core/route/lanemap.go
+++ b/internal/core/route/lanemap.go
@@ -16,8 +16,8 @@
 }
 
 // laneMap assigns the ready servers of a group to the lanes of a plan, by their position in the common order. Servers that only
-// this process has quarantined are assigned too, so that all processes agree on the lanes. Servers of drained zones are not: all
-// processes know the same drains.
+// this process has quarantined are assigned too, so that all processes agree on the lanes. Servers of drained zones are not,
+// since the drains are common to all processes.
 type laneMap struct {
 	plan    *LanePlan // nil: not split
 	ready   []*server // in the common order, without those of drained zones
--- a/internal/core/route/notice.go
+++ b/internal/core/route/notice.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// MaxPause is the longest pause that a server is granted. A longer one counts as this.
+	// MaxPause bounds the pause that a server asks for. A longer one counts as this.
 	MaxPause = time.Hour
 	// maxNotices is the number of servers up to which the notices of servers that are no longer registered are kept.
 	maxNotices = 4096
--- a/internal/core/route/slowservers.go
+++ b/internal/core/route/slowservers.go
@@ -184,7 +184,7 @@
 		servers := r.Servers[:min(len(r.Servers), MaxReportedServers)]
 		for i, s := range servers {
 			isRepeated := slices.ContainsFunc(servers[:i], func(o SlowServer) bool { return o.ID == s.ID && o.Incarnation == s.Incarnation })
-			if s.Slowdown > 0 && !isRepeated { // one process has one voice
+			if s.Slowdown > 0 && !isRepeated { // each process counts once
 				key := incarnationKey{s.ID, s.Incarnation}
 				paces[key] = append(paces[key], min(s.Slowdown, MaxSlowdown))
 			}
--- a/internal/core/route/spare.go
+++ b/internal/core/route/spare.go
@@ -21,8 +21,8 @@
 // minLoadConfidence is the weight below which a load report is ignored: after two half-lives.
 const minLoadConfidence = 0.25
 
-// AppendUnfitForExtra appends the ids of the servers that must not get a request as work that could be left out, such as a hedge: those that
-// are not healthy, state a rate limit, are cold, send nothing, report no free slot or belong to another lane.
+// AppendUnfitForExtra appends the ids of the servers that must not get an optional request such as a hedge: those that take no new work, are
+// not healthy, state a rate limit, are cold or silent, report no free slot or belong to another lane.
 func (t *Table) AppendUnfitForExtra(ids []string, now time.Time, req *Request) []string {
 	g := t.groups[groupKey{req.Kind, req.Model}]
 	if g == nil {
@@ -38,7 +38,7 @@
 	return ids
 }
 
-// isFitForExtra reports whether the server may get work that could be left out.
+// isFitForExtra reports whether the server may get an optional request.
 func (s *server) isFitForExtra(now time.Time) bool {
 	if !s.takesWork(now) || s.health.state != healthy || s.limit.perSecond > 0 || s.isCold(now) || s.isSilent(now) {
 		return false
--- a/internal/core/route/warmup.go
+++ b/internal/core/route/warmup.go
@@ -21,14 +21,14 @@
 	// requests, but brings the turns nearer to the bound.
 	maxColdTurnTime = 250 * time.Millisecond
 
-	// MaxCold is the longest remaining cold time that a server is believed. A longer one counts as this.
+	// MaxCold bounds the remaining cold time that a server states. A longer one counts as this.
 	MaxCold = time.Hour
 	// coldMargin is added to a stated cold time. The control group doesn't pass on changes below coldMargin.
 	coldMargin = 250 * time.Millisecond
-	// defaultColdLength is the length of a cold start that the configuration doesn't state.
+	// defaultColdLength is the assumed length of a cold start if the configuration doesn't state it.
 	defaultColdLength = 30 * time.Second
-	// reportDelay is the longest time from a change of a server until a report of it reaches a gateway: an interval of heartbeats and the
-	// way through the control group.
+	// reportDelay is the longest time from a change of a server until its report reaches a gateway: an interval of heartbeats plus the
+	// transfer through the control group.
 	reportDelay = 2 * time.Second
 
 	// coldShare and coldEndShare are the shares of a server's capacity that count at the beginning and at the end of its cold time. Its
@@ -40,17 +40,17 @@
 	rampShare = 0.25
 	minRamp   = time.Second
 	maxRamp   = 10 * time.Second
-	// coldPenalty is the penalty for a server of which no capacity counts, as a share of a server's slots. Without it, idle servers
-	// would get the same share of the work whether they are cold or not.
+	// coldPenalty is the penalty for a server whose capacity counts as 0, as a share of a server's slots. Without it, cold idle servers
+	// would get as much work as warm ones, since the utilisation of both is 0.
 	coldPenalty = 0.3
-	// coldCost is the same for PolicyTwoChoices.
+	// coldCost is the corresponding penalty for PolicyTwoChoices.
 	coldCost = 30 * time.Millisecond
 
 	// minColdRate is the lowest rate of a cold server, in requests per second.
 	minColdRate = 1e-3
 
-	// maxColdWait bounds the time that refused requests are told, unless the first turn comes later: another process may have a turn sooner.
-	// With 5 s, 31 processes at two thirds of what their cold servers take left twice as many requests without a turn in time.
+	// maxColdWait bounds the wait that is stated in refusals, unless the first turn comes later: another process may have a turn sooner,
+	// so a longer wait leaves turns unused.
 	maxColdWait = time.Second
 )
 
@@ -103,7 +103,7 @@
 	ColdAfterDrain  ColdCause = "drain"       // the drain of its zone ended, and its state since is not known
 )
 
-// warmth is how cold a server is, as far as this process knows.
+// warmth is what this process knows about whether a server is cold.
 type warmth struct {
 	isTracked bool // false: the server was not cold recently, and the fields below but the last two don't matter; first, as it is read most
 
@@ -112,11 +112,11 @@
 	statedAt   time.Time // when the server last stated that it is cold
 	answeredAt time.Time // when an answer last stated that
 
-	lostAt      time.Time // when the server was last found unreachable; zero: not since its state is known
-	unknown     time.Time // until when it counts as cold for that
-	reachableAt time.Time // when an answer to a request sent since began; zero: none yet
+	lostAt       time.Time // when the server was last found unreachable; zero: not since its state is known
+	unknownUntil time.Time // until when it counts as cold because it was unreachable
+	reachableAt  time.Time // when an answer to a request sent since began; zero: none yet
 
-	drainDoubt time.Time // until when it counts as cold because its zone's drain ended; zero: it doesn't
+	drainUnknownUntil time.Time // until when it counts as cold because its zone's drain ended; zero: it doesn't
 
 	reportAt time.Time // when the newest report arrived
 	sequence uint64    // of that report
@@ -144,7 +144,7 @@
 	case remaining > 0:
 		s.setCold(now, remaining+coldMargin, ColdByReport, isNewer)
 	case !isNewer || now.Sub(w.answeredAt) < reportDelay:
-		// an answer that said that the server is cold is probably newer than the report
+		// the report is older, or probably older than an answer that said that the server is cold
 	default:
 		s.setWarm(now)
 		if now.Sub(w.lostAt) >= reportDelay {
@@ -203,15 +203,15 @@
 	return false
 }
 
-// setLost begins the doubt about a server that was unreachable, or may have been.
+// setLost records that the server was unreachable, or may have been, so that its state is not known.
 func (s *server) setLost(now time.Time) {
 	w := &s.warmth
 	w.isTracked = true
-	w.lostAt, w.unknown, w.reachableAt = now, now.Add(MaxCold), time.Time{}
+	w.lostAt, w.unknownUntil, w.reachableAt = now, now.Add(MaxCold), time.Time{}
 }
 
 // RecordConfirmed records that the registry was complete at the given time: every report that had reached the control group was known.
-// It ends the doubt about servers that were unreachable and have answered for reportDelay without a report that they are cold.
+// A server that was unreachable and has answered since for reportDelay without a report that it is cold counts as warm.
 func (t *Table) RecordConfirmed(now, at time.Time) {
 	for _, s := range t.servers {
 		s.reviewDrain()
@@ -230,7 +230,7 @@
 func (s *server) recordReachable(now, since time.Time) {
 	w := &s.warmth
 	if !w.lostAt.IsZero() && w.reachableAt.IsZero() && since.After(w.lostAt) {
-		w.reachableAt, w.unknown = now, now.Add(s.group.cold.length)
+		w.reachableAt, w.unknownUntil = now, now.Add(s.group.cold.length)
 	}
 }
 
@@ -252,12 +252,12 @@
 	}
 }
 
-// setKnown ends the doubt about a server that was unreachable.
+// setKnown records that the state of a server that was unreachable is known again.
 func (s *server) setKnown(now time.Time) {
 	w := &s.warmth
 	w.lostAt = time.Time{}
-	if w.unknown.After(now) {
-		w.unknown = now
+	if w.unknownUntil.After(now) {
+		w.unknownUntil = now
 	}
 }
 
@@ -267,13 +267,14 @@
 		return
 	}
 	w := &s.warmth
-	w.drainDoubt = doubtAfterDrain(s.group.table.drainEndedAt(s.Zone), w.reportAt, s.group.cold.length)
-	w.isTracked = w.isTracked || !w.drainDoubt.IsZero()
+	w.drainUnknownUntil = coldAfterDrainUntil(s.group.table.drainEndedAt(s.Zone), w.reportAt, s.group.cold.length)
+	w.isTracked = w.isTracked || !w.drainUnknownUntil.IsZero()
 }
 
-// doubtAfterDrain returns until when a server counts as cold whose zone's drain ended at a time and whose last report arrived at another
-// one; zero: it doesn't. A report of a warm server may never arrive, since it isn't material, so the doubt ends after a cold start.
-func doubtAfterDrain(ended, reportAt time.Time, length time.Duration) time.Time {
+// coldAfterDrainUntil returns until when a server counts as cold whose zone's drain ended at a time and whose last report arrived at another
+// one; zero: it doesn't. The control group may never send the report of a warm server, since it isn't material, so the time is limited to the
+// length of a cold start.
+func coldAfterDrainUntil(ended, reportAt time.Time, length time.Duration) time.Time {
 	if ended.IsZero() || reportAt.After(ended) {
 		return time.Time{}
 	}
@@ -283,11 +284,11 @@
 // coldUntil returns until when a tracked server counts as cold, and why; it may be a past time.
 func (w *warmth) coldUntil() (until time.Time, cause ColdCause) {
 	until, cause = w.until, w.cause
-	if w.unknown.After(until) {
-		until, cause = w.unknown, ColdUnreachable
+	if w.unknownUntil.After(until) {
+		until, cause = w.unknownUntil, ColdUnreachable
 	}
-	if w.drainDoubt.After(until) {
-		until, cause = w.drainDoubt, ColdAfterDrain
+	if w.drainUnknownUntil.After(until) {
+		until, cause = w.drainUnknownUntil, ColdAfterDrain
 	}
 	return until, cause
 }
@@ -331,7 +332,7 @@
 	w := &s.warmth
 	length, ramp := s.group.cold.length, s.group.cold.ramp
 	if length <= 0 {
-		length, ramp = defaultColdLength, maxRamp // the configuration doesn't know the service
+		length, ramp = defaultColdLength, maxRamp // the service is not in the configuration
 	}
 	until, _ := w.coldUntil()
 	if left := until.Sub(now); left > 0 {
--- a/internal/core/route/warmup_test.go
+++ b/internal/core/route/warmup_test.go
@@ -274,7 +274,7 @@
 		{"a report after the end", ended, ended.Add(1), time.Time{}},
 	}
 	for _, c := range cases {
-		if got := doubtAfterDrain(c.ended, c.reportAt, length); !got.Equal(c.want) {
+		if got := coldAfterDrainUntil(c.ended, c.reportAt, length); !got.Equal(c.want) {
 			t.Errorf("%s: cold until %v, want %v", c.name, got, c.want)
 		}
 	}
--- a/internal/core/route/zonedrain.go
+++ b/internal/core/route/zonedrain.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// drainEndMemory is how long the end of a drain is remembered. Servers report more often than this by far, and the remaining time of a cold
-// server is at most as long.
+// drainEndMemory is how long the end of a drain is stored. No server counts as cold for longer than MaxCold, which is the same time.
 const drainEndMemory = time.Hour
 
 // DrainedError means that every server that could take the request is in a drained availability zone.
@@ -20,7 +19,7 @@
 // Is reports that the error is an ErrNoCandidate too.
 func (*DrainedError) Is(target error) bool { return target == ErrNoCandidate }
 
-// isDrainedFor reports whether a drain is what keeps every server that is present from taking the request.
+// isDrainedFor reports whether every present server that could serve the request is in a drained zone.
 func (g *group) isDrainedFor(req *Request) bool {
 	drained := false
 	for _, s := range g.servers {
@@ -74,7 +73,7 @@
 	}
 }
 
-// setDrained records whether the server's zone is drained.
+// setDrained records whether the server's zone is drained, which changes the lanes.
 func (s *server) setDrained(drained bool) {
 	if s.drained != drained {
 		s.drained = drained
