fairqueue: repeat the floor of a waiting rank, bound the known servers

A rank that got its release by the floor was no longer counted, although other requests of it waited, until a new one entered (TestFloorRepeats). Servers were only forgotten while the service was contended, so each new id stayed for ever at a calm service (TestServersAreBounded). Both tests failed before.

The scenarios with one rank are unchanged.

--- a/internal/core/fairqueue/control.go
+++ b/internal/core/fairqueue/control.go
@@ -1,6 +1,7 @@
 package fairqueue
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -37,6 +38,8 @@
 	evidenceAge = 150 * time.Millisecond
 	// serverAge is how long a server counts as one of the service's after an answer.
 	serverAge = time.Second
+	// serverMemory is how long a server is remembered after an answer. One that is remembered alone is taken for the only one of the service.
+	serverMemory = 60 * serverAge
 	// serviceTimeWeight is the weight of one answer in the moving average of the service time.
 	serviceTimeWeight = 0.1
 	// overdueFactor is the multiple of the service time after which a request no longer counts against the limit: its server may have
@@ -116,6 +119,9 @@
 func (c *control) observe(now time.Time, took time.Duration, result Result, server string, load Load, isLimited bool) {
 	hasFree := result == Answered && load.Running+load.Waiting < load.Slots
 	slots, queued := float64(load.Slots), float64(load.Running+load.Waiting-load.Slots)
+	if _, known := c.servers[server]; !known {
+		maps.DeleteFunc(c.servers, func(_ string, r serverReport) bool { return now.Sub(r.at) > serverMemory })
+	}
 	c.servers[server] = serverReport{at: now, busy: result == Rejected || (load.Slots > 0 && queued >= aimedWaiting*slots)}
 	step := -rejectionStep
 	if result == Rejected {
@@ -202,7 +208,7 @@
 	for id, r := range c.servers {
 		age := now.Sub(r.at)
 		if age > serverAge {
-			if age > 60*serverAge {
+			if age > serverMemory {
 				delete(c.servers, id)
 			}
 			continue
--- a/internal/core/fairqueue/fairqueue_test.go
+++ b/internal/core/fairqueue/fairqueue_test.go
@@ -119,6 +119,23 @@
 	}
 }
 
+// Guards against a low rank that gets one release and then nothing, while its other requests wait and no new one enters.
+func TestFloorRepeats(t *testing.T) {
+	q := newTestQueue(t, Config{})
+	for range 3 {
+		q.enter(Request{Organisation: "low", Rank: 1, Target: time.Minute})
+	}
+	for range 4 * floorInterval {
+		q.enter(Request{Organisation: "high", Target: time.Minute})
+	}
+	names := strings.Fields(q.order())
+	for i, name := range names {
+		if (name == "low") != (i%(floorInterval+1) == floorInterval) {
+			t.Errorf("release %d is of rank %s", i, name)
+		}
+	}
+}
+
 // Guards against a full queue that refuses those who hold little of it, or a request in favour of a lower rank.
 func TestFullQueue(t *testing.T) {
 	cases := []struct {
@@ -363,3 +380,16 @@
 		t.Errorf("%d accounts", len(q.accounts))
 	}
 }
+
+// Guards against servers that are remembered for ever: each start of a server may bring a new id, and a service may never be contended.
+func TestServersAreBounded(t *testing.T) {
+	q := New(Config{})
+	for i := range 1000 {
+		now := simStart.Add(time.Duration(i) * 10 * time.Second)
+		ticket := q.Enter(now, Request{Deadline: now.Add(time.Second)}, 0)[0]
+		q.End(now, ticket, Answered, fmt.Sprint("s", i), Load{})
+	}
+	if n := len(q.control.servers); n > 10 {
+		t.Errorf("%d servers are remembered, of which one was heard of every 10 s", n)
+	}
+}
--- a/internal/core/fairqueue/queue.go
+++ b/internal/core/fairqueue/queue.go
@@ -324,7 +324,11 @@
 	q.sent = append(q.sent, t)
 	t.account.used.add(now, 1)
 	q.control.useFreeSlot()
-	delete(q.passed, t.Rank)
+	if slices.ContainsFunc(q.waiting, func(w *Ticket) bool { return w.Rank == t.Rank }) {
+		q.passed[t.Rank] = 0
+	} else {
+		delete(q.passed, t.Rank)
+	}
 	for rank := range q.passed {
 		if rank > t.Rank {
 			q.passed[rank]++
