--- a/internal/core/route/slowservers.go
+++ b/internal/core/route/slowservers.go
@@ -24,6 +24,9 @@
 	normalAfter = 15 * time.Second
 	// slowMemory is how long a server stays slow of which nothing is reported.
 	slowMemory = time.Minute
+	// listedTolerance is the difference from the listed pace above which another one is listed. It exceeds half of a step of roundPace, so that
+	// a pace between two steps doesn't change the list again and again.
+	listedTolerance = 0.4
 )
 
 // SlowServer is an incarnation of a server with its lasting pace relative to its peers.
@@ -103,6 +106,7 @@
 type slowState struct {
 	slow     bool
 	slowdown float64   // median of the processes, as last reported
+	listed   float64   // pace on the list; 0: not listed yet
 	since    time.Time // since when the reports contradict slow; zero: they don't
 	heardAt  time.Time
 }
@@ -153,7 +157,10 @@
 		case !state.slow && age > 0:
 			delete(d.byServer, key) // the processes no longer see it as an outlier
 		case state.slow:
-			list = append(list, SlowServer{key.id, key.incarnation, roundPace(state.slowdown)})
+			if math.Abs(state.slowdown-state.listed) > listedTolerance {
+				state.listed = roundPace(state.slowdown)
+			}
+			list = append(list, SlowServer{key.id, key.incarnation, state.listed})
 		}
 	}
 	return limitSlow(list, in), changes
@@ -167,7 +174,7 @@
 	for _, s := range in.Listed {
 		key := slowKey{in.Service, s.ID, s.Incarnation}
 		if d.byServer[key] == nil {
-			d.byServer[key] = &slowState{slow: true, slowdown: s.Slowdown, heardAt: now}
+			d.byServer[key] = &slowState{slow: true, slowdown: s.Slowdown, listed: s.Slowdown, heardAt: now}
 		}
 	}
 }
@@ -229,7 +236,7 @@
 	return true
 }
 
-// roundPace rounds a pace, so that small changes don't change the list.
+// roundPace rounds a pace to halves.
 func roundPace(pace float64) float64 { return math.Round(2*pace) / 2 }
 
 // limitSlow returns at most the allowed number of servers: those that are listed already before others, and slower ones before faster ones.
--- a/internal/core/route/slowservers_test.go
+++ b/internal/core/route/slowservers_test.go
@@ -102,6 +102,26 @@
 	}
 }
 
+// TestListedPaceChangesRarely guards against sessions that move because the pace of a slow server varies around a step of the listed figures.
+func TestListedPaceChangesRarely(t *testing.T) {
+	s := newSlowSim()
+	s.run(10*time.Second, paceReports(8, map[string]float64{"a": 1.8})...)
+	changes := 0
+	for i := range 60 {
+		before := s.listed
+		s.run(time.Second, paceReports(8, map[string]float64{"a": []float64{1.7, 1.8}[i%2]})...)
+		if !slices.Equal(before, s.listed) {
+			changes++
+		}
+	}
+	if len(s.listed) != 1 || changes > 0 {
+		t.Errorf("the list changed %d times while the pace was 1.7 and 1.8 in turn, now %v; want no change", changes, s.listed)
+	}
+	if s.run(time.Second, paceReports(8, map[string]float64{"a": 3})...); s.listed[0].Slowdown != 3 {
+		t.Errorf("got %v after the pace has risen to 3", s.listed)
+	}
+}
+
 // TestSlowServerWithoutReportsIsForgotten checks that a slow server stays slow while its processes have nothing to tell, but not for ever, and that
 // the state of servers that were reported once doesn't accumulate.
 func TestSlowServerWithoutReportsIsForgotten(t *testing.T) {
