--- a/internal/core/fairqueue/order.go
+++ b/internal/core/fairqueue/order.go
@@ -16,8 +16,8 @@
 	useHalfLife = time.Second
 	// floorInterval is the number of releases of higher ranks after which a rank that was passed over gets one, so that no class starves.
 	floorInterval = 15
-	// exceptionBurst is the number of further requests above the limit that may follow one at once. With none, 0.944 of the requests of the
-	// highest rank were on time while it asked for a quarter of the capacity.
+	// exceptionBurst is the number of further requests above the limit that may follow one at once. With none, requests that arrive together
+	// would be late although their organisation asks for less than its share.
 	exceptionBurst = 2
 	// maxAccounts is the number of accounts from which those without recent use are deleted.
 	maxAccounts = 256
@@ -60,7 +60,7 @@
 	waiting int
 	// exceptionAt is when the next request may be sent above the limit, without exceptionBurst.
 	exceptionAt time.Time
-	counted     int // scratch of expectedWait
+	counted     int // scratch of ahead
 }
 
 // account returns the account of an organisation in a rank, which it creates if necessary.
--- a/internal/core/route/affinity.go
+++ b/internal/core/route/affinity.go
@@ -216,7 +216,7 @@
 const heldUpPenalty = 0.5
 
 // gapPenalty is the penalty for a server at which the gap target is not expected to hold, as a share of a server's slots. It is bounded, so
-// that the other servers aren't overrun when many servers are slow.
+// that the other servers aren't overloaded when many servers are slow.
 const gapPenalty = 0.5
 
 // zonePenalty is the penalty for a dispatch to another availability zone, as a share of a server's slots.
--- a/internal/core/route/pace.go
+++ b/internal/core/route/pace.go
@@ -13,12 +13,10 @@
 const (
 	// MaxSlowdown bounds the pace that a server states.
 	MaxSlowdown = 100
-	// maxWeight bounds the weight of a server's load, so that a slow server isn't abandoned. A server that is faster than its peers has no
-	// lower weight than they: its reported load is lower anyway, and a weight of 0.5 let all processes choose it at once (1.6 times its share of
-	// the capacity in the worst second, with 8 processes and reports 1 s old).
+	// maxWeight bounds the weight of a server's load, so that a slow server still gets requests. The weight of a fast server is not below 1: its
+	// reported load is lower anyway, and with a lower weight all processes would choose it at once.
 	maxWeight = 4
-	// freshPace is the age at which a stated pace no longer tells what a server's neighbours do. The neighbours come and go
-	// within a second.
+	// freshPace is the age from which a stated pace no longer counts: other workloads on a server's machine start and end within a second.
 	freshPace = time.Second
 	// statedMemory is how long the last statement of a server counts for the median of its peers.
 	statedMemory = 10 * time.Second
@@ -58,11 +56,11 @@
 	longest   [gapSlices]gapSlice
 	nextSlice int
 
-	observed paceHistory // ratios
-	claimed  paceHistory // stated figures
-	gaps     paceHistory // longest intervals within a short time, milliseconds
-	listed   float64     // slowdown by which the control group lists the server as slow; 0: not listed
-	isSlow   bool        // it counted as slow when PaceStates was last called
+	observed      paceHistory // ratios
+	statedHistory paceHistory // stated figures
+	gaps          paceHistory // longest intervals within a short time, milliseconds
+	listed        float64     // slowdown by which the control group lists the server as slow; 0: not listed
+	isSlow        bool        // it counted as slow when PaceStates was last called
 
 	// The following figures are derived at each review.
 	gap        time.Duration // expected longest interval in a stream; 0: unknown
@@ -78,7 +76,8 @@
 	at      time.Time
 }
 
-// recordSlowdown records a stated slowdown; 0: the server states none. An absurd figure is bounded or ignored.
+// recordSlowdown records a stated slowdown; 0: the server states none. Figures above MaxSlowdown are bounded; any that is not
+// positive counts as none.
 func (s *server) recordSlowdown(now time.Time, slowdown float64) {
 	p := s.pace
 	if math.IsNaN(slowdown) || slowdown <= 0 {
@@ -87,7 +86,7 @@
 	}
 	p.stated, p.statedAt = min(slowdown, MaxSlowdown), now
 	s.isPaceKnown = true
-	p.claimed.add(now, &paceEdges, p.stated)
+	p.statedHistory.add(now, &paceEdges, p.stated)
 }
 
 // RecordIntervals records the intervals between the events of the streams of this process since the last call, and compares the servers
@@ -255,8 +254,8 @@
 	historyHalfLife = 20 * time.Second
 	// minHistory is the weight of the observations from which a lasting pace is known.
 	minHistory = 8
-	// typicalQuantile is the quantile of the lasting pace by which load is weighted. Up to it, equal servers differ by less than 1.05 even if
-	// some of them prefill prompts in most of their steps; higher ones reach 3 to 9 then.
+	// typicalQuantile is the quantile of the lasting pace by which load is weighted. Higher quantiles of the observed pace differ between equal
+	// servers if some of them prefill prompts in most of their steps.
 	typicalQuantile = 0.5
 	// badQuantile is the quantile by which a server counts as slow. Streams with tight targets miss them in the bad moments.
 	badQuantile = 0.9
@@ -336,17 +335,17 @@
 }
 
 // lastingPace is a quantile of the pace over some time by its two sources; 0: unknown.
-type lastingPace struct{ observed, claimed float64 }
+type lastingPace struct{ observed, stated float64 }
 
 func (l lastingPace) orElse(o lastingPace) lastingPace {
-	return lastingPace{firstPositive(l.observed, o.observed), firstPositive(l.claimed, o.claimed)}
+	return lastingPace{firstPositive(l.observed, o.observed), firstPositive(l.stated, o.stated)}
 }
 
 // medianLasting returns the medians of a quantile over the servers; 0: too few are known.
 func medianLasting(now time.Time, servers []*server, quantile float64) lastingPace {
 	return lastingPace{
 		observed: median(servers, func(s *server) float64 { return s.pace.observed.quantile(now, &paceEdges, quantile) }),
-		claimed:  median(servers, func(s *server) float64 { return s.pace.claimed.quantile(now, &paceEdges, quantile) }),
+		stated:   median(servers, func(s *server) float64 { return s.pace.statedHistory.quantile(now, &paceEdges, quantile) }),
 	}
 }
 
@@ -357,14 +356,14 @@
 	if peers.observed > 0 {
 		observed = p.observed.quantile(now, &paceEdges, quantile) / peers.observed
 	}
-	claimed := p.claimed.quantile(now, &paceEdges, quantile) / firstPositive(peers.claimed, 1)
+	stated := p.statedHistory.quantile(now, &paceEdges, quantile) / firstPositive(peers.stated, 1)
 	switch {
 	case observed == 0:
-		return claimed
-	case claimed == 0:
+		return stated
+	case stated == 0:
 		return observed
 	default:
-		return min(observed, claimed)
+		return min(observed, stated)
 	}
 }
 
--- a/internal/core/route/slowservers.go
+++ b/internal/core/route/slowservers.go
@@ -87,7 +87,7 @@
 	out := make(map[*server]float64, len(g.servers))
 	g.lastingPaces(now, typicalQuantile, func(s *server, pace float64) { out[s] = pace })
 	g.lastingPaces(now, badQuantile, func(s *server, pace float64) {
-		if out[s] > 0 && s.pace.claimed.total > 0 {
+		if out[s] > 0 && s.pace.statedHistory.total > 0 {
 			out[s] = max(out[s], pace/badFactor)
 		}
 	})
@@ -191,7 +191,7 @@
 		servers := r.Servers[:min(len(r.Servers), MaxReportedServers)]
 		for i, s := range servers {
 			isRepeated := slices.ContainsFunc(servers[:i], func(o SlowServer) bool { return o.ID == s.ID && o.Incarnation == s.Incarnation })
-			if s.Slowdown > 0 && !isRepeated { // one process has one voice
+			if s.Slowdown > 0 && !isRepeated { // each process counts once
 				key := incarnationKey{s.ID, s.Incarnation}
 				paces[key] = append(paces[key], min(s.Slowdown, MaxSlowdown))
 			}
--- a/internal/gateway/fairness.go
+++ b/internal/gateway/fairness.go
@@ -79,7 +79,7 @@
 	return service != nil && service.Engine == nil
 }
 
-// isContended reports whether the queue of the service of x holds requests or would.
+// isContended reports whether fair shares apply to x and its service is contended.
 func (f *fairness) isContended(x *exchange) bool {
 	if !f.applies(x) {
 		return false
@@ -137,7 +137,7 @@
 	case ctx.Err() != nil:
 		p.end()
 		f.count(metricHeldRefuse, s.name, telemetry.Label{Name: "reason", Value: reasonCallerGone})
-		return nil, notRun(http.StatusServiceUnavailable, "deadline_exceeded", "the request was held until its end")
+		return nil, notRun(http.StatusServiceUnavailable, "deadline_exceeded", "the deadline passed while the request waited for a contended service")
 	}
 	f.server.logStep(x, eventReleased, slog.Int64("held_ms", held.Milliseconds()))
 	return p, nil
@@ -155,7 +155,7 @@
 type standing struct {
 	fairqueue.Status
 	fairqueue.Standing
-	expected time.Duration
+	expected time.Duration // wait when the request entered or was refused
 }
 
 // attrs returns the log attributes that tell why a request was held or refused.
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// paceInterval is the time between two comparisons of the pace of backend servers. Their neighbours come and go within a second.
+	// paceInterval is the time between two comparisons of the pace of backend servers. Other workloads on their machines start and end within
+	// a second.
 	paceInterval = 250 * time.Millisecond
 	// slowWrite is the time for sending a part of a stream to its caller from which the interval before the next part says nothing about
 	// the backend server.
@@ -53,7 +54,7 @@
 	metricHomesLeft   = "gateway_homes_left_for_gap"  // streams that didn't get their session's server because of their gap target
 )
 
-// maxPaceLogs bounds the log lines on the pace of servers in each second. Neighbours may slow many servers at once.
+// maxPaceLogs bounds the log lines on the pace of servers in each second. Other workloads may slow many servers at once.
 const maxPaceLogs = 20
 
 // watchPaces compares the pace of the backend servers at intervals, and logs changes.
@@ -109,7 +110,7 @@
 	m.homesLeft = homesLeft
 }
 
-// setSlowdown updates the gauge of a server. One of which nothing is known is as its peers.
+// setSlowdown updates the gauge of a server. It is 100 if the pace is unknown or not above that of the peers.
 func (s *Server) setSlowdown(state route.PaceState) {
 	if metrics := s.cfg.Metrics; metrics != nil {
 		slowdown := max(state.Lasting, state.Listed, 1)
--- a/internal/serverset/intervals.go
+++ b/internal/serverset/intervals.go
@@ -15,7 +15,8 @@
 	shortestInterval = time.Millisecond
 	// minIntervals is the number of intervals from which the short one is taken.
 	minIntervals = 8
-	// shortQuantile is the quantile of the intervals that is the short one. Fewer may be shorter because of the network.
+	// shortQuantile is the quantile that is taken as the short interval. The lowest ones may be those of events that the network delivered
+	// together.
 	shortQuantile = 0.2
 )
 
