gateway: answer requests whose body read was ended by a refusal

net/http cancels the context of a request when a read of its body fails, also by a read deadline that the gateway has set. The gateway took that for the caller's end and closed the connection without the 408 or 503 that says that the request did not run.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -62,8 +62,8 @@
 // respondRefused sends the gateway's own final answer, unless the caller has disconnected.
 func (s *Server) respondRefused(w http.ResponseWriter, r *http.Request, x *exchange, ref *refusal) {
 	e := requestOutcome{status: ref.status, code: ref.code, reason: ref.message, verdict: ref.verdict}
-	// The abort of a shutdown ends the read of a body, which net/http takes for the caller's end.
-	e.callerGone = errors.Is(r.Context().Err(), context.Canceled) && s.aborted.Err() == nil
+	// The abort of a shutdown and the refusal of a body end its read, which net/http takes for the caller's end.
+	e.callerGone = errors.Is(r.Context().Err(), context.Canceled) && s.aborted.Err() == nil && !endsBodyRead(ref)
 	if !e.callerGone {
 		if ref.verdict == verdict.NotRun && ref.status == http.StatusServiceUnavailable && ref.retryAfter == 0 {
 			ref.retryAfter = x.retryAfter()
--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -52,3 +52,8 @@
 	}
 	return nil
 }
+
+// endsBodyRead reports whether ref refuses a body whose read the gateway itself has ended.
+func endsBodyRead(ref *refusal) bool {
+	return ref.code == requestmemory.CodeTooSlow || ref.code == requestmemory.CodeNoMemory
+}
