Plainer names and comments in the code of request memory and hedging

Renames Limits.Patience to RefuseAfter, measuredShare to measuredInterval, the client groups of test/clients and the training requests of the hedge tests. Behaviour is unchanged.

--- a/internal/config/requestlimits.go
+++ b/internal/config/requestlimits.go
@@ -35,7 +35,7 @@
 	unfinishedBytes = 64 << 10
 	// connectionBytes is the memory of a connection: two buffers of 4 KiB, a goroutine and a small head.
 	connectionBytes = 24 << 10
-	// largeHeadBytes is the memory of a head of 16 KiB with DefaultHeadLines lines, and headsShare the part of the memory for such.
+	// largeHeadBytes is the memory of a head of 16 KiB with DefaultHeadLines lines, and headsShare the part of memory_limit_mb, one tenth, for such heads.
 	largeHeadBytes = 64 << 10
 	headsShare     = 10
 	// ownDescriptors are kept for files and for connections to the control group.
--- a/internal/core/bodybudget/bodybudget.go
+++ b/internal/core/bodybudget/bodybudget.go
@@ -16,8 +16,8 @@
 	// ProgressBytes must arrive within Stall, or an unfinished body counts as stalled. This matters only while memory is short.
 	ProgressBytes int
 	Stall         time.Duration
-	// Patience is how long a body waits for memory, while none is stalled, until the newest unfinished body is refused.
-	Patience time.Duration
+	// RefuseAfter is how long a body waits for memory, while none is stalled, before the newest unfinished body is refused.
+	RefuseAfter time.Duration
 }
 
 // Shares of the limits that only small bodies can use.
@@ -51,7 +51,7 @@
 	byOwner    map[string]*owned
 	unfinished map[*Body]struct{}
 	releasing  int       // bodies that were refused and have not been released
-	noStall    time.Time // no body stalls before, so that a wait costs no search
+	noStall    time.Time // no body can be stalled before this time, so that bodies that wait need not be searched
 }
 
 // owned is what one owner's bodies hold.
@@ -113,7 +113,7 @@
 		return false, nil
 	}
 	refuse = b.worstStalled(now, scope)
-	if refuse == nil && now.Sub(x.waitingFrom) >= b.limits.Patience {
+	if refuse == nil && now.Sub(x.waitingFrom) >= b.limits.RefuseAfter {
 		refuse = b.newest(scope)
 	}
 	b.refuse(refuse)
--- a/internal/core/bodybudget/bodybudget_test.go
+++ b/internal/core/bodybudget/bodybudget_test.go
@@ -6,7 +6,7 @@
 )
 
 var testLimits = Limits{
-	Bytes: 800, OwnerBytes: 400, Unfinished: 8, SmallBytes: 20, ProgressBytes: 10, Stall: time.Second, Patience: 2 * time.Second,
+	Bytes: 800, OwnerBytes: 400, Unfinished: 8, SmallBytes: 20, ProgressBytes: 10, Stall: time.Second, RefuseAfter: 2 * time.Second,
 }
 
 var start = time.Unix(1000, 0)
@@ -98,7 +98,7 @@
 	b.Release(small)
 	b.Progress(now.Add(time.Second), newer, 20)
 	b.Progress(now.Add(time.Second), x, 20)
-	later := now.Add(testLimits.Patience)
+	later := now.Add(testLimits.RefuseAfter)
 	b.Progress(later, newer, 20)
 	b.Progress(later, x, 20)
 	if ok, refuse := b.Reserve(later, y, 200); ok || refuse != y {
--- a/internal/core/hedge/hedge.go
+++ b/internal/core/hedge/hedge.go
@@ -16,10 +16,9 @@
 	lateQuantile = 0.95
 	// slowServerQuantile applies instead at a server that is known to be slow: half of the requests elsewhere have begun to be answered.
 	slowServerQuantile = 0.5
-	// measuredShare is the share of the late requests at a slow server that are not hedged, one of this number. A cancelled request tells
-	// nothing of how slow a server is. If all were hedged, the health check would not set it aside: with one server of ten that takes 50 times
-	// as long, the slowest hundredth of the answers took 85 ms or more with hedges and 24 ms without; with this share it takes 43 ms.
-	measuredShare = 8
+	// measuredInterval is the number of late requests at a slow server of which one is not hedged. A cancelled request does not show how slow a
+	// server is: if all were hedged, the health check would never set the server aside.
+	measuredInterval = 8
 	// maxLateShare is the share of late requests above which the cause is not a single server. One server of three that is slow stays
 	// below it.
 	maxLateShare = 0.4
@@ -54,7 +53,7 @@
 	RetryBudget   Reason = "retry_budget"   // the retry budget of the service is exhausted
 	Measured      Reason = "measured"       // the server is slow, and this request measures how slow
 	NoServer      Reason = "no_server"      // no other server is fit
-	PromptBlocked Reason = "prompt_blocked" // requests with a part of the prompt are refused by now
+	PromptBlocked Reason = "prompt_blocked" // requests with a part of the prompt are refused
 )
 
 // Class identifies requests with similar times to the first byte.
@@ -231,14 +230,14 @@
 	}
 }
 
-// isMeasured reports whether a late request measures a slow server, as the first of each measuredShare does.
+// isMeasured reports whether a late request measures a slow server, as the first of each measuredInterval does.
 func (s *Service) isMeasured(now time.Time, server Server) bool {
 	pace := s.servers[server]
 	if !pace.isSlow(now) {
 		return false
 	}
 	pace.late++
-	return pace.late%measuredShare == 1
+	return pace.late%measuredInterval == 1
 }
 
 // Take uses one hedge of the share, or returns false if there is none left.
--- a/internal/core/hedge/hedge_test.go
+++ b/internal/core/hedge/hedge_test.go
@@ -199,7 +199,7 @@
 		return usual(i)
 	})
 	measured := 0
-	for range 10 * measuredShare {
+	for range 10 * measuredInterval {
 		switch reason := s.Decide(now, allowed(func(c *Conditions) { c.Server = serverOf(0) })); reason {
 		case Measured:
 			measured++
@@ -209,7 +209,7 @@
 		}
 	}
 	if measured != 10 {
-		t.Errorf("%d of %d late requests measure the slow server, want 10", measured, 10*measuredShare)
+		t.Errorf("%d of %d late requests measure the slow server, want 10", measured, 10*measuredInterval)
 	}
 	if reason := s.Decide(now, allowed(func(c *Conditions) { c.Server = serverOf(1) })); reason != Allowed {
 		t.Errorf("got %q at another server, want it allowed", reason)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -108,8 +108,8 @@
 	return nil
 }
 
-// readBody reads the body of a request within the limits on its size, time and memory. The memory counts as the organisation's or, if that
-// is empty, as the caller's address's.
+// readBody reads the body of a request within the limits on its size, time and memory. The memory is accounted to the
+// organisation or, if that is empty, to the caller's address.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, organisation string) ([]byte, *refusal) {
 	if e := r.Header.Get("Content-Encoding"); e != "" && e != "identity" {
 		return nil, refuse(http.StatusUnsupportedMediaType, "unsupported_encoding",
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -17,10 +17,10 @@
 )
 
 const (
-	// usualTime is the time to the first byte that the servers of these tests have taught the gateway before the request under test.
+	// usualTime is the time to the first byte that the servers of these tests have while the gateway learns it, before the request under test.
 	usualTime = 20 * time.Millisecond
-	// lessons is the number of requests that teach it.
-	lessons = 100
+	// trainingRequests is the number of requests from which the gateway learns usualTime.
+	trainingRequests = 100
 )
 
 // hedgeTest is a fleet of two servers whose gateway has learned usualTime. The answers of the request under test are those of its first and its
@@ -32,27 +32,27 @@
 	sent    int
 }
 
-// lesson is the prefix of the ids of the requests that teach the gateway.
-const lesson = "lesson"
+// trainingID is the prefix of the ids of the requests from which the gateway learns.
+const trainingID = "training"
 
 // startHedgeTest returns a fleet of three servers that has learned the times of a path. A request after this gets the scripts in the order of its sends.
 func startHedgeTest(t *testing.T, path string, scripts ...func(r *http.Request) []part) *hedgeTest {
 	h := &hedgeTest{scripts: scripts}
 	h.virtualFleet = newVirtualFleet(t, 3, 0.2, func(_ int, r *http.Request) []part {
-		if strings.HasPrefix(r.Header.Get("X-Id"), lesson) {
+		if strings.HasPrefix(r.Header.Get("X-Id"), trainingID) {
 			if strings.HasPrefix(r.URL.Path, "/resume/") {
 				return events(r, usualTime, "id: 1\n\n")
 			}
-			return whole(r, usualTime, 200, seal, "lesson")
+			return whole(r, usualTime, 200, seal, "training")
 		}
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.sent++
 		return h.scripts[min(h.sent, len(h.scripts))-1](r)
 	})
-	for range lessons {
-		if a := h.doAs(t.Context(), lesson, http.MethodGet, path); a.status != 200 {
-			t.Fatalf("lesson: status %d", a.status)
+	for range trainingRequests {
+		if a := h.doAs(t.Context(), trainingID, http.MethodGet, path); a.status != 200 {
+			t.Fatalf("training request: status %d", a.status)
 		}
 	}
 	h.gw.usage.Flush(context.Background())
@@ -289,8 +289,8 @@
 			}
 			return whole(r, usualTime, 200, seal, "x")
 		})
-		for range lessons {
-			f.doAs(t.Context(), lesson, http.MethodGet, "/safe/x")
+		for range trainingRequests {
+			f.doAs(t.Context(), trainingID, http.MethodGet, "/safe/x")
 		}
 		f.doMany(300, 20*time.Millisecond, http.MethodGet, "/safe/x")
 		if f.hedgeCount("safe", hedgeWon) == 0 {
@@ -382,7 +382,7 @@
 func TestHedgesDoNotAmplify(t *testing.T) {
 	cases := []struct {
 		name   string
-		answer func(r *http.Request) []part // after the lessons
+		answer func(r *http.Request) []part // after the training requests
 		reason string                       // expected for hedges that were not allowed
 		extra  float64                      // upper limit of sends beyond the first, as a share of the requests
 	}{
@@ -397,13 +397,13 @@
 			const requests = 2000
 			synctest.Test(t, func(t *testing.T) {
 				f := newVirtualFleet(t, 10, 0.1, func(_ int, r *http.Request) []part {
-					if strings.HasPrefix(r.Header.Get("X-Id"), lesson) {
+					if strings.HasPrefix(r.Header.Get("X-Id"), trainingID) {
 						return whole(r, spread(r), 200, seal, "x")
 					}
 					return c.answer(r)
 				})
 				for range 500 {
-					f.doAs(t.Context(), lesson, http.MethodGet, "/safe/x")
+					f.doAs(t.Context(), trainingID, http.MethodGet, "/safe/x")
 				}
 				before := f.sendCount()
 				f.doMany(requests, 10*time.Millisecond, http.MethodGet, "/safe/x")
@@ -487,8 +487,8 @@
 			r.Header.Set("X-Prompt", "9000")
 			r.Header.Set("X-Parts", "1:4000,2:4000,3:1000")
 		}
-		for range lessons {
-			f.doAs(t.Context(), lesson, http.MethodGet, "/cached/x", prompt)
+		for range trainingRequests {
+			f.doAs(t.Context(), trainingID, http.MethodGet, "/cached/x", prompt)
 		}
 		f.doAs(t.Context(), "asked", http.MethodGet, "/cached/x", prompt)
 		sends := f.sendsOf("asked")
@@ -586,7 +586,7 @@
 				sent++
 				return draw(req, r.Kind.String() == "streaming", sent, p.kind, p.after)
 			})
-			f.teach(&r)
+			f.train(&r)
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			if gone < 200*time.Millisecond {
@@ -611,12 +611,12 @@
 	}
 }
 
-// teach makes the gateway know the usual times of a route, also of one whose requests are never hedged and so not observed.
-func (f *virtualFleet) teach(r *catalog.Route) {
+// train makes the gateway know the usual times of a route, also of one whose requests are never hedged and so not observed.
+func (f *virtualFleet) train(r *catalog.Route) {
 	f.gw.hedges.mu.Lock()
 	defer f.gw.hedges.mu.Unlock()
 	service := f.gw.hedges.forService("app")
-	for range lessons {
+	for range trainingRequests {
 		service.OnRequest(time.Now())
 		service.RecordFirst(time.Now(), hedge.ClassOf(r.Name, 0), hedge.Server{ID: "s0", Incarnation: "1"}, usualTime)
 		f.gw.budgets.recordRequest("app")
--- a/internal/process/zonedrain_test.go
+++ b/internal/process/zonedrain_test.go
@@ -158,9 +158,9 @@
 	})
 }
 
-// TestDrainOutlastsAllMembers orders a drain, ends all control members suddenly right after the acknowledgement and starts them on their
+// TestDrainSurvivesRestartOfAllMembers orders a drain, ends all control members suddenly right after the acknowledgement and starts them on their
 // data. The drain must still be in force, at the gateways that ran on and at one that starts later, and its end too must outlast them.
-func TestDrainOutlastsAllMembers(t *testing.T) {
+func TestDrainSurvivesRestartOfAllMembers(t *testing.T) {
 	f := newDrainFixture(t)
 	gateway := startPromptGateway(f.discoveryGroup, "gateway-1")
 	f.waitForZones("all zones are used", gateway, "a", "b", "c")
--- a/internal/requestmemory/handler.go
+++ b/internal/requestmemory/handler.go
@@ -18,7 +18,7 @@
 	largeBytes = 256 << 10
 	// operatorWait bounds the wait of an operator's body for memory, and for its turn. Operators' calls are sent again after 1 s.
 	operatorWait = 800 * time.Millisecond
-	// joiningWait bounds the wait of a body for memory below JoiningHandler.
+	// joiningWait bounds the wait of a body for memory if it is read by a request of JoiningHandler.
 	joiningWait = 2 * time.Second
 )
 
@@ -41,8 +41,8 @@
 	return m.handler(next, make(chan struct{}, 1))
 }
 
-// JoiningHandler is Handler for requests that may last: large bodies are handled together, and each one counts twice, in the blocks in which
-// it arrived and in one piece.
+// JoiningHandler is like Handler, for requests that may take long: large bodies are handled concurrently. A body of several blocks counts twice,
+// since it is held in its blocks and in one piece while they are joined.
 func (m *Memory) JoiningHandler(next http.Handler) http.Handler { return m.handler(next, nil) }
 
 func (m *Memory) handler(next http.Handler, turns chan struct{}) http.Handler {
@@ -114,7 +114,7 @@
 	}
 }
 
-// Owner returns whose memory the body of a request counts as: the organisation's or, if that is empty, the client's address's.
+// Owner returns the owner of the memory of a request's body: the organisation or, if that is empty, the client's address.
 func Owner(organisation string, r *http.Request) string {
 	if organisation != "" {
 		return "organisation " + organisation
--- a/internal/requestmemory/requestmemory.go
+++ b/internal/requestmemory/requestmemory.go
@@ -29,12 +29,13 @@
 	// blockBytes is the size of the blocks of which a large body consists. A body of unknown size begins with firstBlockBytes.
 	blockBytes      = 64 << 10
 	firstBlockBytes = 4 << 10
-	// retryInterval is the time after which a waiting body is looked at again, unless memory is released before.
+	// retryInterval is the time after which a waiting body tries to reserve memory again, unless memory is released before.
 	retryInterval = 100 * time.Millisecond
-	// progressBytes must arrive in stallTime, and patience is the longest wait for memory, while it is short.
+	// While memory is short, a body of which fewer than progressBytes arrive within stallTime counts as stalled, and the newest unfinished body
+	// is refused once another one has waited for refuseAfter.
 	progressBytes = 4 << 10
 	stallTime     = 500 * time.Millisecond
-	patience      = 500 * time.Millisecond
+	refuseAfter   = 500 * time.Millisecond
 	// retryAfter is stated with refusals for lack of memory.
 	retryAfter = time.Second
 )
@@ -79,7 +80,7 @@
 func NewLimits(bytes, ownerBytes, unfinished int) bodybudget.Limits {
 	return bodybudget.Limits{
 		Bytes: bytes, OwnerBytes: ownerBytes, Unfinished: unfinished, SmallBytes: blockBytes, ProgressBytes: progressBytes,
-		Stall: stallTime, Patience: patience,
+		Stall: stallTime, RefuseAfter: refuseAfter,
 	}
 }
 
--- a/internal/requestmemory/requestmemory_test.go
+++ b/internal/requestmemory/requestmemory_test.go
@@ -151,7 +151,7 @@
 func TestWaitForMemoryIsBounded(t *testing.T) {
 	cfg := DefaultConfig()
 	cfg.Limits = NewLimits(2*blockBytes, 2*blockBytes, 10)
-	cfg.Limits.Patience = time.Hour
+	cfg.Limits.RefuseAfter = time.Hour
 	m := New(cfg)
 	holder, _ := m.budget.Begin(time.Now(), "o", 2*blockBytes)
 	if ok, _ := m.budget.Reserve(time.Now(), holder, 2*blockBytes); !ok || !m.budget.Complete(holder) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -338,7 +338,8 @@
 }
 
 // MayHaveEnded reports whether the process at an address has ended, is about to or can't be asked: no new connection can be made, or it is
-// closed again within the given time, or ctx ends. The connections of a process that is killed end one after the other, and its listener may be the last.
+// closed again within the given time, or ctx ends. The connections of a process that is killed end one after the other, and its listener may
+// be the last.
 func (c *Client) MayHaveEnded(ctx context.Context, address string, within time.Duration) bool {
 	cn, err := c.dialRepeatedly(ctx, address)
 	if err != nil {
--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -35,17 +35,17 @@
 	fewDescriptors = descriptors{limit: 192, bound: 176}
 )
 
-// crowd is a number of clients that all send the same.
-type crowd struct {
+// clientGroup is a number of clients that all send the same.
+type clientGroup struct {
 	name        string
 	clients     int
 	descriptors descriptors
 	send        func(w io.Writer) error // returns when all is sent or the connection has ended
 }
 
-// gatewayCrowds are the crowds that connect to a gateway.
-func gatewayCrowds() []crowd {
-	return []crowd{
+// gatewayClientGroups are the client groups that connect to a gateway.
+func gatewayClientGroups() []clientGroup {
+	return []clientGroup{
 		{"heads over the limit", 256, fewDescriptors, sendAll(requestHead("POST", gatewayPath), bytes.Repeat([]byte("X-Fill: "+strings.Repeat("x", 1000)+"\r\n"), 512))},
 		{"heads without end", 256, fewDescriptors, sendEndless(requestHead("POST", gatewayPath), []byte("X-Fill: "+strings.Repeat("x", 1000)+"\r\n"))},
 		{"heads that stop short of the limit", 256, fewDescriptors, sendAll(requestHead("POST", gatewayPath), bytes.Repeat([]byte("X: y\r\n"), maxHeadBytes/6-200))},
@@ -60,16 +60,16 @@
 	}
 }
 
-// TestGatewayOutlastsClients guards against a gateway that exceeds its memory limit or has no descriptors left because of what clients
+// TestGatewayStaysWithinLimits guards against a gateway that exceeds its memory limit or has no descriptors left because of what clients
 // with a valid key send.
-func TestGatewayOutlastsClients(t *testing.T) {
+func TestGatewayStaysWithinLimits(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	for _, c := range gatewayCrowds() {
+	for _, c := range gatewayClientGroups() {
 		t.Run(c.name, func(t *testing.T) {
 			s := newSystem(t, maxBodyBytes, memoryLimitMB, c.descriptors)
-			s.endure(s.gateway, s.gatewayAddress, c)
+			s.connectClients(s.gateway, s.gatewayAddress, c)
 			s.expectAnswer(lengthHead(gatewayPath, 5), []byte("order"))
 		})
 	}
@@ -78,10 +78,10 @@
 // operatorBodyBytes is the size of the bodies that clients announce to a control member, whose own limit is 8 MiB.
 const operatorBodyBytes = 4 << 20
 
-// operatorCrowds are the crowds that connect to the address of a control member for operators and backend servers.
-func operatorCrowds() []crowd {
+// operatorClientGroups are the client groups that connect to the address of a control member for operators and backend servers.
+func operatorClientGroups() []clientGroup {
 	const path = "/Config.Replace"
-	return []crowd{
+	return []clientGroup{
 		{"connections without a request", 256, fewDescriptors, sendAll()},
 		{"heads without end", 256, fewDescriptors, sendEndless(requestHead("POST", path), []byte("X-Fill: "+strings.Repeat("x", 1000)+"\r\n"))},
 		{"bodies that stop short", 48, manyDescriptors, sendAll(lengthHead(path, operatorBodyBytes), make([]byte, operatorBodyBytes-missingBytes))},
@@ -89,18 +89,18 @@
 	}
 }
 
-// TestControlMemberOutlastsClients guards against a control member that exceeds its memory limit or has no descriptors left because of
+// TestControlMemberStaysWithinLimits guards against a control member that exceeds its memory limit or has no descriptors left because of
 // what clients send to its address for operators.
-func TestControlMemberOutlastsClients(t *testing.T) {
+func TestControlMemberStaysWithinLimits(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	for _, c := range operatorCrowds() {
+	for _, c := range operatorClientGroups() {
 		t.Run(c.name, func(t *testing.T) {
 			s := newSystem(t, maxBodyBytes, memoryLimitMB, c.descriptors)
-			s.endure(s.control, s.operatorAddress, c)
+			s.connectClients(s.control, s.operatorAddress, c)
 			s.version++
-			s.await("a configuration after the crowd", s.replaceConfiguration)
+			s.await("a configuration after the clients", s.replaceConfiguration)
 		})
 	}
 }
--- a/test/clients/system_test.go
+++ b/test/clients/system_test.go
@@ -277,8 +277,8 @@
 	return res.StatusCode, err
 }
 
-// endure connects a crowd to a process until all clients have sent what they send, and checks the process meanwhile.
-func (s *system) endure(p *process, address string, c crowd) {
+// connectClients connects a group of clients to a process until all clients have sent what they send, and checks the process meanwhile.
+func (s *system) connectClients(p *process, address string, c clientGroup) {
 	s.t.Helper()
 	before := p.peakMemory(s.t)
 	leave := make(chan struct{})
