fairqueue: no wait for a request in flight if there is none

Ruled out: connection limits and net/http's timeouts; the log ends after the attempt. Change: without a request in flight only the pause counts. TestMisdirectedRequestIsRefused failed before (EOF) and passes.

--- a/internal/core/fairqueue/order.go
+++ b/internal/core/fairqueue/order.go
@@ -142,8 +142,8 @@
 func (q *Queue) nextRelease(now time.Time) time.Duration {
 	pause := max(0, q.control.pausedUntil.Sub(now))
 	i := q.firstActive(now)
-	if float64(len(q.sent)-i+1) <= q.control.limit {
-		return pause
+	if i == len(q.sent) || float64(len(q.sent)-i+1) <= q.control.limit {
+		return pause // before the service was contended, there is no limit and nothing need be in flight
 	}
 	return max(pause, q.sent[i].SentAt.Add(q.control.serviceTime).Sub(now))
 }
--- a/internal/gateway/fairness_test.go
+++ b/internal/gateway/fairness_test.go
@@ -358,3 +358,19 @@
 		})
 	}
 }
+
+// TestMisdirectedRequestIsRefused guards against a connection that is closed without an answer: the Retry-After of a request that every
+// server turned away was computed from a limit that no answer had set yet.
+func TestMisdirectedRequestIsRefused(t *testing.T) {
+	s := newBackend(t, func(r *http.Request, _ string) string { return fullAnswer(r, http.StatusMisdirectedRequest, "", "") })
+	b, _ := newFairFixture(t, s)
+	for _, path := range []string{"/unsafe/x", "/safe/x"} {
+		res, _, err := b.do(http.MethodPost, path)
+		if err != nil {
+			t.Fatalf("%s: %v, want a refusal", path, err)
+		}
+		if res.StatusCode != http.StatusServiceUnavailable || res.Header.Get(headerVerdict) != "not_run" {
+			t.Errorf("%s: status %d, verdict %q; want 503, not_run", path, res.StatusCode, res.Header.Get(headerVerdict))
+		}
+	}
+}
