--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -196,13 +196,14 @@
 	}
 	switch state {
 	case http.StateActive:
+		// The head is complete, so it no longer counts among the incomplete large ones.
+		g.mu.Lock()
+		g.releaseLargeHead(c)
+		g.mu.Unlock()
 		c.isActive.Store(true)
 	case http.StateIdle:
 		g.mu.Lock()
-		if c.isLarge {
-			c.isLarge = false
-			g.large--
-		}
+		g.releaseLargeHead(c)
 		c.inHead, c.since = false, time.Now()
 		c.headBytes, c.headLines = 0, 0
 		g.mu.Unlock()
@@ -210,6 +211,14 @@
 	}
 }
 
+// releaseLargeHead ends the count of the connection's head as a large one. mu must be held.
+func (g *Guard) releaseLargeHead(c *conn) {
+	if c.isLarge {
+		c.isLarge = false
+		g.large--
+	}
+}
+
 // Read reads from the connection, within the limits on a head until that is complete.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.isActive.Load() || c.guard.cfg.Encrypted {
--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -187,3 +187,22 @@
 		}
 	}
 }
+
+// TestCompleteLargeHeadsAreNotBounded guards against ordinary callers whose connections are closed because requests with large heads are
+// in progress.
+func TestCompleteLargeHeadsAreNotBounded(t *testing.T) {
+	s := newServer(t, Config{MaxConns: 100, MaxLargeHeads: 1})
+	header := " HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 10<<10) + "\r\n\r\n"
+	first := connect(t, s)
+	first.send("GET /wait" + header)
+	<-s.waiting
+	second := connect(t, s)
+	second.send("GET /" + header)
+	if got := second.status(); got != http.StatusOK {
+		t.Errorf("got %d beside a request in progress with a large head, want 200", got)
+	}
+	close(s.release)
+	if got := first.status(); got != http.StatusOK {
+		t.Errorf("request in progress: got %d, want 200", got)
+	}
+}
--- a/internal/core/route/slowservers.go
+++ b/internal/core/route/slowservers.go
@@ -54,7 +54,7 @@
 		report := PaceReport{Service: key.model}
 		known := 0
 		for s, pace := range g.slowdowns(now) {
-			if s.Lifecycle != LifecycleReady || pace == 0 {
+			if s.Lifecycle != LifecycleReady || s.drained || pace == 0 {
 				continue
 			}
 			known++
--- a/internal/core/route/slowservers_test.go
+++ b/internal/core/route/slowservers_test.go
@@ -394,3 +394,17 @@
 		}
 	}
 }
+
+// TestPaceReportsLeaveOutDrainedServers guards against a coverage above 1: servers of a drained zone get no work, so their pace is out of
+// date.
+func TestPaceReportsLeaveOutDrainedServers(t *testing.T) {
+	table := newPaceTable(6)
+	now := observePaces(table, epoch, 20*time.Second, halfSpeed(2))
+	drained := table.servers["s002"]
+	drained.Zone = "drained"
+	table.SetDrainedZones(now, []string{"drained"})
+	reports := table.PaceReports(now)
+	if len(reports) != 1 || len(reports[0].Servers) != 0 || !isAbout(reports[0].Coverage, 1) {
+		t.Errorf("got reports %+v, want no slow server at a coverage of 1", reports)
+	}
+}
