fairqueue: requests sent above the limit follow each other in 5 ms

Cause, found in review: while no recent answer said that the servers were busy, each held request that was due let another one go at once, so that a service that stalled got all of them. Evidence also counted as old after 150 ms where requests take longer than that. Change: one such send in offerInterval for the whole queue; evidence counts for twice the service time. TestOffersAreSpaced failed before (99 of 100 requests left within 200 ms) and passes.

--- a/internal/core/fairqueue/control.go
+++ b/internal/core/fairqueue/control.go
@@ -216,7 +216,7 @@
 		heard++
 		if r.busy {
 			busy++
-			isRecent = isRecent || age <= evidenceAge
+			isRecent = isRecent || age <= max(evidenceAge, 2*q.control.serviceTime)
 		}
 	}
 	return isRecent && 2*busy > heard && (busy >= 2 || len(c.servers) == 1)
--- a/internal/core/fairqueue/fairqueue_test.go
+++ b/internal/core/fairqueue/fairqueue_test.go
@@ -393,3 +393,29 @@
 		t.Errorf("%d servers are remembered, of which one was heard of every 10 s", n)
 	}
 }
+
+// TestOffersAreSpaced guards against a service that stalls and gets every request that is held at once: without an answer for a while, at
+// most one of them leaves in each offerInterval.
+func TestOffersAreSpaced(t *testing.T) {
+	q := newTestQueue(t, Config{})
+	q.now = q.now.Add(evidenceAge + 2*testService)
+	for range 100 {
+		q.enter(Request{Organisation: "big"})
+	}
+	if len(q.waiting) < 50 {
+		t.Fatalf("%d requests are held, want most of 100", len(q.waiting))
+	}
+	const polls = 200
+	left := 0
+	for range polls {
+		q.now = q.now.Add(time.Millisecond)
+		for _, ticket := range q.Poll(q.now) {
+			if ticket.State == Sent {
+				left++
+			}
+		}
+	}
+	if most := polls/int(offerInterval/time.Millisecond) + 1; left > most {
+		t.Errorf("%d requests left in %d ms without an answer, want at most %d", left, polls, most)
+	}
+}
--- a/internal/core/fairqueue/queue.go
+++ b/internal/core/fairqueue/queue.go
@@ -95,16 +95,17 @@
 
 // Queue decides on the requests for one service. Create it with New.
 type Queue struct {
-	cfg      Config
-	waiting  []*Ticket // in order of entry
-	bytes    int       // of the bodies of waiting
-	sent     []*Ticket // in flight, in order of the send
-	accounts map[accountKey]*account
-	passed   map[int]int // per rank with a request that was held or refused: releases of higher ranks since its last release
-	number   uint64
-	heldAt   time.Time // when a request was last held
-	isClosed bool
-	control  control
+	cfg       Config
+	waiting   []*Ticket // in order of entry
+	bytes     int       // of the bodies of waiting
+	sent      []*Ticket // in flight, in order of the send
+	accounts  map[accountKey]*account
+	passed    map[int]int // per rank with a request that was held or refused: releases of higher ranks since its last release
+	number    uint64
+	heldAt    time.Time // when a request was last held
+	offeredAt time.Time // when a request was last sent above the limit for lack of evidence that the servers are busy
+	isClosed  bool
+	control   control
 }
 
 // New returns a queue of a service that is not contended.
@@ -194,8 +195,12 @@
 			q.send(now, t)
 			decided = append(decided, t)
 		case q.extend(now, t):
+		case !q.isSaturated(now) && now.Before(q.offeredAt.Add(offerInterval)):
+			t.until = q.offeredAt.Add(offerInterval)
+			i++
 		case !q.isSaturated(now): // the limit may be outdated
 			first := q.next(now)
+			q.offeredAt = now
 			t.until = now.Add(offerInterval)
 			q.remove(first)
 			q.send(now, first)
