--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -168,9 +168,7 @@
 		return
 	}
 	c.closed = true
-	if c.isLarge {
-		g.large--
-	}
+	g.releaseLargeHead(c)
 	delete(g.conns, c)
 }
 
