--- a/review/lab-2/crowd.go
+++ b/review/lab-2/crowd.go
@@ -79,6 +79,9 @@
 }
 
 func runCrowd(root string, rec *record, trouble bool) error {
+	if err := checkDescriptors(2 * crowdClients); err != nil {
+		return err
+	}
 	s, err := startSmall(root, rec, 4, []*standin{newStandin(nil, "orders", "porto-a", "", 6, answerDone)}, newConfiguration(1, ordersRoute))
 	if err != nil {
 		return err
--- a/review/lab-2/memory.go
+++ b/review/lab-2/memory.go
@@ -70,6 +70,9 @@
 }
 
 func runMemory(root string, rec *record, trouble bool) error {
+	if err := checkDescriptors(6 * memoryClients); err != nil {
+		return err
+	}
 	drafts := route{
 		Name: "drafts", Hostname: hostname, PathPrefix: "/drafts/", Kind: "streaming", TimeoutMS: 12000, TargetMS: 300, Priority: 0,
 		Service: "assistant", Attempts: 1, GapMS: 2000,
--- a/review/lab-2/system.go
+++ b/review/lab-2/system.go
@@ -84,6 +84,18 @@
 	return s, nil
 }
 
+// checkDescriptors returns an error unless this process may open n descriptors.
+func checkDescriptors(n uint64) error {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return err
+	}
+	if limit.Cur < n {
+		return fmt.Errorf("%d descriptors are needed, %d are allowed", n, limit.Cur)
+	}
+	return nil
+}
+
 // takeNetwork finds a range of loopback addresses that no other case uses, and keeps a listener in it.
 func (s *system) takeNetwork() error {
 	var last error
--- a/review/lab-2/wire.go
+++ b/review/lab-2/wire.go
@@ -110,8 +110,11 @@
 
 // callAnyControl calls one control member after another until one answers with a status below 500.
 func (s *system) callAnyControl(ctx context.Context, method, path string, body any) (status int, answer []byte, err error) {
-	err = errors.New("no control member")
-	for first, members := time.Now().Nanosecond(), s.controlMembers(); ; {
+	members := s.controlMembers()
+	if len(members) == 0 {
+		return 0, nil, errors.New("no control member")
+	}
+	for first := time.Now().Nanosecond(); ; {
 		for n := range members {
 			status, answer, err = s.callControl(ctx, members[(first+n)%len(members)], method, path, body)
 			if err == nil && status < 500 {
