responsecheck: answers with status 000 are refused

What callers saw: at an entry, an answer with status 000, 001 or 099 ended the connection without an answer, and 101, 600 and 999 were passed on as the server's status. At a gateway, 600 and 999 were passed on, and an answer with a status below 200 was skipped as an informational one: whatever the server sent next became the answer, or the request waited until its deadline. A control call to an engine (order, cancel, load, running) and a change through the operators' API counted as done by an answer with status 000.

Cause: net/http takes any three characters that are a number as the status (000, +99, -00), any status above 599 and any major version. upstream took each status below 200 as informational, 101 too. backend and adminclient only compared the status with 300, 400 or 500.

Change: package responsecheck checks the head of a response byte by byte while it arrives, in front of net/http. upstream checks with it the heads on kept connections, responsecheck.NewTransport those of the clients of net/http: backend, platformclient and adminclient. One piece of code serves all. Such an answer counts as none: 502 and may_have_run, or the retry that the route allows. Statuses from 100 to 599 but for 101 are accepted, of HTTP/1.x only.

Ruled out: a check of http.Response.StatusCode. It sees neither informational answers of net/http's clients nor the version in the status line, and +99 looks like 99.

--- a/cmd/guavastack/operator.go
+++ b/cmd/guavastack/operator.go
@@ -15,6 +15,7 @@
 
 	"github.com/guavastack/guavastack/internal/adminclient"
 	"github.com/guavastack/guavastack/internal/certs"
+	"github.com/guavastack/guavastack/internal/responsecheck"
 )
 
 // Names of flags that several commands have.
@@ -92,9 +93,9 @@
 			return nil, err
 		}
 	}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: responsecheck.NewTransport(&http.Transport{
 		TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: roots},
-	}}, nil
+	})}, nil
 }
 
 // printResult prints v as JSON with --json, and otherwise the output of table.
--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -19,6 +19,7 @@
 	"github.com/guavastack/guavastack/internal/adminapi"
 	"github.com/guavastack/guavastack/internal/core/duty"
 	"github.com/guavastack/guavastack/internal/operate"
+	"github.com/guavastack/guavastack/internal/responsecheck"
 	"github.com/guavastack/guavastack/internal/wait"
 )
 
@@ -65,10 +66,11 @@
 	http  *http.Client
 }
 
-// New returns a client of the API at base, such as "http://127.0.0.1:8081". A nil httpClient is http.DefaultClient.
+// New returns a client of the API at base, such as "http://127.0.0.1:8081". A nil httpClient means one that accepts only well-formed
+// responses.
 func New(base, token string, httpClient *http.Client) *Client {
 	if httpClient == nil {
-		httpClient = http.DefaultClient
+		httpClient = &http.Client{Transport: responsecheck.NewTransport(&http.Transport{})}
 	}
 	return &Client{base: strings.TrimSuffix(base, "/"), token: token, http: httpClient}
 }
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"github.com/guavastack/guavastack/internal/core/verdict"
+	"github.com/guavastack/guavastack/internal/responsecheck"
 )
 
 // Header is one header field.
@@ -133,19 +134,18 @@
 	return c
 }
 
-// newTransport returns a transport with a dial timeout. It opens a new connection for each request: on a reused one net/http may send a
-// request twice, and takes whatever arrives first for the answer, even one that the server repeats.
+// newTransport returns a transport with a dial timeout, which accepts only well-formed answers. It opens a new connection for each request: on
+// a reused one net/http may send a request twice, and takes whatever arrives first for the answer, even one that the server repeats.
 func newTransport(c Config) *http.Transport {
-	return &http.Transport{
+	return responsecheck.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, c.DialTimeout)
 			defer cancel()
 			return c.Dial(ctx, network, addr)
 		},
-		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	})
 }
 
 // hopHeaders are the hop-by-hop headers and Content-Length, which are not forwarded.
--- /dev/null
+++ b/internal/backend/malformed_test.go
@@ -0,0 +1,54 @@
+package backend
+
+import (
+	"testing"
+
+	"github.com/guavastack/guavastack/internal/core/verdict"
+	"github.com/guavastack/guavastack/internal/responsecheck/responsechecktest"
+)
+
+// checkBrokenAnswer checks that no client of a backend server takes text for an answer: nothing of it is passed on, a control call fails, and
+// the request may have run.
+func checkBrokenAnswer(t *testing.T, text string) {
+	t.Helper()
+	for kind, c := range clients(t, rawServer(t, text, "", false)) {
+		var got collector
+		_, err := c.Do(t.Context(), &Request{ID: "r", Method: "POST", Path: "/", Body: []byte("{}"), Stream: true}, &got)
+		if err == nil || verdict.Of(err) != verdict.MayHaveRun || got.status != 0 || got.body.Len() > 0 {
+			t.Errorf("%s: status %03d, body %q, error %v; want nothing and an error with verdict may_have_run", kind, got.status, got.body.String(), err)
+		}
+	}
+	e := NewEngine(Config{URL: rawServer(t, text, "", false)})
+	defer e.Close()
+	for call, err := range map[string]error{
+		"cancel": e.Cancel(t.Context(), "r"),
+		"order":  e.Order(t.Context(), Order{ID: "o", Fencing: 1}),
+	} {
+		if err == nil {
+			t.Errorf("%s: no error, want one", call)
+		}
+	}
+	if load, err := e.Load(t.Context()); err == nil {
+		t.Errorf("load: got %+v, want an error", load)
+	}
+	if list, err := e.Running(t.Context(), "owner"); err == nil {
+		t.Errorf("running: got %+v, want an error", list)
+	}
+}
+
+// TestAnswerWithInvalidStatusFails guards against an answer whose status means nothing, such as 000, that is passed on, and against control
+// calls that count as done by it.
+func TestAnswerWithInvalidStatusFails(t *testing.T) {
+	const events = "data: {}\n\ndata: [DONE]\n\n"
+	for _, status := range responsechecktest.InvalidStatuses() {
+		first := "HTTP/1.1 " + status + " X\r\n"
+		for name, text := range map[string]string{
+			"with a length":               first + "Content-Length: 2\r\n\r\n{}",
+			"in chunks":                   first + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+			"event stream":                first + "Content-Type: text/event-stream\r\n\r\n" + events,
+			"behind an informational one": "HTTP/1.1 103 Early Hints\r\n\r\n" + first + "Content-Length: 2\r\n\r\n{}",
+		} {
+			t.Run(status+" "+name, func(t *testing.T) { checkBrokenAnswer(t, text) })
+		}
+	}
+}
--- a/internal/platformclient/client.go
+++ b/internal/platformclient/client.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"github.com/guavastack/guavastack/internal/leasecall"
+	"github.com/guavastack/guavastack/internal/responsecheck"
 )
 
 // Headers of the platform's HTTP contract. They carry the sender, because the body of a usage report contains only
@@ -83,20 +84,19 @@
 
 // NewHTTPClient returns a client for calls of the leader, which never sends a request twice. Every call uses a new connection,
 // because net/http may retry a request when a reused connection is lost, and because a reused connection may be broken without
-// having been detected as such. Redirects are not followed. Nothing of a call is sent or delivered after its deadline, see
-// package leasecall.
+// having been detected as such. Redirects are not followed, and only well-formed responses are accepted. Nothing of a call is
+// sent or delivered after its deadline, see package leasecall.
 func NewHTTPClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: responsecheck.NewTransport(&http.Transport{
 			DialContext:       leasecall.Dial,
-			DisableKeepAlives: true,
 			ForceAttemptHTTP2: false,
 
 			DisableCompression: true,
 
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 			Protocols:              http1Only(),
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- /dev/null
+++ b/internal/responsecheck/responsechecktest/server.go
@@ -0,0 +1,45 @@
+// Package responsechecktest provides servers that answer with responses which are not well-formed.
+package responsechecktest
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// InvalidStatuses are statuses that no response to a request has.
+func InvalidStatuses() []string {
+	return []string{"000", "001", "099", "+99", "-00", "101", "600", "999"}
+}
+
+// Serve starts a server that answers each request with text and ends the connection. It returns its address.
+func Serve(t testing.TB, text string) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go answer(conn, text)
+		}
+	}()
+	return lis.Addr().String()
+}
+
+func answer(conn net.Conn, text string) {
+	defer func() { _ = conn.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	_, _ = io.WriteString(conn, text)
+}
--- /dev/null
+++ b/internal/responsecheck/transport.go
@@ -0,0 +1,94 @@
+package responsecheck
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+
+	"github.com/juju/errors"
+)
+
+// NewTransport returns t, changed so that it fails for responses that are not well-formed. It then opens a connection for each request.
+func NewTransport(t *http.Transport) *http.Transport {
+	dial := t.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	t.DisableKeepAlives = true // conn checks the response to one request
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: raw}, nil
+	}
+	t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		secured, err := handshake(ctx, raw, t.TLSClientConfig, address)
+		if err != nil {
+			_ = raw.Close()
+			return nil, err
+		}
+		return &conn{Conn: secured}, nil
+	}
+	return t
+}
+
+// handshake makes raw a TLS connection to the server at address. A nil config means the defaults.
+func handshake(ctx context.Context, raw net.Conn, config *tls.Config, address string) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	own := &tls.Config{MinVersion: tls.VersionTLS12}
+	if config != nil {
+		own = config.Clone()
+	}
+	if own.ServerName == "" {
+		own.ServerName = host
+	}
+	secured := tls.Client(raw, own)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return secured, nil
+}
+
+// conn is a connection for one request. Its reads fail once a head that arrives is not well-formed.
+type conn struct {
+	net.Conn
+	head   Head
+	inBody bool // the head of the final response has ended
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if malformed := c.check(p[:n]); malformed != nil {
+		return 0, malformed
+	}
+	return n, err
+}
+
+// check checks what p holds of the heads of informational responses and of the final one.
+func (c *conn) check(p []byte) error {
+	for !c.inBody && len(p) > 0 {
+		n, err := c.head.Check(p)
+		if err != nil {
+			return err
+		}
+		p = p[n:]
+		switch {
+		case !c.head.Ended():
+		case c.head.IsInformational():
+			c.head = Head{}
+		default:
+			c.inBody = true
+		}
+	}
+	return nil
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -13,6 +13,8 @@
 
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/guavastack/guavastack/internal/responsecheck"
 )
 
 const (
@@ -45,12 +47,14 @@
 // errHeadTooLarge means that a server sent more than maxHeadBytes or maxHeadLines without completing the header of an answer.
 const errHeadTooLarge = errors.ConstError("header of the answer exceeds the size limit")
 
-// limitedInput reads from a connection, and fails once a limit on the bytes or lines read is exceeded.
+// limitedInput reads from a connection. While it is limited, it fails once a limit on the bytes or lines read is exceeded, or the head that
+// arrives is not well-formed.
 type limitedInput struct {
 	conn      net.Conn
 	limited   bool
-	left      int // bytes that may still be read; valid if limited
-	leftLines int // lines after which no more is read; valid if limited
+	head      responsecheck.Head // valid if limited
+	left      int                // bytes that may still be read; valid if limited
+	leftLines int                // lines after which no more is read; valid if limited
 }
 
 // limit allows n more bytes, and no further read after the given number of lines.
@@ -70,9 +74,20 @@
 	n, err := in.conn.Read(p[:min(len(p), in.left)])
 	in.left -= n
 	in.leftLines -= bytes.Count(p[:n], lineEnd)
+	if _, malformed := in.head.Check(p[:n]); malformed != nil {
+		return 0, malformed
+	}
 	return n, err
 }
 
+// expectHead expects the head of an answer, the beginning of which may have been read already.
+func (c *conn) expectHead() error {
+	c.input.head = responsecheck.Head{}
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // fails for more than is buffered only
+	_, err := c.input.head.Check(buffered)
+	return err
+}
+
 // dial opens a connection.
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
 	open := c.dialConn
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -226,6 +226,9 @@
 	cn.input.limit(maxHeadBytes, maxHeadLines)
 	defer cn.input.unlimit()
 	for range maxInformationalAnswers + 1 {
+		if err := cn.expectHead(); err != nil {
+			return nil, errors.Trace(err)
+		}
 		res, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, errors.Trace(err)
