responsecheck: answers with malformed fields are refused

What callers saw: an answer in whose head a name held a blank, or a line began with one, was passed on as a success. "Content-Length : 3" and "Transfer-Encoding : chunked" didn't delimit the body, so that callers got it with its chunk sizes, or up to the end of the connection. A line that begins with a blank became part of the field before it, so that callers got another value than the server's. The same held for informational answers, trailers, control calls to engines, calls to the platform and the operators' API. A control byte in a name or a value was refused before, by net/http: the tests of these cases are kept.

Cause: net/http keeps a name with blanks as it is, under which nothing finds it, and joins continued lines (obs-fold). RFC 9112, section 5.1, lets no blank stand between name and colon; section 5.2 lets a gateway refuse continued lines.

Change: responsecheck.Head checks the whole head: the reason phrase, the names and the values of fields, and carriage returns only at line ends. The names in a trailer are checked at the end of the body (responsecheck.Body), also in an answer to another request that is skipped.

Ruled out: a check of the names in http.Response.Header. It doesn't see continued lines, nor informational answers.

--- a/internal/adminclient/malformed_test.go
+++ b/internal/adminclient/malformed_test.go
@@ -28,3 +28,13 @@
 		})
 	}
 }
+
+// TestMalformedFieldFails guards against a change that counts as done by an answer that is not well-formed.
+func TestMalformedFieldFails(t *testing.T) {
+	for name, field := range responsechecktest.MalformedFields() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkMalformedFails(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"+field+"\r\n\r\n{}")
+		})
+	}
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -136,7 +136,7 @@
 
 // newTransport returns a transport with a dial timeout, which accepts only well-formed answers. It opens a new connection for each request: on
 // a reused one net/http may send a request twice, and takes whatever arrives first for the answer, even one that the server repeats.
-func newTransport(c Config) *http.Transport {
+func newTransport(c Config) *responsecheck.Transport {
 	return responsecheck.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, c.DialTimeout)
--- a/internal/backend/call.go
+++ b/internal/backend/call.go
@@ -20,7 +20,7 @@
 	http *http.Client
 }
 
-func newClient(base string, t *http.Transport) client {
+func newClient(base string, t http.RoundTripper) client {
 	return client{
 		base: strings.TrimSuffix(base, "/"),
 		http: &http.Client{
--- a/internal/backend/malformed_test.go
+++ b/internal/backend/malformed_test.go
@@ -52,3 +52,38 @@
 		}
 	}
 }
+
+// TestAnswerWithMalformedFieldFails guards against an answer with another body than the server's, or other headers, since a line of its head
+// is no field.
+func TestAnswerWithMalformedFieldFails(t *testing.T) {
+	const (
+		ok     = "HTTP/1.1 200 OK\r\n"
+		events = "data: {}\n\ndata: [DONE]\n\n"
+	)
+	for name, field := range responsechecktest.MalformedFields() {
+		line := field + "\r\n"
+		for place, text := range map[string]string{
+			"first":                      ok + line + "Content-Length: 2\r\n\r\n{}",
+			"last":                       ok + "Content-Length: 2\r\n" + line + "\r\n{}",
+			"of an event stream":         ok + "Content-Type: text/event-stream\r\n" + line + "\r\n" + events,
+			"in an informational answer": "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n" + line + "\r\n" + ok + "Content-Length: 2\r\n\r\n{}",
+		} {
+			t.Run(name+" "+place, func(t *testing.T) { checkBrokenAnswer(t, text) })
+		}
+	}
+}
+
+// TestAnswerWithMalformedTrailerFails guards against an answer that counts as whole although it is not well-formed to its end.
+func TestAnswerWithMalformedTrailerFails(t *testing.T) {
+	const text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX Sum: 1\r\n\r\n"
+	for kind, c := range clients(t, rawServer(t, text, "", false)) {
+		if _, err := c.Do(t.Context(), &Request{ID: "r", Method: "POST", Path: "/", Body: []byte("{}")}, &discarding{}); err == nil {
+			t.Errorf("%s: no error, want one", kind)
+		}
+	}
+	e := NewEngine(Config{URL: rawServer(t, text, "", false)})
+	defer e.Close()
+	if load, err := e.Load(t.Context()); err == nil {
+		t.Errorf("load: got %+v, want an error", load)
+	}
+}
--- a/internal/entry/malformed_answer_test.go
+++ b/internal/entry/malformed_answer_test.go
@@ -55,3 +55,13 @@
 		t.Run(status, func(t *testing.T) { checkBrokenAnswer(t, "HTTP/1.1 "+status+" X\r\nContent-Length: 2\r\n\r\n{}") })
 	}
 }
+
+// TestAnswerWithMalformedFieldIsNotRelayed guards against callers that get another body than the server's, or other headers, since a line of
+// the head is no field.
+func TestAnswerWithMalformedFieldIsNotRelayed(t *testing.T) {
+	for name, field := range responsechecktest.MalformedFields() {
+		t.Run(name, func(t *testing.T) {
+			checkBrokenAnswer(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"+field+"\r\n\r\n{}")
+		})
+	}
+}
--- a/internal/gateway/malformed_answer_test.go
+++ b/internal/gateway/malformed_answer_test.go
@@ -65,3 +65,44 @@
 		}
 	}
 }
+
+// TestAnswerWithMalformedFieldIsNotRelayed guards against callers that get another body than the server's, or other headers, since a line of
+// the head is no field.
+func TestAnswerWithMalformedFieldIsNotRelayed(t *testing.T) {
+	const (
+		ok    = "HTTP/1.1 200 OK\r\n"
+		id    = "X-Id: id-1\r\n"
+		whole = "Content-Length: 7\r\n\r\nid: 8\n\n"
+	)
+	for name, field := range responsechecktest.MalformedFields() {
+		line := field + "\r\n"
+		for place, broken := range map[string]string{
+			"first":                      ok + line + id + seal + whole,
+			"behind the seal":            ok + id + seal + line + whole,
+			"in place of the length":     ok + id + seal + line + "\r\nid: 8\n\n",
+			"in an informational answer": "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n" + line + "\r\n" + ok + id + seal + whole,
+		} {
+			t.Run(name+" "+place, func(t *testing.T) { checkBrokenAnswer(t, broken) })
+		}
+	}
+}
+
+// TestStreamWithMalformedTrailerIsBrokenOff guards against a stream that the caller takes for complete although its server's answer is not
+// well-formed to its end. Another server goes on with it where it may be resumed.
+func TestStreamWithMalformedTrailerIsBrokenOff(t *testing.T) {
+	const broken = "HTTP/1.1 200 OK\r\nX-Id: id-1\r\n" + seal + "Transfer-Encoding: chunked\r\n\r\n7\r\nid: 8\n\n\r\n0\r\nX Sum: 1\r\n\r\n"
+	b, _ := brokenOnce(t, broken)
+	if res, body, err := b.do(http.MethodPost, "/stream/x"); err == nil {
+		t.Errorf("answer %v, body %q; want a stream that is broken off", res, body)
+	}
+	b, _ = brokenOnce(t, broken)
+	if res, body, err := b.do(http.MethodPost, "/resume/x"); err != nil || body != "id: 8\n\nid: 1\n\n" {
+		t.Errorf("answer %v, body %q, error %v; want the events of both servers", res, body, err)
+	}
+	for path, status := range map[string]int{"/unsafe/x": http.StatusBadGateway, "/safe/x": http.StatusOK} {
+		b, _ = brokenOnce(t, broken)
+		if res, body, err := b.do(http.MethodPost, path); err != nil || res.StatusCode != status || body == "id: 8\n\n" {
+			t.Errorf("%s: answer %v, body %q, error %v; want status %d and nothing of the first answer", path, res, body, err, status)
+		}
+	}
+}
--- a/internal/platformclient/malformed_test.go
+++ b/internal/platformclient/malformed_test.go
@@ -32,3 +32,12 @@
 		t.Run(status, func(t *testing.T) { checkMalformedFails(t, "HTTP/1.1 "+status+" X\r\nContent-Length: 2\r\n\r\n{}") })
 	}
 }
+
+// TestMalformedFieldFails guards against calls that count as done by an answer that is not well-formed.
+func TestMalformedFieldFails(t *testing.T) {
+	for name, field := range responsechecktest.MalformedFields() {
+		t.Run(name, func(t *testing.T) {
+			checkMalformedFails(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"+field+"\r\n\r\n{}")
+		})
+	}
+}
--- a/internal/responsecheck/head.go
+++ b/internal/responsecheck/head.go
@@ -1,7 +1,9 @@
 // Package responsecheck rejects HTTP/1 responses that are not well-formed, although net/http accepts them.
 //
-// net/http takes any three characters that are a number as the status, such as 000 and +99, and any major version. RFC 9112, section 4, and
-// RFC 9110, section 15, allow neither.
+// net/http takes any three characters that are a number as the status, such as 000 and +99, and any major version. It accepts field names that
+// contain blanks, but not as the names that they resemble: a Content-Length or Transfer-Encoding with a blank behind it doesn't delimit the
+// body. It also joins a line that begins with a blank to the field before it. RFC 9112, sections 4, 5.1 and 5.2, and RFC 9110, section 15,
+// allow a recipient to refuse all of these.
 package responsecheck
 
 import (
@@ -30,9 +32,11 @@
 const (
 	inStatusLine position = iota
 	afterStatus
-	inLine
+	inText // a reason phrase or the value of a field
 	atLineStart
-	afterReturn // at the start of a line, after a carriage return
+	inName
+	afterReturn      // behind the carriage return that ends a line
+	afterFinalReturn // behind the carriage return of the empty line
 	afterHead
 )
 
@@ -63,21 +67,23 @@
 }
 
 func (h *Head) checkByte(c byte) error {
-	switch {
-	case h.position == inStatusLine:
+	switch h.position {
+	case inStatusLine:
 		return h.checkStatusLine(c)
-	case h.position == afterStatus && c != ' ' && c != '\r' && c != '\n':
-		return errors.Annotate(ErrMalformed, "status with more than three digits")
-	case c == '\n' && (h.position == atLineStart || h.position == afterReturn):
-		h.position = afterHead
-	case c == '\n':
-		h.position = atLineStart
-	case c == '\r' && h.position == atLineStart:
-		h.position = afterReturn
+	case afterStatus:
+		if c != ' ' && c != '\r' && c != '\n' {
+			return errors.Annotate(ErrMalformed, "status with more than three digits")
+		}
+		return h.checkText(c)
+	case inText:
+		return h.checkText(c)
+	case atLineStart:
+		return h.checkLineStart(c)
+	case inName:
+		return h.checkName(c)
 	default:
-		h.position = inLine
+		return h.checkLineFeed(c)
 	}
-	return nil
 }
 
 func (h *Head) checkStatusLine(c byte) error {
@@ -103,3 +109,57 @@
 	}
 	return nil
 }
+
+func (h *Head) checkText(c byte) error {
+	const del = 0x7f
+	switch {
+	case c == '\r':
+		h.position = afterReturn
+	case c == '\n':
+		h.position = atLineStart
+	case c < ' ' && c != '\t', c == del:
+		return errors.Annotatef(ErrMalformed, "control byte %#02x in a head", c)
+	default:
+		h.position = inText
+	}
+	return nil
+}
+
+func (h *Head) checkLineStart(c byte) error {
+	switch c {
+	case '\r':
+		h.position = afterFinalReturn
+		return nil
+	case '\n':
+		h.position = afterHead
+		return nil
+	case ':':
+		return errors.Annotate(ErrMalformed, "field without a name")
+	}
+	h.position = inName
+	return h.checkName(c)
+}
+
+func (h *Head) checkName(c byte) error {
+	if c == ':' {
+		h.position = inText
+		return nil
+	}
+	if !isNameByte[c] {
+		return errors.Annotatef(ErrMalformed, "byte %#02x in the name of a field", c)
+	}
+	return nil
+}
+
+// checkLineFeed checks the byte behind a carriage return.
+func (h *Head) checkLineFeed(c byte) error {
+	if c != '\n' {
+		return errors.Annotate(ErrMalformed, "carriage return inside a line of a head")
+	}
+	if h.position == afterFinalReturn {
+		h.position = afterHead
+		return nil
+	}
+	h.position = atLineStart
+	return nil
+}
--- a/internal/responsecheck/head_test.go
+++ b/internal/responsecheck/head_test.go
@@ -59,6 +59,19 @@
 	}
 }
 
+// TestMalformedFields guards against a field that counts as another one, or as none: a blank in the name of the length or of the coding hides
+// where the body ends, and a line that begins with a blank changes the value of the field before it.
+func TestMalformedFields(t *testing.T) {
+	const status, field = "HTTP/1.1 200 OK\r\n", "Content-Length: 5\r\n"
+	for _, line := range responsechecktest.MalformedFields() {
+		checkMalformed(t, status+line+"\r\n"+field+"\r\n")
+		checkMalformed(t, status+field+line+"\r\n\r\n")
+		checkMalformed(t, "HTTP/1.1 200 OK\n"+field+line+"\n\n")
+	}
+	checkMalformed(t, "HTTP/1.1 200 O\x00K\r\n"+field+"\r\n")
+	checkMalformed(t, status+field+"\r\r\n")
+}
+
 func checkMalformed(t *testing.T, head string) {
 	t.Helper()
 	for cut := range len(head) {
--- a/internal/responsecheck/transport.go
+++ b/internal/responsecheck/transport.go
@@ -9,8 +9,11 @@
 	"github.com/juju/errors"
 )
 
-// NewTransport returns t, changed so that it fails for responses that are not well-formed. It then opens a connection for each request.
-func NewTransport(t *http.Transport) *http.Transport {
+// Transport is an http.RoundTripper that fails for responses that are not well-formed. It opens a connection for each request.
+type Transport struct{ base *http.Transport }
+
+// NewTransport returns a Transport with the settings of t, which it takes over and changes.
+func NewTransport(t *http.Transport) *Transport {
 	dial := t.DialContext
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
@@ -35,9 +38,22 @@
 		}
 		return &conn{Conn: secured}, nil
 	}
-	return t
+	return &Transport{base: t}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	res, err := t.base.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	res.Body = Body(res)
+	return res, nil
 }
 
+// CloseIdleConnections closes the connections that no request uses yet.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
 // handshake makes raw a TLS connection to the server at address. A nil config means the defaults.
 func handshake(ctx context.Context, raw net.Conn, config *tls.Config, address string) (net.Conn, error) {
 	host, _, err := net.SplitHostPort(address)
--- a/internal/responsecheck/transport_test.go
+++ b/internal/responsecheck/transport_test.go
@@ -53,6 +53,7 @@
 	const (
 		early = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 		whole = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+		coded = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"
 		none  = "HTTP/1.1 000 X\r\nContent-Length: 5\r\n\r\nhello"
 	)
 	for _, c := range []struct {
@@ -61,9 +62,13 @@
 	}{
 		{"well-formed", whole, false},
 		{"well-formed, behind an informational response", early + whole, false},
+		{"well-formed trailer", coded + "X-Sum: 1\r\n\r\n", false},
 		{"a body that looks like a head", "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\nHTTP/1.1 000 X", false},
 		{"status 000", none, true},
 		{"status 000, behind an informational response", early + none, true},
+		{"blank in the name of a field", "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 5\r\n\r\nhello", true},
+		{"blank in the name of a field of an informational response", "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + whole, true},
+		{"blank in the name of a field of the trailer", coded + "X Sum: 1\r\n\r\n", true},
 	} {
 		for _, secure := range []bool{false, true} {
 			t.Run(c.name, func(t *testing.T) {
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -1,7 +1,6 @@
 package upstream_test
 
 import (
-	"net/http"
 	"testing"
 
 	"github.com/guavastack/guavastack/internal/responsecheck/responsechecktest"
@@ -27,8 +26,35 @@
 			"in the answer to another one": "HTTP/1.1 " + status + " X\r\nRequest-Id: zero\r\nContent-Length: 0\r\n\r\n" + next,
 		} {
 			t.Run(status+" "+name, func(t *testing.T) {
-				s := newServer(t, func(int, *http.Request) string { return text })
-				if got, err := do(upstream.New(), s, "one"); err == nil {
+				if got, err := readAnswer(t, upstream.New(), responsechecktest.Serve(t, text), "one"); err == nil {
+					t.Errorf("got the body %q, want an error", got)
+				}
+			})
+		}
+	}
+}
+
+// TestAnswerWithMalformedFieldFails guards against an answer with another body than the server's, or other headers: a line of its head, of an
+// informational answer before it or of its trailer is no field.
+func TestAnswerWithMalformedFieldFails(t *testing.T) {
+	const (
+		ok = "HTTP/1.1 200 OK\r\n"
+		id = "Request-Id: one\r\n"
+	)
+	for name, field := range responsechecktest.MalformedFields() {
+		line := field + "\r\n"
+		for place, text := range map[string]string{
+			"first":                      ok + line + id + "Content-Length: 5\r\n\r\nhello",
+			"last":                       ok + id + "Content-Length: 5\r\n" + line + "\r\nhello",
+			"in place of the length":     ok + id + line + "Connection: close\r\n\r\nhello",
+			"in chunks":                  ok + id + line + "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+			"in an informational answer": "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n" + line + "\r\n" + answer("one", "hello"),
+			"in the answer to another":   ok + "Request-Id: zero\r\nContent-Length: 0\r\n" + line + "\r\n" + answer("one", "hello"),
+			"in the trailer of another":  ok + "Request-Id: zero\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + line + "\r\n" + answer("one", "hello"),
+			"in the trailer":             ok + id + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n" + line + "\r\n",
+		} {
+			t.Run(name+" "+place, func(t *testing.T) {
+				if got, err := readAnswer(t, upstream.New(), responsechecktest.Serve(t, text), "one"); err == nil {
 					t.Errorf("got the body %q, want an error", got)
 				}
 			})
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -18,6 +18,8 @@
 
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/guavastack/guavastack/internal/responsecheck"
 )
 
 const (
@@ -234,6 +236,7 @@
 			return nil, errors.Trace(err)
 		}
 		if res.StatusCode >= http.StatusOK {
+			res.Body = responsecheck.Body(res)
 			return res, nil
 		}
 	}
