--- a/internal/backend/malformed_test.go
+++ b/internal/backend/malformed_test.go
@@ -1,6 +1,9 @@
 package backend
 
 import (
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/guavastack/guavastack/internal/core/verdict"
@@ -87,3 +90,42 @@
 		t.Errorf("load: got %+v, want an error", load)
 	}
 }
+
+// TestMalformedRestOfAStreamFails guards against a stream that goes on with an answer to its resume which is not well-formed.
+func TestMalformedRestOfAStreamFails(t *testing.T) {
+	const (
+		ok     = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+		event  = "data: {\"a\":1}\n\n"
+		events = event + "data: [DONE]\n\n"
+	)
+	for name, rest := range map[string]string{
+		"status 000":                 "HTTP/1.1 000 X\r\nContent-Type: text/event-stream\r\n\r\n" + events,
+		"blank in a name":            ok + "X Y: z\r\n\r\n" + events,
+		"continued line":             ok + " z\r\n\r\n" + events,
+		"in an informational answer": "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + ok + "\r\n" + events,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				if r.Method == http.MethodPost {
+					_, _ = io.WriteString(conn, ok+"\r\n"+event)
+					return
+				}
+				_, _ = io.WriteString(conn, rest)
+			}))
+			defer s.Close()
+			e := NewEngine(Config{URL: s.URL, Resumable: true})
+			defer e.Close()
+			var c collector
+			_, err := e.Do(t.Context(), &Request{ID: "r1", Method: "POST", Path: "/", Stream: true}, &c)
+			if err == nil || verdict.Of(err) != verdict.MayHaveRun || c.body.String() != event {
+				t.Errorf("body %q, error %v; want %q and an error with verdict may_have_run", c.body.String(), err, event)
+			}
+		})
+	}
+}
--- a/internal/responsecheck/responsechecktest/reset.go
+++ b/internal/responsecheck/responsechecktest/reset.go
@@ -30,13 +30,14 @@
 			if err != nil {
 				return
 			}
-			go answerAndReset(conn.(*net.TCPConn), text, after)
+			go AnswerAndReset(conn.(*net.TCPConn), text, after)
 		}
 	}()
 	return lis.Addr().String()
 }
 
-func answerAndReset(conn *net.TCPConn, text string, after time.Duration) {
+// AnswerAndReset serves one connection as ServeReset does.
+func AnswerAndReset(conn *net.TCPConn, text string, after time.Duration) {
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetReadBuffer(receiveBytes)
 	r, err := http.ReadRequest(bufio.NewReaderSize(conn, receiveBytes))
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -61,3 +61,12 @@
 		}
 	}
 }
+
+// TestChunkedAnswerOfHTTP10Fails guards against a body with its chunk sizes: net/http ignores the coding of an HTTP/1.0 answer, and RFC 9112,
+// section 6.1, has a recipient treat such an answer as faulty.
+func TestChunkedAnswerOfHTTP10Fails(t *testing.T) {
+	const text = "HTTP/1.0 200 OK\r\nRequest-Id: one\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+	if got, err := readAnswer(t, upstream.New(), responsechecktest.Serve(t, text), "one"); err == nil {
+		t.Errorf("got the body %q, want an error", got)
+	}
+}
