responsechecktest: one accept loop for the servers of these tests

Cause: the read-through found the loop three times, twice in this package and once in a test of the gateway. Change: ServeConns has it; Serve, ServeReset and the gateway's test use it. The refusal of a status that goes on names what was found.

--- a/internal/gateway/malformed_rest_test.go
+++ b/internal/gateway/malformed_rest_test.go
@@ -66,37 +66,16 @@
 	}
 }
 
-// acceptWith starts a server that serves each connection with serve. It returns its address.
-func acceptWith(t *testing.T, serve func(net.Conn)) string {
-	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = lis.Close() })
-	go func() {
-		for {
-			conn, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	return lis.Addr().String()
-}
-
 // TestRestOfAStreamResetDuringUploadIsNotWhole guards against a resumed stream that the caller takes for complete although the second server reset
 // the connection while the request was still being written.
 func TestRestOfAStreamResetDuringUploadIsNotWhole(t *testing.T) {
 	const first, second = "id: 1\n\n", "id: 2\n\n"
 	var arrived atomic.Int32
-	serve := func(conn net.Conn) {
+	serve := func(conn *net.TCPConn) {
 		if arrived.Add(1) > 1 {
-			responsechecktest.AnswerAndReset(conn.(*net.TCPConn), "HTTP/1.1 200 OK\r\nX-Id: id-1\r\n"+seal+"\r\n"+second, time.Millisecond)
+			responsechecktest.AnswerAndReset(conn, "HTTP/1.1 200 OK\r\nX-Id: id-1\r\n"+seal+"\r\n"+second, time.Millisecond)
 			return
 		}
-		defer func() { _ = conn.Close() }()
 		if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
 			_, _ = io.Copy(io.Discard, r.Body)
 			_, _ = io.WriteString(conn, streamStart(r, first))
@@ -105,7 +84,7 @@
 	b := newFixture(t)
 	for i := range 2 {
 		b.dir.backends = append(b.dir.backends, &controlpb.BackendServer{
-			Id: "s" + strconv.Itoa(i), Incarnation: "1", Address: acceptWith(t, serve), Kind: route.KindService, Model: "app",
+			Id: "s" + strconv.Itoa(i), Incarnation: "1", Address: responsechecktest.ServeConns(t, serve), Kind: route.KindService, Model: "app",
 			Lifecycle: route.LifecycleReady, Slots: 4,
 		})
 	}
--- a/internal/responsecheck/head.go
+++ b/internal/responsecheck/head.go
@@ -72,7 +72,7 @@
 		return h.checkStatusLine(c)
 	case afterStatus:
 		if c != ' ' && c != '\r' && c != '\n' {
-			return errors.Annotate(ErrMalformed, "status with more than three digits")
+			return errors.Annotate(ErrMalformed, "status that doesn't end after three digits")
 		}
 		return h.checkText(c)
 	case inText:
--- a/internal/responsecheck/responsechecktest/reset.go
+++ b/internal/responsecheck/responsechecktest/reset.go
@@ -18,27 +18,11 @@
 // ServeReset starts a server that answers each POST with text before it has read the body, and resets the connection after the given time. It
 // answers other requests with an empty JSON object. It returns its address.
 func ServeReset(t testing.TB, text string, after time.Duration) string {
-	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = lis.Close() })
-	go func() {
-		for {
-			conn, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go AnswerAndReset(conn.(*net.TCPConn), text, after)
-		}
-	}()
-	return lis.Addr().String()
+	return ServeConns(t, func(conn *net.TCPConn) { AnswerAndReset(conn, text, after) })
 }
 
-// AnswerAndReset serves one connection as ServeReset does.
+// AnswerAndReset serves one connection as ServeReset does. The reset happens when the connection is closed.
 func AnswerAndReset(conn *net.TCPConn, text string, after time.Duration) {
-	defer func() { _ = conn.Close() }()
 	_ = conn.SetReadBuffer(receiveBytes)
 	r, err := http.ReadRequest(bufio.NewReaderSize(conn, receiveBytes))
 	if err != nil {
--- a/internal/responsecheck/responsechecktest/server.go
+++ b/internal/responsecheck/responsechecktest/server.go
@@ -16,6 +16,11 @@
 
 // Serve starts a server that answers each request with text and ends the connection. It returns its address.
 func Serve(t testing.TB, text string) string {
+	return ServeConns(t, func(conn *net.TCPConn) { answer(conn, text) })
+}
+
+// ServeConns starts a server that calls serve with each connection, in a goroutine of its own, and then closes it. It returns its address.
+func ServeConns(t testing.TB, serve func(*net.TCPConn)) string {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -28,14 +33,16 @@
 			if err != nil {
 				return
 			}
-			go answer(conn, text)
+			go func() {
+				defer func() { _ = conn.Close() }()
+				serve(conn.(*net.TCPConn))
+			}()
 		}
 	}()
 	return lis.Addr().String()
 }
 
-func answer(conn net.Conn, text string) {
-	defer func() { _ = conn.Close() }()
+func answer(conn *net.TCPConn, text string) {
 	r, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
