--- a/internal/responsecheck/responsechecktest/server.go
+++ b/internal/responsecheck/responsechecktest/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 )
 
@@ -14,9 +15,28 @@
 	return []string{"000", "001", "099", "+99", "-00", "101", "600", "999"}
 }
 
+// Server answers each request with the same text and ends the connection. One for all cases of a test leaves ports to other tests.
+type Server struct {
+	Address string
+	text    atomic.Value // string
+}
+
+// NewServer starts a server that answers nothing yet.
+func NewServer(t testing.TB) *Server {
+	s := &Server{}
+	s.Answer("")
+	s.Address = ServeConns(t, func(conn *net.TCPConn) { answer(conn, s.text.Load().(string)) })
+	return s
+}
+
+// Answer sets the text of the answers.
+func (s *Server) Answer(text string) { s.text.Store(text) }
+
 // Serve starts a server that answers each request with text and ends the connection. It returns its address.
 func Serve(t testing.TB, text string) string {
-	return ServeConns(t, func(conn *net.TCPConn) { answer(conn, text) })
+	s := NewServer(t)
+	s.Answer(text)
+	return s.Address
 }
 
 // ServeConns starts a server that calls serve with each connection, in a goroutine of its own, and then closes it. It returns its address.
