responsecheck: the two dialers share their end; backend's tests use the shared accept loop

Cause: the read-through found the wrapping of a connection and its error path twice in NewTransport, and in backend's tests an accept loop that responsechecktest.ServeConns repeats.

No assertion changes.

--- a/internal/backend/faulty_server_test.go
+++ b/internal/backend/faulty_server_test.go
@@ -9,18 +9,15 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/guavastack/guavastack/internal/responsecheck/responsechecktest"
 )
 
 // rawServer answers each request with start, and then with repeated until the caller closes the connection; without repeated it closes the
 // connection, in order or by a reset.
 func rawServer(t *testing.T, start, repeated string, resets bool) string {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = lis.Close() })
-	go acceptEach(lis, func(conn net.Conn) {
+	address := responsechecktest.ServeConns(t, func(conn *net.TCPConn) {
 		r, err := http.ReadRequest(bufio.NewReader(conn))
 		if err != nil {
 			return
@@ -31,10 +28,10 @@
 			_, err = io.WriteString(conn, repeated)
 		}
 		if resets {
-			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.SetLinger(0)
 		}
 	})
-	return "http://" + lis.Addr().String()
+	return "http://" + address
 }
 
 // discarding is a Sink that counts the bytes of an answer.
--- a/internal/backend/repeated_answer_test.go
+++ b/internal/backend/repeated_answer_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"testing"
+
+	"github.com/guavastack/guavastack/internal/responsecheck/responsechecktest"
 )
 
 // TestRepeatedAnswerIsNotTakenForTheNext guards against an answer that a faulty engine writes once more on a kept connection: it would
@@ -21,12 +23,7 @@
 		"answer":          answer(200, `{"text":"first"}`),
 	} {
 		t.Run(name, func(t *testing.T) {
-			lis, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = lis.Close() }()
-			go acceptEach(lis, func(conn net.Conn) {
+			address := responsechecktest.ServeConns(t, func(conn *net.TCPConn) {
 				reader := bufio.NewReader(conn)
 				repeated := ""
 				for {
@@ -43,28 +40,14 @@
 					_, _ = io.WriteString(conn, repeated+answer(200, `{"text":"second"}`))
 				}
 			})
-			e := NewEngine(Config{URL: "http://" + lis.Addr().String()})
+			e := NewEngine(Config{URL: "http://" + address})
 			defer e.Close()
 			_, _ = e.Do(t.Context(), &Request{ID: "first", Method: "POST", Path: "/", Body: []byte("{}")}, &collector{})
 			var c collector
-			_, err = e.Do(t.Context(), &Request{ID: "second", Method: "POST", Path: "/", Body: []byte("{}")}, &c)
+			_, err := e.Do(t.Context(), &Request{ID: "second", Method: "POST", Path: "/", Body: []byte("{}")}, &c)
 			if err != nil || c.status != http.StatusOK || c.body.String() != `{"text":"second"}` {
 				t.Errorf("got status %d, body %q, error %v; want the answer to the second request", c.status, c.body.String(), err)
 			}
 		})
 	}
 }
-
-// acceptEach calls serve with each connection until the listener is closed.
-func acceptEach(lis net.Listener, serve func(net.Conn)) {
-	for {
-		conn, err := lis.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer func() { _ = conn.Close() }()
-			serve(conn)
-		}()
-	}
-}
--- a/internal/responsecheck/transport.go
+++ b/internal/responsecheck/transport.go
@@ -20,27 +20,26 @@
 	}
 	t.DisableKeepAlives = true // conn checks the response to one request
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		raw, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &conn{Conn: raw}, nil
+		return checked(dial(ctx, network, address))
 	}
 	t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		raw, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		secured, err := handshake(ctx, raw, t.TLSClientConfig, address)
-		if err != nil {
-			_ = raw.Close()
-			return nil, err
-		}
-		return &conn{Conn: secured}, nil
+		return checked(handshake(ctx, raw, t.TLSClientConfig, address))
 	}
 	return &Transport{base: t}
 }
 
+// checked returns a connection that checks what arrives on opened, or the error with which it could not be opened.
+func checked(opened net.Conn, err error) (net.Conn, error) {
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: opened}, nil
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	res, err := t.base.RoundTrip(r)
@@ -54,10 +53,11 @@
 // CloseIdleConnections closes the connections that no request uses yet.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
-// handshake makes raw a TLS connection to the server at address. A nil config means the defaults.
+// handshake makes raw a TLS connection to the server at address, or closes it if that fails. A nil config means the defaults.
 func handshake(ctx context.Context, raw net.Conn, config *tls.Config, address string) (net.Conn, error) {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
+		_ = raw.Close()
 		return nil, errors.Trace(err)
 	}
 	own := &tls.Config{MinVersion: tls.VersionTLS12}
@@ -69,6 +69,7 @@
 	}
 	secured := tls.Client(raw, own)
 	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
 		return nil, errors.Trace(err)
 	}
 	return secured, nil
